--- /dev/null
+++ b/packages/callers/src/callerServer.ts
@@ -0,0 +1,264 @@
+import { createServer, type Server } from 'node:http';
+import { type Clock, type Outcome, splitAddress, Undispatched } from '@monsoonreach/core';
+import { type H3Event, H3, toNodeHandler } from 'h3';
+import { v7 as uuidv7 } from 'uuid';
+import { z } from 'zod';
+import { BodyError, readBody } from './body.js';
+import { toEventStream } from './eventStream.js';
+import { toProblemResponse } from './problem.js';
+import type { CallContext, CallerHandler, CompletionAnswer, ServiceAnswer } from './requests.js';
+
+const MAX_HEADER_BYTES = 16_384;
+const MAX_CONNECTIONS = 10_000;
+const SWEEP_INTERVAL_MS = 1_000;
+
+/** What a caller server is made of. */
+export interface CallerServerOptions {
+  readonly address: string;
+  readonly headerTimeoutMs: number;
+  readonly requestTimeoutMs: number;
+  readonly clock: Clock;
+  readonly handler: CallerHandler;
+}
+
+const completionSchema = z.looseObject({
+  model: z.string().min(1),
+  messages: z.array(z.unknown()).min(1),
+  stream: z.boolean().nullish(),
+});
+
+/** The callers' front door: chat completions, models and plain services over HTTP. */
+export class CallerServer {
+  private readonly _server: Server;
+  private _inProgress = 0;
+  private _isClosing = false;
+
+  constructor(private readonly _options: CallerServerOptions) {
+    const handle = toNodeHandler(this._createApp());
+    this._server = createServer(
+      {
+        headersTimeout: _options.headerTimeoutMs,
+        requestTimeout: _options.requestTimeoutMs * 2,
+        connectionsCheckingInterval: SWEEP_INTERVAL_MS,
+        maxHeaderSize: MAX_HEADER_BYTES,
+      },
+      (request, response) => {
+        this._inProgress++;
+        response.once('close', () => this._inProgress--);
+        if (this._isClosing) response.setHeader('connection', 'close');
+        void handle(request, response);
+      },
+    );
+    this._server.maxConnections = MAX_CONNECTIONS;
+  }
+
+  /** Requests that are not answered to the end yet. */
+  get inProgress(): number {
+    return this._inProgress;
+  }
+
+  listen(): Promise<void> {
+    const { host, port } = splitAddress(this._options.address);
+    return new Promise((resolve, reject) => {
+      this._server.once('error', reject);
+      this._server.listen(port, host, resolve);
+    });
+  }
+
+  /** Asks callers to go elsewhere: each answer from now on ends its connection. */
+  startClosing(): void {
+    this._isClosing = true;
+  }
+
+  /** Takes no new connections and ends the idle ones; resolves when the last request has ended. */
+  async close(): Promise<void> {
+    this._isClosing = true;
+    const closed = new Promise<void>((resolve) => {
+      this._server.close(() => {
+        resolve();
+      });
+    });
+    this._server.closeIdleConnections();
+    await closed;
+  }
+
+  /** Cuts what is in progress; returns how many requests that were. */
+  cut(): number {
+    const cutRequests = this._inProgress;
+    this._server.closeAllConnections();
+    return cutRequests;
+  }
+
+  private _createApp(): H3 {
+    const { handler } = this._options;
+    const app = new H3();
+    app.get('/healthz', () => 'ok\n');
+    app.get(
+      '/readyz',
+      () =>
+        new Response(handler.isReady() ? 'ready\n' : 'not ready\n', {
+          status: handler.isReady() ? 200 : 503,
+        }),
+    );
+    app.post('/v1/chat/completions', (event) =>
+      this._serve(event, (context) => this._complete(event, context)),
+    );
+    app.get('/v1/models', (event) => this._serve(event, (context) => this._listModels(context)));
+    app.all('/services/**', (event) => this._serve(event, (context) => this._callService(event, context)));
+    app.all('/**', (event) =>
+      this._serve(event, (context) => Promise.resolve(context.undispatched.refuse('not-found'))),
+    );
+    return app;
+  }
+
+  /** Surrounds one request: identity, workspace, errors and counting. */
+  private async _serve(
+    event: H3Event,
+    run: (context: CallContext) => Promise<Response | Outcome<never>>,
+  ): Promise<Response> {
+    const { handler, clock } = this._options;
+    const startedAtMs = clock.monotonic();
+    const requestId = uuidv7();
+    const undispatched = new Undispatched();
+    const workspace = handler.authenticate(readToken(event.req));
+    const signal = watchCaller(event);
+    const result =
+      workspace === undefined
+        ? undispatched.refuse('unauthenticated', { detail: 'Send a known bearer token.' })
+        : await this._run({ requestId, workspace, signal, undispatched }, run);
+    if (result instanceof Response) return result;
+    if (result.kind === 'answered') throw new TypeError('An answer must be turned into a response.');
+    handler.onEnded({ requestId, outcome: result, durationMs: clock.monotonic() - startedAtMs });
+    return toProblemResponse(result, requestId);
+  }
+
+  private async _run(
+    context: CallContext,
+    run: (context: CallContext) => Promise<Response | Outcome<never>>,
+  ): Promise<Response | Outcome<never>> {
+    try {
+      return await run(context);
+    } catch (error) {
+      if (!(error instanceof BodyError)) throw error;
+      const reason = error.code === 'body-too-large' ? 'body-too-large' : 'bad-request';
+      return context.undispatched.refuse(reason, { detail: error.message });
+    }
+  }
+
+  private async _complete(event: H3Event, context: CallContext): Promise<Response | Outcome<never>> {
+    const body = Buffer.from(await this._readBody(event)).toString('utf8');
+    const parsed = completionSchema.safeParse(parseJson(body));
+    if (!parsed.success) {
+      const detail = parsed.error.issues
+        .map(({ path, message }) => `${path.join('.')}: ${message}`)
+        .join('; ');
+      return context.undispatched.refuse('bad-request', { detail: `Not a chat completion: ${detail}` });
+    }
+    const isStreaming = parsed.data.stream === true;
+    const startedAtMs = this._options.clock.monotonic();
+    const outcome = await this._options.handler.complete(
+      { model: parsed.data.model, isStreaming, body },
+      context,
+    );
+    if (outcome.kind !== 'answered') return outcome;
+    return this._toCompletionResponse(outcome.answer, context, startedAtMs);
+  }
+
+  private _toCompletionResponse(
+    answer: CompletionAnswer,
+    context: CallContext,
+    startedAtMs: number,
+  ): Response {
+    const { requestId } = context;
+    switch (answer.kind) {
+      case 'whole':
+        this._countAnswer(requestId, startedAtMs);
+        return new Response(Buffer.from(answer.body), {
+          status: answer.status,
+          headers: { 'content-type': answer.contentType, 'x-request-id': requestId },
+        });
+      case 'stream': {
+        const onEnd = (isWhole: boolean) => {
+          if (isWhole) this._countAnswer(requestId, startedAtMs);
+        };
+        return new Response(toEventStream(answer.events, { requestId, onEnd }), {
+          headers: {
+            'content-type': 'text/event-stream',
+            'cache-control': 'no-store',
+            'x-request-id': requestId,
+          },
+        });
+      }
+    }
+  }
+
+  private _listModels({ workspace, requestId }: CallContext): Promise<Response> {
+    const models = this._options.handler.listModels(workspace);
+    const data = models.map((id) => ({ id, object: 'model', created: 0, owned_by: 'monsoonreach' }));
+    const headers = { 'content-type': 'application/json', 'x-request-id': requestId };
+    return Promise.resolve(new Response(JSON.stringify({ object: 'list', data }), { headers }));
+  }
+
+  private async _callService(event: H3Event, context: CallContext): Promise<Response | Outcome<never>> {
+    const { pathname, search } = event.url;
+    const [, , service = '', ...rest] = pathname.split('/');
+    const startedAtMs = this._options.clock.monotonic();
+    const outcome = await this._options.handler.callService(
+      {
+        service,
+        method: event.req.method,
+        path: `/${rest.join('/')}${search}`,
+        contentType: event.req.headers.get('content-type') ?? undefined,
+        idempotencyKey: event.req.headers.get('idempotency-key') ?? undefined,
+        body: await this._readBody(event),
+      },
+      context,
+    );
+    if (outcome.kind !== 'answered') return outcome;
+    this._countAnswer(context.requestId, startedAtMs);
+    return toServiceResponse(outcome.answer, context.requestId);
+  }
+
+  private _countAnswer(requestId: string, startedAtMs: number): void {
+    const durationMs = this._options.clock.monotonic() - startedAtMs;
+    this._options.handler.onEnded({
+      requestId,
+      outcome: { kind: 'answered', answer: undefined },
+      durationMs,
+    });
+  }
+
+  private _readBody(event: H3Event): Promise<Uint8Array> {
+    const { handler, requestTimeoutMs } = this._options;
+    return readBody(event.req, { maxBytes: handler.maxBodyBytes(), timeoutMs: requestTimeoutMs });
+  }
+}
+
+function toServiceResponse(answer: ServiceAnswer, requestId: string): Response {
+  const headers: Record<string, string> = { 'x-request-id': requestId };
+  if (answer.contentType !== undefined) headers['content-type'] = answer.contentType;
+  if (answer.isReplayed) headers['idempotency-replayed'] = 'true';
+  const hasBody = answer.body.byteLength > 0 && answer.status !== 204 && answer.status !== 304;
+  return new Response(hasBody ? Buffer.from(answer.body) : null, { status: answer.status, headers });
+}
+
+function readToken(request: Request): string {
+  return /^Bearer\s+(.+)$/i.exec(request.headers.get('authorization') ?? '')?.[1] ?? '';
+}
+
+function watchCaller(event: H3Event): AbortSignal {
+  const controller = new AbortController();
+  const response = event.runtime?.node?.res;
+  response?.once('close', () => {
+    controller.abort();
+  });
+  return controller.signal;
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/callers/src/index.ts
@@ -0,0 +1,4 @@
+/** Callers: the front door over HTTP. */
+export * from './callerServer.js';
+export * from './problem.js';
+export * from './requests.js';
--- /dev/null
+++ b/packages/core/src/crashSuspects.ts
@@ -0,0 +1,117 @@
+import type { Clock } from './clock.js';
+
+/** Groups that one request may break before it is refused everywhere. */
+export const MAX_STRIKES = 2;
+/** How long a refused request stays refused, in milliseconds. */
+export const QUARANTINE_MS = 600_000;
+/** How long a strike is remembered, in milliseconds. */
+const STRIKE_LIFE_MS = 120_000;
+
+interface Suspect {
+  strikes: number;
+  seenAtMs: number;
+}
+
+/** How a request may be run. */
+export type CrashStanding = 'clear' | 'suspect' | 'quarantined';
+
+/**
+ * Finds requests that break the groups that run them. A group that is lost gives a strike to the suspects it
+ * was running, or to all it was running when none was suspect. Finishing clears; two strikes quarantine.
+ */
+export class CrashSuspects {
+  private readonly _suspects = new Map<string, Suspect>();
+  private readonly _quarantined = new Map<string, number>();
+  private readonly _inFlight = new Map<string, Map<string, number>>();
+
+  constructor(private readonly _clock: Clock) {}
+
+  standing(fingerprint: string): CrashStanding {
+    const untilMs = this._quarantined.get(fingerprint);
+    if (untilMs !== undefined && untilMs > this._clock.now()) return 'quarantined';
+    return this._isSuspect(fingerprint) ? 'suspect' : 'clear';
+  }
+
+  /** Whether a suspect is in progress here; suspects run one at a time. */
+  isSuspectRunning(): boolean {
+    for (const running of this._inFlight.values()) {
+      for (const fingerprint of running.keys()) if (this._isSuspect(fingerprint)) return true;
+    }
+    return false;
+  }
+
+  begin(fingerprint: string, group: string): void {
+    const running = this._inFlight.get(group) ?? new Map<string, number>();
+    running.set(fingerprint, (running.get(fingerprint) ?? 0) + 1);
+    this._inFlight.set(group, running);
+  }
+
+  /** The request gave its whole answer: it is cleared. */
+  finish(fingerprint: string, group: string): void {
+    this._remove(fingerprint, group);
+    this._suspects.delete(fingerprint);
+  }
+
+  /** The request ended without an answer, for a reason that was not the group's loss. */
+  leave(fingerprint: string, group: string): void {
+    this._remove(fingerprint, group);
+  }
+
+  /** The group was lost; returns the fingerprints that are now to be quarantined. */
+  loseGroup(group: string): readonly string[] {
+    const running = [...(this._inFlight.get(group)?.keys() ?? [])];
+    this._inFlight.delete(group);
+    const suspects = running.filter((fingerprint) => this._isSuspect(fingerprint));
+    const blamed = suspects.length > 0 ? suspects : running;
+    return blamed.filter((fingerprint) => this._strike(fingerprint) >= MAX_STRIKES);
+  }
+
+  /** Takes in strikes that another node has seen. */
+  learn(fingerprint: string, strikes: number): void {
+    if (strikes < 1) return;
+    const known = this._suspects.get(fingerprint)?.strikes ?? 0;
+    this._suspects.set(fingerprint, { strikes: Math.max(known, strikes), seenAtMs: this._clock.now() });
+    if (strikes >= MAX_STRIKES) this.quarantine(fingerprint, this._clock.now() + QUARANTINE_MS);
+  }
+
+  /** Refuses the fingerprint until the wall-clock time `untilMs`. */
+  quarantine(fingerprint: string, untilMs: number): void {
+    this._quarantined.set(fingerprint, Math.max(untilMs, this._quarantined.get(fingerprint) ?? 0));
+  }
+
+  /** Strikes to tell other nodes of. */
+  strikes(): readonly (readonly [fingerprint: string, strikes: number])[] {
+    this._forget();
+    return [...this._suspects].map(([fingerprint, { strikes }]) => [fingerprint, strikes] as const);
+  }
+
+  private _strike(fingerprint: string): number {
+    const strikes = (this._suspects.get(fingerprint)?.strikes ?? 0) + 1;
+    this._suspects.set(fingerprint, { strikes, seenAtMs: this._clock.now() });
+    if (strikes >= MAX_STRIKES) this.quarantine(fingerprint, this._clock.now() + QUARANTINE_MS);
+    return strikes;
+  }
+
+  private _isSuspect(fingerprint: string): boolean {
+    const suspect = this._suspects.get(fingerprint);
+    return suspect !== undefined && suspect.seenAtMs + STRIKE_LIFE_MS > this._clock.now();
+  }
+
+  private _remove(fingerprint: string, group: string): void {
+    const running = this._inFlight.get(group);
+    const left = (running?.get(fingerprint) ?? 0) - 1;
+    if (left > 0) running?.set(fingerprint, left);
+    else running?.delete(fingerprint);
+    if (running?.size === 0) this._inFlight.delete(group);
+  }
+
+  private _forget(): void {
+    const nowMs = this._clock.now();
+    for (const [fingerprint, { seenAtMs }] of this._suspects) {
+      if (seenAtMs + STRIKE_LIFE_MS <= nowMs) this._suspects.delete(fingerprint);
+    }
+    for (const [fingerprint, untilMs] of this._quarantined) {
+      if (untilMs <= nowMs) this._quarantined.delete(fingerprint);
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/loads.ts
@@ -0,0 +1,69 @@
+import type { Clock } from './clock.js';
+
+/** After this long a report says nothing any more. */
+const REPORT_HALF_LIFE_MS = 1_000;
+
+interface Load {
+  own: number;
+  reported: number;
+  ownAtReport: number;
+  reportedAtMs: number;
+}
+
+/**
+ * Estimates requests in flight at each group: our own, which are exact, and what others have there by the
+ * group's last report, which counts for less as it ages.
+ */
+export class Loads {
+  private readonly _loads = new Map<string, Load>();
+
+  constructor(private readonly _clock: Clock) {}
+
+  begin(group: string): void {
+    this._of(group).own++;
+  }
+
+  end(group: string): void {
+    const load = this._of(group);
+    load.own = Math.max(0, load.own - 1);
+  }
+
+  own(group: string): number {
+    return this._loads.get(group)?.own ?? 0;
+  }
+
+  /** Takes in a report that was true `ageMs` ago. */
+  report(group: string, inFlight: number, ageMs: number): void {
+    const load = this._of(group);
+    const atMs = this._clock.monotonic() - ageMs;
+    if (atMs <= load.reportedAtMs) return;
+    load.reported = inFlight;
+    load.ownAtReport = load.own;
+    load.reportedAtMs = atMs;
+  }
+
+  /** Requests in flight at the group, as far as this node can tell. */
+  estimate(group: string): number {
+    const load = this._loads.get(group);
+    if (!load) return 0;
+    const ageMs = this._clock.monotonic() - load.reportedAtMs;
+    const confidence = 2 ** (-ageMs / REPORT_HALF_LIFE_MS);
+    return load.own + Math.max(0, load.reported - load.ownAtReport) * confidence;
+  }
+
+  /** Forgets groups that are gone. */
+  retain(groups: ReadonlySet<string>): void {
+    for (const [group, load] of this._loads) {
+      if (!groups.has(group) && load.own === 0) this._loads.delete(group);
+    }
+  }
+
+  private _of(group: string): Load {
+    let load = this._loads.get(group);
+    if (!load) {
+      load = { own: 0, reported: 0, ownAtReport: 0, reportedAtMs: -Infinity };
+      this._loads.set(group, load);
+    }
+    return load;
+  }
+}
--- /dev/null
+++ b/packages/core/src/router.ts
@@ -0,0 +1,109 @@
+import type { Loads } from './loads.js';
+import type { Random } from './random.js';
+import { rankByRendezvous } from './rendezvous.js';
+import type { Stragglers } from './stragglers.js';
+
+/** How far above the mean load a group may be and still get requests by affinity. */
+const BOUNDED_LOAD_FACTOR = 1.25;
+/** Load, as a share of a group's concurrency, that a request accepts to stay in its own region. */
+const REGION_PENALTY = 0.5;
+
+/** A group that may be given work: it is whole, of the right version and not leaving. */
+export interface RouteCandidate {
+  readonly id: string;
+  readonly region: string;
+  /** Requests that the group bears at once. */
+  readonly concurrency: number;
+}
+
+/** What is known of the request. */
+export interface RouteRequest {
+  /** Hash of the prompt's beginning; requests that share it share cached prefixes. */
+  readonly affinityKey?: string | undefined;
+  /** Groups that this request has been to. */
+  readonly tried: ReadonlySet<string>;
+}
+
+/** How to choose; the naive ways serve as baselines in measurements. */
+export type RoutingPolicy = 'affinity' | 'two-choices' | 'round-robin';
+
+/** What a router is made of. */
+export interface RouterOptions {
+  readonly loads: Loads;
+  readonly stragglers: Stragglers;
+  readonly random: Random;
+  readonly region: string;
+  readonly policy?: RoutingPolicy;
+}
+
+/** Chooses a group for a request. */
+export class Router {
+  private _turn = 0;
+
+  constructor(private readonly _options: RouterOptions) {}
+
+  /** The group to send to, or nothing when every candidate is full or was tried. */
+  choose(candidates: readonly RouteCandidate[], request: RouteRequest): RouteCandidate | undefined {
+    const untried = candidates.filter(({ id }) => !request.tried.has(id));
+    const policy = this._options.policy ?? 'affinity';
+    switch (policy) {
+      case 'round-robin':
+        return this._chooseInTurn(untried);
+      case 'two-choices':
+        return this._chooseOfTwo(this._usable(untried));
+      case 'affinity':
+        return this._chooseByAffinity(this._usable(untried), request);
+    }
+  }
+
+  private _chooseInTurn(candidates: readonly RouteCandidate[]): RouteCandidate | undefined {
+    return candidates.length === 0 ? undefined : candidates[this._turn++ % candidates.length];
+  }
+
+  private _chooseByAffinity(
+    usable: readonly RouteCandidate[],
+    request: RouteRequest,
+  ): RouteCandidate | undefined {
+    const { affinityKey } = request;
+    if (affinityKey === undefined) return this._chooseOfTwo(usable);
+    const local = usable.filter(({ region }) => region === this._options.region);
+    const pool = local.length > 0 ? local : usable;
+    const bound = this._loadBound(pool);
+    const ranked = rankByRendezvous(
+      affinityKey,
+      pool.map(({ id }) => id),
+    );
+    const chosen = ranked.find((id) => this._options.loads.estimate(id) < bound);
+    return pool.find(({ id }) => id === chosen) ?? this._chooseOfTwo(usable);
+  }
+
+  private _loadBound(pool: readonly RouteCandidate[]): number {
+    const total = pool.reduce((sum, { id }) => sum + this._options.loads.estimate(id), 0);
+    return Math.ceil((BOUNDED_LOAD_FACTOR * (total + 1)) / Math.max(1, pool.length));
+  }
+
+  private _chooseOfTwo(usable: readonly RouteCandidate[]): RouteCandidate | undefined {
+    const { random } = this._options;
+    const first = usable[random.below(usable.length)];
+    if (!first || usable.length === 1) return first;
+    const others = usable.filter((candidate) => candidate !== first);
+    const second = others[random.below(others.length)];
+    if (!second) return first;
+    return this._cost(second) < this._cost(first) ? second : first;
+  }
+
+  private _cost(candidate: RouteCandidate): number {
+    const penalty = candidate.region === this._options.region ? 0 : REGION_PENALTY;
+    return this._options.loads.estimate(candidate.id) / candidate.concurrency + penalty;
+  }
+
+  /** Candidates with room; one on probation only when its trickle is due. */
+  private _usable(candidates: readonly RouteCandidate[]): readonly RouteCandidate[] {
+    const { loads, stragglers } = this._options;
+    const free = candidates.filter(({ id, concurrency }) => loads.estimate(id) < concurrency);
+    const steady = free.filter(({ id }) => !stragglers.isOnProbation(id));
+    const trickle = free.find(({ id }) => stragglers.isOnProbation(id) && stragglers.takeTrickle(id));
+    if (trickle) return [trickle];
+    return steady.length > 0 ? steady : free;
+  }
+}
--- /dev/null
+++ b/packages/core/src/wholeLease.ts
@@ -0,0 +1,84 @@
+import type { Clock } from './clock.js';
+
+/** How long a group may be served after the last moment at which all its members were seen. */
+export const WHOLE_LEASE_MS = 2_500;
+
+/** A timer tick this late means that the process was paused. */
+export const PAUSE_THRESHOLD_MS = 1_000;
+
+/** What an entry holds for one group. */
+export interface WholeLease {
+  readonly group: string;
+  readonly epoch: number;
+  /** Monotonic time at which it ends. */
+  readonly endsAtMs: number;
+}
+
+/** What a steward answers for one group; `remainingMs` counts from the moment the query was sent. */
+export interface LeaseGrant {
+  readonly group: string;
+  readonly epoch: number;
+  readonly remainingMs: number;
+}
+
+/** Removes guards for tests that show a proof fails without them. */
+export interface LeaseGuards {
+  readonly countsFromQuery: boolean;
+  readonly dropsAfterPause: boolean;
+}
+
+/**
+ * The whole leases that an entry holds. Without a lease that is valid on the monotonic clock at the moment of
+ * dispatch, a group gets no new work.
+ */
+export class WholeLeases {
+  private readonly _leases = new Map<string, WholeLease>();
+  private _lastTickMs: number;
+
+  constructor(
+    private readonly _clock: Clock,
+    private readonly _guards: LeaseGuards = { countsFromQuery: true, dropsAfterPause: true },
+  ) {
+    this._lastTickMs = _clock.monotonic();
+  }
+
+  /** Takes in an answer to a query that was sent at monotonic time `querySentAtMs`. */
+  renew(querySentAtMs: number, grants: readonly LeaseGrant[]): void {
+    const startMs = this._guards.countsFromQuery ? querySentAtMs : this._clock.monotonic();
+    for (const grant of grants) {
+      const held = this._leases.get(grant.group);
+      if (held && held.epoch > grant.epoch) continue;
+      const endsAtMs = startMs + Math.min(grant.remainingMs, WHOLE_LEASE_MS);
+      if (held?.epoch === grant.epoch && held.endsAtMs > endsAtMs && grant.remainingMs > 0) continue;
+      this._leases.set(grant.group, { group: grant.group, epoch: grant.epoch, endsAtMs });
+    }
+  }
+
+  /** Ends a lease at once, for instance because a member was seen to be gone. */
+  revoke(group: string): void {
+    this._leases.delete(group);
+  }
+
+  /** Call it on a steady timer; a late call drops every lease, since the process may have been paused. */
+  tick(): boolean {
+    const nowMs = this._clock.monotonic();
+    const isLate = nowMs - this._lastTickMs > PAUSE_THRESHOLD_MS;
+    this._lastTickMs = nowMs;
+    if (isLate && this._guards.dropsAfterPause) this._leases.clear();
+    this._removeEnded(nowMs);
+    return isLate;
+  }
+
+  /** The valid lease for a group at this epoch, checked now. */
+  find(group: string, epoch: number): WholeLease | undefined {
+    const lease = this._leases.get(group);
+    if (lease?.epoch !== epoch) return undefined;
+    return lease.endsAtMs > this._clock.monotonic() ? lease : undefined;
+  }
+
+  private _removeEnded(nowMs: number): void {
+    for (const [group, lease] of this._leases) {
+      if (lease.endsAtMs <= nowMs) this._leases.delete(group);
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/fleetNode.ts
@@ -0,0 +1,224 @@
+import { randomUUID } from 'node:crypto';
+import {
+  type Clock,
+  type Configuration,
+  type ConfigurationBody,
+  type ConfigurationHistory,
+  type ConfigurationRejection,
+  configurationDefinition,
+  type ControlBody,
+  type ControlRejection,
+  controlDefinition,
+  Counters,
+  createRandom,
+  createStateLog,
+  type EntrySettings,
+  type Freshness,
+  type Groups,
+  hash32,
+  judgeFreshness,
+  Membership,
+  type NodeRole,
+  type OwnDigest,
+  parseConfiguration,
+  type Random,
+  type StateLog,
+  type Writer,
+} from '@monsoonreach/core';
+import {
+  DigestExchange,
+  LogRelay,
+  PeerClients,
+  PeerServer,
+  type PeerTls,
+  RelayedLog,
+} from '@monsoonreach/peers';
+import { HttpLog, StreamFollower } from '@monsoonreach/platform';
+import type { ConnectRouter } from '@connectrpc/connect';
+
+/** The settings that every daemon has. */
+export type NodeSettings = Pick<EntrySettings, 'node' | 'platform' | 'peers'>;
+
+/** What a fleet node is made of. */
+export interface FleetNodeOptions {
+  readonly settings: NodeSettings;
+  readonly role: NodeRole;
+  readonly clock: Clock;
+  /** What the node says of itself in its digest, beside its configuration. */
+  readonly describe: () => Pick<OwnDigest, 'demand' | 'suspects'>;
+  readonly onLearned?: () => void;
+  /** Further services that the daemon offers to its peers. */
+  readonly routes?: (router: ConnectRouter) => void;
+}
+
+/** The configuration in force with its position. */
+export interface ConfigurationInForce {
+  readonly position: number;
+  readonly configuration: Configuration;
+}
+
+/** What entries and stewards have in common: the log, the fleet's digests, and the configuration in force. */
+export class FleetNode {
+  readonly counters = new Counters();
+  readonly random: Random;
+  readonly stateLog: StateLog;
+  readonly writer: Writer;
+  readonly membership: Membership;
+  readonly exchange: DigestExchange;
+  readonly clients: PeerClients;
+  readonly log: RelayedLog;
+  readonly configurationStream: StreamFollower<
+    ConfigurationBody,
+    ConfigurationRejection,
+    ConfigurationHistory
+  >;
+  readonly controlStream: StreamFollower<ControlBody, ControlRejection, Groups>;
+  private readonly _directLog: HttpLog;
+  private readonly _peerServer: PeerServer;
+  private _inForce: ConfigurationInForce | undefined;
+  private _isLeaving = false;
+
+  constructor(private readonly _options: FleetNodeOptions) {
+    const { settings, role, clock } = _options;
+    const address = settings.node['peers-address'];
+    const failureDomain = settings.node['failure-domain'];
+    const incarnation = randomUUID();
+    this.writer = { address, incarnation };
+    this.random = createRandom(hash32(incarnation));
+    this.stateLog = createStateLog(`monsoonreach-${role}`, settings.node.log);
+    const tls = toTls(settings);
+    this.clients = new PeerClients({ secret: settings.peers.secret, tls });
+    this.membership = new Membership({
+      clock,
+      random: this.random,
+      self: { node: address, incarnation: clock.now(), role, failureDomain },
+      seeds: settings.peers.seeds,
+    });
+    this.exchange = this._createExchange();
+    this._directLog = new HttpLog(settings.platform.log);
+    const relay = new LogRelay(this._directLog);
+    this.log = this._createLog();
+    this.configurationStream = new StreamFollower({
+      stream: 'config',
+      log: this.log,
+      clock,
+      definition: configurationDefinition,
+      onRecord: () => {
+        this._takeConfiguration();
+      },
+    });
+    this.controlStream = new StreamFollower({
+      stream: 'control',
+      log: this.log,
+      clock,
+      definition: controlDefinition,
+    });
+    this._peerServer = new PeerServer({
+      address,
+      secret: settings.peers.secret,
+      tls,
+      routes: (router) => {
+        this.exchange.register(router);
+        relay.register(router);
+        _options.routes?.(router);
+      },
+    });
+  }
+
+  /** The configuration in force here, if there is one. */
+  get inForce(): ConfigurationInForce | undefined {
+    return this._inForce;
+  }
+
+  get isLeaving(): boolean {
+    return this._isLeaving;
+  }
+
+  /** Whether the node may serve by what it knows. */
+  freshness(): Freshness {
+    const { clock } = this._options;
+    const caughtUpAtMs = this.configurationStream.caughtUpAtMs;
+    return judgeFreshness({
+      ownConfiguration: this._inForce?.position ?? 0,
+      logContactAgeMs: caughtUpAtMs === undefined ? undefined : clock.monotonic() - caughtUpAtMs,
+      peerConfigurations: this.membership.members().map(({ configuration }) => configuration),
+      fleetSize: this._fleetSize(),
+    });
+  }
+
+  async start(): Promise<void> {
+    await this._peerServer.listen();
+    this.exchange.start();
+    this.configurationStream.start();
+    this.controlStream.start();
+  }
+
+  /** Tells the others that this node goes. */
+  announceLeaving(): Promise<void> {
+    this._isLeaving = true;
+    return this.exchange.tellUrgently();
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all([this.exchange.stop(), this.configurationStream.stop(), this.controlStream.stop()]);
+    await this._peerServer.close();
+    await this._directLog.close();
+  }
+
+  private _fleetSize(): number {
+    const { settings } = this._options;
+    const strangers = settings.peers.seeds.filter((seed) => seed !== settings.node['peers-address']);
+    const known = this.membership.members().map(({ node }) => node);
+    return new Set([...strangers, ...known]).size + 1;
+  }
+
+  private _createExchange(): DigestExchange {
+    const { describe, onLearned } = this._options;
+    return new DigestExchange({
+      membership: this.membership,
+      clients: this.clients,
+      counters: this.counters,
+      refresh: () => {
+        const configuration = this._inForce?.position ?? 0;
+        this.membership.refresh({ ...describe(), isLeaving: this._isLeaving, configuration });
+      },
+      onLearned: () => onLearned?.(),
+    });
+  }
+
+  private _createLog(): RelayedLog {
+    const { settings, clock, role } = this._options;
+    const failureDomain = settings.node['failure-domain'];
+    return new RelayedLog({
+      direct: this._directLog,
+      clients: this.clients,
+      clock,
+      counters: this.counters,
+      self: { id: settings.node['peers-address'], failureDomain },
+      candidates: () => this.membership.candidates(role),
+      relays: settings.peers.relays,
+    });
+  }
+
+  private _takeConfiguration(): void {
+    const current = this.configurationStream.state.current();
+    if (!current || current.position === this._inForce?.position) return;
+    try {
+      this._inForce = { position: current.position, configuration: parseConfiguration(current.text) };
+      this.stateLog.info('configuration in force', { position: current.position });
+    } catch (error) {
+      this.counters.add('monsoonreach_configuration_refusals_total');
+      this.stateLog.error('configuration cannot be read; the one before stays in force', {
+        position: current.position,
+        message: error instanceof Error ? error.message : String(error),
+      });
+    }
+  }
+}
+
+function toTls(settings: NodeSettings): PeerTls | undefined {
+  const { certificate, key, ca } = settings.peers;
+  return certificate !== undefined && key !== undefined && ca !== undefined
+    ? { certificate, key, ca }
+    : undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/leasePuller.ts
@@ -0,0 +1,76 @@
+import { type Candidate, type Clock, type Counters, pause, placeByRendezvous } from '@monsoonreach/core';
+import type { GroupLease, PeerClients } from '@monsoonreach/peers';
+
+const PULL_INTERVAL_MS = 500;
+const CALL_TIMEOUT_MS = 800;
+/** Stewards that one node asks at most, which bounds its share of the control traffic. */
+export const MAX_STEWARDS_ASKED = 12;
+
+/** What a puller is made of. */
+export interface LeasePullerOptions {
+  readonly clients: PeerClients;
+  readonly clock: Clock;
+  readonly counters: Counters;
+  readonly self: Candidate;
+  readonly stewards: () => readonly Candidate[];
+  /** Takes one steward's answer to a query sent at this monotonic time. */
+  readonly onAnswer: (querySentAtMs: number, leases: readonly GroupLease[]) => void;
+  /** Called before each round. */
+  readonly onTick?: () => void;
+}
+
+/** Asks stewards for whole leases, each a moment after its last answer. */
+export class LeasePuller {
+  private readonly _controller = new AbortController();
+  private readonly _asking = new Set<string>();
+  private readonly _unanswering = new Set<string>();
+  private _loop: Promise<void> | undefined;
+
+  constructor(private readonly _options: LeasePullerOptions) {}
+
+  start(): void {
+    this._loop ??= this._run();
+  }
+
+  async stop(): Promise<void> {
+    this._controller.abort();
+    await this._loop;
+  }
+
+  private async _run(): Promise<void> {
+    const signal = this._controller.signal;
+    while (!signal.aborted) {
+      this._options.onTick?.();
+      for (const steward of this._chooseStewards()) void this._ask(steward);
+      await pause(PULL_INTERVAL_MS, signal);
+    }
+  }
+
+  private _chooseStewards(): readonly string[] {
+    const { self, stewards } = this._options;
+    const known = new Set(stewards().map(({ id }) => id));
+    for (const steward of this._unanswering) if (!known.has(steward)) this._unanswering.delete(steward);
+    return placeByRendezvous(self.id, stewards(), { count: MAX_STEWARDS_ASKED });
+  }
+
+  private async _ask(steward: string): Promise<void> {
+    if (this._asking.has(steward)) return;
+    this._asking.add(steward);
+    const { clients, clock, counters, self, onAnswer } = this._options;
+    const querySentAtMs = clock.monotonic();
+    try {
+      const options = { timeoutMs: CALL_TIMEOUT_MS, signal: this._controller.signal };
+      const { groups } = await clients
+        .leases(steward)
+        .leases({ entry: self.id, unanswering: [...this._unanswering] }, options);
+      this._unanswering.delete(steward);
+      onAnswer(querySentAtMs, groups);
+      counters.add('monsoonreach_lease_queries_total', { result: 'answered' });
+    } catch {
+      this._unanswering.add(steward);
+      counters.add('monsoonreach_lease_queries_total', { result: 'unanswered' });
+    } finally {
+      this._asking.delete(steward);
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/liveInstances.ts
@@ -0,0 +1,59 @@
+import { type Clock, pause } from '@monsoonreach/core';
+import { type ListedInstance, type LiveList, LiveListUnavailableError } from '@monsoonreach/platform';
+
+/** How often the live list is read, in milliseconds; with the lease's life it bounds how long a leaving target gets work. */
+const POLL_INTERVAL_MS = 400;
+
+/** Keeps the platform's live list; while the platform does not answer, the last one read stays. */
+export class LiveInstances {
+  private _instances: ReadonlyMap<string, ListedInstance> = new Map();
+  private _readAtMs: number | undefined;
+  private readonly _controller = new AbortController();
+  private _loop: Promise<void> | undefined;
+
+  constructor(
+    private readonly _list: LiveList,
+    private readonly _clock: Clock,
+  ) {}
+
+  /** Instances by address. */
+  get instances(): ReadonlyMap<string, ListedInstance> {
+    return this._instances;
+  }
+
+  /** Monotonic time of the last answer. */
+  get readAtMs(): number | undefined {
+    return this._readAtMs;
+  }
+
+  isLeaving(address: string): boolean {
+    return this._instances.get(address)?.state === 'leaving';
+  }
+
+  start(): void {
+    this._loop ??= this._run();
+  }
+
+  async stop(): Promise<void> {
+    this._controller.abort();
+    await this._loop;
+  }
+
+  private async _run(): Promise<void> {
+    const signal = this._controller.signal;
+    while (!signal.aborted) {
+      await this._read();
+      await pause(POLL_INTERVAL_MS, signal);
+    }
+  }
+
+  private async _read(): Promise<void> {
+    try {
+      const listed = await this._list.read();
+      this._instances = new Map(listed.map((instance) => [instance.address, instance]));
+      this._readAtMs = this._clock.monotonic();
+    } catch (error) {
+      if (!(error instanceof LiveListUnavailableError)) throw error;
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/atMostOnce.ts
@@ -0,0 +1,298 @@
+import type { Claims, Undispatched } from '@monsoonreach/core';
+import {
+  AppendNotSentError,
+  AppendUnknownError,
+  checkIdempotencyKey,
+  CLAIM_SHARDS,
+  CLAIM_WINDOW_MS,
+  type Claim,
+  type ClaimBody,
+  type ClaimRejection,
+  claimsDefinition,
+  Dispatched,
+  hash32,
+  IdempotencyKeyError,
+  MAX_STORED_BODY,
+  type Outcome,
+  pause,
+  readKeyTime,
+  sha256,
+  type StoredAnswer,
+  toClaimsStream,
+} from '@monsoonreach/core';
+import type { CallContext, ServiceAnswer } from '@monsoonreach/callers';
+import { LogWriter, StreamFollower, type WrittenRecord } from '@monsoonreach/platform';
+import type { EntryContext } from './entryContext.js';
+import type { PreparedCall } from './serviceCalls.js';
+
+const CLAIM_TIMEOUT_MS = 3_000;
+/** How long an outcome is offered to the log before it is given up; the claim then stays in doubt. */
+const OUTCOME_TIMEOUT_MS = 600_000;
+const DUPLICATE_POLL_MS = 50;
+
+interface Shard {
+  readonly follower: StreamFollower<ClaimBody, ClaimRejection, Claims>;
+  readonly writer: LogWriter<ClaimBody, ClaimRejection>;
+}
+
+interface ClaimedKey {
+  readonly shard: Shard;
+  readonly workspace: string;
+  readonly key: string;
+  readonly claimSequence: number;
+}
+
+/** Sends a claimed call; it may refuse it as not run, answer it, or leave it in doubt. */
+export type ClaimedDispatch = (undispatched: Undispatched) => Promise<Outcome<ServiceAnswer>>;
+
+/**
+ * Runs non-idempotent calls at most once. A call is dispatched only after its claim was read back as the first
+ * of its key; duplicates get the kept answer, wait for it, or are told that the outcome is in doubt.
+ */
+export class AtMostOnce {
+  private readonly _shards: readonly Shard[];
+
+  constructor(
+    private readonly _context: EntryContext,
+    options: { readonly maxBatch?: number } = {},
+  ) {
+    this._shards = Array.from({ length: CLAIM_SHARDS }, (_, index) =>
+      this._createShard(index, options.maxBatch),
+    );
+  }
+
+  start(): void {
+    for (const { follower } of this._shards) follower.start();
+  }
+
+  async stop(): Promise<void> {
+    for (const { writer } of this._shards) writer.close();
+    await Promise.all(this._shards.map(({ follower }) => follower.stop()));
+  }
+
+  /** Records that wait for the log. */
+  get backlog(): number {
+    return this._shards.reduce((sum, { writer }) => sum + writer.backlog, 0);
+  }
+
+  async run(prepared: PreparedCall, dispatch: ClaimedDispatch): Promise<Outcome<ServiceAnswer>> {
+    const { call, request } = prepared;
+    const key = this._checkKey(request.idempotencyKey, call);
+    if (typeof key !== 'string') return key;
+    const shard = this._shardOf(call.workspace, key);
+    if (!shard.follower.isReady())
+      return call.undispatched.refuse('log-unavailable', { detail: 'Claims are not read yet.' });
+    const fingerprint = toFingerprint(prepared);
+    const known = shard.follower.state.find(call.workspace, key);
+    if (known) return this._followClaim(shard, prepared, key, fingerprint);
+    return this._claim(shard, prepared, key, fingerprint, dispatch);
+  }
+
+  private _checkKey(key: string | undefined, call: CallContext): string | Outcome<never> {
+    try {
+      return checkIdempotencyKey(key, { nowMs: this._context.clock.now(), windowMs: CLAIM_WINDOW_MS });
+    } catch (error) {
+      if (!(error instanceof IdempotencyKeyError)) throw error;
+      return call.undispatched.refuse(error.code, { detail: error.message });
+    }
+  }
+
+  private async _claim(
+    shard: Shard,
+    prepared: PreparedCall,
+    key: string,
+    fingerprint: string,
+    dispatch: ClaimedDispatch,
+  ): Promise<Outcome<ServiceAnswer>> {
+    const { call } = prepared;
+    const { workspace } = call;
+    const claimSequence = shard.writer.nextSequence;
+    const claimed = { shard, workspace, key, claimSequence };
+    const startedAtMs = this._context.clock.monotonic();
+    try {
+      const body = { kind: 'claim', workspace, key, fingerprint } as const;
+      const written = await shard.writer.write(body, { timeoutMs: CLAIM_TIMEOUT_MS });
+      this._context.counters.record('monsoonreach_claim_ms', this._context.clock.monotonic() - startedAtMs);
+      return await this._actOn(written, claimed, prepared, fingerprint, dispatch);
+    } catch (error) {
+      return this._refuseUnclaimed(error, claimed, call);
+    }
+  }
+
+  private _actOn(
+    written: WrittenRecord<ClaimRejection>,
+    claimed: ClaimedKey,
+    prepared: PreparedCall,
+    fingerprint: string,
+    dispatch: ClaimedDispatch,
+  ): Promise<Outcome<ServiceAnswer>> {
+    const { verdict } = written;
+    switch (verdict.kind) {
+      case 'accepted':
+        return this._dispatch(claimed, prepared, dispatch);
+      case 'duplicate':
+        return Promise.resolve(
+          prepared.call.undispatched.refuse('log-unavailable', { detail: 'The claim was overtaken.' }),
+        );
+      case 'rejected':
+        return this._onRejected(verdict.reason, claimed, prepared, fingerprint);
+    }
+  }
+
+  private async _onRejected(
+    reason: ClaimRejection,
+    claimed: ClaimedKey,
+    prepared: PreparedCall,
+    fingerprint: string,
+  ): Promise<Outcome<ServiceAnswer>> {
+    const { undispatched } = prepared.call;
+    switch (reason) {
+      case 'already-claimed':
+        return this._followClaim(claimed.shard, prepared, claimed.key, fingerprint);
+      case 'fingerprint-mismatch':
+        return refuseReuse(undispatched);
+      case 'window-over':
+        return undispatched.refuse('key-expired', { detail: "The key's window is over." });
+      case 'not-the-claimant':
+        return undispatched.refuse('log-unavailable', { detail: 'The claim was not accepted.' });
+    }
+  }
+
+  private async _dispatch(
+    claimed: ClaimedKey,
+    prepared: PreparedCall,
+    dispatch: ClaimedDispatch,
+  ): Promise<Outcome<ServiceAnswer>> {
+    const outcome = await dispatch(prepared.call.undispatched);
+    switch (outcome.kind) {
+      case 'not-run':
+        this._abandon(claimed);
+        return outcome;
+      case 'answered':
+        this._keep(claimed, outcome.answer);
+        return outcome;
+      case 'in-doubt':
+      case 'failed':
+        return outcome;
+    }
+  }
+
+  /** The claim was not confirmed: it is never dispatched, and withdrawn in case it took effect. */
+  private _refuseUnclaimed(error: unknown, claimed: ClaimedKey, call: CallContext): Outcome<never> {
+    if (error instanceof AppendUnknownError) this._abandon(claimed);
+    else if (!(error instanceof AppendNotSentError)) throw error;
+    return call.undispatched.refuse('log-unavailable', {
+      detail: 'The log did not confirm the claim in time; the request was not run and can be sent again.',
+      retryAfterMs: CLAIM_TIMEOUT_MS,
+    });
+  }
+
+  private _abandon({ shard, workspace, key, claimSequence }: ClaimedKey): void {
+    this._writeOutcome(shard, { kind: 'abandon', workspace, key, claimSequence });
+  }
+
+  private _keep({ shard, workspace, key, claimSequence }: ClaimedKey, answer: ServiceAnswer): void {
+    this._writeOutcome(shard, { kind: 'done', workspace, key, claimSequence, answer: toStored(answer) });
+  }
+
+  private _writeOutcome(shard: Shard, body: ClaimBody): void {
+    void shard.writer.write(body, { timeoutMs: OUTCOME_TIMEOUT_MS }).catch(() => {
+      this._context.counters.add('monsoonreach_claim_outcomes_lost_total', { kind: body.kind });
+    });
+  }
+
+  /** Waits for the outcome of another call with the same key. */
+  private async _followClaim(
+    shard: Shard,
+    prepared: PreparedCall,
+    key: string,
+    fingerprint: string,
+  ): Promise<Outcome<ServiceAnswer>> {
+    const { call, service } = prepared;
+    const { clock } = this._context;
+    const endsAtMs = clock.monotonic() + service.timeout;
+    for (;;) {
+      const claim = shard.follower.state.find(call.workspace, key);
+      const settled = settle(claim, fingerprint, call.undispatched);
+      if (!claim && isWindowOver(key, shard)) return call.undispatched.refuse('key-expired');
+      if (settled) return settled;
+      if (call.signal.aborted) return inDoubt('caller-gone', 'The caller left before the outcome was known.');
+      if (clock.monotonic() >= endsAtMs) {
+        return inDoubt(
+          'claimant-silent',
+          'Another request with this key was started and its outcome is not known.',
+        );
+      }
+      await pause(DUPLICATE_POLL_MS, call.signal);
+    }
+  }
+
+  private _shardOf(workspace: string, key: string): Shard {
+    const shard = this._shards[hash32(`${workspace}\u0000${key}`) % CLAIM_SHARDS];
+    if (!shard) throw new RangeError('There is no such claims shard.');
+    return shard;
+  }
+
+  private _createShard(index: number, maxBatch: number | undefined): Shard {
+    const { fleet, clock, counters } = this._context;
+    const stream = toClaimsStream(index);
+    const follower = new StreamFollower({ stream, log: fleet.log, clock, definition: claimsDefinition });
+    const writer = new LogWriter<ClaimBody, ClaimRejection>({
+      stream,
+      log: fleet.log,
+      writer: fleet.writer,
+      clock,
+      counters,
+      listen: (listener) => follower.listen(listener),
+      ...(maxBatch === undefined ? {} : { maxBatch }),
+    });
+    return { follower, writer };
+  }
+}
+
+/** What a duplicate is answered by now, or nothing while it has to wait. */
+function settle(
+  claim: Claim | undefined,
+  fingerprint: string,
+  undispatched: Undispatched,
+): Outcome<ServiceAnswer> | undefined {
+  if (!claim) {
+    const detail = 'The earlier request with this key was withdrawn before it ran; send it again.';
+    return undispatched.refuse('log-unavailable', { detail, retryAfterMs: 1_000 });
+  }
+  if (claim.fingerprint !== fingerprint) return refuseReuse(undispatched);
+  if (!claim.answer) return undefined;
+  const { status, contentType, body } = claim.answer;
+  if (body === undefined) {
+    return inDoubt(
+      'answer-not-kept',
+      `The request was run and answered ${status}; its body was too long to keep.`,
+    );
+  }
+  return new Dispatched().answered({ status, contentType, body: Buffer.from(body), isReplayed: true });
+}
+
+function isWindowOver(key: string, shard: Shard): boolean {
+  return (readKeyTime(key) ?? 0) + CLAIM_WINDOW_MS < shard.follower.streamNowMs;
+}
+
+function refuseReuse(undispatched: Undispatched): Outcome<never> {
+  return undispatched.refuse('key-reused', { detail: 'The key was used for another request.' });
+}
+
+function inDoubt(reason: Parameters<Dispatched['inDoubt']>[0], detail: string): Outcome<never> {
+  return new Dispatched().inDoubt(reason, detail);
+}
+
+function toFingerprint({ request, call }: PreparedCall): string {
+  const { service, method, path, body } = request;
+  return sha256(
+    JSON.stringify([call.workspace, service, method, path, Buffer.from(body).toString('base64')]),
+  );
+}
+
+function toStored(answer: ServiceAnswer): StoredAnswer {
+  const body = Buffer.from(answer.body).toString('utf8');
+  const isKept = body.length <= MAX_STORED_BODY;
+  return { status: answer.status, contentType: answer.contentType, ...(isKept ? { body } : {}) };
+}
--- /dev/null
+++ b/packages/entry/src/entryContext.ts
@@ -0,0 +1,47 @@
+import {
+  type Clock,
+  type Configuration,
+  type Counters,
+  type CrashSuspects,
+  type Random,
+  type RetryBudgets,
+  type RetryReason,
+  toFleetShare,
+  toLocalLimit,
+} from '@monsoonreach/core';
+import type { FleetNode } from '@monsoonreach/daemon';
+import type { TargetClients } from '@monsoonreach/targets';
+import type { GroupDirectory } from './groupDirectory.js';
+import type { RequestTraces } from './requestTraces.js';
+
+/** What the parts of an entry share. */
+export interface EntryContext {
+  readonly clock: Clock;
+  readonly counters: Counters;
+  readonly random: Random;
+  readonly traces: RequestTraces;
+  readonly targets: TargetClients;
+  readonly directory: GroupDirectory;
+  readonly suspects: CrashSuspects;
+  readonly budgets: RetryBudgets;
+  readonly fleet: FleetNode;
+  readonly configuration: () => Configuration | undefined;
+}
+
+/** Takes one retry from the workspace's budget and counts it either way. */
+export function spendRetry(context: EntryContext, workspace: string, reason: RetryReason): boolean {
+  const isAllowed = context.budgets.spend(workspace);
+  const name = isAllowed ? 'monsoonreach_retries_total' : 'monsoonreach_retries_refused_total';
+  context.counters.add(name, { reason });
+  return isAllowed;
+}
+
+/** This entry's part of a workspace's fleet-wide concurrency. */
+export function localWorkspaceLimit(context: EntryContext, workspace: string, own: number): number {
+  const limit = context.configuration()?.workspace[workspace]?.concurrency ?? 1;
+  const others = context.fleet.membership
+    .members()
+    .filter(({ role, isLeaving }) => role === 'entry' && !isLeaving)
+    .map(({ demand }) => demand.find((use) => use.workspace === workspace) ?? { inUse: 0, waiting: 0 });
+  return toLocalLimit(limit, toFleetShare({ inUse: own, waiting: 0 }, others));
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,3 @@
+/** The callers' front door as a daemon. */
+export * from './atMostOnce.js';
+export * from './entry.js';
--- /dev/null
+++ b/packages/entry/src/serviceCalls.ts
@@ -0,0 +1,222 @@
+import {
+  type Configuration,
+  Deadline,
+  Dispatched,
+  type Outcome,
+  pause,
+  retryDelayMs,
+  type RetryReason,
+  type RouteConfiguration,
+  type ServiceConfiguration,
+  Undispatched,
+} from '@monsoonreach/core';
+import type { CallContext, ServiceAnswer, ServiceRequest } from '@monsoonreach/callers';
+import { isUnsent, TargetCallError } from '@monsoonreach/targets';
+import type { AtMostOnce } from './atMostOnce.js';
+import { type EntryContext, spendRetry } from './entryContext.js';
+import type { ServiceTargets } from './serviceTargets.js';
+
+const MAX_ATTEMPTS = 4;
+const TARGET_WAIT_MS = 1_000;
+const TARGET_POLL_MS = 20;
+
+/** One call of a plain service, ready to be sent. */
+export interface PreparedCall {
+  readonly request: ServiceRequest;
+  readonly call: CallContext;
+  readonly service: ServiceConfiguration;
+}
+
+/** Plain services: idempotent calls with retries, the others at most once. */
+export class ServiceCalls {
+  constructor(
+    private readonly _context: EntryContext,
+    private readonly _targets: ServiceTargets,
+    private readonly _atMostOnce: AtMostOnce,
+  ) {}
+
+  async call(request: ServiceRequest, call: CallContext): Promise<Outcome<ServiceAnswer>> {
+    const configuration = this._context.configuration();
+    if (!configuration) return call.undispatched.refuse('not-ready');
+    const service = configuration.service[request.service];
+    const route = findRoute(configuration, request);
+    if (!service || !route)
+      return call.undispatched.refuse('not-found', { detail: 'No route matches the call.' });
+    if (!configuration.workspace[call.workspace]?.services.includes(request.service)) {
+      return call.undispatched.refuse('forbidden');
+    }
+    const prepared = { request, call, service };
+    this._context.budgets.earn(call.workspace);
+    if (route.idempotent) return this._callWithRetries(prepared);
+    return this._atMostOnce.run(prepared, (undispatched) => this.callOnce(prepared, undispatched));
+  }
+
+  /**
+   * Sends the call to one target once. Only when the connection was refused is another target asked; after the
+   * first byte may have left there is no second try, and without an answer the outcome is in doubt.
+   */
+  async callOnce(prepared: PreparedCall, undispatched: Undispatched): Promise<Outcome<ServiceAnswer>> {
+    const tried = new Set<string>();
+    let standing = undispatched;
+    for (;;) {
+      const target = await this._chooseTarget(prepared, tried);
+      if (target === undefined) return standing.refuse('no-target', { retryAfterMs: TARGET_WAIT_MS });
+      if (prepared.call.signal.aborted) return standing.refuse('caller-gone');
+      tried.add(target);
+      const dispatched = standing.dispatch();
+      try {
+        return dispatched.answered(await this._send(prepared, target));
+      } catch (error) {
+        if (!(error instanceof TargetCallError)) throw error;
+        this._countFailure(error);
+        if (!isUnsent(error)) return dispatched.inDoubt('target-silent', error.message);
+        standing = dispatched.provenUnsent(error);
+      }
+    }
+  }
+
+  private async _callWithRetries(prepared: PreparedCall): Promise<Outcome<ServiceAnswer>> {
+    const { call, service } = prepared;
+    const deadline = Deadline.after(
+      service.timeout,
+      `service ${prepared.request.service}`,
+      this._context.clock,
+    );
+    const tried = new Set<string>();
+    let standing: Undispatched | Dispatched = call.undispatched;
+    for (let attempt = 1; ; attempt++) {
+      const target = await this._chooseTarget(prepared, tried);
+      if (target === undefined) return giveUp(standing);
+      tried.add(target);
+      const wasUndispatched: boolean = standing instanceof Undispatched;
+      const dispatched: Dispatched = standing instanceof Undispatched ? standing.dispatch() : standing;
+      try {
+        const answer = await this._sendHedged(prepared, target, tried);
+        deadline.dispose();
+        return dispatched.answered(answer);
+      } catch (error) {
+        if (!(error instanceof TargetCallError)) throw error;
+        this._countFailure(error);
+        standing = wasUndispatched && isUnsent(error) ? dispatched.provenUnsent(error) : dispatched;
+        const mayRetry = attempt < MAX_ATTEMPTS && !deadline.isOver() && !call.signal.aborted;
+        if (!mayRetry || !spendRetry(this._context, call.workspace, toRetryReason(error))) {
+          return standing instanceof Undispatched
+            ? giveUp(standing)
+            : standing.failed(error.reason, error.message);
+        }
+        await pause(retryDelayMs(attempt, this._context.random), call.signal);
+      }
+    }
+  }
+
+  /** After a while without an answer, asks a second target too and takes whichever answers first. */
+  private async _sendHedged(
+    prepared: PreparedCall,
+    target: string,
+    tried: Set<string>,
+  ): Promise<ServiceAnswer> {
+    const hedgeAfterMs = this._context.configuration()?.limits['hedge-after'];
+    const first = this._send(prepared, target);
+    if (hedgeAfterMs === undefined) return first;
+    const isSettled = await Promise.race([
+      first.then(
+        () => true,
+        () => true,
+      ),
+      pause(hedgeAfterMs, prepared.call.signal).then(() => false),
+    ]);
+    const second = isSettled ? undefined : await this._chooseTarget(prepared, tried);
+    if (second === undefined || !this._context.budgets.spend(prepared.call.workspace)) return first;
+    tried.add(second);
+    this._context.counters.add('monsoonreach_hedges_total');
+    return Promise.any([first, this._send(prepared, second)]).catch((error: unknown) => {
+      throw error instanceof AggregateError ? (error.errors[0] as Error) : error;
+    });
+  }
+
+  private async _chooseTarget(
+    prepared: PreparedCall,
+    tried: ReadonlySet<string>,
+  ): Promise<string | undefined> {
+    const { service, call } = prepared;
+    const { clock } = this._context;
+    const endsAtMs = clock.monotonic() + TARGET_WAIT_MS;
+    for (;;) {
+      const chosen = this._targets.choose(service.targets, service['target-concurrency'], tried);
+      const isHopeless = service.targets.every((target) => tried.has(target));
+      if (chosen !== undefined || isHopeless || call.signal.aborted || clock.monotonic() >= endsAtMs)
+        return chosen;
+      await pause(TARGET_POLL_MS, call.signal);
+    }
+  }
+
+  private async _send(prepared: PreparedCall, target: string): Promise<ServiceAnswer> {
+    const { request, call, service } = prepared;
+    const { context, targets } = { context: this._context, targets: this._targets };
+    const startedAtMs = context.clock.monotonic();
+    context.counters.add('monsoonreach_dispatches_total', { kind: 'service' });
+    context.traces.note(call.requestId, `sent to target ${target}`);
+    targets.loads.begin(target);
+    try {
+      const answer = await context.targets.of(target).call({
+        method: request.method,
+        path: request.path,
+        headers: toHeaders(request),
+        body: request.body.byteLength > 0 ? request.body : null,
+        requestId: call.requestId,
+        firstByteTimeoutMs: service.timeout,
+        idleTimeoutMs: service.timeout,
+        signal: AbortSignal.any([call.signal, AbortSignal.timeout(service.timeout)]),
+      });
+      const chunks: Uint8Array[] = [];
+      for await (const chunk of answer.body) chunks.push(chunk);
+      targets.stragglers.record(target, context.clock.monotonic() - startedAtMs);
+      const contentType = answer.headers['content-type'];
+      return { status: answer.status, contentType, body: Buffer.concat(chunks), isReplayed: false };
+    } finally {
+      targets.loads.end(target);
+    }
+  }
+
+  private _countFailure(error: TargetCallError): void {
+    this._context.counters.add('monsoonreach_attempt_failures_total', { reason: error.reason });
+  }
+}
+
+function findRoute(configuration: Configuration, request: ServiceRequest): RouteConfiguration | undefined {
+  const path = request.path.split('?')[0] ?? '';
+  return Object.values(configuration.route).find((route) => {
+    if (route.service !== request.service || route.method.toUpperCase() !== request.method) return false;
+    if (route.path.endsWith('*')) return path.startsWith(route.path.slice(0, -1));
+    return path === route.path;
+  });
+}
+
+function toHeaders(request: ServiceRequest): Readonly<Record<string, string>> {
+  const headers: Record<string, string> = {};
+  if (request.contentType !== undefined) headers['content-type'] = request.contentType;
+  if (request.idempotencyKey !== undefined) headers['idempotency-key'] = request.idempotencyKey;
+  return headers;
+}
+
+function toRetryReason(error: TargetCallError): RetryReason {
+  if (error.isProvenUnsent) return 'proven-unsent';
+  switch (error.reason) {
+    case 'target-timeout':
+    case 'wrong-echo':
+    case 'truncated':
+    case 'group-broken':
+      return error.reason;
+    case 'target-lost':
+    case 'target-refused':
+    case 'retries-spent':
+    case 'caller-gone':
+      return 'target-lost';
+  }
+}
+
+function giveUp(standing: Undispatched | Dispatched): Outcome<never> {
+  if (standing instanceof Dispatched)
+    return standing.failed('retries-spent', 'No other target can take the call now.');
+  return standing.refuse('no-target', { retryAfterMs: TARGET_WAIT_MS });
+}
--- /dev/null
+++ b/packages/peers/src/convert.ts
@@ -0,0 +1,85 @@
+import type { Log, LogSlice, NodeDigest, NodeRole, VersionVector } from '@monsoonreach/core';
+import { ValidationError } from '@monsoonreach/core';
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import type {
+  Digest,
+  DigestSchema,
+  Known,
+  KnownSchema,
+  ReadResponse,
+  ReadResponseSchema,
+} from './generated/monsoonreach/v1/peers_pb.js';
+
+/** Writes a digest as a message. */
+export function toDigestMessage(digest: NodeDigest): MessageInitShape<typeof DigestSchema> {
+  return {
+    node: digest.node,
+    incarnation: BigInt(digest.incarnation),
+    version: BigInt(digest.version),
+    role: digest.role,
+    failureDomain: digest.failureDomain,
+    leaving: digest.isLeaving,
+    configuration: BigInt(digest.configuration),
+    demand: [...digest.demand],
+    suspects: [...digest.suspects],
+  };
+}
+
+/** @throws ValidationError when the role is not one that exists. */
+export function fromDigestMessage(message: Digest): NodeDigest {
+  return {
+    node: message.node,
+    incarnation: Number(message.incarnation),
+    version: Number(message.version),
+    role: toRole(message.role),
+    failureDomain: message.failureDomain,
+    isLeaving: message.leaving,
+    configuration: Number(message.configuration),
+    demand: message.demand,
+    suspects: message.suspects,
+  };
+}
+
+function toRole(role: string): NodeRole {
+  if (role === 'entry' || role === 'steward') return role;
+  throw new ValidationError(`Unknown role "${role}"; allowed: entry, steward.`);
+}
+
+/** Writes the versions that a node knows. */
+export function toKnownMessages(versions: VersionVector): MessageInitShape<typeof KnownSchema>[] {
+  return [...versions].map(([node, [incarnation, version]]) => ({
+    node,
+    incarnation: BigInt(incarnation),
+    version: BigInt(version),
+  }));
+}
+
+/** Reads the versions that a peer knows. */
+export function fromKnownMessages(messages: readonly Known[]): VersionVector {
+  return new Map(
+    messages.map(({ node, incarnation, version }) => [node, [Number(incarnation), Number(version)] as const]),
+  );
+}
+
+/** Writes a slice of the log. */
+export function toReadResponse(slice: LogSlice): MessageInitShape<typeof ReadResponseSchema> {
+  return {
+    batches: slice.batches.map(({ offset, entries }) => ({ offset: BigInt(offset), entries: [...entries] })),
+    first: BigInt(slice.first),
+    head: BigInt(slice.head),
+    current: slice.isCurrent,
+  };
+}
+
+/** Reads a slice of the log. */
+export function fromReadResponse(message: ReadResponse): LogSlice {
+  return {
+    batches: message.batches.map(({ offset, entries }) => ({ offset: Number(offset), entries })),
+    first: Number(message.first),
+    head: Number(message.head),
+    isCurrent: message.current,
+  };
+}
+
+/** The stream and offset that a relay is asked for. */
+export type LogReader = Pick<Log, 'read'>;
--- /dev/null
+++ b/packages/peers/src/digestExchange.ts
@@ -0,0 +1,86 @@
+import type { ConnectRouter } from '@connectrpc/connect';
+import { type Counters, type Membership, pause } from '@monsoonreach/core';
+import { fromDigestMessage, fromKnownMessages, toDigestMessage, toKnownMessages } from './convert.js';
+import { DigestService } from './generated/monsoonreach/v1/peers_pb.js';
+import type { PeerClients } from './peerClients.js';
+
+const CALL_TIMEOUT_MS = 1_000;
+/** Members that urgent news is sent to at once; the others hear of it by exchange and from the log. */
+const URGENT_FAN_OUT = 16;
+
+/** What an exchange is made of. */
+export interface DigestExchangeOptions {
+  readonly membership: Membership;
+  readonly clients: PeerClients;
+  readonly counters: Counters;
+  /** Brings the own digest up to date before it is sent. */
+  readonly refresh: () => void;
+  /** Called after digests of others were learned. */
+  readonly onLearned: () => void;
+}
+
+/** Exchanges digests with one random peer in each interval, both ways. */
+export class DigestExchange {
+  private readonly _controller = new AbortController();
+  private _loop: Promise<void> | undefined;
+
+  constructor(private readonly _options: DigestExchangeOptions) {}
+
+  /** Offers the digest service. */
+  register(router: ConnectRouter): void {
+    const { membership, onLearned } = this._options;
+    router.service(DigestService, {
+      exchange: ({ digests, known }) => {
+        membership.learn(digests.map(fromDigestMessage));
+        onLearned();
+        return { digests: membership.newerThan(fromKnownMessages(known)).map(toDigestMessage) };
+      },
+    });
+  }
+
+  start(): void {
+    this._loop ??= this._run();
+  }
+
+  async stop(): Promise<void> {
+    this._controller.abort();
+    await this._loop;
+  }
+
+  /** Exchanges with one peer now. */
+  async exchangeWith(peer: string): Promise<void> {
+    const { membership, clients, counters, onLearned } = this._options;
+    try {
+      const request = {
+        from: membership.own.node,
+        digests: [toDigestMessage(membership.own)],
+        known: toKnownMessages(membership.versions()),
+      };
+      const response = await clients.digests(peer).exchange(request, { timeoutMs: CALL_TIMEOUT_MS });
+      membership.learn(response.digests.map(fromDigestMessage));
+      onLearned();
+      counters.add('monsoonreach_digest_exchanges_total', { result: 'done' });
+    } catch {
+      counters.add('monsoonreach_digest_exchanges_total', { result: 'unreachable' });
+    }
+  }
+
+  /** Tells up to `URGENT_FAN_OUT` members at once; for news that must not wait, such as a quarantine. */
+  async tellUrgently(): Promise<void> {
+    const { membership, refresh } = this._options;
+    refresh();
+    const told = membership.members().slice(0, URGENT_FAN_OUT);
+    await Promise.all(told.map(({ node }) => this.exchangeWith(node)));
+  }
+
+  private async _run(): Promise<void> {
+    const { membership, refresh } = this._options;
+    const signal = this._controller.signal;
+    while (!signal.aborted) {
+      refresh();
+      const peer = membership.choosePeer();
+      if (peer !== undefined) await this.exchangeWith(peer);
+      await pause(membership.members().length === 0 ? 200 : membership.refreshIntervalMs(), signal);
+    }
+  }
+}
--- /dev/null
+++ b/packages/peers/src/peerServer.ts
@@ -0,0 +1,98 @@
+import { readFileSync, watch, type FSWatcher } from 'node:fs';
+import http2 from 'node:http2';
+import {
+  Code,
+  ConnectError,
+  type ConnectRouter,
+  createContextValues,
+  type Interceptor,
+} from '@connectrpc/connect';
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+import { isEqualInConstantTime, splitAddress } from '@monsoonreach/core';
+
+/** The header that carries the secret which all of a deployment's processes share. */
+export const SECRET_HEADER = 'x-monsoonreach-secret';
+
+/** Files of this node's certificate, its key, and the authority that signs those of its peers. */
+export interface PeerTls {
+  readonly certificate: string;
+  readonly key: string;
+  readonly ca: string;
+}
+
+/** What a peer server is made of. */
+export interface PeerServerOptions {
+  readonly address: string;
+  readonly secret: string;
+  readonly routes: (router: ConnectRouter) => void;
+  readonly tls?: PeerTls | undefined;
+}
+
+type AnyServer = http2.Http2Server | http2.Http2SecureServer;
+
+/** Serves the system's own services to peers that know the secret, with mutual TLS where it is set. */
+export class PeerServer {
+  private readonly _server: AnyServer;
+  private readonly _sessions = new Set<http2.ServerHttp2Session>();
+  private _watcher: FSWatcher | undefined;
+
+  constructor(private readonly _options: PeerServerOptions) {
+    const handler = connectNodeAdapter({
+      routes: _options.routes,
+      interceptors: [checkSecret(_options.secret)],
+      contextValues: () => createContextValues(),
+    });
+    this._server = this._createServer(handler);
+    this._server.on('session', (session: http2.ServerHttp2Session) => {
+      this._sessions.add(session);
+      session.on('close', () => this._sessions.delete(session));
+    });
+  }
+
+  listen(): Promise<void> {
+    const { host, port } = splitAddress(this._options.address);
+    return new Promise((resolve, reject) => {
+      this._server.once('error', reject);
+      this._server.listen(port, host, resolve);
+    });
+  }
+
+  async close(): Promise<void> {
+    this._watcher?.close();
+    const closed = new Promise<void>((resolve) => {
+      this._server.close(() => {
+        resolve();
+      });
+    });
+    for (const session of this._sessions) session.destroy();
+    await closed;
+  }
+
+  private _createServer(handler: ReturnType<typeof connectNodeAdapter>): AnyServer {
+    const { tls } = this._options;
+    if (!tls) return http2.createServer(handler);
+    const server = http2.createSecureServer(
+      { ...readTls(tls), requestCert: true, rejectUnauthorized: true },
+      handler,
+    );
+    this._watcher = watch(tls.certificate, () => {
+      server.setSecureContext(readTls(tls));
+    });
+    return server;
+  }
+}
+
+/** Reads the files of a node's TLS identity. */
+export function readTls(tls: PeerTls): { readonly cert: Buffer; readonly key: Buffer; readonly ca: Buffer } {
+  return { cert: readFileSync(tls.certificate), key: readFileSync(tls.key), ca: readFileSync(tls.ca) };
+}
+
+function checkSecret(secret: string): Interceptor {
+  return (next) => (request) => {
+    const given = request.header.get(SECRET_HEADER) ?? '';
+    if (!isEqualInConstantTime(given, secret)) {
+      throw new ConnectError('The shared secret is missing or wrong.', Code.Unauthenticated);
+    }
+    return next(request);
+  };
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,5 @@
+/** The platform: its log and its list of instances. */
+export * from './httpLog.js';
+export * from './liveList.js';
+export * from './logWriter.js';
+export * from './streamFollower.js';
--- /dev/null
+++ b/packages/platform/src/liveList.ts
@@ -0,0 +1,52 @@
+import { MonsoonreachError } from '@monsoonreach/core';
+import { Pool } from 'undici';
+import { z } from 'zod';
+
+const TIMEOUT_MS = 2_000;
+
+const instanceSchema = z.object({
+  address: z.string(),
+  kind: z.enum(['engine', 'service']),
+  failureDomain: z.string(),
+  fabricDomain: z.string(),
+  accelerators: z.number().int().nonnegative(),
+  state: z.enum(['live', 'leaving']),
+});
+
+/** One instance as the platform lists it; the list lags. */
+export type ListedInstance = Readonly<z.infer<typeof instanceSchema>>;
+
+/** The live list did not answer; the last list read stays in use. */
+export class LiveListUnavailableError extends MonsoonreachError {
+  readonly code = 'live-list-unavailable';
+}
+
+/** The platform's list of live and leaving instances. */
+export interface LiveList {
+  /** @throws LiveListUnavailableError when no answer came. */
+  read(): Promise<readonly ListedInstance[]>;
+}
+
+/** The live list over HTTP: `GET /instances` answers `{instances}`. */
+export class HttpLiveList implements LiveList {
+  private readonly _pool: Pool;
+
+  constructor(address: string) {
+    this._pool = new Pool(`http://${address}`, { connections: 1, connect: { timeout: 1_000 } });
+  }
+
+  async read(): Promise<readonly ListedInstance[]> {
+    try {
+      const timeouts = { headersTimeout: TIMEOUT_MS, bodyTimeout: TIMEOUT_MS };
+      const response = await this._pool.request({ method: 'GET', path: '/instances', ...timeouts });
+      const body: unknown = await response.body.json();
+      return z.object({ instances: z.array(instanceSchema) }).parse(body).instances;
+    } catch (error) {
+      throw new LiveListUnavailableError('No usable answer from the live list.', { cause: error });
+    }
+  }
+
+  async close(): Promise<void> {
+    await this._pool.destroy();
+  }
+}
--- /dev/null
+++ b/packages/platform/src/streamFollower.ts
@@ -0,0 +1,191 @@
+import {
+  CheckpointAssembler,
+  type Clock,
+  decodeEnvelope,
+  type Envelope,
+  type Log,
+  type LogBatch,
+  LogGapError,
+  LogUnavailableError,
+  pause,
+  type ReductionSnapshot,
+  type StreamDefinition,
+  StreamReducer,
+  type StreamState,
+  toPosition,
+  toWriterId,
+  UnsupportedFormatError,
+  type Verdict,
+  ValidationError,
+} from '@monsoonreach/core';
+
+const READ_WAIT_MS = 1_000;
+const RETRY_DELAY_MS = 200;
+const READ_LIMIT = 500;
+
+/** One record with what was decided on it. */
+export interface DecidedRecord<Body, Rejection extends string> {
+  readonly envelope: Envelope<Body>;
+  readonly verdict: Verdict<Rejection>;
+}
+
+/** What a follower is made of. */
+export interface StreamFollowerOptions<
+  Body,
+  Rejection extends string,
+  State extends StreamState<Body, Rejection>,
+> {
+  readonly stream: string;
+  readonly log: Log;
+  readonly clock: Clock;
+  readonly definition: StreamDefinition<Body, Rejection, State>;
+  /** Called for each record in order. */
+  readonly onRecord?: (record: DecidedRecord<Body, Rejection>) => void;
+}
+
+/** Reads one stream for ever and keeps its state; loads a checkpoint when records are gone. */
+export class StreamFollower<Body, Rejection extends string, State extends StreamState<Body, Rejection>> {
+  private _reducer: StreamReducer<Body, Rejection, State>;
+  private _next = 0;
+  private _caughtUpAtMs: number | undefined;
+  private _failure: Error | undefined;
+  private readonly _controller = new AbortController();
+  private readonly _listeners = new Set<(record: DecidedRecord<Body, Rejection>) => void>();
+  private _loop: Promise<void> | undefined;
+
+  constructor(private readonly _options: StreamFollowerOptions<Body, Rejection, State>) {
+    this._reducer = new StreamReducer(_options.definition);
+    if (_options.onRecord) this._listeners.add(_options.onRecord);
+  }
+
+  get state(): State {
+    return this._reducer.state;
+  }
+
+  /** The offset that will be read next; the state is that of every batch below it. */
+  get next(): number {
+    return this._next;
+  }
+
+  /** The stream's time in milliseconds. */
+  get streamNowMs(): number {
+    return this._reducer.now();
+  }
+
+  /** Monotonic time at which the head was last reached; undefined before the first time. */
+  get caughtUpAtMs(): number | undefined {
+    return this._caughtUpAtMs;
+  }
+
+  /** Why the follower cannot go on; it then serves no state as ready. */
+  get failure(): Error | undefined {
+    return this._failure;
+  }
+
+  isReady(): boolean {
+    return this._caughtUpAtMs !== undefined && this._failure === undefined;
+  }
+
+  snapshot(): ReductionSnapshot {
+    return this._reducer.snapshot();
+  }
+
+  /** Calls the listener for each record from now on; returns how to stop. */
+  listen(listener: (record: DecidedRecord<Body, Rejection>) => void): () => void {
+    this._listeners.add(listener);
+    return () => this._listeners.delete(listener);
+  }
+
+  start(): void {
+    this._loop ??= this._run();
+  }
+
+  async stop(): Promise<void> {
+    this._controller.abort();
+    await this._loop;
+  }
+
+  /** Reads once; public so that tests can step it. */
+  async step(waitMs: number): Promise<void> {
+    const { stream, log, clock } = this._options;
+    const signal = this._controller.signal;
+    const slice = await log.read(stream, this._next, { waitMs, limit: READ_LIMIT, signal });
+    if (this._next < slice.first) {
+      await this._loadCheckpoint(slice.first);
+      return;
+    }
+    for (const batch of slice.batches) this._applyBatch(batch);
+    if (slice.isCurrent && this._next >= slice.head) this._caughtUpAtMs = clock.monotonic();
+  }
+
+  private async _run(): Promise<void> {
+    const signal = this._controller.signal;
+    while (!signal.aborted) {
+      try {
+        await this.step(READ_WAIT_MS);
+        this._failure = undefined;
+      } catch (error) {
+        if (error instanceof Error && !(error instanceof LogUnavailableError)) this._failure = error;
+        await pause(RETRY_DELAY_MS, signal);
+      }
+    }
+  }
+
+  private _applyBatch(batch: LogBatch): void {
+    if (batch.offset < this._next) return;
+    if (batch.offset > this._next)
+      throw new LogGapError(`Expected offset ${this._next}, got ${batch.offset}.`);
+    for (const [index, entry] of batch.entries.entries()) {
+      this._applyEntry(toPosition(batch.offset, index), entry);
+    }
+    this._next = batch.offset + 1;
+  }
+
+  private _applyEntry(position: number, entry: string): void {
+    const envelope = this._decode(entry);
+    if (!envelope) return;
+    const verdict = this._reducer.apply(position, envelope);
+    for (const listener of this._listeners) listener({ envelope, verdict });
+  }
+
+  /** An entry that no version could read is passed over by all readers alike; a newer format stops them. */
+  private _decode(entry: string): Envelope<Body> | undefined {
+    try {
+      return decodeEnvelope(entry, this._options.definition.bodySchema);
+    } catch (error) {
+      if (error instanceof UnsupportedFormatError) throw error;
+      if (error instanceof ValidationError) return undefined;
+      throw error;
+    }
+  }
+
+  private async _loadCheckpoint(first: number): Promise<void> {
+    const { stream, log, definition } = this._options;
+    const assembler = new CheckpointAssembler();
+    for (let from = first; ;) {
+      const slice = await log.read(stream, from, { limit: READ_LIMIT, signal: this._controller.signal });
+      for (const batch of slice.batches) this._collectChunks(batch, assembler);
+      from = (slice.batches.at(-1)?.offset ?? from - 1) + 1;
+      if (slice.batches.length === 0 || from >= slice.head) break;
+    }
+    const checkpoint = assembler.newest();
+    if (!checkpoint || checkpoint.through < first) {
+      throw new LogGapError(`Stream ${stream} starts at ${first} and holds no checkpoint that reaches it.`);
+    }
+    this._reducer = new StreamReducer(definition, checkpoint.snapshot);
+    this._next = checkpoint.through;
+  }
+
+  private _collectChunks(batch: LogBatch, assembler: CheckpointAssembler): void {
+    for (const entry of batch.entries) {
+      const body = this._decode(entry)?.body as
+        { readonly kind?: string; readonly chunk?: unknown } | undefined;
+      if (body?.kind === 'checkpoint') assembler.add(body.chunk);
+    }
+  }
+}
+
+/** Whether the record was written by this process life with this sequence. */
+export function isOwnRecord(envelope: Envelope<unknown>, writerId: string, sequence: number): boolean {
+  return toWriterId(envelope.writer) === writerId && envelope.sequence === sequence;
+}
--- /dev/null
+++ b/packages/steward/src/checkpointing.ts
@@ -0,0 +1,91 @@
+import { randomUUID } from 'node:crypto';
+import {
+  type Candidate,
+  encodeEnvelope,
+  type Log,
+  LogUnavailableError,
+  pause,
+  placeByRendezvous,
+  RECORD_FORMAT,
+  type ReductionSnapshot,
+  splitCheckpoint,
+  type Counters,
+  type Clock,
+} from '@monsoonreach/core';
+
+const TICK_MS = 1_000;
+/** Address part of a checkpoint's writer, so that its records are nobody else's sequence. */
+const CHECKPOINT_WRITER = 'checkpoint';
+
+/** A followed stream that can be written as a checkpoint. */
+export interface CheckpointedStream {
+  readonly next: number;
+  isReady(): boolean;
+  snapshot(): ReductionSnapshot;
+}
+
+/** What checkpointing is made of. */
+export interface CheckpointingOptions {
+  readonly clock: Clock;
+  readonly counters: Counters;
+  readonly log: Log;
+  readonly self: Candidate;
+  readonly stewards: () => readonly Candidate[];
+  readonly streams: ReadonlyMap<string, CheckpointedStream>;
+  /** Batches between two checkpoints of a stream. */
+  readonly every: number;
+}
+
+/** Writes checkpoints of the streams that fall to this steward by rendezvous. Two at once do no harm. */
+export class Checkpointing {
+  private readonly _controller = new AbortController();
+  private readonly _lastThrough = new Map<string, number>();
+  private _loop: Promise<void> | undefined;
+
+  constructor(private readonly _options: CheckpointingOptions) {}
+
+  start(): void {
+    this._loop ??= this._run();
+  }
+
+  async stop(): Promise<void> {
+    this._controller.abort();
+    await this._loop;
+  }
+
+  private async _run(): Promise<void> {
+    const signal = this._controller.signal;
+    while (!signal.aborted) {
+      for (const [name, stream] of this._options.streams) await this._writeIfDue(name, stream);
+      await pause(TICK_MS, signal);
+    }
+  }
+
+  private async _writeIfDue(name: string, stream: CheckpointedStream): Promise<void> {
+    const { self, stewards, every } = this._options;
+    const [writer] = placeByRendezvous(`checkpoint/${name}`, stewards(), { count: 1 });
+    const last = this._lastThrough.get(name) ?? 0;
+    if (writer !== self.id || !stream.isReady() || stream.next - last < every) return;
+    this._lastThrough.set(name, stream.next);
+    await this._write(name, stream);
+  }
+
+  private async _write(name: string, stream: CheckpointedStream): Promise<void> {
+    const { log, clock, counters } = this._options;
+    const id = randomUUID();
+    const chunks = splitCheckpoint(stream.snapshot(), stream.next, id);
+    try {
+      for (const chunk of chunks) {
+        const writer = { address: CHECKPOINT_WRITER, incarnation: id };
+        const body = { kind: 'checkpoint', chunk };
+        const envelope = { format: RECORD_FORMAT, writer, sequence: chunk.index, writtenAtMs: 0, body };
+        await log.append(name, [encodeEnvelope(envelope)], this._controller.signal);
+      }
+      counters.add('monsoonreach_checkpoints_total', { stream: name, result: 'written' });
+      counters.set('monsoonreach_checkpoint_written_at_ms', clock.now(), { stream: name });
+    } catch (error) {
+      if (!(error instanceof LogUnavailableError)) throw error;
+      counters.add('monsoonreach_checkpoints_total', { stream: name, result: 'unknown' });
+    }
+  }
+}
--- /dev/null
+++ b/packages/steward/src/watcher.ts
@@ -0,0 +1,135 @@
+import {
+  type Candidate,
+  type Clock,
+  type Group,
+  type Groups,
+  placeByRendezvous,
+  WHOLE_LEASE_MS,
+} from '@monsoonreach/core';
+import type { Observation } from './prober.js';
+
+/** Interval of a primary watcher's probes, in milliseconds. */
+export const PRIMARY_INTERVAL_MS = 700;
+/** Interval of a standby's probes while the primary answers, in milliseconds. */
+export const STANDBY_INTERVAL_MS = 4_000;
+/** How long a standby stands in after it was told that the primary does not answer, in milliseconds. */
+const STAND_IN_MS = 5_000;
+
+/** What a watcher says of one group. */
+export interface WatchedGroup {
+  readonly group: string;
+  readonly epoch: number;
+  /** What remains of the whole lease now, in milliseconds; 0 ends it. */
+  readonly remainingMs: number;
+  readonly inFlight: number;
+  readonly loadAgeMs: number;
+  /** Members of a group that was whole and are now seen to be gone or changed. */
+  readonly missing: readonly string[];
+}
+
+/** What a watcher is made of. */
+export interface WatcherOptions {
+  readonly clock: Clock;
+  readonly self: Candidate;
+  readonly stewards: () => readonly Candidate[];
+  readonly groups: () => Groups;
+  readonly observe: (address: string) => Observation | undefined;
+  readonly isLeaving: (address: string) => boolean;
+  readonly failureDomainOf: (address: string) => string | undefined;
+}
+
+type MemberFinding = 'right' | 'unknown' | 'not-yet' | 'wrong';
+
+/** Watches groups: a primary and a standby steward for each, chosen by rendezvous. */
+export class Watcher {
+  private readonly _onceWhole = new Map<string, number>();
+  private readonly _unansweringUntilMs = new Map<string, number>();
+
+  constructor(private readonly _options: WatcherOptions) {}
+
+  /** Takes in that these stewards do not answer some entry. */
+  noteUnanswering(stewards: readonly string[]): void {
+    const untilMs = this._options.clock.monotonic() + STAND_IN_MS;
+    for (const steward of stewards) this._unansweringUntilMs.set(steward, untilMs);
+  }
+
+  /** Members to probe and how often. */
+  targets(): ReadonlyMap<string, number> {
+    const targets = new Map<string, number>();
+    for (const group of this._standing()) {
+      const intervalMs = this._intervalFor(group);
+      if (intervalMs === undefined) continue;
+      for (const { address } of group.members) {
+        targets.set(address, Math.min(intervalMs, targets.get(address) ?? Infinity));
+      }
+    }
+    return targets;
+  }
+
+  /** Every watched group of which there is something to say. */
+  report(): readonly WatchedGroup[] {
+    return this._standing()
+      .filter((group) => this._intervalFor(group) !== undefined)
+      .flatMap((group) => this._reportOn(group) ?? []);
+  }
+
+  private _standing(): readonly Group[] {
+    return this._options
+      .groups()
+      .groups()
+      .filter(({ dissolvedAt }) => dissolvedAt === undefined);
+  }
+
+  private _intervalFor(group: Group): number | undefined {
+    const { self, stewards, failureDomainOf } = this._options;
+    const preferredDomain = failureDomainOf(group.members[0]?.address ?? '');
+    const options = { count: 2, ...(preferredDomain === undefined ? {} : { preferredDomain }) };
+    const [primary, standby] = placeByRendezvous(`watch/${group.id}`, stewards(), options);
+    if (primary === self.id) return PRIMARY_INTERVAL_MS;
+    if (standby !== self.id) return undefined;
+    const isStandingIn = (this._unansweringUntilMs.get(primary ?? '') ?? 0) > this._options.clock.monotonic();
+    return isStandingIn ? PRIMARY_INTERVAL_MS : STANDBY_INTERVAL_MS;
+  }
+
+  private _reportOn(group: Group): WatchedGroup | undefined {
+    const observations = group.members.map(({ address }) => this._options.observe(address));
+    const findings = group.members.map((member, index) =>
+      judgeMember(group, member.boot, observations[index]),
+    );
+    const leader = observations[0];
+    const nowMs = this._options.clock.monotonic();
+    const base = {
+      group: group.id,
+      epoch: group.epoch,
+      inFlight: leader?.status?.inFlight ?? 0,
+      loadAgeMs: Math.max(0, Math.round(nowMs - (leader?.askedAtMs ?? nowMs))),
+    };
+    const isLeaving = group.members.some(({ address }) => this._options.isLeaving(address));
+    if (isLeaving) return { ...base, remainingMs: 0, missing: [] };
+    const wasWhole = this._onceWhole.get(group.id) === group.epoch;
+    const missing = group.members
+      .filter((_, index) => findings[index] === 'wrong')
+      .map(({ address }) => address);
+    if (missing.length > 0) return wasWhole ? { ...base, remainingMs: 0, missing } : undefined;
+    if (findings.some((finding) => finding !== 'right')) return undefined;
+    this._onceWhole.set(group.id, group.epoch);
+    const oldestMs = Math.min(...observations.map((observation) => observation?.askedAtMs ?? -Infinity));
+    const remainingMs = Math.floor(WHOLE_LEASE_MS - (nowMs - oldestMs));
+    return remainingMs > 0 ? { ...base, remainingMs, missing: [] } : undefined;
+  }
+}
+
+/** Compares what a member says of itself with what the log says of its group. */
+function judgeMember(group: Group, boot: string, observation: Observation | undefined): MemberFinding {
+  if (observation?.isGone) return 'wrong';
+  const status = observation?.status;
+  if (!observation || !status) return 'unknown';
+  if (status.boot !== boot) return 'wrong';
+  if (status.phase === 'idle' || status.phase === 'loading') {
+    const isOwn = status.group === null || status.group === group.id;
+    return isOwn ? 'not-yet' : 'wrong';
+  }
+  const isRight =
+    status.group === group.id && status.epoch === group.epoch && status.version === group.version;
+  return isRight ? 'right' : 'wrong';
+}
--- /dev/null
+++ b/packages/targets/src/engineClient.ts
@@ -0,0 +1,113 @@
+import { isEqualInConstantTime, MonsoonreachError, splitAddress, type OrderKind } from '@monsoonreach/core';
+import { Pool } from 'undici';
+import { z } from 'zod';
+
+const CONNECT_TIMEOUT_MS = 500;
+
+const statusSchema = z.object({
+  boot: z.string(),
+  phase: z.enum(['idle', 'loading', 'ready']),
+  group: z.string().nullable(),
+  epoch: z.number().int(),
+  model: z.string().nullable(),
+  version: z.string().nullable(),
+  inFlight: z.number().int(),
+  leaving: z.boolean(),
+  failureDomain: z.string(),
+  fabricDomain: z.string(),
+  accelerators: z.number().int(),
+});
+
+/** What an engine says of itself when it is read back. */
+export type EngineStatus = Readonly<z.infer<typeof statusSchema>>;
+
+/** An order to an engine; `fencing` is the position of the record that it carries out. */
+export interface EngineOrder {
+  readonly order: OrderKind;
+  readonly group: string;
+  readonly fencing: number;
+  readonly model?: string;
+  readonly version?: string;
+  readonly rank?: number;
+  readonly members?: readonly string[];
+}
+
+/** Why a call to an engine failed. */
+export type EngineFault = 'unreachable' | 'timeout' | 'refused' | 'malformed';
+
+/** A call to an engine failed; `fault` says how. */
+export class EngineCallError extends MonsoonreachError {
+  readonly code = 'engine-call';
+
+  constructor(
+    readonly fault: EngineFault,
+    message: string,
+    options?: ErrorOptions,
+  ) {
+    super(message, options);
+  }
+}
+
+/** The control calls of one engine: `GET /v1/status` and `POST /v1/orders`. */
+export class EngineClient {
+  private readonly _pool: Pool;
+
+  constructor(readonly address: string) {
+    const { host, port } = splitAddress(address);
+    const origin = `http://${host.includes(':') ? `[${host}]` : host}:${port}`;
+    this._pool = new Pool(origin, { connections: 2, connect: { timeout: CONNECT_TIMEOUT_MS } });
+  }
+
+  /** @throws EngineCallError when no usable answer came in time. */
+  async readStatus(timeoutMs: number): Promise<EngineStatus> {
+    return statusSchema.parse(await this._call('GET', '/v1/status', timeoutMs));
+  }
+
+  /** @throws EngineCallError; with `refused` the engine did not carry the order out. */
+  async order(order: EngineOrder, timeoutMs: number): Promise<void> {
+    await this._call('POST', '/v1/orders', timeoutMs, JSON.stringify(order));
+  }
+
+  async close(): Promise<void> {
+    await this._pool.destroy();
+  }
+
+  private async _call(
+    method: 'GET' | 'POST',
+    path: string,
+    timeoutMs: number,
+    body?: string,
+  ): Promise<unknown> {
+    const timeouts = {
+      headersTimeout: timeoutMs,
+      bodyTimeout: timeoutMs,
+      signal: AbortSignal.timeout(timeoutMs),
+    };
+    try {
+      const headers = { 'content-type': 'application/json' };
+      const response = await this._pool.request({ method, path, headers, body: body ?? null, ...timeouts });
+      const text = await response.body.text();
+      if (response.statusCode < 300) return JSON.parse(text) as unknown;
+      throw new EngineCallError(
+        'refused',
+        `${this.address} answered ${response.statusCode} to ${path}: ${text}`,
+      );
+    } catch (error) {
+      if (error instanceof EngineCallError) throw error;
+      throw new EngineCallError(toFault(error), `${this.address} did not answer ${path}.`, { cause: error });
+    }
+  }
+}
+
+const REFUSED_CODES: readonly unknown[] = ['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET'];
+
+function toFault(error: unknown): EngineFault {
+  if (error instanceof SyntaxError || error instanceof z.ZodError) return 'malformed';
+  const code = (error as { readonly code?: unknown }).code;
+  return REFUSED_CODES.includes(code) ? 'unreachable' : 'timeout';
+}
+
+/** Whether an echoed request id is the one that was sent. */
+export function isOwnEcho(sent: string, echoed: string | undefined): boolean {
+  return echoed !== undefined && isEqualInConstantTime(sent, echoed);
+}
--- /dev/null
+++ b/packages/targets/src/targetClient.ts
@@ -0,0 +1,146 @@
+import { type FailedReason, MonsoonreachError, splitAddress, type UnsentEvidence } from '@monsoonreach/core';
+import { type Dispatcher, Pool } from 'undici';
+
+const CONNECT_TIMEOUT_MS = 800;
+
+/** A call to a target that gave no whole answer. */
+export class TargetCallError extends MonsoonreachError {
+  readonly code = 'target-call';
+
+  constructor(
+    readonly reason: FailedReason,
+    /** True only when it is certain that no byte of the request was sent. */
+    readonly isProvenUnsent: boolean,
+    message: string,
+    options?: ErrorOptions,
+  ) {
+    super(message, options);
+  }
+}
+
+/** Whether it is certain that no byte of the request was sent. */
+export function isUnsent(error: TargetCallError): error is TargetCallError & UnsentEvidence {
+  return error.isProvenUnsent;
+}
+
+/** One call to a target. */
+export interface TargetRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string | Uint8Array | null;
+  readonly requestId: string;
+  /** The longest wait for the answer's first byte, in milliseconds. */
+  readonly firstByteTimeoutMs: number;
+  /** The longest wait between two parts of the answer, in milliseconds. */
+  readonly idleTimeoutMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** The beginning of a target's answer; its body is still to be read. */
+export interface TargetAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: AsyncIterable<Uint8Array>;
+}
+
+/** Removes guards for tests that show a proof fails without them. */
+export interface TargetGuards {
+  readonly checksEcho: boolean;
+}
+
+/** Options of a client. */
+export interface TargetClientOptions {
+  readonly connections?: number;
+  readonly guards?: TargetGuards;
+}
+
+/**
+ * Calls one target. Nothing is pipelined; a connection that saw a timeout, a cancellation or a wrong echo is
+ * destroyed with its answer and never used again.
+ */
+export class TargetClient {
+  private readonly _pool: Pool;
+  private readonly _checksEcho: boolean;
+
+  constructor(
+    readonly address: string,
+    options: TargetClientOptions = {},
+  ) {
+    const { host, port } = splitAddress(address);
+    this._checksEcho = options.guards?.checksEcho ?? true;
+    this._pool = new Pool(`http://${host.includes(':') ? `[${host}]` : host}:${port}`, {
+      connections: options.connections ?? 64,
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+    });
+  }
+
+  /** @throws TargetCallError when the answer did not begin, or is not the answer to this request. */
+  async call(request: TargetRequest): Promise<TargetAnswer> {
+    const response = await this._send(request);
+    const headers = flattenHeaders(response.headers);
+    if (this._checksEcho && headers['x-request-id'] !== request.requestId) {
+      response.body.on('error', () => undefined);
+      response.body.destroy();
+      throw new TargetCallError('wrong-echo', false, `${this.address} answered another request; discarded.`);
+    }
+    return { status: response.statusCode, headers, body: readBody(this.address, response.body) };
+  }
+
+  async close(): Promise<void> {
+    await this._pool.destroy();
+  }
+
+  private async _send(request: TargetRequest): Promise<Dispatcher.ResponseData> {
+    try {
+      return await this._pool.request({
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers: { ...request.headers, 'x-request-id': request.requestId },
+        body: request.body,
+        headersTimeout: request.firstByteTimeoutMs,
+        bodyTimeout: request.idleTimeoutMs,
+        signal: request.signal,
+        // Undici never repeats a request by itself when it is told that it is not idempotent.
+        idempotent: false,
+      });
+    } catch (error) {
+      throw toCallError(this.address, error);
+    }
+  }
+}
+
+const UNSENT_CODES: readonly unknown[] = ['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH'];
+const TIMEOUT_CODES: readonly unknown[] = ['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT'];
+
+function toCallError(address: string, error: unknown): TargetCallError {
+  const { code, name } = error as { readonly code?: unknown; readonly name?: unknown };
+  const options = { cause: error };
+  if (UNSENT_CODES.includes(code)) {
+    return new TargetCallError('target-lost', true, `${address} refused the connection.`, options);
+  }
+  if (TIMEOUT_CODES.includes(code) || name === 'TimeoutError') {
+    return new TargetCallError('target-timeout', false, `Timed out waiting for ${address}.`, options);
+  }
+  if (name === 'AbortError') {
+    return new TargetCallError('caller-gone', false, `The call to ${address} was cancelled.`, options);
+  }
+  return new TargetCallError('target-lost', false, `The connection to ${address} was lost.`, options);
+}
+
+async function* readBody(address: string, body: AsyncIterable<unknown>): AsyncGenerator<Uint8Array> {
+  try {
+    for await (const chunk of body) yield chunk as Uint8Array;
+  } catch (error) {
+    throw toCallError(address, error);
+  }
+}
+
+function flattenHeaders(headers: Dispatcher.ResponseData['headers']): Readonly<Record<string, string>> {
+  const entries = Object.entries(headers).map(([name, value]) => [
+    name.toLowerCase(),
+    Array.isArray(value) ? value.join(', ') : (value ?? ''),
+  ]);
+  return Object.fromEntries(entries) as Record<string, string>;
+}
--- /dev/null
+++ b/scripts/checkLayers.ts
@@ -0,0 +1,51 @@
+import { readdirSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+
+/** The packages that each package may import; everything points inwards to `core`. */
+const ALLOWED: Readonly<Record<string, readonly string[]>> = {
+  core: [],
+  callers: ['core'],
+  targets: ['core'],
+  platform: ['core'],
+  peers: ['core'],
+  operators: ['core', 'platform', 'peers'],
+  daemon: ['core', 'platform', 'peers', 'operators'],
+  entry: ['core', 'callers', 'targets', 'platform', 'peers', 'operators', 'daemon'],
+  steward: ['core', 'targets', 'platform', 'peers', 'operators', 'daemon'],
+};
+
+/** Modules of input and output that `core` must not reach for. */
+const FORBIDDEN_IN_CORE = ['node:http', 'node:net', 'node:fs', 'node:child_process', 'undici', 'h3'];
+
+interface Import {
+  readonly file: string;
+  readonly from: string;
+}
+
+function listSources(directory: string): readonly string[] {
+  return readdirSync(directory, { recursive: true, encoding: 'utf8' })
+    .filter((file) => file.endsWith('.ts'))
+    .map((file) => join(directory, file));
+}
+
+function readImports(file: string): readonly Import[] {
+  const text = readFileSync(file, 'utf8');
+  return [...text.matchAll(/from '([^']+)'/g)].map(([, from = '']) => ({ file, from }));
+}
+
+function findFaults(name: string, allowed: readonly string[]): readonly string[] {
+  const imports = listSources(`packages/${name}/src`).flatMap(readImports);
+  return imports.flatMap(({ file, from }) => {
+    const peer = /^@monsoonreach\/(.+)$/.exec(from)?.[1];
+    if (peer !== undefined && !allowed.includes(peer)) return [`${file}: may not import ${from}`];
+    if (from.includes('tests/')) return [`${file}: a shipped package may not import tests`];
+    if (name === 'core' && FORBIDDEN_IN_CORE.includes(from)) return [`${file}: core may not import ${from}`];
+    if (from === 'node:child_process') return [`${file}: a process of the product starts no process`];
+    return [];
+  });
+}
+
+const faults = Object.entries(ALLOWED).flatMap(([name, allowed]) => findFaults(name, allowed));
+for (const fault of faults) process.stderr.write(`${fault}\n`);
+process.stdout.write(`layers: ${faults.length} faults\n`);
+process.exitCode = faults.length === 0 ? 0 : 1;
