--- a/packages/core/src/groups.ts
+++ b/packages/core/src/groups.ts
@@ -84,7 +84,8 @@
 /** How long an instance that nobody sees again is remembered, in milliseconds of the stream's time. */
 export const STANDING_RETENTION_MS = 86_400_000;
 
-/** Where an instance stands; `position` is that of the record that put it there, `sinceMs` the stream's time then. */
+/** Where an instance stands; `position` is that of the record that put it there, `sinceMs`
+ * the stream's time at the first sweep after it, 0 before that. */
 export type InstanceStanding =
   | { readonly kind: 'released'; readonly boot: string; readonly position: number; readonly sinceMs: number }
   | {
@@ -265,8 +266,9 @@
       if (untilMs < nowMs) this._quarantined.delete(fingerprint);
     }
     for (const [address, standing] of this._instances) {
-      const isOld = standing.sinceMs > 0 && standing.sinceMs + STANDING_RETENTION_MS < nowMs;
-      if (isOld && standing.kind !== 'member') this._forget(address, standing);
+      if (standing.kind === 'member') continue;
+      if (standing.sinceMs === 0) this._instances.set(address, { ...standing, sinceMs: nowMs });
+      else if (standing.sinceMs + STANDING_RETENTION_MS < nowMs) this._forget(address, standing);
     }
   }
 
@@ -325,7 +327,7 @@
         kind: 'member',
         boot,
         position: record.position,
-        sinceMs: record.nowMs,
+        sinceMs: 0,
         group: body.group,
       });
     }
@@ -346,7 +348,7 @@
         kind: 'stopping',
         boot,
         position: record.position,
-        sinceMs: record.nowMs,
+        sinceMs: 0,
         group: group.id,
       });
     }
@@ -371,7 +373,7 @@
       kind: 'released',
       boot,
       position: record.position,
-      sinceMs: record.nowMs,
+      sinceMs: 0,
     });
     if (standing && standing.kind !== 'released') this._removeIfReleased(standing.group);
     return undefined;
--- a/packages/core/src/streamReducer.ts
+++ b/packages/core/src/streamReducer.ts
@@ -40,7 +40,8 @@
 
 interface WriterProgress {
   readonly sequence: number;
-  readonly seenAtMs: number;
+  /** The stream's time at the first sweep after the writer's last record; 0 before that sweep. */
+  readonly idleSinceMs: number;
 }
 
 /** Removes guards for tests that show a proof fails without them. */
@@ -83,7 +84,7 @@
       return { kind: 'duplicate', position };
     }
     this._advanceClock(envelope);
-    this._writers.set(writerId, { sequence: envelope.sequence, seenAtMs: this._clock.now() });
+    this._writers.set(writerId, { sequence: envelope.sequence, idleSinceMs: 0 });
     const reason = this.state.apply({ position, envelope, nowMs: this._clock.now() });
     return reason === undefined ? { kind: 'accepted', position } : { kind: 'rejected', reason, position };
   }
@@ -101,8 +102,17 @@
     this._clock.observe(envelope.writer.address, envelope.writtenAtMs);
     if (!isSweepDue(beforeMs, this._clock.now())) return;
     this.state.expire(this._clock.now());
-    for (const [id, progress] of this._writers) {
-      if (progress.seenAtMs < this._clock.now() - WRITER_RETENTION_MS) this._writers.delete(id);
+    this._forgetWriters(this._clock.now());
+  }
+
+  /**
+   * The stream's time can jump, since it lags while few write. So a writer is forgotten only after the
+   * retention has passed from a sweep that came after its last record.
+   */
+  private _forgetWriters(nowMs: number): void {
+    for (const [id, { sequence, idleSinceMs }] of this._writers) {
+      if (idleSinceMs === 0) this._writers.set(id, { sequence, idleSinceMs: nowMs });
+      else if (idleSinceMs + WRITER_RETENTION_MS < nowMs) this._writers.delete(id);
     }
   }
 }
--- a/packages/core/src/wholeLease.ts
+++ b/packages/core/src/wholeLease.ts
@@ -24,7 +24,6 @@
 /** Removes guards for tests that show a proof fails without them. */
 export interface LeaseGuards {
   readonly countsFromQuery: boolean;
-  readonly dropsAfterPause: boolean;
 }
 
 /**
@@ -37,7 +36,7 @@
 
   constructor(
     private readonly _clock: Clock,
-    private readonly _guards: LeaseGuards = { countsFromQuery: true, dropsAfterPause: true },
+    private readonly _guards: LeaseGuards = { countsFromQuery: true },
   ) {
     this._lastTickMs = _clock.monotonic();
   }
@@ -64,7 +63,7 @@
     const nowMs = this._clock.monotonic();
     const isLate = nowMs - this._lastTickMs > PAUSE_THRESHOLD_MS;
     this._lastTickMs = nowMs;
-    if (isLate && this._guards.dropsAfterPause) this._leases.clear();
+    if (isLate) this._leases.clear();
     this._removeEnded(nowMs);
     return isLate;
   }
--- a/tests/core/claims.test.ts
+++ b/tests/core/claims.test.ts
@@ -103,6 +103,15 @@
     ],
     expected: ['accepted', 'duplicate', 'accepted'],
   },
+  {
+    name: "a late claim is dropped also after the stream's time has jumped",
+    steps: [
+      { writer: 'a', sequence: 2, body: abandon(1) },
+      { writer: 'b', sequence: 1, body: claim('members') },
+      { writer: 'a', sequence: 1, body: claim() },
+    ],
+    expected: ['accepted', 'accepted', 'duplicate'],
+  },
   {
     name: 'only the claimant withdraws or finishes',
     steps: [
