--- a/packages/steward/src/planning.ts
+++ b/packages/steward/src/planning.ts
@@ -186,15 +186,28 @@
       return;
     }
     if (standing?.kind === 'member') return;
-    if (!isIdle) this._orderStop(address, standing, status.group ?? '');
+    const needsFence = this._checksFencing(standing) && status.fencing < (standing?.position ?? 0);
+    if (!isIdle || needsFence) this._orderStop(address, standing, status.group ?? '');
     else if (standing?.kind !== 'released' || standing.boot !== status.boot)
       this._release(address, status.boot, observation);
   }
 
+  /** An idle engine may still get an order that is late; a raised fencing number refuses it. */
+  private _checksFencing(standing: InstanceStanding | undefined): boolean {
+    const configuration = this._options.configuration();
+    if (!standing || standing.kind === 'member' || !configuration) return false;
+    if (standing.kind === 'released') {
+      return Object.values(configuration.engine).every((engine) => engine['checks-fencing']);
+    }
+    const group = this._options.groups().findGroup(standing.group);
+    const model = group && configuration.model[group.model];
+    return model !== undefined && engineOf(configuration, model)['checks-fencing'];
+  }
+
   private _orderStop(address: string, standing: InstanceStanding | undefined, groupId: string): void {
     const group =
       standing?.kind === 'stopping' ? this._options.groups().findGroup(standing.group) : undefined;
-    const fencing = group?.dissolvedAt ?? toPosition(this._options.controlNext(), 0);
+    const fencing = group?.dissolvedAt ?? standing?.position ?? toPosition(this._options.controlNext(), 0);
     this._order(address, { order: 'stop', group: groupId, fencing }, group);
   }
 
--- a/packages/targets/src/engineClient.ts
+++ b/packages/targets/src/engineClient.ts
@@ -11,6 +11,8 @@
   epoch: z.number().int(),
   model: z.string().nullable(),
   version: z.string().nullable(),
+  /** The highest fencing number seen in this boot; 0 when the engine ignores them. */
+  fencing: z.number().int(),
   inFlight: z.number().int(),
   leaving: z.boolean(),
   failureDomain: z.string(),
--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -30,7 +30,7 @@
   return results;
 }
 
-const args = ['--disable-coverage', '--allow-empty-coverage', '--reporter=tap', '--jobs=4', '--timeout=120'];
+const args = ['--disable-coverage', '--allow-empty-coverage', '--reporter=tap', '--jobs=4', '--timeout=600'];
 const files = process.argv.length > 2 ? process.argv.slice(2) : ['build/tests/**/*.test.js'];
 const run = spawnSync('npx', ['tap', 'run', ...args, ...files], {
   encoding: 'utf8',
--- a/tests/model/claimsModel.ts
+++ b/tests/model/claimsModel.ts
@@ -110,6 +110,8 @@
   kills: 1,
   windows: 1,
 };
+/** One key of one workspace. */
+export const ONE_KEY: ClaimsBounds = { requests: [REQUESTS[0]], starts: 2, kills: 0, windows: 0 };
 /** One key in two workspaces. */
 export const TWO_WORKSPACES: ClaimsBounds = {
   requests: [REQUESTS[0], REQUESTS[1]],
--- a/tests/standins/engineStandin.ts
+++ b/tests/standins/engineStandin.ts
@@ -98,6 +98,7 @@
       epoch: this._assignment?.epoch ?? 0,
       model: this._assignment?.model ?? null,
       version: this._assignment?.version ?? null,
+      fencing: this._options.checksFencing === false ? 0 : this._fencing,
       inFlight: this._inFlight,
       leaving: this._isLeaving,
       failureDomain,
