Measure the policies against naive baselines; hold requests whose group was just lost

Cause: the crashing-request bench broke up to 6 groups (mean 4.3) when one caller re-sent every 10 ms through 7 entries with news taking 50 ms: an entry that had not heard of the strike sent the request to a group of its own. Waiting only before an entry's own retry was tried first and left 5 (mean 2.9), and 8 (mean 6.6) for 40 sendings at once, since other copies at the same entry went on. Change: a request whose first choice by its affinity key was lost within 150 ms is held, and a suspect goes to the first group for the same key whatever its load, so that all entries choose alike. Stragglers get a trickle every 10 s instead of every second: 7 entries x 3 slow groups x 1/s was 14 % of the load.

--- /dev/null
+++ b/bench/routingScenario.ts
@@ -0,0 +1,126 @@
+import { createRandom, Loads, Router, type RoutingPolicy, Stragglers } from '@monsoonreach/core';
+import { FakeGroup } from './fakeGroups.js';
+import type { Row, Scenario } from './scenario.js';
+import { createHistogram, exponential, Simulation, toPercentiles } from './simulation.js';
+
+const GROUPS = 65;
+const ENTRIES = 7;
+const CONCURRENCY = 16;
+const CONVERSATIONS = 900;
+const REQUESTS_PER_SECOND = 150;
+const TOKENS = 60;
+const SECONDS = 180;
+const WARM_UP_SECONDS = 30;
+/** Requests that begin after this are not counted, since they may end after the run. */
+const LAST_COUNTED_SECONDS = 150;
+const REPORT_INTERVAL_MS = 1_000;
+const REPORT_LAG_MS = 800;
+const SLOW_GROUPS = 3;
+const FIRST_TOKEN_TARGET_MS = 1_900;
+
+async function runPolicy(policy: RoutingPolicy, seed: number, darkDomain: boolean): Promise<Row> {
+  const simulation = new Simulation();
+  const random = createRandom(seed);
+  const groups = Array.from({ length: GROUPS }, (_, index) => {
+    const slowFactor = index < SLOW_GROUPS ? 5 : 1;
+    return new FakeGroup(
+      { id: `g${index}`, region: 'r', concurrency: CONCURRENCY, cacheSize: 24, slowFactor },
+      simulation,
+    );
+  });
+  const byId = new Map(groups.map((group) => [group.options.id, group]));
+  const entries = Array.from({ length: ENTRIES }, () => {
+    const loads = new Loads(simulation.clock);
+    const stragglers = new Stragglers(simulation.clock);
+    return { loads, stragglers, router: new Router({ loads, stragglers, random, region: 'r', policy }) };
+  });
+  const first = createHistogram();
+  const whole = createHistogram();
+  let inTime = 0;
+  let offered = 0;
+
+  const report = () => {
+    for (const group of groups) {
+      const { inFlight } = group;
+      simulation.after(REPORT_LAG_MS, () => {
+        for (const { loads } of entries) loads.report(group.options.id, inFlight, REPORT_LAG_MS);
+      });
+    }
+    simulation.after(REPORT_INTERVAL_MS, report);
+  };
+
+  const arrive = () => {
+    simulation.after(exponential(1_000 / REQUESTS_PER_SECOND, random), arrive);
+    const entry = entries[random.below(ENTRIES)];
+    const prefix = `c${random.below(CONVERSATIONS)}`;
+    const startedMs = simulation.clock.monotonic();
+    const isCounted = startedMs > WARM_UP_SECONDS * 1_000 && startedMs < LAST_COUNTED_SECONDS * 1_000;
+    if (isCounted) offered++;
+    const attempt = (tried: ReadonlySet<string>) => {
+      const candidates = groups.filter(({ isDark }) => !isDark).map(({ options }) => options);
+      const chosen = entry?.router.choose(candidates, { affinityKey: prefix, tried });
+      const group = chosen && byId.get(chosen.id);
+      if (!entry || !group) {
+        simulation.after(20, () => {
+          attempt(tried);
+        });
+        return;
+      }
+      entry.loads.begin(group.options.id);
+      const sentMs = simulation.clock.monotonic();
+      group.submit(prefix, TOKENS, (answer) => {
+        entry.loads.end(group.options.id);
+        if (answer.kind === 'lost') {
+          attempt(new Set([...tried, group.options.id]));
+          return;
+        }
+        const nowMs = simulation.clock.monotonic();
+        entry.stragglers.record(group.options.id, nowMs - sentMs);
+        if (!isCounted) return;
+        const firstMs = sentMs - startedMs + answer.firstTokenMs;
+        first.recordValue(firstMs);
+        whole.recordValue(nowMs - startedMs);
+        if (firstMs <= FIRST_TOKEN_TARGET_MS) inTime++;
+      });
+    };
+    attempt(new Set());
+  };
+
+  report();
+  arrive();
+  if (darkDomain) {
+    simulation.after(90_000, () => {
+      for (const [index, group] of groups.entries()) if (index % 6 === 5) group.darken();
+    });
+  }
+  await simulation.run(SECONDS * 1_000);
+  const { p50 = 0, p95 = 0, p99 = 0 } = toPercentiles(first);
+  const wholes = toPercentiles(whole);
+  return {
+    variant: policy,
+    figures: {
+      'first p50 ms': p50,
+      'first p95 ms': p95,
+      'first p99 ms': p99,
+      'whole p50 ms': wholes['p50'] ?? 0,
+      'whole p95 ms': wholes['p95'] ?? 0,
+      'first <= 1.9 s': inTime / Math.max(1, offered),
+    },
+  };
+}
+
+const POLICIES: readonly RoutingPolicy[] = ['round-robin', 'two-choices', 'affinity'];
+
+/** Routing with lagging reports, prefix caches and three groups that are five times slower. */
+export const routing: Scenario = {
+  name: 'routing',
+  question: `${GROUPS} groups, 3 of them 5 times slower, ${ENTRIES} entries, ${REQUESTS_PER_SECOND} req/s, load reports ${REPORT_LAG_MS} ms late`,
+  run: (seed) => Promise.all(POLICIES.map((policy) => runPolicy(policy, seed, false))),
+};
+
+/** The same with one failure domain of six going dark half way. */
+export const darkDomain: Scenario = {
+  name: 'dark-domain',
+  question: 'as routing, and one failure domain of six goes dark half way',
+  run: (seed) => Promise.all(POLICIES.map((policy) => runPolicy(policy, seed, true))),
+};
--- /dev/null
+++ b/bench/scenario.ts
@@ -0,0 +1,36 @@
+/** One row of a scenario's table. */
+export interface Row {
+  readonly variant: string;
+  readonly figures: Readonly<Record<string, number | string>>;
+}
+
+/** One measured comparison. */
+export interface Scenario {
+  readonly name: string;
+  readonly question: string;
+  readonly run: (seed: number) => Promise<readonly Row[]> | readonly Row[];
+}
+
+/** Prints a scenario as one JSON line and one table. */
+export function printScenario(name: string, question: string, seed: number, rows: readonly Row[]): void {
+  process.stdout.write(`${JSON.stringify({ scenario: name, seed, rows })}\n`);
+  process.stdout.write(`${name}: ${question} (seed ${seed})\n`);
+  const columns = Object.keys(rows[0]?.figures ?? {});
+  const cells = rows.map(({ variant, figures }) => [
+    variant,
+    ...columns.map((column) => toCell(figures[column])),
+  ]);
+  const table = [['', ...columns], ...cells];
+  const widths = table[0]?.map((_, index) => Math.max(...table.map((row) => row[index]?.length ?? 0))) ?? [];
+  for (const row of table) {
+    const line = row.map((cell, index) =>
+      index === 0 ? cell.padEnd(widths[0] ?? 0) : cell.padStart(widths[index] ?? 0),
+    );
+    process.stdout.write(`  ${line.join('  ')}\n`);
+  }
+}
+
+function toCell(value: number | string | undefined): string {
+  if (typeof value !== 'number') return value ?? '';
+  return Number.isInteger(value) ? String(value) : value.toFixed(3);
+}
--- a/packages/core/src/crashSuspects.ts
+++ b/packages/core/src/crashSuspects.ts
@@ -4,6 +4,11 @@
 export const MAX_STRIKES = 2;
 /** How long a refused request stays refused, in milliseconds. */
 export const QUARANTINE_MS = 600_000;
+/**
+ * How long a request whose group was lost waits before it goes to another, so that news of its strikes, from
+ * whichever entry saw them, arrives first.
+ */
+export const NEWS_WAIT_MS = 150;
 /** How long a strike is remembered, in milliseconds. */
 const STRIKE_LIFE_MS = 120_000;
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,6 +22,7 @@
 export * from './outcome.js';
 export * from './planner.js';
 export * from './random.js';
+export * from './recentLosses.js';
 export * from './record.js';
 export * from './rendezvous.js';
 export * from './repair.js';
--- a/packages/core/src/retries.ts
+++ b/packages/core/src/retries.ts
@@ -2,6 +2,8 @@
 
 /** Retries that a workspace may have saved up at most. */
 const MAX_SAVED_RETRIES = 10;
+/** Retries earned by each request where the configuration says nothing. */
+export const DEFAULT_RETRY_SHARE = 0.1;
 const FIRST_DELAY_MS = 25;
 const MAX_DELAY_MS = 1_000;
 
--- a/packages/core/src/router.ts
+++ b/packages/core/src/router.ts
@@ -20,6 +20,8 @@
 export interface RouteRequest {
   /** Hash of the prompt's beginning; requests that share it share cached prefixes. */
   readonly affinityKey?: string | undefined;
+  /** A suspect goes to the first group for its key whatever the load, so that all entries choose the same. */
+  readonly isSuspect?: boolean;
   /** Groups that this request has been to. */
   readonly tried: ReadonlySet<string>;
 }
@@ -68,7 +70,7 @@
     if (affinityKey === undefined) return this._chooseOfTwo(usable);
     const local = usable.filter(({ region }) => region === this._options.region);
     const pool = local.length > 0 ? local : usable;
-    const bound = this._loadBound(pool);
+    const bound = request.isSuspect === true ? Infinity : this._loadBound(pool);
     const ranked = rankByRendezvous(
       affinityKey,
       pool.map(({ id }) => id),
--- a/packages/core/src/stragglers.ts
+++ b/packages/core/src/stragglers.ts
@@ -5,7 +5,7 @@
 const RECOVERED_FACTOR = 1.5;
 const MIN_SAMPLES = 5;
 const MAX_EJECTED_SHARE = 0.2;
-const TRICKLE_INTERVAL_MS = 1_000;
+const TRICKLE_INTERVAL_MS = 10_000;
 
 interface Pace {
   meanMs: number;
--- a/packages/entry/src/completionRun.ts
+++ b/packages/entry/src/completionRun.ts
@@ -262,22 +262,25 @@
   }
 
   private _route(candidates: readonly RouteCandidate[], router: Router): RouteCandidate | undefined {
-    const { suspects } = this._options.context;
+    const { suspects, directory } = this._options.context;
     const isSuspect = suspects.standing(this.fingerprint) === 'suspect';
     if (isSuspect && suspects.isSuspectRunning()) return undefined;
-    const affinityKey = isSuspect ? this.fingerprint : this._affinityKey;
-    const chosen = router.choose(candidates, { affinityKey, tried: this._tried });
-    return chosen ?? this._forgetTried(candidates, router, affinityKey);
+    const affinityKey = this._affinityKey;
+    const isHeld = directory.losses.isHeld(
+      affinityKey,
+      candidates.map(({ id }) => id),
+    );
+    if (isHeld) return undefined;
+    const chosen = router.choose(candidates, { affinityKey, isSuspect, tried: this._tried });
+    return chosen ?? this._forgetTried(candidates, router);
   }
 
   /** With no other group left, one that was tried and serves again is better than none. */
-  private _forgetTried(
-    candidates: readonly RouteCandidate[],
-    router: Router,
-    affinityKey: string,
-  ): RouteCandidate | undefined {
+  private _forgetTried(candidates: readonly RouteCandidate[], router: Router): RouteCandidate | undefined {
     const hasUntried = candidates.some(({ id }) => !this._tried.has(id));
-    return hasUntried ? undefined : router.choose(candidates, { affinityKey, tried: new Set() });
+    return hasUntried
+      ? undefined
+      : router.choose(candidates, { affinityKey: this._affinityKey, tried: new Set() });
   }
 
   private _startAttempt(candidate: RouteCandidate): Attempt {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,6 +1,7 @@
 import {
   type Clock,
   CrashSuspects,
+  DEFAULT_RETRY_SHARE,
   type EntrySettings,
   isEqualInConstantTime,
   type Outcome,
@@ -33,7 +34,6 @@
 import { ServiceTargets } from './serviceTargets.js';
 
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
-const DEFAULT_RETRY_SHARE = 0.1;
 const QUARANTINE_WRITE_TIMEOUT_MS = 60_000;
 const DRAIN_POLL_MS = 50;
 
--- a/packages/entry/src/groupDirectory.ts
+++ b/packages/entry/src/groupDirectory.ts
@@ -5,6 +5,7 @@
   type Groups,
   type LeaseGrant,
   Loads,
+  RecentLosses,
   type RouteCandidate,
   Stragglers,
   WholeLeases,
@@ -25,12 +26,14 @@
 export class GroupDirectory {
   readonly loads: Loads;
   readonly stragglers: Stragglers;
+  readonly losses: RecentLosses;
   private readonly _leases: WholeLeases;
   private readonly _lostListeners = new Set<(group: string) => void>();
 
   constructor(private readonly _options: GroupDirectoryOptions) {
     this.loads = new Loads(_options.clock);
     this.stragglers = new Stragglers(_options.clock);
+    this.losses = new RecentLosses(_options.clock);
     this._leases = new WholeLeases(_options.clock);
   }
 
@@ -102,6 +105,7 @@
   }
 
   private _tellLost(group: string): void {
+    this.losses.note(group);
     for (const listener of this._lostListeners) listener(group);
   }
 }
--- a/packages/entry/src/serviceCalls.ts
+++ b/packages/entry/src/serviceCalls.ts
@@ -173,6 +173,11 @@
       targets.stragglers.record(target, context.clock.monotonic() - startedAtMs);
       const contentType = answer.headers['content-type'];
       return { status: answer.status, contentType, body: Buffer.concat(chunks), isReplayed: false };
+    } catch (error) {
+      if (error instanceof TargetCallError && error.reason === 'target-timeout') {
+        targets.stragglers.record(target, service.timeout);
+      }
+      throw error;
     } finally {
       targets.loads.end(target);
     }
--- /dev/null
+++ b/tests/core/policies.test.ts
@@ -0,0 +1,296 @@
+import {
+  Admission,
+  CrashSuspects,
+  createRandom,
+  decideRepairs,
+  DEFAULT_RETRY_SHARE,
+  FairQueue,
+  judgeFreshness,
+  Loads,
+  ManualClock,
+  Membership,
+  MAX_STRIKES,
+  NEWS_WAIT_MS,
+  RecentLosses,
+  type RepairDecision,
+  type RepairSituation,
+  RetryBudgets,
+  Router,
+  Stragglers,
+  toFleetShare,
+  WHOLE_LEASE_MS,
+  WholeLeases,
+} from '@monsoonreach/core';
+import t from 'tap';
+
+void t.test('a fair queue gives each workspace its share by weight', (t) => {
+  const cases = [
+    { name: 'equal weights', weights: { a: 1, b: 1 }, expected: { a: 10, b: 10 } },
+    { name: 'three to one', weights: { a: 3, b: 1 }, expected: { a: 15, b: 5 } },
+  ];
+  for (const { name, weights, expected } of cases) {
+    const queue = new FairQueue<string>();
+    for (let index = 0; index < 40; index++) {
+      for (const [workspace, weight] of Object.entries(weights)) {
+        queue.enqueue({ workspace, weight, priority: 0, item: workspace });
+      }
+    }
+    const served: Record<string, number> = { a: 0, b: 0 };
+    for (let index = 0; index < 20; index++) {
+      const item = queue.dequeue() ?? '';
+      served[item] = (served[item] ?? 0) + 1;
+    }
+    t.same(served, expected, name);
+  }
+  t.end();
+});
+
+void t.test('a retry budget bounds the retries of a workspace', (t) => {
+  const budgets = new RetryBudgets({ share: DEFAULT_RETRY_SHARE });
+  let retries = 0;
+  for (let request = 0; request < 1_000; request++) {
+    budgets.earn('w');
+    if (budgets.spend('w')) retries++;
+  }
+  t.ok(retries <= 1_000 * DEFAULT_RETRY_SHARE + 10, `${retries} retries`);
+  t.end();
+});
+
+void t.test('a whole lease counts from the moment the query was sent', (t) => {
+  const cases = [
+    { name: 'answer at once', answerAfterMs: 0, askAtMs: WHOLE_LEASE_MS - 1, expected: true },
+    { name: 'ended', answerAfterMs: 0, askAtMs: WHOLE_LEASE_MS, expected: false },
+    { name: 'late answer', answerAfterMs: 2_000, askAtMs: WHOLE_LEASE_MS, expected: false },
+  ];
+  for (const { name, answerAfterMs, askAtMs, expected } of cases) {
+    const clock = new ManualClock();
+    const leases = new WholeLeases(clock);
+    clock.advance(answerAfterMs);
+    leases.renew(0, [{ group: 'g', epoch: 1, remainingMs: WHOLE_LEASE_MS }]);
+    clock.advance(askAtMs - answerAfterMs);
+    t.equal(leases.find('g', 1) !== undefined, expected, name);
+    t.equal(leases.find('g', 2), undefined, 'another epoch has no lease');
+  }
+  t.end();
+});
+
+void t.test('a paused process drops its leases', (t) => {
+  const clock = new ManualClock();
+  const leases = new WholeLeases(clock);
+  leases.renew(0, [{ group: 'g', epoch: 1, remainingMs: WHOLE_LEASE_MS }]);
+  clock.advance(1_500);
+  t.equal(leases.tick(), true);
+  t.equal(leases.find('g', 1), undefined);
+  t.end();
+});
+
+void t.test('a crashing request is blamed, and innocents are cleared', (t) => {
+  const clock = new ManualClock();
+  const suspects = new CrashSuspects(clock);
+  suspects.begin('bad', 'g1');
+  suspects.begin('good', 'g1');
+  t.same(suspects.loseGroup('g1'), []);
+  t.equal(suspects.standing('good'), 'suspect');
+  suspects.begin('good', 'g2');
+  suspects.finish('good', 'g2');
+  t.equal(suspects.standing('good'), 'clear');
+  suspects.begin('bad', 'g3');
+  suspects.begin('good', 'g3');
+  t.same(suspects.loseGroup('g3'), ['bad'], `quarantined after ${MAX_STRIKES} strikes`);
+  t.equal(suspects.standing('good'), 'clear', 'a suspect on board takes the blame');
+  t.end();
+});
+
+void t.test('a request whose first choice was just lost waits for news', (t) => {
+  const clock = new ManualClock();
+  const losses = new RecentLosses(clock);
+  losses.note('only');
+  t.equal(losses.isHeld('key', []), true);
+  clock.advance(NEWS_WAIT_MS);
+  t.equal(losses.isHeld('key', []), false);
+  t.end();
+});
+
+void t.test('stragglers are put on probation, never more than a fifth, none when most are slow', (t) => {
+  const cases = [
+    { name: 'one of ten', slow: 1, expected: 1 },
+    { name: 'four of ten', slow: 4, expected: 2 },
+    { name: 'nine of ten', slow: 9, expected: 0 },
+  ];
+  for (const { name, slow, expected } of cases) {
+    const stragglers = new Stragglers(new ManualClock());
+    for (let round = 0; round < 20; round++) {
+      for (let target = 0; target < 10; target++)
+        stragglers.record(`t${target}`, target < slow ? 5_000 : 100);
+    }
+    const ejected = Array.from({ length: 10 }, (_, target) => stragglers.isOnProbation(`t${target}`));
+    t.equal(ejected.filter((isEjected) => isEjected).length, expected, name);
+  }
+  t.end();
+});
+
+void t.test('fleet shares add up to one and are even when peers are silent', (t) => {
+  const demands = [
+    { inUse: 10, waiting: 5 },
+    { inUse: 0, waiting: 0 },
+    { inUse: 3, waiting: 0 },
+  ];
+  const shares = demands.map((own, index) =>
+    toFleetShare(
+      own,
+      demands.filter((_, other) => other !== index),
+    ),
+  );
+  t.ok(Math.abs(shares.reduce((sum, share) => sum + share, 0) - 1) < 1e-9);
+  t.equal(toFleetShare({ inUse: 10, waiting: 0 }, [undefined, undefined, undefined]), 1 / 4);
+  t.end();
+});
+
+const whole = (
+  spares: number,
+  missingForMs: number,
+  extra: Partial<RepairSituation> = {},
+): RepairSituation => ({
+  broken: [
+    {
+      id: 'g',
+      missingForMs: [missingForMs],
+      hasRestartedMember: false,
+      survivors: 3,
+      acceleratorsPerInstance: 8,
+    },
+  ],
+  spares,
+  instancesPerGroup: 4,
+  loadMs: 20_000,
+  graceMs: 1_000,
+  weights: { downtime: 1, stranded: 1 },
+  ...extra,
+});
+
+void t.test('repair is a decision', (t) => {
+  const cases: readonly {
+    readonly name: string;
+    readonly situation: RepairSituation;
+    readonly expected: RepairDecision['kind'];
+  }[] = [
+    { name: 'inside the grace', situation: whole(1, 500), expected: 'wait' },
+    { name: 'likely back', situation: whole(1, 1_500), expected: 'wait' },
+    { name: 'a spare and long gone', situation: whole(1, 60_000), expected: 'substitute' },
+    { name: 'no spare', situation: whole(0, 60_000), expected: 'wait' },
+  ];
+  for (const { name, situation, expected } of cases)
+    t.equal(decideRepairs(situation)[0]?.kind, expected, name);
+  t.end();
+});
+
+void t.test('survivors of several broken groups are regrouped when no spare is left', (t) => {
+  const broken = ['a', 'b', 'c', 'd'].map((id) => ({
+    id,
+    missingForMs: [600_000],
+    hasRestartedMember: false,
+    survivors: 3,
+    acceleratorsPerInstance: 8,
+  }));
+  const kinds = decideRepairs({ ...whole(0, 0), broken }).map(({ kind }) => kind);
+  t.same(kinds, ['regroup', 'regroup', 'regroup', 'regroup']);
+  t.end();
+});
+
+void t.test('a whole fabric domain dark starts no stampede', (t) => {
+  const broken = Array.from({ length: 20 }, (_, index) => ({
+    id: `g${index}`,
+    missingForMs: [60_000, 60_000, 60_000, 60_000],
+    hasRestartedMember: false,
+    survivors: 0,
+    acceleratorsPerInstance: 8,
+  }));
+  const decisions = decideRepairs({ ...whole(0, 0), broken });
+  t.ok(decisions.every(({ kind }) => kind === 'wait'));
+  t.end();
+});
+
+void t.test('a node serves only by a configuration that is new enough', (t) => {
+  const base = { ownConfiguration: 5, logContactAgeMs: 100, peerConfigurations: [5], fleetSize: 3 };
+  const cases = [
+    { name: 'log in reach', view: base, expected: 'fresh' },
+    { name: 'no configuration', view: { ...base, ownConfiguration: 0 }, expected: 'no-configuration' },
+    { name: 'log gone, majority agrees', view: { ...base, logContactAgeMs: 60_000 }, expected: 'fresh' },
+    {
+      name: 'log gone, a peer is ahead',
+      view: { ...base, logContactAgeMs: 60_000, peerConfigurations: [6] },
+      expected: 'behind-peers',
+    },
+    {
+      name: 'alone',
+      view: { ...base, logContactAgeMs: 60_000, peerConfigurations: [] },
+      expected: 'isolated',
+    },
+  ];
+  for (const { name, view, expected } of cases) {
+    const freshness = judgeFreshness(view);
+    t.equal(freshness.kind === 'fresh' ? 'fresh' : freshness.reason, expected, name);
+  }
+  t.end();
+});
+
+void t.test('admission refuses early what cannot end in time', async (t) => {
+  const clock = new ManualClock();
+  const admission = new Admission({ clock, capacity: () => 1 });
+  const request = { workspace: 'w', weight: 1, priority: 0, workspaceLimit: 10, endsAtMs: 10_000 };
+  const first = await admission.admit(request);
+  clock.advance(4_000);
+  if (first.kind === 'permit') first.release();
+  const second = await admission.admit({ ...request, endsAtMs: 60_000 });
+  const third = await admission.admit({ ...request, endsAtMs: clock.monotonic() + 5_000 });
+  t.equal(second.kind, 'permit');
+  t.same(third.kind === 'refused' && third.reason, 'deadline-unreachable');
+});
+
+void t.test('routing keeps a prefix at its group until the group is loaded', (t) => {
+  const clock = new ManualClock();
+  const loads = new Loads(clock);
+  const router = new Router({
+    loads,
+    stragglers: new Stragglers(clock),
+    random: createRandom(1),
+    region: 'r',
+  });
+  const candidates = ['a', 'b', 'c'].map((id) => ({ id, region: 'r', concurrency: 8 }));
+  const choose = () => router.choose(candidates, { affinityKey: 'prompt', tried: new Set() })?.id ?? '';
+  const home = choose();
+  t.equal(choose(), home);
+  for (let index = 0; index < 4; index++) loads.begin(home);
+  t.not(choose(), home);
+  t.end();
+});
+
+void t.test('digests spread, and a node that comes back is newer', (t) => {
+  const clock = new ManualClock();
+  const nodes = ['n1', 'n2', 'n3'].map((node, index) => createNode(node, 1, index, clock));
+  for (let round = 0; round < 6; round++) for (const node of nodes) exchange(node, nodes);
+  t.same(
+    nodes.map((node) => node.members().length),
+    [2, 2, 2],
+  );
+  const [first] = nodes;
+  const restarted = createNode('n2', 2, 9, clock);
+  first?.learn([restarted.own]);
+  first?.learn([createNode('n2', 1, 9, clock).own]);
+  t.equal(first?.members().find(({ node }) => node === 'n2')?.incarnation, 2);
+  clock.advance(60_000);
+  t.same(first?.members(), [], 'silent nodes are no members');
+  t.end();
+});
+
+function createNode(node: string, incarnation: number, seed: number, clock: ManualClock): Membership {
+  const self = { node, incarnation, role: 'entry' as const, failureDomain: 'a' };
+  return new Membership({ clock, random: createRandom(seed), self, seeds: ['n1'] });
+}
+
+function exchange(from: Membership, nodes: readonly Membership[]): void {
+  const to = nodes.find(({ own }) => own.node === from.choosePeer());
+  if (!to) return;
+  to.learn([from.own]);
+  from.learn(to.newerThan(from.versions()));
+}
--- /dev/null
+++ b/tests/history/faults.ts
@@ -0,0 +1,175 @@
+import type { Random } from '@monsoonreach/core';
+import type { FleetProcess, LocalFleet } from '../support/localFleet.js';
+import { CRASH_TEXT } from '../standins/engineStandin.js';
+import { askCompletion, type CallerOptions } from './callers.js';
+
+/** The faults of the brief's "What fails" that a run can inject. */
+export const FAULTS = [
+  'kill-entry',
+  'kill-steward',
+  'kill-engine',
+  'pause-entry',
+  'pause-steward',
+  'pause-engine',
+  'log-outage',
+  'lost-answers',
+  'domain-dark',
+  'operator-race',
+  'straggler',
+  'crashing-request',
+  'leaving',
+  'stop-entry',
+] as const;
+
+/** One of them. */
+export type Fault = (typeof FAULTS)[number];
+
+/** What a fault needs. */
+export interface FaultContext {
+  readonly fleet: LocalFleet;
+  readonly random: Random;
+  readonly callers: CallerOptions;
+  readonly leaving: Map<string, number>;
+  readonly killed: { address: string; atMs: number }[];
+  readonly notes: string[];
+  /** Exit codes of planned stops. */
+  readonly stopCodes: (number | null)[];
+}
+
+const PAUSE_MS = 6_000;
+const OUTAGE_MS = 5_000;
+const DOWN_MS = 2_500;
+
+const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+
+/** Injects one fault and mends it; resolves once it is mended. */
+export async function inject(fault: Fault, context: FaultContext): Promise<void> {
+  const { fleet } = context;
+  switch (fault) {
+    case 'kill-entry':
+      return killAndRestart(fleet.entries, context);
+    case 'kill-steward':
+      return killAndRestart(fleet.stewards, context);
+    case 'kill-engine':
+      return killAndRestart(fleet.engines, context);
+    case 'pause-entry':
+      return pauseOne(pick(fleet.entries, context), context);
+    case 'pause-steward':
+      return pauseOne(pick(fleet.stewards, context), context);
+    case 'pause-engine':
+      return pauseOne(pick(fleet.engines, context), context);
+    case 'log-outage':
+      return setLogFaults({ isDown: true }, OUTAGE_MS, context);
+    case 'lost-answers':
+      return setLogFaults({ lostAnswerShare: 0.5 }, OUTAGE_MS, context);
+    case 'domain-dark':
+      return darkenDomain(context);
+    case 'operator-race':
+      return raceOperators(context);
+    case 'straggler':
+      return slowOne(context);
+    case 'crashing-request':
+      return crashWithRequest(context);
+    case 'leaving':
+      return leave(context);
+    case 'stop-entry':
+      return stopEntry(context);
+  }
+}
+
+function pick(list: readonly FleetProcess[], { random }: FaultContext): FleetProcess {
+  const process = list[random.below(list.length)];
+  if (!process) throw new RangeError('The fleet has no such process.');
+  return process;
+}
+
+async function killAndRestart(list: FleetProcess[], context: FaultContext): Promise<void> {
+  const victim = pick(list, context);
+  context.killed.push({ address: victim.address, atMs: Date.now() });
+  context.fleet.signal(victim, 'SIGKILL');
+  await sleep(DOWN_MS);
+  context.fleet.restart(list, victim);
+}
+
+async function pauseOne(victim: FleetProcess, context: FaultContext): Promise<void> {
+  context.fleet.signal(victim, 'SIGSTOP');
+  await sleep(PAUSE_MS);
+  context.fleet.signal(victim, 'SIGCONT');
+}
+
+async function setLogFaults(faults: unknown, forMs: number, { fleet }: FaultContext): Promise<void> {
+  const post = (body: unknown) =>
+    fetch(`http://${fleet.log.address}/faults`, { method: 'POST', body: JSON.stringify(body) });
+  await post(faults);
+  await sleep(forMs);
+  await post({});
+}
+
+async function darkenDomain(context: FaultContext): Promise<void> {
+  const { fleet } = context;
+  const victims = fleet.engines.slice(0, Math.ceil(fleet.engines.length / 2));
+  for (const victim of victims) fleet.signal(victim, 'SIGSTOP');
+  await sleep(PAUSE_MS);
+  for (const victim of victims) fleet.signal(victim, 'SIGCONT');
+}
+
+async function raceOperators({ fleet, notes }: FaultContext): Promise<void> {
+  const publish = () =>
+    fleet.publish(fleet.configuration('2026-12-1')).then(
+      () => 'accepted',
+      () => 'rejected',
+    );
+  const results = await Promise.all([publish(), publish(), publish()]);
+  notes.push(`operator race: ${results.join(', ')}`);
+}
+
+async function slowOne(context: FaultContext): Promise<void> {
+  const victim = pick(context.fleet.engines, context);
+  await fetch(`http://${victim.address}/slow?factor=6`);
+  await sleep(PAUSE_MS);
+  await fetch(`http://${victim.address}/slow?factor=1`).catch(() => undefined);
+}
+
+/** One caller sends the same crashing request again and again; how many engines it breaks is counted. */
+async function crashWithRequest(context: FaultContext): Promise<void> {
+  const { fleet, callers, notes } = context;
+  const text = `${CRASH_TEXT}-${context.random.below(1_000_000)}`;
+  const before = crashes(fleet);
+  for (let attempt = 0; attempt < 8; attempt++) await askCompletion(callers, text);
+  await sleep(500);
+  notes.push(`crashing request: ${crashes(fleet) - before} groups broken by 8 sendings`);
+  for (const engine of [...fleet.engines]) {
+    if (engine.child.exitCode === null && engine.child.signalCode === null) continue;
+    fleet.restart(fleet.engines, engine);
+  }
+}
+
+function crashes(fleet: LocalFleet): number {
+  return fleet.readJournal().filter(({ event }) => event === 'crashed').length;
+}
+
+async function leave(context: FaultContext): Promise<void> {
+  const { fleet } = context;
+  const victim = pick(fleet.engines, context);
+  await fetch(`http://${fleet.liveList.address}/leaving?address=${victim.address}`, { method: 'POST' });
+  context.leaving.set(victim.address, Date.now());
+  await sleep(PAUSE_MS);
+  await fetch(`http://${fleet.liveList.address}/leaving?address=${victim.address}`, { method: 'DELETE' });
+  context.leaving.delete(victim.address);
+}
+
+/** A planned stop: the entry must cut nothing and end with 0. */
+async function stopEntry(context: FaultContext): Promise<void> {
+  const { fleet, notes } = context;
+  const victim = pick(fleet.entries, context);
+  const ended = new Promise<number | null>((resolve) => {
+    victim.child.once('exit', (code) => {
+      resolve(code);
+    });
+  });
+  fleet.signal(victim, 'SIGTERM');
+  const code = await Promise.race([ended, sleep(40_000).then(() => -1)]);
+  notes.push(`planned stop of ${victim.name}: exit ${String(code)}`);
+  context.stopCodes.push(code);
+  fleet.restart(fleet.entries, victim);
+}
--- /dev/null
+++ b/tests/history/runHistory.ts
@@ -0,0 +1,168 @@
+import { createRandom } from '@monsoonreach/core';
+import { LocalFleet, type LocalFleetOptions } from '../support/localFleet.js';
+import { askCompletion, askSlot, type CallerEntry, type CallerOptions, sendOrder } from './callers.js';
+import { checkHistories, type Violation } from './checker.js';
+import { type Fault, type FaultContext, inject } from './faults.js';
+
+/** Options of one run. */
+export interface HistoryOptions {
+  readonly seed: number;
+  readonly faults: readonly Fault[];
+  readonly seconds: number;
+  /** Callers that send one request after the other. */
+  readonly callers?: number;
+  readonly fleet?: LocalFleetOptions;
+}
+
+/** What a run has shown. */
+export interface HistoryReport {
+  readonly requests: number;
+  readonly answered: number;
+  readonly notRun: number;
+  readonly inDoubt: number;
+  readonly failed: number;
+  /** Requests whose connection was refused or cut. */
+  readonly cut: number;
+  readonly runs: number;
+  readonly violations: readonly Violation[];
+  readonly notes: readonly string[];
+}
+
+const THINK_MS = 40;
+const SETTLE_MS = 1_500;
+
+const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+
+/** Runs real processes under load, injects the faults one after the other or together, and checks the histories. */
+export async function runHistory(options: HistoryOptions): Promise<HistoryReport> {
+  const fleet = new LocalFleet({ entries: 3, stewards: 2, engines: 6, services: 2, ...options.fleet });
+  const random = createRandom(options.seed);
+  const history: CallerEntry[] = [];
+  const configurations = new Map<string, number[]>();
+  const balancer = new Balancer(fleet);
+  const entries = () => balancer.entries();
+  const callers: CallerOptions = { entries, random, history };
+  const context: FaultContext = {
+    fleet,
+    random,
+    callers,
+    leaving: new Map(),
+    killed: [],
+    notes: [],
+    stopCodes: [],
+  };
+  try {
+    await fleet.start();
+    const [first] = fleet.entries;
+    if (first)
+      await fleet.waitUntil('groups to serve', async () => (await fleet.servingGroups(first)).length >= 2);
+    const endsAtMs = Date.now() + options.seconds * 1_000;
+    const isOver = () => Date.now() > endsAtMs;
+    const balancing = balancer.run(isOver);
+    const load = Array.from({ length: options.callers ?? 8 }, () => keepCalling(callers, isOver));
+    const watch = watchConfigurations(fleet, configurations, isOver);
+    await sleep(SETTLE_MS);
+    const injected = options.faults.map((fault) => inject(fault, context));
+    await Promise.all([...load, ...injected, watch, balancing]);
+    await sleep(SETTLE_MS);
+    const journal = fleet.readJournal();
+    const violations = [
+      ...checkStops(context.stopCodes),
+      ...checkHistories({
+        callers: history,
+        journal,
+        leaving: context.leaving,
+        configurations,
+        killed: context.killed,
+      }),
+    ];
+    return summarise(history, journal, violations, context.notes);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+/** What the platform's balancer does: sends callers only to entries that said they were ready a moment ago. */
+class Balancer {
+  private _ready: readonly string[];
+
+  constructor(private readonly _fleet: LocalFleet) {
+    this._ready = [];
+  }
+
+  entries(): readonly string[] {
+    return this._ready.length > 0 ? this._ready : this._fleet.entries.map(({ address }) => address);
+  }
+
+  async run(isOver: () => boolean): Promise<void> {
+    while (!isOver()) {
+      const checks = this._fleet.entries.map(async ({ address }) =>
+        (await isReady(address)) ? [address] : [],
+      );
+      this._ready = (await Promise.all(checks)).flat();
+      await sleep(100);
+    }
+  }
+}
+
+async function isReady(address: string): Promise<boolean> {
+  try {
+    return (await fetch(`http://${address}/readyz`, { signal: AbortSignal.timeout(500) })).ok;
+  } catch {
+    return false;
+  }
+}
+
+function checkStops(codes: readonly (number | null)[]): readonly Violation[] {
+  return codes
+    .filter((code) => code !== 0)
+    .map((code) => ({ promise: 'a planned stop cuts nothing', evidence: `exit code ${String(code)}` }));
+}
+
+async function keepCalling(callers: CallerOptions, isOver: () => boolean): Promise<void> {
+  while (!isOver()) {
+    const dice = callers.random.next();
+    if (dice < 0.4) await sendOrder(callers);
+    else if (dice < 0.6) await askSlot(callers);
+    else await askCompletion(callers);
+    await sleep(THINK_MS);
+  }
+}
+
+async function watchConfigurations(
+  fleet: LocalFleet,
+  configurations: Map<string, number[]>,
+  isOver: () => boolean,
+): Promise<void> {
+  while (!isOver()) {
+    for (const entry of fleet.entries) {
+      const status = await fleet.status(entry).catch(() => undefined);
+      const position = Number(status?.['configuration'] ?? 0);
+      // A process that was started anew begins with nothing; it serves only once it has caught up.
+      const id = `${entry.name}/${String(entry.child.pid)}`;
+      if (position > 0) configurations.set(id, [...(configurations.get(id) ?? []), position]);
+    }
+    await sleep(300);
+  }
+}
+
+function summarise(
+  history: readonly CallerEntry[],
+  journal: readonly Readonly<Record<string, unknown>>[],
+  violations: readonly Violation[],
+  notes: readonly string[],
+): HistoryReport {
+  const count = (run: string) =>
+    history.filter(({ result }) => result.kind === 'problem' && result.run === run).length;
+  return {
+    requests: history.length,
+    answered: history.filter(({ result }) => result.kind === 'answered').length,
+    notRun: count('not-run'),
+    inDoubt: count('in-doubt'),
+    failed: count('failed'),
+    cut: history.filter(({ result }) => result.kind === 'cut').length,
+    runs: journal.filter(({ event }) => event === 'order').length,
+    violations,
+    notes,
+  };
+}
