Add the operators' client: init, check, diff, publish, status, explain, drain

Cause: new teams answer a questionnaire instead of writing configuration, and operators need to see races, lagging nodes, stranded accelerators and refusals. Change: clipanion commands with examples and documented exit codes; INI read by one schema; `check` names section, key, line, what was found and what is allowed; `publish` shows a race and waits until every node reports the position in force. Both users' answers and generated configurations are examples; their tokens are made up and thrown away.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,6 +11,7 @@
 export * from './document.js';
 export * from './errors.js';
 export * from './fairQueue.js';
+export * from './fields.js';
 export * from './freshness.js';
 export * from './groups.js';
 export * from './hashing.js';
--- /dev/null
+++ b/packages/operators/src/documentDiff.ts
@@ -0,0 +1,39 @@
+import { parse } from 'ini';
+
+/** One difference between two documents. */
+export type Difference =
+  | { readonly kind: 'added'; readonly key: string; readonly to: string }
+  | { readonly kind: 'removed'; readonly key: string; readonly from: string }
+  | { readonly kind: 'changed'; readonly key: string; readonly from: string; readonly to: string };
+
+/** Compares two INI documents key by key, whatever their order and comments. */
+export function diffDocuments(before: string, after: string): readonly Difference[] {
+  const left = flatten(parse(before));
+  const right = flatten(parse(after));
+  const keys = [...new Set([...left.keys(), ...right.keys()])].sort();
+  return keys.flatMap((key): readonly Difference[] => {
+    const from = left.get(key);
+    const to = right.get(key);
+    if (from === to) return [];
+    if (from === undefined) return [{ kind: 'added', key, to: to ?? '' }];
+    if (to === undefined) return [{ kind: 'removed', key, from }];
+    return [{ kind: 'changed', key, from, to }];
+  });
+}
+
+/** One difference as a line for a person. */
+export function describeDifference(difference: Difference): string {
+  switch (difference.kind) {
+    case 'added':
+      return `+ ${difference.key} = ${difference.to}`;
+    case 'removed':
+      return `- ${difference.key} = ${difference.from}`;
+    case 'changed':
+      return `~ ${difference.key} = ${difference.from} -> ${difference.to}`;
+  }
+}
+
+function flatten(value: unknown, path: readonly string[] = []): Map<string, string> {
+  if (typeof value !== 'object' || value === null) return new Map([[path.join('.'), String(value)]]);
+  return new Map(Object.entries(value).flatMap(([key, inner]) => [...flatten(inner, [...path, key])]));
+}
--- a/packages/operators/src/index.ts
+++ b/packages/operators/src/index.ts
@@ -1,3 +1,7 @@
 /** Operators: their port on each process, and their command line. */
+export * from './commands.js';
+export * from './documentDiff.js';
+export * from './fleetSummary.js';
 export * from './operatorsServer.js';
 export * from './publisher.js';
+export * from './questionnaire.js';
--- /dev/null
+++ b/packages/operators/src/nodeClient.ts
@@ -0,0 +1,74 @@
+import { z } from 'zod';
+
+const TIMEOUT_MS = 2_000;
+
+const instanceSchema = z.object({
+  address: z.string(),
+  kind: z.string(),
+  failureDomain: z.string(),
+  accelerators: z.number(),
+  state: z.string(),
+});
+
+const groupSchema = z.object({
+  id: z.string(),
+  model: z.string(),
+  version: z.string(),
+  fabricDomain: z.string(),
+  members: z.array(z.string()),
+  isDissolved: z.boolean(),
+});
+
+const statusSchema = z.object({
+  role: z.enum(['entry', 'steward']),
+  node: z.string(),
+  failureDomain: z.string(),
+  isReady: z.boolean(),
+  configuration: z.number(),
+  groups: z.array(groupSchema).default([]),
+  whole: z.array(z.string()).default([]),
+  instances: z.array(instanceSchema).default([]),
+  counters: z.record(z.string(), z.number()).default({}),
+});
+
+/** What one process tells its operators. */
+export type NodeStatus = Readonly<z.infer<typeof statusSchema>>;
+
+/** A node's answer, or that it gave none. */
+export type NodeAnswer =
+  | { readonly kind: 'answered'; readonly address: string; readonly status: NodeStatus }
+  | { readonly kind: 'silent'; readonly address: string };
+
+/** Asks every node for its status. */
+export function readStatuses(addresses: readonly string[]): Promise<readonly NodeAnswer[]> {
+  return Promise.all(addresses.map(readStatus));
+}
+
+async function readStatus(address: string): Promise<NodeAnswer> {
+  try {
+    const response = await fetch(`http://${address}/status`, { signal: AbortSignal.timeout(TIMEOUT_MS) });
+    return { kind: 'answered', address, status: statusSchema.parse(await response.json()) };
+  } catch {
+    return { kind: 'silent', address };
+  }
+}
+
+/** Asks every node what it remembers of a request or a group. */
+export async function readExplanations(
+  addresses: readonly string[],
+  subject: string,
+): Promise<readonly { readonly address: string; readonly lines: readonly string[] }[]> {
+  const answers = await Promise.all(addresses.map((address) => readExplanation(address, subject)));
+  return answers.filter(({ lines }) => lines.length > 0);
+}
+
+async function readExplanation(address: string, subject: string) {
+  try {
+    const url = `http://${address}/explain/${encodeURIComponent(subject)}`;
+    const response = await fetch(url, { signal: AbortSignal.timeout(TIMEOUT_MS) });
+    const { lines } = z.object({ lines: z.array(z.string()) }).parse(await response.json());
+    return { address, lines };
+  } catch {
+    return { address, lines: [] };
+  }
+}
--- a/packages/peers/src/peerClients.ts
+++ b/packages/peers/src/peerClients.ts
@@ -1,12 +1,7 @@
 import { type Client, createClient, type Interceptor, type Transport } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
 import type { DescService } from '@bufbuild/protobuf';
-import {
-  DigestService,
-  ExplainService,
-  LeaseService,
-  LogService,
-} from './generated/monsoonreach/v1/peers_pb.js';
+import { DigestService, LeaseService, LogService } from './generated/monsoonreach/v1/peers_pb.js';
 import { type PeerTls, readTls, SECRET_HEADER } from './peerServer.js';
 
 /** How to reach peers. */
@@ -33,10 +28,6 @@
     return this._client(DigestService, peer);
   }
 
-  explanations(peer: string): Client<typeof ExplainService> {
-    return this._client(ExplainService, peer);
-  }
-
   private _client<Service extends DescService>(service: Service, peer: string): Client<Service> {
     return createClient(service, this._transportOf(peer));
   }
