Carry membership, watching and planning to 410 nodes

Cause: the slopes showed three things that would not hold at the aim's size. (1) Digests were 95 s old on average at 410 nodes, older than the 77 s after which a silent node was taken for gone, since one exchange in 12.8 s carried 64 digests and a version vector of 14 KB. (2) Placing the watchers of 600 groups took 197 ms, and was done anew on each tick of 50 ms. (3) A plan of one fabric domain took 49 ms at 600 groups and grew with the square. Ruled out: sending more digests an exchange (the version vector alone is over the budget) and refreshing less often (failures would be seen still later). Change: an exchange a second is the heartbeat and carries at most ten digests that changed lately, each passed on 2 log2(n) times; a peer that does not answer is suspected, which spreads and can be refuted; versions are compared in full now and then. A standby probes only while it stands in.

--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -2,14 +2,19 @@
 import type { Random } from './random.js';
 import type { Candidate } from './rendezvous.js';
 
-/** A node is taken for gone after this many of its refresh intervals without news. */
-const SILENT_INTERVALS = 6;
-/** Digests that one exchange carries at most. */
-export const MAX_DIGESTS_PER_EXCHANGE = 64;
-const BASE_INTERVAL_MS = 1_000;
-/** Nodes up to which digests are refreshed at the base interval; above, the interval grows in proportion. */
-const NODES_AT_BASE_INTERVAL = 32;
-/** How long a node that is gone is remembered, so that old news of it is not taken for new. */
+/** Time between two exchanges of a node, in milliseconds. */
+export const EXCHANGE_INTERVAL_MS = 1_000;
+/** Nodes up to which a digest may change with each exchange; above, it changes less often in proportion. */
+const NODES_AT_BASE_INTERVAL = 16;
+/** Digests that one message passes on at most. */
+export const MAX_PASSED_ON = 10;
+/** A digest is passed on this often times the logarithm of the fleet's size. */
+const PASS_ON_FACTOR = 2;
+/** Exchanges between two that compare all versions, which heals what passing on has missed. */
+const FULL_EXCHANGE_EVERY = 64;
+/** How long a node that does not answer stays a member, so that it can say it is there, in milliseconds. */
+export const SUSPICION_MS = 3_000;
+/** How long a node that is gone is remembered, so that old news of it is not taken for new, in milliseconds. */
 const TOMBSTONE_MS = 120_000;
 
 /** The roles a node can have. */
@@ -22,7 +27,10 @@
   readonly waiting: number;
 }
 
-/** What a node says of itself; a higher (incarnation, version) replaces a lower. */
+/**
+ * What is said of a node: by itself, or, when it is silent, by a peer that it did not answer. A higher
+ * (incarnation, version) replaces a lower; at the same, silence replaces presence until the node refutes it.
+ */
 export interface NodeDigest {
   readonly node: string;
   /** Wall-clock time at which the process started, in milliseconds. */
@@ -31,6 +39,7 @@
   readonly role: NodeRole;
   readonly failureDomain: string;
   readonly isLeaving: boolean;
+  readonly isSilent: boolean;
   /** Position of the configuration in force there. */
   readonly configuration: number;
   readonly demand: readonly WorkspaceDemand[];
@@ -39,11 +48,13 @@
 }
 
 /** The part of a digest that its node sets anew. */
-export type OwnDigest = Omit<NodeDigest, 'node' | 'incarnation' | 'version' | 'role' | 'failureDomain'>;
+export type OwnDigest = Pick<NodeDigest, 'isLeaving' | 'configuration' | 'demand' | 'suspects'>;
 
 interface Known {
   readonly digest: NodeDigest;
-  readonly heardAtMs: number;
+  readonly learnedAtMs: number;
+  /** How often it was passed on. */
+  passedOn: number;
 }
 
 /** What a membership is made of. */
@@ -58,89 +69,127 @@
 export type VersionVector = ReadonlyMap<string, readonly [incarnation: number, version: number]>;
 
 /**
- * Fleet knowledge by bounded fan-out: each interval a node exchanges digests with one random member, both ways,
- * sending only what the other has not got. Failure is suspected by silence; a node that comes back is newer by
- * its incarnation.
+ * Fleet knowledge by bounded fan-out. In each interval a node calls one peer: the call is its heartbeat and
+ * carries what changed lately. A digest is passed on a number of times that grows with the logarithm of the
+ * fleet. A peer that does not answer is suspected, the suspicion spreads the same way, and the peer refutes it
+ * or is gone.
  */
 export class Membership {
   private readonly _known = new Map<string, Known>();
   private _own: NodeDigest;
+  private _ownPassedOn = 0;
+  private _changedAtMs = -Infinity;
+  private _heardAtMs = -Infinity;
   private _turn = 0;
+  private _members: readonly NodeDigest[] | undefined;
+  private _membersUntilMs = 0;
 
   constructor(private readonly _options: MembershipOptions) {
-    this._own = {
-      ..._options.self,
-      version: 1,
-      isLeaving: false,
-      configuration: 0,
-      demand: [],
-      suspects: [],
-    };
+    const said = { isLeaving: false, isSilent: false, configuration: 0, demand: [], suspects: [] };
+    this._own = { ..._options.self, version: 1, ...said };
   }
 
   get own(): NodeDigest {
     return this._own;
   }
 
-  /** Milliseconds between refreshes of the own digest: it grows with the fleet, so that traffic does not. */
-  refreshIntervalMs(): number {
-    return BASE_INTERVAL_MS * Math.max(1, (this._known.size + 1) / NODES_AT_BASE_INTERVAL);
+  /** Monotonic time at which any peer was last heard of directly. */
+  get heardAtMs(): number {
+    return this._heardAtMs;
+  }
+
+  /** Least time between two changes of the demand in a digest: it grows with the fleet, so that traffic does not. */
+  changeIntervalMs(): number {
+    return EXCHANGE_INTERVAL_MS * Math.max(1, (this._known.size + 1) / NODES_AT_BASE_INTERVAL);
   }
 
-  /** Sets what this node says of itself. */
-  refresh(own: OwnDigest): void {
-    this._own = { ...this._own, ...own, version: this._own.version + 1 };
+  /** Sets what this node says of itself. Demand alone waits for its interval; all else is told at once. */
+  refresh(said: OwnDigest): void {
+    const nowMs = this._options.clock.monotonic();
+    const { isLeaving, configuration, demand, suspects } = this._own;
+    const isUrgent =
+      said.isLeaving !== isLeaving ||
+      said.configuration !== configuration ||
+      JSON.stringify(said.suspects) !== JSON.stringify(suspects);
+    const isDemandDue = nowMs - this._changedAtMs >= this.changeIntervalMs();
+    const hasNewDemand = isDemandDue && JSON.stringify(said.demand) !== JSON.stringify(demand);
+    if (isUrgent || hasNewDemand) this._change(said, nowMs);
   }
 
-  /** A peer to exchange with: members in random order, and now and then a seed, which heals partitions. */
+  /** A peer to exchange with: members at random, and now and then a seed, which heals partitions. */
   choosePeer(): string | undefined {
     const { random, seeds, self } = this._options;
     const others = this.members().map(({ node }) => node);
-    const strangers = seeds.filter((seed) => seed !== self.node && !others.includes(seed));
+    const known = new Set(others);
+    const strangers = seeds.filter((seed) => seed !== self.node && !known.has(seed));
     this._turn++;
     const pool = strangers.length > 0 && (others.length === 0 || this._turn % 4 === 0) ? strangers : others;
     return pool[random.below(pool.length)];
   }
 
+  /** Whether the next exchange compares all versions: the first ones, and now and then one. */
+  isFullExchangeDue(): boolean {
+    return this._turn % FULL_EXCHANGE_EVERY === 1 || this._known.size === 0;
+  }
+
   /** What this node knows, by version. */
   versions(): VersionVector {
     const versions = new Map([[this._own.node, [this._own.incarnation, this._own.version] as const]]);
-    for (const [node, { digest }] of this._known) {
-      if (this._isFresh(node)) versions.set(node, [digest.incarnation, digest.version]);
-    }
+    for (const [node, { digest }] of this._known) versions.set(node, [digest.incarnation, digest.version]);
     return versions;
   }
 
-  /** Digests that a peer with these versions has not got; the own one first, then in random order. */
+  /** Digests that a peer with these versions has not got. */
   newerThan(versions: VersionVector): readonly NodeDigest[] {
-    const known = [...this._known.values()].filter(({ digest }) => this._isFresh(digest.node));
-    const digests = [
-      this._own,
-      ...shuffle(
-        known.map(({ digest }) => digest),
-        this._options.random,
-      ),
-    ];
-    return digests
-      .filter((digest) => isNewer(digest, versions.get(digest.node)))
-      .slice(0, MAX_DIGESTS_PER_EXCHANGE);
-  }
-
-  /** Takes in digests; older ones are passed over. */
+    const digests = [this._own, ...[...this._known.values()].map(({ digest }) => digest)];
+    return digests.filter((digest) => {
+      const known = versions.get(digest.node);
+      if (!known) return !digest.isSilent;
+      return compareVersions(digest, { incarnation: known[0], version: known[1] }) > 0;
+    });
+  }
+
+  /** What to pass on in one message: the least told of what changed lately. */
+  takeNews(): readonly NodeDigest[] {
+    const limit = Math.ceil(PASS_ON_FACTOR * Math.log2(this._known.size + 2));
+    const hot = [...this._known.values()].filter(({ passedOn }) => passedOn < limit);
+    const chosen = hot.sort((a, b) => a.passedOn - b.passedOn).slice(0, MAX_PASSED_ON);
+    for (const known of chosen) known.passedOn++;
+    const isOwnHot = this._ownPassedOn++ < limit;
+    const news = chosen.map(({ digest }) => digest);
+    return isOwnHot ? [this._own, ...news] : news;
+  }
+
+  /** Takes in digests; older ones are passed over, and silence said of this node is refuted. */
   learn(digests: readonly NodeDigest[]): void {
     const nowMs = this._options.clock.monotonic();
     for (const digest of digests) {
-      if (digest.node === this._own.node) continue;
-      const known = this._known.get(digest.node)?.digest;
-      if (known && !isNewer(digest, [known.incarnation, known.version])) continue;
-      this._known.set(digest.node, { digest, heardAtMs: nowMs });
+      if (digest.node === this._own.node) this._refute(digest, nowMs);
+      else this._take(digest, nowMs);
     }
     this._forget(nowMs);
   }
 
-  /** Other nodes that are not silent. */
+  /** A peer was reached. */
+  noteReached(): void {
+    this._heardAtMs = this._options.clock.monotonic();
+  }
+
+  /** A peer did not answer: it is suspected until it says that it is there. */
+  noteUnanswered(node: string): void {
+    const known = this._known.get(node)?.digest;
+    if (known && !known.isSilent) this._take({ ...known, isSilent: true }, this._options.clock.monotonic());
+  }
+
+  /** Other nodes that are not gone. */
   members(): readonly NodeDigest[] {
-    return [...this._known.values()].map(({ digest }) => digest).filter(({ node }) => this._isFresh(node));
+    const nowMs = this._options.clock.monotonic();
+    if (this._members && nowMs < this._membersUntilMs) return this._members;
+    this._members = [...this._known.values()]
+      .filter((known) => isMember(known, nowMs))
+      .map(({ digest }) => digest);
+    this._membersUntilMs = nowMs + EXCHANGE_INTERVAL_MS / 2;
+    return this._members;
   }
 
   /** Every node of a role that is there and not leaving, this one among them, for placement. */
@@ -150,34 +199,45 @@
       .map(({ node, failureDomain }) => ({ id: node, failureDomain }));
   }
 
-  /** Nodes known lately, silent or not; the base of a majority. */
-  knownSize(): number {
-    return this._known.size + 1;
+  private _change(said: OwnDigest, nowMs: number): void {
+    this._own = { ...this._own, ...said, version: this._own.version + 1 };
+    this._changedAtMs = nowMs;
+    this._ownPassedOn = 0;
   }
 
-  private _isFresh(node: string): boolean {
-    const known = this._known.get(node);
-    if (!known) return false;
-    return this._options.clock.monotonic() - known.heardAtMs < SILENT_INTERVALS * this.refreshIntervalMs();
+  private _refute(digest: NodeDigest, nowMs: number): void {
+    const { incarnation, version } = this._own;
+    if (!digest.isSilent || digest.incarnation !== incarnation || digest.version < version) return;
+    this._own = { ...this._own, version: digest.version };
+    this._change(this._own, nowMs);
+  }
+
+  private _take(digest: NodeDigest, nowMs: number): void {
+    const known = this._known.get(digest.node)?.digest;
+    if (known && !isNews(digest, known)) return;
+    this._known.set(digest.node, { digest, learnedAtMs: nowMs, passedOn: 0 });
+    this._members = undefined;
   }
 
   private _forget(nowMs: number): void {
-    for (const [node, { heardAtMs }] of this._known) {
-      if (nowMs - heardAtMs > TOMBSTONE_MS) this._known.delete(node);
+    for (const [node, { digest, learnedAtMs }] of this._known) {
+      if (digest.isSilent && nowMs - learnedAtMs > TOMBSTONE_MS) this._known.delete(node);
     }
   }
 }
 
-function isNewer(digest: NodeDigest, known: readonly [number, number] | undefined): boolean {
-  if (!known) return true;
-  return digest.incarnation > known[0] || (digest.incarnation === known[0] && digest.version > known[1]);
+function isMember({ digest, learnedAtMs }: Known, nowMs: number): boolean {
+  return !digest.isSilent || nowMs - learnedAtMs < SUSPICION_MS;
 }
 
-function shuffle<Item>(items: readonly Item[], random: Random): readonly Item[] {
-  const shuffled = [...items];
-  for (let index = shuffled.length - 1; index > 0; index--) {
-    const other = random.below(index + 1);
-    [shuffled[index], shuffled[other]] = [shuffled[other] as Item, shuffled[index] as Item];
-  }
-  return shuffled;
+function isNews(digest: NodeDigest, known: NodeDigest): boolean {
+  const order = compareVersions(digest, known);
+  return order > 0 || (order === 0 && digest.isSilent && !known.isSilent);
+}
+
+function compareVersions(
+  a: Pick<NodeDigest, 'incarnation' | 'version'>,
+  b: Pick<NodeDigest, 'incarnation' | 'version'>,
+): number {
+  return a.incarnation - b.incarnation || a.version - b.version;
 }
--- a/packages/core/src/planner.ts
+++ b/packages/core/src/planner.ts
@@ -58,31 +58,92 @@
  * Plans one fabric domain. What the log says is the same for all planners, so the split of a model's groups
  * over the fabric domains needs no agreement of its own.
  */
-export function planFabricDomain(view: PlannerView): readonly PlanStep[] {
+export function planFabricDomain(planned: PlannerView): readonly PlanStep[] {
+  const view = new IndexedView(planned);
   const dissolutions = [...planRemovals(view), ...planRepairs(view)];
   return [...dissolutions, ...planAssignments(view, dissolutions.length > 0)];
 }
 
-function standingGroups(view: PlannerView, model?: string): readonly Group[] {
-  return view.groups
-    .groups()
-    .filter((group) => group.dissolvedAt === undefined && (model === undefined || group.model === model));
-}
+type Spare = readonly [address: string, standing: InstanceStanding];
+
+/** A view with its groups sorted by model and its spares by fabric domain, once for the whole plan. */
+class IndexedView {
+  readonly groups: Groups;
+  readonly configuration: Configuration;
+  readonly instances: ReadonlyMap<string, PlannedInstance>;
+  readonly fabricDomain: string;
+  readonly loadMs: number;
+  readonly policy: RepairPolicy | undefined;
+  readonly standing: readonly Group[];
+  readonly own: readonly Group[];
+  private readonly _byModel = new Map<string, Group[]>();
+  private readonly _health = new Map<Group, GroupHealth>();
+  private readonly _spares = new Map<string, Spare[]>();
+  private readonly _domains = new Set<string>();
+  private readonly _healthOf: (group: Group) => GroupHealth;
+
+  constructor(view: PlannerView) {
+    this.groups = view.groups;
+    this.configuration = view.configuration;
+    this.instances = view.instances;
+    this.fabricDomain = view.fabricDomain;
+    this.loadMs = view.loadMs;
+    this.policy = view.policy;
+    this._healthOf = view.health;
+    this.standing = view.groups.groups().filter(({ dissolvedAt }) => dissolvedAt === undefined);
+    this.own = this.standing.filter(({ fabricDomain }) => fabricDomain === view.fabricDomain);
+    for (const group of this.standing) addTo(this._byModel, group.model, group);
+    for (const { fabricDomain } of view.instances.values()) this._domains.add(fabricDomain);
+    for (const spare of view.groups.instances()) this._addSpare(spare);
+  }
 
-function ownGroups(view: PlannerView): readonly Group[] {
-  return standingGroups(view).filter(({ fabricDomain }) => fabricDomain === view.fabricDomain);
+  /** Standing groups of one model. */
+  groupsOf(model: string): readonly Group[] {
+    return this._byModel.get(model) ?? [];
+  }
+
+  domains(): readonly string[] {
+    return [...this._domains];
+  }
+
+  /** Released instances of a fabric domain that are there and stay. */
+  sparesOf(fabricDomain: string): readonly Spare[] {
+    return this._spares.get(fabricDomain) ?? [];
+  }
+
+  health(group: Group): GroupHealth {
+    let health = this._health.get(group);
+    if (!health) {
+      health = this._healthOf(group);
+      this._health.set(group, health);
+    }
+    return health;
+  }
+
+  isLeaving(address: string): boolean {
+    return (this.instances.get(address)?.isLeaving ?? false) || this.groups.isDraining(address);
+  }
+
+  private _addSpare(spare: Spare): void {
+    const [address, { kind }] = spare;
+    const instance = this.instances.get(address);
+    if (kind !== 'released' || instance?.isReachable !== true || this.isLeaving(address)) return;
+    addTo(this._spares, instance.fabricDomain, spare);
+  }
 }
 
-function hasLeavingMember(group: Group, view: PlannerView): boolean {
-  return group.members.some(({ address }) => isLeaving(address, view));
+function addTo<Value>(lists: Map<string, Value[]>, key: string, value: Value): void {
+  const list = lists.get(key);
+  if (list) list.push(value);
+  else lists.set(key, [value]);
 }
 
-function isLeaving(address: string, view: PlannerView): boolean {
-  return (view.instances.get(address)?.isLeaving ?? false) || view.groups.isDraining(address);
+function hasLeavingMember(group: Group, view: IndexedView): boolean {
+  return group.members.some(({ address }) => view.isLeaving(address));
 }
 
-function planRemovals(view: PlannerView): readonly PlanStep[] {
-  return ownGroups(view).flatMap((group): readonly PlanStep[] => {
+function planRemovals(view: IndexedView): readonly PlanStep[] {
+  return view.own.flatMap((group): readonly PlanStep[] => {
     const model = view.configuration.model[group.model];
     if (!model) return [{ kind: 'dissolve', group, reason: 'model-removed' }];
     const reason = findRemoval(group, model, view);
@@ -90,8 +151,8 @@
   });
 }
 
-function findRemoval(group: Group, model: ModelConfiguration, view: PlannerView): DissolveReason | undefined {
-  const others = standingGroups(view, group.model).filter(({ id }) => id !== group.id);
+function findRemoval(group: Group, model: ModelConfiguration, view: IndexedView): DissolveReason | undefined {
+  const others = view.groupsOf(group.model).filter(({ id }) => id !== group.id);
   const wholeOthers = others.filter((other) => view.health(other).phase === 'whole').length;
   if (hasLeavingMember(group, view)) return 'instance-leaving';
   if (group.version !== model.version) {
@@ -109,7 +170,7 @@
   wholeOthers: number,
   others: number,
   model: ModelConfiguration,
-  view: PlannerView,
+  view: IndexedView,
 ): boolean {
   if (wholeOthers >= model.groups) return true;
   const isReplacementUnderWay = others >= model.groups;
@@ -123,23 +184,24 @@
 function oldestOfOtherVersion(
   group: Group,
   model: ModelConfiguration,
-  view: PlannerView,
+  view: IndexedView,
 ): string | undefined {
-  return standingGroups(view, group.model)
+  return view
+    .groupsOf(group.model)
     .filter(({ version }) => version !== model.version)
     .sort((a, b) => a.epoch - b.epoch)[0]?.id;
 }
 
-function planRepairs(view: PlannerView): readonly PlanStep[] {
+function planRepairs(view: IndexedView): readonly PlanStep[] {
   const { configuration } = view;
   return Object.entries(configuration.model).flatMap(([name, model]) => {
-    const own = ownGroups(view).filter((group) => group.model === name && !hasLeavingMember(group, view));
+    const own = view.own.filter((group) => group.model === name && !hasLeavingMember(group, view));
     const broken = own.flatMap((group) => toBroken(group, view));
     if (broken.length === 0) return [];
     const decisions = decideRepairs(
       {
         broken,
-        spares: findSpares(view).length,
+        spares: view.sparesOf(view.fabricDomain).length,
         instancesPerGroup: model['instances-per-group'],
         loadMs: view.loadMs,
         graceMs: configuration.deployment['return-grace'],
@@ -159,7 +221,7 @@
   });
 }
 
-function toBroken(group: Group, view: PlannerView): readonly BrokenGroup[] {
+function toBroken(group: Group, view: IndexedView): readonly BrokenGroup[] {
   const health = view.health(group);
   if (health.missing.length === 0 && health.restarted.length === 0) return [];
   const first = view.instances.get(group.members[0]?.address ?? '');
@@ -174,9 +236,9 @@
   ];
 }
 
-function planAssignments(view: PlannerView, isDissolving: boolean): readonly PlanStep[] {
+function planAssignments(view: IndexedView, isDissolving: boolean): readonly PlanStep[] {
   const { configuration } = view;
-  const loading = standingGroups(view).filter((group) => view.health(group).phase === 'loading').length;
+  const loading = view.standing.filter((group) => view.health(group).phase === 'loading').length;
   let room = configuration.deployment['weight-store-loads'] - loading;
   const taken = new Set<string>();
   const steps: PlanStep[] = [];
@@ -194,9 +256,9 @@
 }
 
 /** Models with the fewest groups against what they need come first. */
-function byNeed(view: PlannerView): readonly (readonly [string, ModelConfiguration])[] {
+function byNeed(view: IndexedView): readonly (readonly [string, ModelConfiguration])[] {
   const cover = ([name, model]: readonly [string, ModelConfiguration]) =>
-    standingGroups(view, name).length / model.groups;
+    view.groupsOf(name).length / model.groups;
   return Object.entries(view.configuration.model).sort((a, b) => cover(a) - cover(b));
 }
 
@@ -204,19 +266,19 @@
 function ownShareOfDeficit(
   name: string,
   model: ModelConfiguration,
-  view: PlannerView,
+  view: IndexedView,
   isDissolving: boolean,
 ): number {
-  const standing = standingGroups(view, name);
+  const standing = view.groupsOf(name);
   const toReplace = isDissolving
     ? 0
     : standing.filter(({ version }) => version !== model.version).slice(0, 1).length;
   let deficit = model.groups + toReplace - standing.length;
   const room = new Map<string, number>();
-  const domains = [...new Set([...view.instances.values()].map(({ fabricDomain }) => fabricDomain))];
+  if (deficit <= 0) return 0;
+  const domains = view.domains();
   for (const domain of domains) {
-    const free = findSpares({ ...view, fabricDomain: domain }).length;
-    room.set(domain, Math.floor(free / model['instances-per-group']));
+    room.set(domain, Math.floor(view.sparesOf(domain).length / model['instances-per-group']));
   }
   const load = new Map(
     domains.map((domain) => [domain, standing.filter((group) => group.fabricDomain === domain).length]),
@@ -244,26 +306,13 @@
   return ranked.find((domain) => (load.get(domain) ?? 0) === least);
 }
 
-function findSpares(view: PlannerView): readonly (readonly [string, InstanceStanding])[] {
-  return [...view.groups.instances()]
-    .filter(([address, standing]) => {
-      const instance = view.instances.get(address);
-      return (
-        standing.kind === 'released' &&
-        instance?.fabricDomain === view.fabricDomain &&
-        instance.isReachable &&
-        !isLeaving(address, view)
-      );
-    })
-    .sort(([a], [b]) => (a < b ? -1 : 1));
-}
-
 function findMembers(
-  view: PlannerView,
+  view: IndexedView,
   model: ModelConfiguration,
   taken: ReadonlySet<string>,
 ): readonly InstanceIdentity[] | undefined {
-  const free = findSpares(view).filter(([address]) => !taken.has(address));
+  const spares = view.sparesOf(view.fabricDomain).filter(([address]) => !taken.has(address));
+  const free = [...spares].sort(([a], [b]) => (a < b ? -1 : 1));
   if (free.length < model['instances-per-group']) return undefined;
   return free.slice(0, model['instances-per-group']).map(([address, { boot }]) => ({ address, boot }));
 }
--- a/packages/daemon/src/fleetNode.ts
+++ b/packages/daemon/src/fleetNode.ts
@@ -17,6 +17,7 @@
   type Groups,
   hash32,
   judgeFreshness,
+  LOG_CONTACT_LIMIT_MS,
   Membership,
   type NodeRole,
   type OwnDigest,
@@ -141,7 +142,7 @@
     return judgeFreshness({
       ownConfiguration: this._inForce?.position ?? 0,
       logContactAgeMs: caughtUpAtMs === undefined ? undefined : clock.monotonic() - caughtUpAtMs,
-      peerConfigurations: this.membership.members().map(({ configuration }) => configuration),
+      peerConfigurations: this._peerConfigurations(),
       fleetSize: this._fleetSize(),
     });
   }
@@ -165,6 +166,13 @@
     await this._directLog.close();
   }
 
+  /** What the peers have in force; nothing when no peer was heard of lately. */
+  private _peerConfigurations(): readonly number[] {
+    const silentMs = this._options.clock.monotonic() - this.membership.heardAtMs;
+    if (silentMs > LOG_CONTACT_LIMIT_MS) return [];
+    return this.membership.members().map(({ configuration }) => configuration);
+  }
+
   private _fleetSize(): number {
     const { settings } = this._options;
     const strangers = settings.peers.seeds.filter((seed) => seed !== settings.node['peers-address']);
--- a/packages/daemon/src/leasePuller.ts
+++ b/packages/daemon/src/leasePuller.ts
@@ -2,9 +2,13 @@
 import type { GroupLease, PeerClients } from '@monsoonreach/peers';
 
 const PULL_INTERVAL_MS = 500;
+/** The interval once a node asks only some of the stewards. */
+const LARGE_FLEET_PULL_INTERVAL_MS = 1_000;
 const CALL_TIMEOUT_MS = 800;
-/** Stewards that one node asks at most, which bounds its share of the control traffic. */
-export const MAX_STEWARDS_ASKED = 12;
+/** Stewards up to which a node asks all of them. */
+const SMALL_FLEET = 8;
+/** Stewards that a node asks in a larger fleet, which bounds its share of the control traffic. */
+export const STEWARDS_ASKED = 4;
 
 /** What a puller is made of. */
 export interface LeasePullerOptions {
@@ -42,7 +46,8 @@
     while (!signal.aborted) {
       this._options.onTick?.();
       for (const steward of this._chooseStewards()) void this._ask(steward);
-      await pause(PULL_INTERVAL_MS, signal);
+      const isSmall = this._options.stewards().length <= SMALL_FLEET;
+      await pause(isSmall ? PULL_INTERVAL_MS : LARGE_FLEET_PULL_INTERVAL_MS, signal);
     }
   }
 
@@ -50,7 +55,8 @@
     const { self, stewards } = this._options;
     const known = new Set(stewards().map(({ id }) => id));
     for (const steward of this._unanswering) if (!known.has(steward)) this._unanswering.delete(steward);
-    return placeByRendezvous(self.id, stewards(), { count: MAX_STEWARDS_ASKED });
+    const count = known.size <= SMALL_FLEET ? known.size : STEWARDS_ASKED;
+    return placeByRendezvous(self.id, stewards(), { count });
   }
 
   private async _ask(steward: string): Promise<void> {
--- a/packages/peers/src/digestExchange.ts
+++ b/packages/peers/src/digestExchange.ts
@@ -1,10 +1,12 @@
 import type { ConnectRouter } from '@connectrpc/connect';
-import { type Counters, type Membership, pause } from '@monsoonreach/core';
+import { type Counters, EXCHANGE_INTERVAL_MS, type Membership, pause } from '@monsoonreach/core';
 import { fromDigestMessage, fromKnownMessages, toDigestMessage, toKnownMessages } from './convert.js';
 import { DigestService } from './generated/monsoonreach/v1/peers_pb.js';
 import type { PeerClients } from './peerClients.js';
 
 const CALL_TIMEOUT_MS = 1_000;
+/** Interval of the attempts to reach a first peer, in milliseconds. */
+const JOIN_INTERVAL_MS = 200;
 /** Members that urgent news is sent to at once; the others hear of it by exchange and from the log. */
 const URGENT_FAN_OUT = 16;
 
@@ -30,10 +32,12 @@
   register(router: ConnectRouter): void {
     const { membership, onLearned } = this._options;
     router.service(DigestService, {
-      exchange: ({ digests, known }) => {
+      exchange: ({ digests, known, full }) => {
+        membership.noteReached();
         membership.learn(digests.map(fromDigestMessage));
         onLearned();
-        return { digests: membership.newerThan(fromKnownMessages(known)).map(toDigestMessage) };
+        const news = full ? membership.newerThan(fromKnownMessages(known)) : membership.takeNews();
+        return { digests: news.map(toDigestMessage) };
       },
     });
   }
@@ -51,16 +55,20 @@
   async exchangeWith(peer: string): Promise<void> {
     const { membership, clients, counters, onLearned } = this._options;
     try {
+      const full = membership.isFullExchangeDue();
       const request = {
         from: membership.own.node,
-        digests: [toDigestMessage(membership.own)],
-        known: toKnownMessages(membership.versions()),
+        digests: (full ? [membership.own] : membership.takeNews()).map(toDigestMessage),
+        known: full ? toKnownMessages(membership.versions()) : [],
+        full,
       };
       const response = await clients.digests(peer).exchange(request, { timeoutMs: CALL_TIMEOUT_MS });
+      membership.noteReached();
       membership.learn(response.digests.map(fromDigestMessage));
       onLearned();
       counters.add('monsoonreach_digest_exchanges_total', { result: 'done' });
     } catch {
+      membership.noteUnanswered(peer);
       counters.add('monsoonreach_digest_exchanges_total', { result: 'unreachable' });
     }
   }
@@ -80,7 +88,7 @@
       refresh();
       const peer = membership.choosePeer();
       if (peer !== undefined) await this.exchangeWith(peer);
-      await pause(membership.members().length === 0 ? 200 : membership.refreshIntervalMs(), signal);
+      await pause(membership.members().length === 0 ? JOIN_INTERVAL_MS : EXCHANGE_INTERVAL_MS, signal);
     }
   }
 }
--- a/packages/steward/src/planning.ts
+++ b/packages/steward/src/planning.ts
@@ -33,7 +33,7 @@
 const ORDER_INTERVAL_MS = 1_000;
 const WRITE_TIMEOUT_MS = 5_000;
 /** Interval of the probes of instances that are well or that wait, in milliseconds. */
-const STEADY_INTERVAL_MS = 3_000;
+const STEADY_INTERVAL_MS = 4_000;
 /** Interval of the probes of instances in change, in milliseconds. */
 const CHANGING_INTERVAL_MS = 500;
 const DEFAULT_LOAD_MS = 10_000;
@@ -68,6 +68,8 @@
   private readonly _assignedAtMs = new Map<string, number>();
   private readonly _ordering = new Set<string>();
   private _loadMs = DEFAULT_LOAD_MS;
+  private _known: ReadonlyMap<string, PlannedInstance> = new Map();
+  private _knownUntilMs = -Infinity;
   private _loop: Promise<void> | undefined;
 
   constructor(private readonly _options: PlanningOptions) {}
@@ -325,7 +327,17 @@
     return { phase, missing, restarted };
   }
 
+  /** Instances as listed and as read back; worked out once for each tick. */
   private _instances(): ReadonlyMap<string, PlannedInstance> {
+    const nowMs = this._options.clock.monotonic();
+    if (nowMs >= this._knownUntilMs) {
+      this._known = this._collectInstances();
+      this._knownUntilMs = nowMs + TICK_MS;
+    }
+    return this._known;
+  }
+
+  private _collectInstances(): ReadonlyMap<string, PlannedInstance> {
     const instances = new Map<string, PlannedInstance>();
     for (const listed of this._options.listed().values()) {
       if (listed.kind !== 'engine') continue;
--- a/packages/steward/src/watcher.ts
+++ b/packages/steward/src/watcher.ts
@@ -8,10 +8,10 @@
 } from '@monsoonreach/core';
 import type { Observation } from './prober.js';
 
-/** Interval of a primary watcher's probes, in milliseconds. */
-export const PRIMARY_INTERVAL_MS = 700;
-/** Interval of a standby's probes while the primary answers, in milliseconds. */
-export const STANDBY_INTERVAL_MS = 4_000;
+/** Interval of a watcher's probes, in milliseconds. A standby probes only while it stands in. */
+export const PRIMARY_INTERVAL_MS = 1_000;
+/** How long the placement of watchers is kept before it is worked out anew, in milliseconds. */
+const PLACEMENT_LIFE_MS = 500;
 /** How long a standby stands in after it was told that the primary does not answer, in milliseconds. */
 const STAND_IN_MS = 5_000;
 
@@ -38,12 +38,20 @@
   readonly failureDomainOf: (address: string) => string | undefined;
 }
 
+/** A group that this steward watches as primary or as standby. */
+interface Placement {
+  readonly group: Group;
+  readonly primary: string;
+}
+
 type MemberFinding = 'right' | 'unknown' | 'not-yet' | 'wrong';
 
 /** Watches groups: a primary and a standby steward for each, chosen by rendezvous. */
 export class Watcher {
   private readonly _onceWhole = new Map<string, number>();
   private readonly _unansweringUntilMs = new Map<string, number>();
+  private _placements: readonly Placement[] = [];
+  private _placedUntilMs = -Infinity;
 
   constructor(private readonly _options: WatcherOptions) {}
 
@@ -56,39 +64,44 @@
   /** Members to probe and how often. */
   targets(): ReadonlyMap<string, number> {
     const targets = new Map<string, number>();
-    for (const group of this._standing()) {
-      const intervalMs = this._intervalFor(group);
-      if (intervalMs === undefined) continue;
-      for (const { address } of group.members) {
-        targets.set(address, Math.min(intervalMs, targets.get(address) ?? Infinity));
-      }
+    for (const group of this._watched()) {
+      for (const { address } of group.members) targets.set(address, PRIMARY_INTERVAL_MS);
     }
     return targets;
   }
 
   /** Every watched group of which there is something to say. */
   report(): readonly WatchedGroup[] {
-    return this._standing()
-      .filter((group) => this._intervalFor(group) !== undefined)
-      .flatMap((group) => this._reportOn(group) ?? []);
+    return this._watched().flatMap((group) => this._reportOn(group) ?? []);
   }
 
-  private _standing(): readonly Group[] {
-    return this._options
-      .groups()
-      .groups()
-      .filter(({ dissolvedAt }) => dissolvedAt === undefined);
+  /** Groups whose primary this steward is, or whose primary it stands in for. */
+  private _watched(): readonly Group[] {
+    const nowMs = this._options.clock.monotonic();
+    if (nowMs >= this._placedUntilMs) {
+      this._placements = this._placeAll();
+      this._placedUntilMs = nowMs + PLACEMENT_LIFE_MS;
+    }
+    const groups = this._options.groups();
+    return this._placements.flatMap(({ group, primary }) => {
+      const isStandingIn = (this._unansweringUntilMs.get(primary) ?? 0) > nowMs;
+      const isOwn = primary === this._options.self.id || isStandingIn;
+      return isOwn && groups.findGroup(group.id) === group ? [group] : [];
+    });
   }
 
-  private _intervalFor(group: Group): number | undefined {
-    const { self, stewards, failureDomainOf } = this._options;
-    const preferredDomain = failureDomainOf(group.members[0]?.address ?? '');
-    const options = { count: 2, ...(preferredDomain === undefined ? {} : { preferredDomain }) };
-    const [primary, standby] = placeByRendezvous(`watch/${group.id}`, stewards(), options);
-    if (primary === self.id) return PRIMARY_INTERVAL_MS;
-    if (standby !== self.id) return undefined;
-    const isStandingIn = (this._unansweringUntilMs.get(primary ?? '') ?? 0) > this._options.clock.monotonic();
-    return isStandingIn ? PRIMARY_INTERVAL_MS : STANDBY_INTERVAL_MS;
+  private _placeAll(): readonly Placement[] {
+    const { self, stewards, groups, failureDomainOf } = this._options;
+    const candidates = stewards();
+    return groups()
+      .groups()
+      .flatMap((group): readonly Placement[] => {
+        if (group.dissolvedAt !== undefined) return [];
+        const preferredDomain = failureDomainOf(group.members[0]?.address ?? '');
+        const options = { count: 2, ...(preferredDomain === undefined ? {} : { preferredDomain }) };
+        const watchers = placeByRendezvous(`watch/${group.id}`, candidates, options);
+        return watchers.includes(self.id) ? [{ group, primary: watchers[0] ?? '' }] : [];
+      });
   }
 
   private _reportOn(group: Group): WatchedGroup | undefined {
