--- a/packages/core/src/groups.ts
+++ b/packages/core/src/groups.ts
@@ -188,6 +188,7 @@
   private readonly _leases: Map<string, PlannerLease>;
   private readonly _draining: Set<string>;
   private readonly _quarantined: Map<string, number>;
+  private _changes = 0;
 
   constructor(
     snapshot?: GroupsSnapshot,
@@ -201,6 +202,11 @@
     this._quarantined = new Map(snapshot?.quarantined);
   }
 
+  /** Grows with each accepted record, so that what is derived from the state can be kept until it changes. */
+  get changes(): number {
+    return this._changes;
+  }
+
   /** Every group, those that are being dissolved among them. */
   groups(): readonly Group[] {
     return [...this._groups.values()];
@@ -237,6 +243,12 @@
   }
 
   apply(record: AppliedRecord<ControlBody>): ControlRejection | undefined {
+    const rejection = this._decide(record);
+    if (rejection === undefined) this._changes++;
+    return rejection;
+  }
+
+  private _decide(record: AppliedRecord<ControlBody>): ControlRejection | undefined {
     const { body } = record.envelope;
     switch (body.kind) {
       case 'lease':
--- a/packages/daemon/src/liveInstances.ts
+++ b/packages/daemon/src/liveInstances.ts
@@ -2,7 +2,7 @@
 import { type ListedInstance, type LiveList, LiveListUnavailableError } from '@monsoonreach/platform';
 
 /** How often the live list is read, in milliseconds; with the lease's life it bounds how long a leaving target gets work. */
-const POLL_INTERVAL_MS = 400;
+const POLL_INTERVAL_MS = 800;
 
 /** Keeps the platform's live list; while the platform does not answer, the last one read stays. */
 export class LiveInstances {
--- a/packages/peers/src/logRelay.ts
+++ b/packages/peers/src/logRelay.ts
@@ -12,7 +12,7 @@
 
 /** Batches of one stream that a relay keeps, so that its readers do not each reach the log. */
 const KEPT_BATCHES = 512;
-const MAX_READ_WAIT_MS = 1_500;
+const MAX_READ_WAIT_MS = 3_000;
 const READ_LIMIT = 500;
 
 interface SharedRead {
--- a/packages/platform/src/streamFollower.ts
+++ b/packages/platform/src/streamFollower.ts
@@ -19,7 +19,7 @@
   ValidationError,
 } from '@monsoonreach/core';
 
-const READ_WAIT_MS = 1_000;
+const READ_WAIT_MS = 2_500;
 const RETRY_DELAY_MS = 200;
 const READ_LIMIT = 500;
 
--- a/packages/steward/src/prober.ts
+++ b/packages/steward/src/prober.ts
@@ -1,7 +1,7 @@
 import { type Clock, pause } from '@monsoonreach/core';
 import { EngineCallError, EngineClient, type EngineStatus } from '@monsoonreach/targets';
 
-const TICK_MS = 50;
+const TICK_MS = 100;
 const PROBE_TIMEOUT_MS = 700;
 
 /** What the last probes of one instance have shown. */
--- a/packages/steward/src/watcher.ts
+++ b/packages/steward/src/watcher.ts
@@ -10,8 +10,10 @@
 
 /** Interval of a watcher's probes, in milliseconds. A standby probes only while it stands in. */
 export const PRIMARY_INTERVAL_MS = 1_000;
-/** How long the placement of watchers is kept before it is worked out anew, in milliseconds. */
-const PLACEMENT_LIFE_MS = 500;
+/** How often it is looked whether the placement of watchers has to be worked out anew, in milliseconds. */
+const PLACEMENT_CHECK_MS = 500;
+/** The longest that a placement is kept, in milliseconds. */
+const PLACEMENT_LIFE_MS = 10_000;
 /** How long a standby stands in after it was told that the primary does not answer, in milliseconds. */
 const STAND_IN_MS = 5_000;
 
@@ -51,7 +53,9 @@
   private readonly _onceWhole = new Map<string, number>();
   private readonly _unansweringUntilMs = new Map<string, number>();
   private _placements: readonly Placement[] = [];
+  private _placedFor = '';
   private _placedUntilMs = -Infinity;
+  private _checkAtMs = -Infinity;
 
   constructor(private readonly _options: WatcherOptions) {}
 
@@ -78,10 +82,7 @@
   /** Groups whose primary this steward is, or whose primary it stands in for. */
   private _watched(): readonly Group[] {
     const nowMs = this._options.clock.monotonic();
-    if (nowMs >= this._placedUntilMs) {
-      this._placements = this._placeAll();
-      this._placedUntilMs = nowMs + PLACEMENT_LIFE_MS;
-    }
+    if (nowMs >= this._checkAtMs) this._placeIfChanged(nowMs);
     const groups = this._options.groups();
     return this._placements.flatMap(({ group, primary }) => {
       const isStandingIn = (this._unansweringUntilMs.get(primary) ?? 0) > nowMs;
@@ -90,6 +91,16 @@
     });
   }
 
+  private _placeIfChanged(nowMs: number): void {
+    this._checkAtMs = nowMs + PLACEMENT_CHECK_MS;
+    const stewards = this._options.stewards().map(({ id }) => id);
+    const inputs = `${this._options.groups().changes} ${stewards.join(' ')}`;
+    if (inputs === this._placedFor && nowMs < this._placedUntilMs) return;
+    this._placements = this._placeAll();
+    this._placedFor = inputs;
+    this._placedUntilMs = nowMs + PLACEMENT_LIFE_MS;
+  }
+
   private _placeAll(): readonly Placement[] {
     const { self, stewards, groups, failureDomainOf } = this._options;
     const candidates = stewards();
