--- /dev/null
+++ b/tests/targets/targetClient.test.ts
@@ -0,0 +1,100 @@
+import type { AddressInfo } from 'node:net';
+import { readEvents, TargetCallError, TargetClient } from '@monsoonreach/targets';
+import t from 'tap';
+import { type Handler, listen, readText } from '../standins/http.js';
+
+const chunk = (id: number) => `id: ${id}\ndata: {"n":${id}}\n\n`;
+
+async function withTarget<Result>(
+  handler: Handler,
+  use: (client: TargetClient) => Promise<Result>,
+  guards = { checksEcho: true },
+): Promise<Result> {
+  const server = await listen(handler, 0);
+  const client = new TargetClient(`127.0.0.1:${(server.address() as AddressInfo).port}`, { guards });
+  try {
+    return await use(client);
+  } finally {
+    await client.close();
+    server.closeAllConnections();
+    server.close();
+  }
+}
+
+function call(client: TargetClient, requestId: string) {
+  return client.call({
+    method: 'POST',
+    path: '/',
+    headers: {},
+    body: '{}',
+    requestId,
+    firstByteTimeoutMs: 5_000,
+    idleTimeoutMs: 5_000,
+    signal: new AbortController().signal,
+  });
+}
+
+async function collect(
+  client: TargetClient,
+  guards?: { readonly needsTerminalEvent: boolean },
+): Promise<readonly string[]> {
+  const events: string[] = [];
+  for await (const { data } of readEvents(await call(client, 'r1'), guards)) events.push(data);
+  return events;
+}
+
+const streams = [
+  { name: 'a whole stream', text: `${chunk(0)}${chunk(1)}data: [DONE]\n\n`, reason: undefined },
+  { name: 'a stream that ends early', text: chunk(0), reason: 'truncated' },
+  { name: 'nothing at all', text: '', reason: 'truncated' },
+] as const;
+
+for (const { name, text, reason } of streams) {
+  void t.test(name, async (t) => {
+    const handler: Handler = async (request, response) => {
+      await readText(request);
+      response.setHeader('x-request-id', String(request.headers['x-request-id']));
+      response.end(text);
+    };
+    if (reason === undefined) {
+      t.same(await withTarget(handler, (client) => collect(client)), ['{"n":0}', '{"n":1}']);
+      return;
+    }
+    const error = await withTarget(handler, (client) => collect(client)).catch((caught: unknown) => caught);
+    t.match(error, { reason });
+    const passed = await withTarget(handler, (client) => collect(client, { needsTerminalEvent: false }));
+    t.ok(Array.isArray(passed), 'without the guard the cut stream passes for whole');
+  });
+}
+
+void t.test('an answer to another request is discarded', async (t) => {
+  const handler: Handler = async (request, response) => {
+    await readText(request);
+    response.setHeader('x-request-id', 'somebody-else');
+    response.end('theirs');
+  };
+  const error = await withTarget(handler, (client) => call(client, 'mine')).catch(
+    (caught: unknown) => caught,
+  );
+  t.match(error, { reason: 'wrong-echo', isProvenUnsent: false });
+  const status = await withTarget(handler, async (client) => (await call(client, 'mine')).status, {
+    checksEcho: false,
+  });
+  t.equal(status, 200, 'without the guard the wrong answer is taken');
+});
+
+void t.test('a refused connection proves that nothing was sent', async (t) => {
+  const client = new TargetClient('127.0.0.1:1');
+  const error = await call(client, 'r').catch((caught: unknown) => caught);
+  t.ok(error instanceof TargetCallError && error.isProvenUnsent);
+  await client.close();
+});
+
+void t.test('a connection cut after the request proves nothing', async (t) => {
+  const handler: Handler = async (request, response) => {
+    await readText(request);
+    response.destroy();
+  };
+  const error = await withTarget(handler, (client) => call(client, 'r')).catch((caught: unknown) => caught);
+  t.ok(error instanceof TargetCallError && !error.isProvenUnsent);
+});
