--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -57,6 +57,7 @@
 export class Admission {
   private readonly _queue: FairQueue<Waiter>;
   private readonly _inUse = new Map<string, number>();
+  private readonly _limits = new Map<string, number>();
   private _total = 0;
   private _meanServiceMs = 0;
   private _isStopping = false;
@@ -140,8 +141,6 @@
     return waiter;
   }
 
-  private readonly _limits = new Map<string, number>();
-
   private _hasRoom(lane: string): boolean {
     if (!this._isFair()) return true;
     return this.inUseOf(lane) < (this._limits.get(lane) ?? Infinity);
--- a/packages/core/src/configuration.ts
+++ b/packages/core/src/configuration.ts
@@ -9,6 +9,7 @@
   switchField,
   textField,
 } from './fields.js';
+import { DEFAULT_RETRY_SHARE } from './retries.js';
 
 const MAX_COUNT = 100_000;
 const MAX_WEIGHT = 1_000;
@@ -79,7 +80,7 @@
 const limitsSchema = z.strictObject({
   'max-body': sizeField.default(1_048_576),
   'queue-per-workspace': count(1, 64),
-  'retry-share': numberField({ min: 0, max: 1, isWhole: false }).default(0.1),
+  'retry-share': numberField({ min: 0, max: 1, isWhole: false }).default(DEFAULT_RETRY_SHARE),
   'hedge-after': durationField.optional(),
 });
 
--- a/packages/core/src/groups.ts
+++ b/packages/core/src/groups.ts
@@ -1,73 +1,14 @@
-import { z } from 'zod';
+import {
+  type ControlBody,
+  controlBodySchema,
+  type ControlRejection,
+  type InstanceIdentity,
+  type OrderKind,
+} from './controlRecords.js';
 import { toWriterId } from './record.js';
 import { byKey } from './streamClock.js';
 import type { AppliedRecord, StreamDefinition, StreamState } from './streamReducer.js';
 
-/** One life of one instance: its address and the boot id that its engine reports. */
-export interface InstanceIdentity {
-  readonly address: string;
-  readonly boot: string;
-}
-
-/** What an engine can be ordered to do. */
-export type OrderKind = 'load' | 'stop';
-
-/** A record of the `control` stream. */
-export type ControlBody =
-  | { readonly kind: 'lease'; readonly shard: string; readonly basis: number }
-  | {
-      readonly kind: 'assign';
-      readonly shard: string;
-      readonly lease: number;
-      readonly group: string;
-      readonly model: string;
-      readonly version: string;
-      readonly fabricDomain: string;
-      readonly members: readonly InstanceIdentity[];
-    }
-  | {
-      readonly kind: 'dissolve';
-      readonly shard: string;
-      readonly lease: number;
-      readonly group: string;
-      readonly epoch: number;
-      readonly reason: string;
-    }
-  | {
-      readonly kind: 'release';
-      readonly instance: InstanceIdentity;
-      /** The position that the observer knew for the instance before it read it back idle; 0 for none. */
-      readonly basis: number;
-      /** Intents of the instance that were watched for longer than an order can be late. */
-      readonly settled: readonly number[];
-    }
-  | {
-      readonly kind: 'intent';
-      readonly address: string;
-      readonly order: OrderKind;
-      readonly group: string;
-      readonly epoch: number;
-    }
-  | { readonly kind: 'outcome'; readonly address: string; readonly intent: number }
-  | { readonly kind: 'drain'; readonly address: string; readonly isLeaving: boolean }
-  | { readonly kind: 'quarantine'; readonly fingerprint: string; readonly untilMs: number }
-  | { readonly kind: 'checkpoint'; readonly chunk: unknown };
-
-/** Why a control record is rejected. */
-export type ControlRejection =
-  | 'lease-superseded'
-  | 'group-exists'
-  | 'group-unknown'
-  | 'epoch-superseded'
-  | 'instance-not-released'
-  | 'instance-repeated'
-  | 'instance-in-group'
-  | 'instance-changed'
-  | 'already-released'
-  | 'order-unsettled'
-  | 'order-not-current'
-  | 'intent-unknown';
-
 /** A group as the log has it. */
 export interface Group {
   readonly id: string;
@@ -143,40 +84,6 @@
   readonly quarantined: readonly (readonly [string, number])[];
 }
 
-const identitySchema = z.object({ address: z.string().min(1), boot: z.string().min(1) });
-const position = z.number().int().nonnegative();
-const planFields = { shard: z.string(), lease: position, group: z.string().min(1) };
-
-const bodySchema: z.ZodType<ControlBody> = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('lease'), shard: z.string(), basis: position }),
-  z.object({
-    kind: z.literal('assign'),
-    ...planFields,
-    model: z.string(),
-    version: z.string(),
-    fabricDomain: z.string(),
-    members: z.array(identitySchema).min(1),
-  }),
-  z.object({ kind: z.literal('dissolve'), ...planFields, epoch: position, reason: z.string() }),
-  z.object({
-    kind: z.literal('release'),
-    instance: identitySchema,
-    basis: position,
-    settled: z.array(position),
-  }),
-  z.object({
-    kind: z.literal('intent'),
-    address: z.string(),
-    order: z.enum(['load', 'stop']),
-    group: z.string(),
-    epoch: position,
-  }),
-  z.object({ kind: z.literal('outcome'), address: z.string(), intent: position }),
-  z.object({ kind: z.literal('drain'), address: z.string(), isLeaving: z.boolean() }),
-  z.object({ kind: z.literal('quarantine'), fingerprint: z.string(), untilMs: z.number() }),
-  z.object({ kind: z.literal('checkpoint'), chunk: z.unknown() }),
-]);
-
 /**
  * Groups, instances and planner leases as the `control` stream decides them. An instance is in at most one
  * group: it joins one only when released, and is released only after it was read back idle.
@@ -447,7 +354,7 @@
 
 /** The `control` stream. */
 export const controlDefinition: StreamDefinition<ControlBody, ControlRejection, Groups> = {
-  bodySchema,
+  bodySchema: controlBodySchema,
   create: () => new Groups(),
   restore: (snapshot) => new Groups(snapshot as GroupsSnapshot),
 };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,10 +1,12 @@
 /** Pure decisions of the system: no input or output; the clock and random numbers are passed in. */
 export * from './admission.js';
+export * from './backgroundLoop.js';
 export * from './checkpoint.js';
 export * from './claims.js';
 export * from './clock.js';
 export * from './configuration.js';
 export * from './configurationStream.js';
+export * from './controlRecords.js';
 export * from './counters.js';
 export * from './crashSuspects.js';
 export * from './deadline.js';
--- a/packages/core/src/planner.ts
+++ b/packages/core/src/planner.ts
@@ -1,5 +1,6 @@
 import type { Configuration, ModelConfiguration } from './configuration.js';
-import type { Group, Groups, InstanceIdentity, InstanceStanding } from './groups.js';
+import type { InstanceIdentity } from './controlRecords.js';
+import type { Group, Groups, InstanceStanding } from './groups.js';
 import { rankByRendezvous } from './rendezvous.js';
 import { type BrokenGroup, decideRepairs, type RepairPolicy } from './repair.js';
 
--- a/packages/core/src/retries.ts
+++ b/packages/core/src/retries.ts
@@ -3,7 +3,7 @@
 /** Retries that a workspace may have saved up at most. */
 const MAX_SAVED_RETRIES = 10;
 /** Retries earned by each request where the configuration says nothing. */
-export const DEFAULT_RETRY_SHARE = 0.1;
+export const DEFAULT_RETRY_SHARE = 0.18;
 const FIRST_DELAY_MS = 25;
 const MAX_DELAY_MS = 1_000;
 
@@ -13,8 +13,8 @@
 
 /** Options of a budget. */
 export interface RetryBudgetOptions {
-  /** Retries earned by each request; it bounds the amplification in the long run to one plus this. */
-  readonly share: number;
+  /** Retries earned by each request, read anew each time; one plus this bounds the amplification in the long run. */
+  readonly share: () => number;
 }
 
 /** A workspace's retries: a share of its requests, so that retries cannot multiply an overload. */
@@ -25,7 +25,7 @@
 
   /** Counts a first attempt. */
   earn(workspace: string): void {
-    this._saved.set(workspace, Math.min(MAX_SAVED_RETRIES, this._of(workspace) + this._options.share));
+    this._saved.set(workspace, Math.min(MAX_SAVED_RETRIES, this._of(workspace) + this._options.share()));
   }
 
   /** Takes one retry; false when the budget is spent. */
--- a/packages/core/src/streamReducer.ts
+++ b/packages/core/src/streamReducer.ts
@@ -1,5 +1,4 @@
 import type { z } from 'zod';
-import { sha256 } from './hashing.js';
 import { type Envelope, type Verdict, toWriterId } from './record.js';
 import { byKey, isSweepDue, StreamClock, type StreamClockState, WRITER_RETENTION_MS } from './streamClock.js';
 
@@ -116,8 +115,3 @@
     }
   }
 }
-
-/** Hash of a snapshot, to check a checkpoint after it was put together again. */
-export function hashSnapshot(text: string): string {
-  return sha256(text);
-}
--- a/packages/daemon/src/leasePuller.ts
+++ b/packages/daemon/src/leasePuller.ts
@@ -1,4 +1,10 @@
-import { type Candidate, type Clock, type Counters, pause, placeByRendezvous } from '@monsoonreach/core';
+import {
+  BackgroundLoop,
+  type Candidate,
+  type Clock,
+  type Counters,
+  placeByRendezvous,
+} from '@monsoonreach/core';
 import type { GroupLease, PeerClients } from '@monsoonreach/peers';
 
 const PULL_INTERVAL_MS = 500;
@@ -25,30 +31,33 @@
 
 /** Asks stewards for whole leases, each a moment after its last answer. */
 export class LeasePuller {
-  private readonly _controller = new AbortController();
   private readonly _asking = new Set<string>();
   private readonly _unanswering = new Set<string>();
-  private _loop: Promise<void> | undefined;
+  private readonly _loop = new BackgroundLoop({
+    turn: () => {
+      this._turn();
+    },
+    intervalMs: () => this._intervalMs(),
+  });
 
   constructor(private readonly _options: LeasePullerOptions) {}
 
   start(): void {
-    this._loop ??= this._run();
+    this._loop.start();
   }
 
-  async stop(): Promise<void> {
-    this._controller.abort();
-    await this._loop;
+  stop(): Promise<void> {
+    return this._loop.stop();
   }
 
-  private async _run(): Promise<void> {
-    const signal = this._controller.signal;
-    while (!signal.aborted) {
-      this._options.onTick?.();
-      for (const steward of this._chooseStewards()) void this._ask(steward);
-      const isSmall = this._options.stewards().length <= SMALL_FLEET;
-      await pause(isSmall ? PULL_INTERVAL_MS : LARGE_FLEET_PULL_INTERVAL_MS, signal);
-    }
+  private _turn(): void {
+    this._options.onTick?.();
+    for (const steward of this._chooseStewards()) void this._ask(steward);
+  }
+
+  private _intervalMs(): number {
+    const isSmall = this._options.stewards().length <= SMALL_FLEET;
+    return isSmall ? PULL_INTERVAL_MS : LARGE_FLEET_PULL_INTERVAL_MS;
   }
 
   private _chooseStewards(): readonly string[] {
@@ -65,7 +74,7 @@
     const { clients, clock, counters, self, onAnswer } = this._options;
     const querySentAtMs = clock.monotonic();
     try {
-      const options = { timeoutMs: CALL_TIMEOUT_MS, signal: this._controller.signal };
+      const options = { timeoutMs: CALL_TIMEOUT_MS, signal: this._loop.signal };
       const { groups } = await clients
         .leases(steward)
         .leases({ entry: self.id, unanswering: [...this._unanswering] }, options);
--- a/packages/daemon/src/liveInstances.ts
+++ b/packages/daemon/src/liveInstances.ts
@@ -1,4 +1,4 @@
-import { type Clock, pause } from '@monsoonreach/core';
+import { BackgroundLoop, type Clock } from '@monsoonreach/core';
 import { type ListedInstance, type LiveList, LiveListUnavailableError } from '@monsoonreach/platform';
 
 /** How often the live list is read, in milliseconds; with the lease's life it bounds how long a leaving target gets work. */
@@ -8,8 +8,10 @@
 export class LiveInstances {
   private _instances: ReadonlyMap<string, ListedInstance> = new Map();
   private _readAtMs: number | undefined;
-  private readonly _controller = new AbortController();
-  private _loop: Promise<void> | undefined;
+  private readonly _loop = new BackgroundLoop({
+    turn: () => this._read(),
+    intervalMs: () => POLL_INTERVAL_MS,
+  });
 
   constructor(
     private readonly _list: LiveList,
@@ -31,20 +33,11 @@
   }
 
   start(): void {
-    this._loop ??= this._run();
+    this._loop.start();
   }
 
-  async stop(): Promise<void> {
-    this._controller.abort();
-    await this._loop;
-  }
-
-  private async _run(): Promise<void> {
-    const signal = this._controller.signal;
-    while (!signal.aborted) {
-      await this._read();
-      await pause(POLL_INTERVAL_MS, signal);
-    }
+  stop(): Promise<void> {
+    return this._loop.stop();
   }
 
   private async _read(): Promise<void> {
--- a/packages/entry/src/completionRun.ts
+++ b/packages/entry/src/completionRun.ts
@@ -23,6 +23,7 @@
   TargetCallError,
 } from '@monsoonreach/targets';
 import { type EntryContext, spendRetry } from './entryContext.js';
+import type { InFlightCalls } from './inFlightCalls.js';
 
 /** How long a request waits for a group that may be given work, in milliseconds. */
 const GROUP_WAIT_MS = 2_000;
@@ -45,34 +46,6 @@
   readonly inFlight: InFlightCalls;
 }
 
-/** The calls in flight at each group, so that they end when the group is seen to be broken. */
-export class InFlightCalls {
-  private readonly _calls = new Map<string, Set<AbortController>>();
-
-  add(group: string, controller: AbortController): void {
-    const calls = this._calls.get(group) ?? new Set();
-    calls.add(controller);
-    this._calls.set(group, calls);
-  }
-
-  remove(group: string, controller: AbortController): void {
-    const calls = this._calls.get(group);
-    calls?.delete(controller);
-    if (calls?.size === 0) this._calls.delete(group);
-  }
-
-  /** Ends every call at a broken group. */
-  breakGroup(group: string): void {
-    for (const controller of this._calls.get(group) ?? []) controller.abort(new GroupBrokenError(group));
-  }
-}
-
-class GroupBrokenError extends TargetCallError {
-  constructor(group: string) {
-    super('group-broken', false, `Group ${group} is not whole any more.`);
-  }
-}
-
 /** One attempt at one group. */
 interface Attempt {
   readonly candidate: RouteCandidate;
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -7,8 +7,9 @@
   toFleetShare,
 } from '@monsoonreach/core';
 import type { CallContext, CompletionAnswer, CompletionRequest } from '@monsoonreach/callers';
-import { CompletionRun, InFlightCalls } from './completionRun.js';
+import { CompletionRun } from './completionRun.js';
 import { type EntryContext, localWorkspaceLimit } from './entryContext.js';
+import { InFlightCalls } from './inFlightCalls.js';
 
 /** Chat completions: who may ask, in what order, at which group. */
 export class Completions {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,5 +1,7 @@
 import {
   type Clock,
+  type ControlBody,
+  type ControlRejection,
   CrashSuspects,
   DEFAULT_RETRY_SHARE,
   type EntrySettings,
@@ -52,7 +54,7 @@
   private readonly _atMostOnce: AtMostOnce;
   private readonly _callers: CallerServer;
   private readonly _operators: OperatorsServer;
-  private readonly _controlWriter: LogWriter<never, never>;
+  private readonly _controlWriter: LogWriter<ControlBody, ControlRejection>;
 
   constructor(private readonly _settings: EntrySettings) {
     const clock = this._clock;
@@ -79,7 +81,7 @@
       isLeaving: (address) => this._isLeaving(address),
     });
     this._services = new ServiceCalls(context, targets, this._atMostOnce);
-    this._controlWriter = this._createControlWriter() as LogWriter<never, never>;
+    this._controlWriter = this._createControlWriter();
     this._callers = new CallerServer({
       address: _settings.callers.address,
       headerTimeoutMs: _settings.callers['header-timeout'],
@@ -235,13 +237,15 @@
       targets: this._targets,
       directory: this._directory,
       suspects: this._suspects,
-      budgets: new RetryBudgets({ share: DEFAULT_RETRY_SHARE }),
+      budgets: new RetryBudgets({
+        share: () => this._configuration()?.limits['retry-share'] ?? DEFAULT_RETRY_SHARE,
+      }),
       fleet: this._fleet,
       configuration: () => this._configuration(),
     };
   }
 
-  private _createControlWriter() {
+  private _createControlWriter(): LogWriter<ControlBody, ControlRejection> {
     const { log, writer, counters, controlStream } = this._fleet;
     const listen = controlStream.listen.bind(controlStream);
     return new LogWriter({ stream: 'control', log, writer, clock: this._clock, counters, listen });
@@ -256,7 +260,8 @@
   }
 
   private _publishQuarantine(fingerprint: string): void {
-    const body = { kind: 'quarantine', fingerprint, untilMs: this._clock.now() + QUARANTINE_MS } as never;
+    const untilMs = this._clock.now() + QUARANTINE_MS;
+    const body: ControlBody = { kind: 'quarantine', fingerprint, untilMs };
     void this._controlWriter.write(body, { timeoutMs: QUARANTINE_WRITE_TIMEOUT_MS }).catch(() => {
       this._fleet.counters.add('monsoonreach_quarantine_writes_lost_total');
     });
@@ -283,7 +288,8 @@
   }
 
   private _status() {
-    const { fleet, settings } = { fleet: this._fleet, settings: this._settings };
+    const fleet = this._fleet;
+    const settings = this._settings;
     const models = Object.keys(this._configuration()?.model ?? {});
     return {
       role: 'entry',
--- a/packages/entry/src/serviceCalls.ts
+++ b/packages/entry/src/serviceCalls.ts
@@ -152,7 +152,8 @@
 
   private async _send(prepared: PreparedCall, target: string): Promise<ServiceAnswer> {
     const { request, call, service } = prepared;
-    const { context, targets } = { context: this._context, targets: this._targets };
+    const context = this._context;
+    const targets = this._targets;
     const startedAtMs = context.clock.monotonic();
     context.counters.add('monsoonreach_dispatches_total', { kind: 'service' });
     context.traces.note(call.requestId, `sent to target ${target}`);
--- /dev/null
+++ b/packages/operators/src/oneRecord.ts
@@ -0,0 +1,44 @@
+import { randomUUID } from 'node:crypto';
+import { type Clock, Counters, type Log, type StreamState } from '@monsoonreach/core';
+import { LogWriter, type StreamFollower, type WrittenRecord } from '@monsoonreach/platform';
+
+const WRITE_TIMEOUT_MS = 10_000;
+
+/** With what an operator writes to the log. */
+export interface OperatorLog {
+  readonly log: Log;
+  readonly clock: Clock;
+  /** Whom the record is by. */
+  readonly operator: string;
+}
+
+/**
+ * Writes one record and reads it back.
+ * @throws an append error when the log does not confirm it.
+ */
+export async function writeOneRecord<
+  Body,
+  Rejection extends string,
+  State extends StreamState<Body, Rejection>,
+>(
+  { log, clock, operator }: OperatorLog,
+  stream: string,
+  follower: StreamFollower<Body, Rejection, State>,
+  body: Body,
+): Promise<WrittenRecord<Rejection>> {
+  const writer = new LogWriter<Body, Rejection>({
+    stream,
+    log,
+    writer: { address: operator, incarnation: randomUUID() },
+    clock,
+    counters: new Counters(),
+    listen: (listener) => follower.listen(listener),
+  });
+  follower.start();
+  try {
+    return await writer.write(body, { timeoutMs: WRITE_TIMEOUT_MS });
+  } finally {
+    writer.close();
+    await follower.stop();
+  }
+}
--- a/packages/operators/src/publisher.ts
+++ b/packages/operators/src/publisher.ts
@@ -1,18 +1,12 @@
-import { randomUUID } from 'node:crypto';
 import {
-  type Clock,
-  configurationDefinition,
   type ConfigurationBody,
-  type ConfigurationRejection,
-  Counters,
-  type Log,
+  configurationDefinition,
   MonsoonreachError,
   parseConfiguration,
   type PublishedConfiguration,
 } from '@monsoonreach/core';
-import { LogWriter, StreamFollower } from '@monsoonreach/platform';
-
-const WRITE_TIMEOUT_MS = 10_000;
+import { StreamFollower } from '@monsoonreach/platform';
+import { type OperatorLog, writeOneRecord } from './oneRecord.js';
 
 /** Another operator's publication came first; nothing was changed. */
 export class PublicationRaceError extends MonsoonreachError {
@@ -25,17 +19,9 @@
   }
 }
 
-/** What a publisher is made of. */
-export interface PublisherOptions {
-  readonly log: Log;
-  readonly clock: Clock;
-  /** Whom the publication is by. */
-  readonly operator: string;
-}
-
 /** Reads and publishes the configuration through the platform's log. */
 export class Publisher {
-  constructor(private readonly _options: PublisherOptions) {}
+  constructor(private readonly _options: OperatorLog) {}
 
   /** The configuration that was accepted last. */
   async readCurrent(): Promise<PublishedConfiguration | undefined> {
@@ -51,29 +37,12 @@
    */
   async publish(text: string, basis: number): Promise<number> {
     parseConfiguration(text);
-    const { log, clock, operator } = this._options;
     const follower = this._createFollower();
     await readToHead(follower);
-    const writer = new LogWriter<ConfigurationBody, ConfigurationRejection>({
-      stream: 'config',
-      log,
-      writer: { address: operator, incarnation: randomUUID() },
-      clock,
-      counters: new Counters(),
-      listen: (listener) => follower.listen(listener),
-    });
-    follower.start();
-    try {
-      const { verdict } = await writer.write(
-        { kind: 'publish', basis, text },
-        { timeoutMs: WRITE_TIMEOUT_MS },
-      );
-      if (verdict.kind === 'accepted') return verdict.position;
-      throw new PublicationRaceError(follower.state.current());
-    } finally {
-      writer.close();
-      await follower.stop();
-    }
+    const body: ConfigurationBody = { kind: 'publish', basis, text };
+    const { verdict } = await writeOneRecord(this._options, 'config', follower, body);
+    if (verdict.kind === 'accepted') return verdict.position;
+    throw new PublicationRaceError(follower.state.current());
   }
 
   private _createFollower() {
--- a/packages/peers/src/convert.ts
+++ b/packages/peers/src/convert.ts
@@ -1,4 +1,4 @@
-import type { Log, LogSlice, NodeDigest, NodeRole, VersionVector } from '@monsoonreach/core';
+import type { LogSlice, NodeDigest, NodeRole, VersionVector } from '@monsoonreach/core';
 import { ValidationError } from '@monsoonreach/core';
 import type { MessageInitShape } from '@bufbuild/protobuf';
 import type {
@@ -82,6 +82,3 @@
     isCurrent: message.current,
   };
 }
-
-/** The stream and offset that a relay is asked for. */
-export type LogReader = Pick<Log, 'read'>;
--- a/packages/peers/src/digestExchange.ts
+++ b/packages/peers/src/digestExchange.ts
@@ -1,5 +1,5 @@
 import type { ConnectRouter } from '@connectrpc/connect';
-import { type Counters, EXCHANGE_INTERVAL_MS, type Membership, pause } from '@monsoonreach/core';
+import { BackgroundLoop, type Counters, EXCHANGE_INTERVAL_MS, type Membership } from '@monsoonreach/core';
 import { fromDigestMessage, fromKnownMessages, toDigestMessage, toKnownMessages } from './convert.js';
 import { DigestService } from './generated/monsoonreach/v1/peers_pb.js';
 import type { PeerClients } from './peerClients.js';
@@ -23,8 +23,10 @@
 
 /** Exchanges digests with one random peer in each interval, both ways. */
 export class DigestExchange {
-  private readonly _controller = new AbortController();
-  private _loop: Promise<void> | undefined;
+  private readonly _loop = new BackgroundLoop({
+    turn: () => this._turn(),
+    intervalMs: () => this._intervalMs(),
+  });
 
   constructor(private readonly _options: DigestExchangeOptions) {}
 
@@ -43,12 +45,11 @@
   }
 
   start(): void {
-    this._loop ??= this._run();
+    this._loop.start();
   }
 
-  async stop(): Promise<void> {
-    this._controller.abort();
-    await this._loop;
+  stop(): Promise<void> {
+    return this._loop.stop();
   }
 
   /** Exchanges with one peer now. */
@@ -81,14 +82,13 @@
     await Promise.all(told.map(({ node }) => this.exchangeWith(node)));
   }
 
-  private async _run(): Promise<void> {
-    const { membership, refresh } = this._options;
-    const signal = this._controller.signal;
-    while (!signal.aborted) {
-      refresh();
-      const peer = membership.choosePeer();
-      if (peer !== undefined) await this.exchangeWith(peer);
-      await pause(membership.members().length === 0 ? JOIN_INTERVAL_MS : EXCHANGE_INTERVAL_MS, signal);
-    }
+  private async _turn(): Promise<void> {
+    this._options.refresh();
+    const peer = this._options.membership.choosePeer();
+    if (peer !== undefined) await this.exchangeWith(peer);
+  }
+
+  private _intervalMs(): number {
+    return this._options.membership.members().length === 0 ? JOIN_INTERVAL_MS : EXCHANGE_INTERVAL_MS;
   }
 }
--- a/packages/platform/src/streamFollower.ts
+++ b/packages/platform/src/streamFollower.ts
@@ -1,4 +1,5 @@
 import {
+  BackgroundLoop,
   CheckpointAssembler,
   type Clock,
   decodeEnvelope,
@@ -7,13 +8,11 @@
   type LogBatch,
   LogGapError,
   LogUnavailableError,
-  pause,
   type ReductionSnapshot,
   type StreamDefinition,
   StreamReducer,
   type StreamState,
   toPosition,
-  toWriterId,
   UnsupportedFormatError,
   type Verdict,
   ValidationError,
@@ -49,9 +48,12 @@
   private _next = 0;
   private _caughtUpAtMs: number | undefined;
   private _failure: Error | undefined;
-  private readonly _controller = new AbortController();
+  private _isLastReadDone = true;
   private readonly _listeners = new Set<(record: DecidedRecord<Body, Rejection>) => void>();
-  private _loop: Promise<void> | undefined;
+  private readonly _loop = new BackgroundLoop({
+    turn: () => this._turn(),
+    intervalMs: () => (this._isLastReadDone ? 0 : RETRY_DELAY_MS),
+  });
 
   constructor(private readonly _options: StreamFollowerOptions<Body, Rejection, State>) {
     this._reducer = new StreamReducer(_options.definition);
@@ -97,18 +99,17 @@
   }
 
   start(): void {
-    this._loop ??= this._run();
+    this._loop.start();
   }
 
-  async stop(): Promise<void> {
-    this._controller.abort();
-    await this._loop;
+  stop(): Promise<void> {
+    return this._loop.stop();
   }
 
   /** Reads once; public so that tests can step it. */
   async step(waitMs: number): Promise<void> {
     const { stream, log, clock } = this._options;
-    const signal = this._controller.signal;
+    const signal = this._loop.signal;
     const slice = await log.read(stream, this._next, { waitMs, limit: READ_LIMIT, signal });
     if (this._next < slice.first) {
       await this._loadCheckpoint(slice.first);
@@ -118,16 +119,14 @@
     if (slice.isCurrent && this._next >= slice.head) this._caughtUpAtMs = clock.monotonic();
   }
 
-  private async _run(): Promise<void> {
-    const signal = this._controller.signal;
-    while (!signal.aborted) {
-      try {
-        await this.step(READ_WAIT_MS);
-        this._failure = undefined;
-      } catch (error) {
-        if (error instanceof Error && !(error instanceof LogUnavailableError)) this._failure = error;
-        await pause(RETRY_DELAY_MS, signal);
-      }
+  private async _turn(): Promise<void> {
+    try {
+      await this.step(READ_WAIT_MS);
+      this._failure = undefined;
+      this._isLastReadDone = true;
+    } catch (error) {
+      this._isLastReadDone = false;
+      if (error instanceof Error && !(error instanceof LogUnavailableError)) this._failure = error;
     }
   }
 
@@ -163,7 +162,7 @@
     const { stream, log, definition } = this._options;
     const assembler = new CheckpointAssembler();
     for (let from = first; ;) {
-      const slice = await log.read(stream, from, { limit: READ_LIMIT, signal: this._controller.signal });
+      const slice = await log.read(stream, from, { limit: READ_LIMIT, signal: this._loop.signal });
       for (const batch of slice.batches) this._collectChunks(batch, assembler);
       from = (slice.batches.at(-1)?.offset ?? from - 1) + 1;
       if (slice.batches.length === 0 || from >= slice.head) break;
@@ -184,8 +183,3 @@
     }
   }
 }
-
-/** Whether the record was written by this process life with this sequence. */
-export function isOwnRecord(envelope: Envelope<unknown>, writerId: string, sequence: number): boolean {
-  return toWriterId(envelope.writer) === writerId && envelope.sequence === sequence;
-}
--- a/packages/steward/src/checkpointing.ts
+++ b/packages/steward/src/checkpointing.ts
@@ -1,10 +1,10 @@
 import { randomUUID } from 'node:crypto';
 import {
+  BackgroundLoop,
   type Candidate,
   encodeEnvelope,
   type Log,
   LogUnavailableError,
-  pause,
   placeByRendezvous,
   RECORD_FORMAT,
   type ReductionSnapshot,
@@ -38,27 +38,24 @@
 
 /** Writes checkpoints of the streams that fall to this steward by rendezvous. Two at once do no harm. */
 export class Checkpointing {
-  private readonly _controller = new AbortController();
   private readonly _lastThrough = new Map<string, number>();
-  private _loop: Promise<void> | undefined;
+  private readonly _loop = new BackgroundLoop({
+    turn: () => this._writeAllDue(),
+    intervalMs: () => TICK_MS,
+  });
 
   constructor(private readonly _options: CheckpointingOptions) {}
 
   start(): void {
-    this._loop ??= this._run();
+    this._loop.start();
   }
 
-  async stop(): Promise<void> {
-    this._controller.abort();
-    await this._loop;
+  stop(): Promise<void> {
+    return this._loop.stop();
   }
 
-  private async _run(): Promise<void> {
-    const signal = this._controller.signal;
-    while (!signal.aborted) {
-      for (const [name, stream] of this._options.streams) await this._writeIfDue(name, stream);
-      await pause(TICK_MS, signal);
-    }
+  private async _writeAllDue(): Promise<void> {
+    for (const [name, stream] of this._options.streams) await this._writeIfDue(name, stream);
   }
 
   private async _writeIfDue(name: string, stream: CheckpointedStream): Promise<void> {
@@ -79,7 +76,7 @@
         const writer = { address: CHECKPOINT_WRITER, incarnation: id };
         const body = { kind: 'checkpoint', chunk };
         const envelope = { format: RECORD_FORMAT, writer, sequence: chunk.index, writtenAtMs: 0, body };
-        await log.append(name, [encodeEnvelope(envelope)], this._controller.signal);
+        await log.append(name, [encodeEnvelope(envelope)], this._loop.signal);
       }
       counters.add('monsoonreach_checkpoints_total', { stream: name, result: 'written' });
       counters.set('monsoonreach_checkpoint_written_at_ms', clock.now(), { stream: name });
--- a/packages/steward/src/index.ts
+++ b/packages/steward/src/index.ts
@@ -1,5 +1,6 @@
 /** Group planning, watching and checkpoints as a daemon. */
 export * from './checkpointing.js';
+export * from './engineOrders.js';
 export * from './planning.js';
 export * from './prober.js';
 export * from './steward.js';
--- a/packages/steward/src/planning.ts
+++ b/packages/steward/src/planning.ts
@@ -1,36 +1,32 @@
 import {
   AppendNotSentError,
   AppendUnknownError,
+  BackgroundLoop,
   type Candidate,
   type Clock,
   type Configuration,
   type ControlBody,
   type ControlRejection,
   type Counters,
-  engineOf,
   type Group,
   type GroupHealth,
   type Groups,
-  type InstanceStanding,
-  pause,
   placeByRendezvous,
   type PlannedInstance,
   planFabricDomain,
   type PlanStep,
   type StateLog,
-  toPosition,
   toWriterId,
   type Verdict,
   type Writer,
 } from '@monsoonreach/core';
 import type { ListedInstance, LogWriter } from '@monsoonreach/platform';
-import { EngineCallError, type EngineOrder } from '@monsoonreach/targets';
 import { v7 as uuidv7 } from 'uuid';
+import { EngineOrders } from './engineOrders.js';
 import type { Observation, Prober } from './prober.js';
 
 const TICK_MS = 250;
 const PLAN_INTERVAL_MS = 500;
-const ORDER_INTERVAL_MS = 1_000;
 const WRITE_TIMEOUT_MS = 5_000;
 /** Interval of the probes of instances that are well or that wait, in milliseconds. */
 const STEADY_INTERVAL_MS = 4_000;
@@ -61,26 +57,39 @@
 
 /** Plans the fabric domains whose lease this steward holds, and carries the plans out. */
 export class Planning {
-  private readonly _controller = new AbortController();
   private readonly _lastPlanMs = new Map<string, number>();
-  private readonly _lastOrderMs = new Map<string, number>();
-  private readonly _intentSeenAtMs = new Map<number, number>();
   private readonly _assignedAtMs = new Map<string, number>();
-  private readonly _ordering = new Set<string>();
+  private readonly _orders: EngineOrders;
   private _loadMs = DEFAULT_LOAD_MS;
   private _known: ReadonlyMap<string, PlannedInstance> = new Map();
   private _knownUntilMs = -Infinity;
-  private _loop: Promise<void> | undefined;
-
-  constructor(private readonly _options: PlanningOptions) {}
+  private readonly _loop = new BackgroundLoop({
+    turn: () => this._turn(),
+    intervalMs: () => TICK_MS,
+  });
+
+  constructor(private readonly _options: PlanningOptions) {
+    const { clock, counters, groups, configuration, prober, controlNext } = _options;
+    this._orders = new EngineOrders({
+      clock,
+      counters,
+      groups,
+      configuration,
+      prober,
+      controlNext,
+      write: (body) => this._write(body),
+      onLoaded: (group) => {
+        this._noteLoaded(group);
+      },
+    });
+  }
 
   start(): void {
-    this._loop ??= this._run();
+    this._loop.start();
   }
 
-  async stop(): Promise<void> {
-    this._controller.abort();
-    await this._loop;
+  stop(): Promise<void> {
+    return this._loop.stop();
   }
 
   /** How long loading a group takes as measured so far, in milliseconds. */
@@ -103,20 +112,16 @@
     return targets;
   }
 
-  private async _run(): Promise<void> {
-    const signal = this._controller.signal;
-    while (!signal.aborted) {
-      if (this._options.isControlRead() && this._options.configuration()) await this._tick();
-      await pause(TICK_MS, signal);
-    }
+  private async _turn(): Promise<void> {
+    if (this._options.isControlRead() && this._options.configuration()) await this._tick();
   }
 
   private async _tick(): Promise<void> {
-    this._noteIntents();
+    this._orders.noteIntents();
     for (const domain of this._domains()) {
       await this._keepLease(domain);
       if (this._leaseOf(domain) === undefined) continue;
-      this._carryOut(domain);
+      this._orders.carryOut(this._instancesOf(domain));
       if (this._isDue(this._lastPlanMs, domain, PLAN_INTERVAL_MS)) await this._plan(domain);
     }
   }
@@ -162,138 +167,6 @@
     if (step.kind === 'assign') this._assignedAtMs.set(body.group, this._options.clock.monotonic());
   }
 
-  /** Orders, read-backs and releases of the domain's instances; none waits for another. */
-  private _carryOut(domain: string): void {
-    const groups = this._options.groups();
-    for (const instance of this._instances().values()) {
-      if (instance.fabricDomain !== domain) continue;
-      const observation = this._options.prober.observe(instance.address);
-      if (!observation?.status || observation.darkSinceMs !== undefined) continue;
-      this._carryOutOne(instance.address, groups.findInstance(instance.address), observation);
-    }
-  }
-
-  private _carryOutOne(
-    address: string,
-    standing: InstanceStanding | undefined,
-    observation: Observation,
-  ): void {
-    const { status } = observation;
-    if (!status) return;
-    const isIdle = status.phase === 'idle' && status.group === null;
-    if (standing?.kind === 'member' && status.boot === standing.boot) {
-      const group = this._options.groups().findGroup(standing.group);
-      if (group && isIdle) this._order(address, toLoadOrder(group, address), group);
-      if (group && status.phase === 'ready' && status.group === group.id) this._noteLoaded(group);
-      return;
-    }
-    if (standing?.kind === 'member') return;
-    const needsFence = this._checksFencing(standing) && status.fencing < (standing?.position ?? 0);
-    if (!isIdle || needsFence) this._orderStop(address, standing, status.group ?? '');
-    else if (standing?.kind !== 'released' || standing.boot !== status.boot)
-      this._release(address, status.boot, observation);
-  }
-
-  /** An idle engine may still get an order that is late; a raised fencing number refuses it. */
-  private _checksFencing(standing: InstanceStanding | undefined): boolean {
-    const configuration = this._options.configuration();
-    if (!standing || standing.kind === 'member' || !configuration) return false;
-    if (standing.kind === 'released') {
-      return Object.values(configuration.engine).every((engine) => engine['checks-fencing']);
-    }
-    const group = this._options.groups().findGroup(standing.group);
-    const model = group && configuration.model[group.model];
-    return model !== undefined && engineOf(configuration, model)['checks-fencing'];
-  }
-
-  private _orderStop(address: string, standing: InstanceStanding | undefined, groupId: string): void {
-    const group =
-      standing?.kind === 'stopping' ? this._options.groups().findGroup(standing.group) : undefined;
-    const fencing = group?.dissolvedAt ?? standing?.position ?? toPosition(this._options.controlNext(), 0);
-    this._order(address, { order: 'stop', group: groupId, fencing }, group);
-  }
-
-  private _order(address: string, order: EngineOrder, group: Group | undefined): void {
-    if (this._ordering.has(address) || !this._isDue(this._lastOrderMs, address, ORDER_INTERVAL_MS)) return;
-    this._ordering.add(address);
-    void this._sendOrder(address, order, group).finally(() => this._ordering.delete(address));
-  }
-
-  /** Engines that ignore fencing numbers get no order whose intent was not read back from the log first. */
-  private async _sendOrder(address: string, order: EngineOrder, group: Group | undefined): Promise<void> {
-    const configuration = this._options.configuration();
-    const model = group && configuration?.model[group.model];
-    const engine = model && configuration && engineOf(configuration, model);
-    const timeoutMs = engine?.['order-timeout'] ?? ORDER_INTERVAL_MS;
-    const needsIntent = group !== undefined && engine?.['checks-fencing'] !== true;
-    const intent = needsIntent ? await this._announce(address, order, group.id) : undefined;
-    if (needsIntent && intent === undefined) return;
-    try {
-      await this._options.prober.clientOf(address).order(order, timeoutMs);
-      this._options.counters.add('monsoonreach_orders_total', { order: order.order, result: 'taken' });
-    } catch (error) {
-      if (!(error instanceof EngineCallError)) throw error;
-      this._options.counters.add('monsoonreach_orders_total', { order: order.order, result: error.fault });
-      if (error.fault === 'timeout') return;
-    }
-    if (intent !== undefined) await this._write({ kind: 'outcome', address, intent });
-  }
-
-  private async _announce(address: string, order: EngineOrder, group: string): Promise<number | undefined> {
-    const verdict = await this._write({
-      kind: 'intent',
-      address,
-      order: order.order,
-      group,
-      epoch: order.fencing,
-    });
-    return verdict?.kind === 'accepted' ? verdict.position : undefined;
-  }
-
-  private _release(address: string, boot: string, observation: Observation): void {
-    const settled = this._settledIntents(address, observation);
-    if (settled === undefined || this._ordering.has(address)) return;
-    this._ordering.add(address);
-    const body: ControlBody = {
-      kind: 'release',
-      instance: { address, boot },
-      basis: observation.basis,
-      settled,
-    };
-    void this._write(body).finally(() => this._ordering.delete(address));
-  }
-
-  /** The open intents of an instance, once it was idle for longer than any of them can be late. */
-  private _settledIntents(address: string, observation: Observation): readonly number[] | undefined {
-    const intents = this._options.groups().intentsOf(address);
-    const nowMs = this._options.clock.monotonic();
-    const waitMs = this._longestOrderMs();
-    const isSettled = intents.every((intent) => {
-      const seenAtMs = this._intentSeenAtMs.get(intent.position) ?? nowMs;
-      const sinceMs = Math.max(seenAtMs, observation.idleSinceMs ?? nowMs);
-      return nowMs - sinceMs > waitMs;
-    });
-    return isSettled ? intents.map(({ position }) => position) : undefined;
-  }
-
-  private _longestOrderMs(): number {
-    const engines = Object.values(this._options.configuration()?.engine ?? {});
-    return Math.max(0, ...engines.map((engine) => engine['order-timeout']));
-  }
-
-  private _noteIntents(): void {
-    const open = new Set<number>();
-    for (const address of this._options.groups().instances().keys()) {
-      for (const { position } of this._options.groups().intentsOf(address)) open.add(position);
-    }
-    for (const position of open) {
-      if (!this._intentSeenAtMs.has(position))
-        this._intentSeenAtMs.set(position, this._options.clock.monotonic());
-    }
-    for (const position of this._intentSeenAtMs.keys())
-      if (!open.has(position)) this._intentSeenAtMs.delete(position);
-  }
-
   private _noteLoaded(group: Group): void {
     const assignedAtMs = this._assignedAtMs.get(group.id);
     if (assignedAtMs === undefined || this._healthOf(group, group.fabricDomain).phase !== 'whole') return;
@@ -368,6 +241,10 @@
     }
   }
 
+  private _instancesOf(domain: string): readonly PlannedInstance[] {
+    return [...this._instances().values()].filter(({ fabricDomain }) => fabricDomain === domain);
+  }
+
   private _domains(): readonly string[] {
     return [...new Set([...this._instances().values()].map(({ fabricDomain }) => fabricDomain))].sort();
   }
@@ -415,18 +292,6 @@
   return status.group !== null && (status.group !== group.id || status.epoch !== group.epoch);
 }
 
-function toLoadOrder(group: Group, address: string): EngineOrder {
-  return {
-    order: 'load',
-    group: group.id,
-    fencing: group.epoch,
-    model: group.model,
-    version: group.version,
-    rank: group.members.findIndex((member) => member.address === address),
-    members: group.members.map((member) => member.address),
-  };
-}
-
 type PlanBody = Extract<ControlBody, { readonly kind: 'assign' | 'dissolve' }>;
 
 function toPlanBody(step: PlanStep, domain: string, lease: number): PlanBody {
--- a/packages/steward/src/prober.ts
+++ b/packages/steward/src/prober.ts
@@ -1,4 +1,4 @@
-import { type Clock, pause } from '@monsoonreach/core';
+import { BackgroundLoop, type Clock } from '@monsoonreach/core';
 import { EngineCallError, EngineClient, type EngineStatus } from '@monsoonreach/targets';
 
 const TICK_MS = 100;
@@ -36,18 +36,16 @@
   private readonly _clients = new Map<string, EngineClient>();
   private readonly _probing = new Set<string>();
   private readonly _lastProbeMs = new Map<string, number>();
-  private readonly _controller = new AbortController();
-  private _loop: Promise<void> | undefined;
+  private readonly _loop = new BackgroundLoop({ turn: () => this._turn(), intervalMs: () => TICK_MS });
 
   constructor(private readonly _options: ProberOptions) {}
 
   start(): void {
-    this._loop ??= this._run();
+    this._loop.start();
   }
 
   async stop(): Promise<void> {
-    this._controller.abort();
-    await this._loop;
+    await this._loop.stop();
     await Promise.all([...this._clients.values()].map((client) => client.close()));
   }
 
@@ -64,14 +62,10 @@
     return client;
   }
 
-  private async _run(): Promise<void> {
-    const signal = this._controller.signal;
-    while (!signal.aborted) {
-      const targets = this._options.targets();
-      this._probeDue(targets);
-      await this._forget(targets);
-      await pause(TICK_MS, signal);
-    }
+  private async _turn(): Promise<void> {
+    const targets = this._options.targets();
+    this._probeDue(targets);
+    await this._forget(targets);
   }
 
   private _probeDue(targets: ReadonlyMap<string, number>): void {
--- a/packages/targets/src/engineClient.ts
+++ b/packages/targets/src/engineClient.ts
@@ -1,4 +1,4 @@
-import { isEqualInConstantTime, MonsoonreachError, splitAddress, type OrderKind } from '@monsoonreach/core';
+import { MonsoonreachError, splitAddress, type OrderKind } from '@monsoonreach/core';
 import { Pool } from 'undici';
 import { z } from 'zod';
 
@@ -108,8 +108,3 @@
   const code = (error as { readonly code?: unknown }).code;
   return REFUSED_CODES.includes(code) ? 'unreachable' : 'timeout';
 }
-
-/** Whether an echoed request id is the one that was sent. */
-export function isOwnEcho(sent: string, echoed: string | undefined): boolean {
-  return echoed !== undefined && isEqualInConstantTime(sent, echoed);
-}
