Peers' clients take a renewed certificate for new connections

Cause: servers read renewed TLS files anew, clients only for peers they had not met; a renewed certificate would have been used by one side only. Change: both watch the certificate's file (by polling, which also sees a rename); clients open new connections with the new files, calls under way end on the old. Not tested: a renewal under load.

--- a/packages/peers/src/peerClients.ts
+++ b/packages/peers/src/peerClients.ts
@@ -2,7 +2,7 @@
 import { createConnectTransport } from '@connectrpc/connect-node';
 import type { DescService } from '@bufbuild/protobuf';
 import { DigestService, LeaseService, LogService } from './generated/monsoonreach/v1/peers_pb.js';
-import { type PeerTls, readTls, SECRET_HEADER } from './peerServer.js';
+import { type PeerTls, readTls, SECRET_HEADER, watchCertificate } from './peerServer.js';
 
 /** How to reach peers. */
 export interface PeerClientsOptions {
@@ -14,7 +14,10 @@
 export class PeerClients {
   private readonly _transports = new Map<string, Transport>();
 
-  constructor(private readonly _options: PeerClientsOptions) {}
+  constructor(private readonly _options: PeerClientsOptions) {
+    // Calls under way end on their old connections; later ones connect with the renewed files.
+    if (_options.tls) watchCertificate(_options.tls, () => this._transports.clear());
+  }
 
   leases(peer: string): Client<typeof LeaseService> {
     return this._client(LeaseService, peer);
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -1,4 +1,4 @@
-import { readFileSync, watch, type FSWatcher } from 'node:fs';
+import { readFileSync, unwatchFile, watchFile } from 'node:fs';
 import http2 from 'node:http2';
 import {
   Code,
@@ -34,7 +34,7 @@
 export class PeerServer {
   private readonly _server: AnyServer;
   private readonly _sessions = new Set<http2.ServerHttp2Session>();
-  private _watcher: FSWatcher | undefined;
+  private _stopWatching: () => void = () => undefined;
 
   constructor(private readonly _options: PeerServerOptions) {
     const handler = connectNodeAdapter({
@@ -58,7 +58,7 @@
   }
 
   async close(): Promise<void> {
-    this._watcher?.close();
+    this._stopWatching();
     const closed = new Promise<void>((resolve) => {
       this._server.close(() => {
         resolve();
@@ -75,13 +75,24 @@
       { ...readTls(tls), requestCert: true, rejectUnauthorized: true },
       handler,
     );
-    this._watcher = watch(tls.certificate, () => {
+    this._stopWatching = watchCertificate(tls, () => {
       server.setSecureContext(readTls(tls));
     });
     return server;
   }
 }
 
+/** How often it is looked whether the certificate was renewed, in milliseconds. */
+const RENEWAL_CHECK_MS = 1_000;
+
+/** Calls the listener when the certificate's file is renewed, also by a rename; returns how to stop. */
+export function watchCertificate(tls: PeerTls, onRenewed: () => void): () => void {
+  watchFile(tls.certificate, { persistent: false, interval: RENEWAL_CHECK_MS }, onRenewed);
+  return () => {
+    unwatchFile(tls.certificate, onRenewed);
+  };
+}
+
 /** Reads the files of a node's TLS identity. */
 export function readTls(tls: PeerTls): { readonly cert: Buffer; readonly key: Buffer; readonly ca: Buffer } {
   return { cert: readFileSync(tls.certificate), key: readFileSync(tls.key), ca: readFileSync(tls.ca) };
