Test that a caller's cancel reaches the target

Change: the engine stand-in notes a stream that was cut before its end; the test cancels a slow stream and waits for that note.

--- a/tests/entry/wholePath.test.ts
+++ b/tests/entry/wholePath.test.ts
@@ -183,6 +183,24 @@
   t.equal(runsOf(key), 2);
 });
 
+void t.test("a caller's cancel reaches the target", async (t) => {
+  for (const engine of fleet.engines) await fetch(`http://${engine.address}/slow?factor=20`);
+  const content = `cancelled-${uuidv7()}`;
+  const body = JSON.stringify({ model: 'assistant', stream: true, messages: [{ role: 'user', content }] });
+  const controller = new AbortController();
+  const url = `http://${address(1)}/v1/chat/completions`;
+  const { signal } = controller;
+  const response = await fetch(url, { method: 'POST', headers: bearer(TOKENS.fitters), body, signal });
+  t.equal(response.status, 200);
+  controller.abort();
+  const isCancelled = () =>
+    Promise.resolve(
+      fleet.readJournal().some((line) => line['event'] === 'cancelled' && line['body'] === body),
+    );
+  await fleet.waitUntil('the engine to see the cancel', isCancelled, 60_000);
+  for (const engine of fleet.engines) await fetch(`http://${engine.address}/slow?factor=1`);
+});
+
 void t.test('a planned stop finishes what is in progress and exits with 0', async (t) => {
   const [entry] = fleet.entries;
   if (!entry) throw new Error('The fleet has entries.');
--- a/tests/standins/engineStandin.ts
+++ b/tests/standins/engineStandin.ts
@@ -189,7 +189,7 @@
     response.writeHead(200, { 'content-type': 'text/event-stream' });
     for (const [index, word] of words.entries()) {
       if (index <= after) continue;
-      if (response.destroyed) return;
+      if (response.destroyed) return this._journal.write({ event: 'cancelled', address: this.address, body });
       const isLast = index === words.length - 1;
       if (!response.write(toEvent(index, parsed.model, word, isLast))) await drained(response);
       await sleep(tokenMs * this._slowFactor);
