Tell of a broken group once; drop an unused option and a no-op

Cause: reading the whole change again: each lease answer, twice a second, that still showed a group broken told its loss anew, so requests whose first choice it was were held 150 ms again and again until the group was dissolved. The run of a completion was given an admission that it never used, and peer servers a context function that does what happens without it. Change: a loss is told when it is first seen, and again only after the group was whole in between; the two leftovers are gone.

--- a/packages/entry/src/completionRun.ts
+++ b/packages/entry/src/completionRun.ts
@@ -1,5 +1,4 @@
 import {
-  type Admission,
   Deadline,
   type Dispatched,
   type Group,
@@ -36,7 +35,6 @@
 export interface CompletionRunOptions {
   readonly context: EntryContext;
   readonly router: Router;
-  readonly admission: Admission;
   readonly request: CompletionRequest;
   readonly call: CallContext;
   readonly model: ModelConfiguration;
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -57,7 +57,6 @@
     const run = new CompletionRun({
       context: this._context,
       router: this._router,
-      admission: this._admissionOf(request.model, configuration),
       request,
       call,
       model,
--- a/packages/entry/src/groupDirectory.ts
+++ b/packages/entry/src/groupDirectory.ts
@@ -28,6 +28,7 @@
   readonly stragglers: Stragglers;
   readonly losses: RecentLosses;
   private readonly _leases: WholeLeases;
+  private readonly _knownBroken = new Set<string>();
   private readonly _lostListeners = new Set<(group: string) => void>();
 
   constructor(private readonly _options: GroupDirectoryOptions) {
@@ -52,10 +53,18 @@
     this._leases.renew(querySentAtMs, grants);
     for (const lease of leases) {
       this.loads.report(lease.group, lease.inFlight, lease.loadAgeMs);
-      if (lease.missing.length > 0) this._tellLost(lease.group);
+      this._noteMissing(lease);
     }
   }
 
+  /** Tells of a broken group once, not with each answer that still shows it broken. */
+  private _noteMissing({ group, missing, remainingMs }: GroupLease): void {
+    if (remainingMs > 0) this._knownBroken.delete(group);
+    if (missing.length === 0 || this._knownBroken.has(group)) return;
+    this._knownBroken.add(group);
+    this._tellLost(group);
+  }
+
   /** Call it on a steady timer. */
   tick(): boolean {
     const groups = new Set(
@@ -66,6 +75,7 @@
     );
     this.loads.retain(groups);
     this.stragglers.retain(groups);
+    for (const group of this._knownBroken) if (!groups.has(group)) this._knownBroken.delete(group);
     return this._leases.tick();
   }
 
--- a/packages/peers/src/peerServer.ts
+++ b/packages/peers/src/peerServer.ts
@@ -1,12 +1,6 @@
 import { readFileSync, unwatchFile, watchFile } from 'node:fs';
 import http2 from 'node:http2';
-import {
-  Code,
-  ConnectError,
-  type ConnectRouter,
-  createContextValues,
-  type Interceptor,
-} from '@connectrpc/connect';
+import { Code, ConnectError, type ConnectRouter, type Interceptor } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import { isEqualInConstantTime, splitAddress } from '@monsoonreach/core';
 
@@ -40,7 +34,6 @@
     const handler = connectNodeAdapter({
       routes: _options.routes,
       interceptors: [checkSecret(_options.secret)],
-      contextValues: () => createContextValues(),
     });
     this._server = this._createServer(handler);
     this._server.on('session', (session: http2.ServerHttp2Session) => {
