--- a/bench/claims.ts
+++ b/bench/claims.ts
@@ -13,7 +13,7 @@
   systemClock,
   toClaimsStream,
 } from '@monsoonreach/core';
-import { HttpLog, LogWriter, StreamFollower } from '@monsoonreach/platform';
+import { HttpLog, LogWriter, StreamFollower } from '@monsoonreach/log';
 import { v7 as uuidv7 } from 'uuid';
 import { LogStandin } from '../tests/standins/logStandin.js';
 import { LocalFleet } from '../tests/support/localFleet.js';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -31,6 +31,7 @@
 export * from './repair.js';
 export * from './retries.js';
 export * from './router.js';
+export * from './serving/index.js';
 export * from './settings.js';
 export * from './shares.js';
 export * from './stragglers.js';
--- /dev/null
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -0,0 +1,372 @@
+import { groupId, isHeadServing, isWhole, type ObservedGroup, observeGroups } from './observedGroups.js';
+import type { ModelProfile, ServingService } from './servingConfiguration.js';
+import type { TargetInstance } from './targetInstance.js';
+
+/** How long a head must be missing before its members are used elsewhere, in milliseconds; one list interval. */
+const HEAD_MISSING_GRACE_MS = 700;
+/** Time of a join that needs no weights, in milliseconds; the engines' own figure. */
+const REJOIN_MS = 200;
+/** Marginal demand is divided by the time to form plus this, in milliseconds, so that a quick repair goes first. */
+const FORMATION_BASE_MS = 4_000;
+/** Loads that may start at once beyond the weight store's steady rate; the store tolerates three more. */
+const LOAD_BURST = 3;
+
+/** An order to one instance. `expectedOrderCount` makes a late or repeated order without effect. */
+export type InstanceOrder = {
+  readonly instance: TargetInstance;
+  readonly expectedOrderCount: number;
+} & (
+  | {
+      readonly kind: 'join';
+      readonly group: string;
+      readonly epoch: number;
+      readonly model: string;
+      /** Ids; the first is the head. */
+      readonly members: readonly string[];
+    }
+  | { readonly kind: 'open'; readonly group: string; readonly epoch: number }
+  | { readonly kind: 'close'; readonly group: string; readonly epoch: number }
+  | { readonly kind: 'stage'; readonly model: string }
+);
+
+/** What a planner sees in one turn. */
+export interface FormationView {
+  /** Monotonic time in milliseconds. */
+  readonly nowMs: number;
+  readonly services: readonly ServingService[];
+  readonly instances: ReadonlyMap<string, TargetInstance>;
+  /** Instances with an order under way. */
+  readonly ordered: ReadonlySet<string>;
+  /** Instances that do not answer, although they are listed. */
+  readonly silent: ReadonlySet<string>;
+  /** False while the list may lack instances that live, as after an outage of the store. */
+  readonly isListSettled: boolean;
+  /** Demand of each model in request-seconds a second; empty before there is any. */
+  readonly demand: ReadonlyMap<string, number>;
+  /** Requests were served already, so that loads count against the weight store's rate. */
+  readonly hasTraffic: boolean;
+}
+
+interface Formation {
+  readonly name: string;
+  readonly epoch: number;
+  readonly service: string;
+  readonly model: ModelProfile;
+  readonly members: readonly string[];
+}
+
+/**
+ * Decides which instances form which groups. It keeps only the formations that it has begun; all else comes from
+ * what the instances say, so that another planner can go on from the same list.
+ */
+export class FormationPlanner {
+  private readonly _formations = new Map<string, Formation>();
+  private readonly _headMissingSinceMs = new Map<string, number>();
+  private _sequence = 0;
+  private _loads = LOAD_BURST;
+  private _loadsAtMs: number | undefined;
+
+  /** @param _term number of this planner's reign; epochs of a later one are always higher. */
+  constructor(private readonly _term: number) {}
+
+  /** The orders to send now. */
+  plan(view: FormationView): readonly InstanceOrder[] {
+    const orders: InstanceOrder[] = [];
+    for (const service of view.services) {
+      if (service.engine) orders.push(...this._planService(view, service));
+    }
+    return orders;
+  }
+
+  private _planService(view: FormationView, service: ServingService): readonly InstanceOrder[] {
+    this._refillLoads(view, service);
+    const groups = observeGroups(service, view.instances.values());
+    this._trackMissingHeads(view, groups);
+    this._endFormations(view, service);
+    const orders: InstanceOrder[] = [];
+    for (const group of groups.values()) orders.push(...this._tendGroup(view, group));
+    const free = this._freeInstances(view, service, groups);
+    this._beginFormations(view, service, groups, free);
+    for (const formation of this._formations.values()) {
+      if (formation.service === service.name) orders.push(...this._joinOrders(view, formation));
+    }
+    orders.push(...this._stageOrders(view, service, free));
+    return orders;
+  }
+
+  private _refillLoads(view: FormationView, service: ServingService): void {
+    const rate = service.engine?.loadsPerS ?? 0;
+    if (!view.hasTraffic) {
+      this._loads = Infinity;
+      return;
+    }
+    if (this._loads === Infinity) this._loads = LOAD_BURST;
+    const sinceMs = view.nowMs - (this._loadsAtMs ?? view.nowMs);
+    this._loads = Math.min(LOAD_BURST, this._loads + (rate * sinceMs) / 1_000);
+    this._loadsAtMs = view.nowMs;
+  }
+
+  private _trackMissingHeads(view: FormationView, groups: ReadonlyMap<string, ObservedGroup>): void {
+    for (const [id, { head }] of groups) {
+      if (head || !view.isListSettled) this._headMissingSinceMs.delete(id);
+      else if (!this._headMissingSinceMs.has(id)) this._headMissingSinceMs.set(id, view.nowMs);
+    }
+    for (const id of this._headMissingSinceMs.keys()) {
+      if (!groups.has(id)) this._headMissingSinceMs.delete(id);
+    }
+  }
+
+  /** Drops formations that are complete or have lost a member before they were. */
+  private _endFormations(view: FormationView, service: ServingService): void {
+    for (const [id, formation] of this._formations) {
+      if (formation.service !== service.name) continue;
+      const members = formation.members.map((member) => view.instances.get(member));
+      const isLost = members.some(
+        (member) => member?.state !== 'ready' || view.silent.has(member.id) || isElsewhere(member, formation),
+      );
+      const isOpen = members[0]?.membership?.state === 'open';
+      if (isLost || isOpen) this._formations.delete(id);
+    }
+  }
+
+  private _tendGroup(view: FormationView, group: ObservedGroup): readonly InstanceOrder[] {
+    const { head } = group;
+    if (!head || view.ordered.has(head.id)) return [];
+    const order = {
+      instance: head,
+      expectedOrderCount: head.orderCount,
+      group: group.name,
+      epoch: group.epoch,
+    };
+    const isAnswering = group.members.every((member) => !view.silent.has(member.id));
+    if (head.membership?.state === 'ready' && isWhole(group) && isAnswering) {
+      return [{ ...order, kind: 'open' }];
+    }
+    const isLeaving = group.members.some(({ state }) => state === 'leaving');
+    if (head.membership?.state === 'open' && isLeaving) return [{ ...order, kind: 'close' }];
+    return [];
+  }
+
+
+  private _freeInstances(
+    view: FormationView,
+    service: ServingService,
+    groups: ReadonlyMap<string, ObservedGroup>,
+  ): readonly TargetInstance[] {
+    const taken = new Set([...this._formations.values()].flatMap(({ members }) => members));
+    return [...view.instances.values()].filter(
+      (instance) =>
+        instance.service === service.name &&
+        instance.state === 'ready' &&
+        !taken.has(instance.id) &&
+        !view.ordered.has(instance.id) &&
+        !view.silent.has(instance.id) &&
+        this._isReleased(view, instance, groups),
+    );
+  }
+
+  /** Whether joining another group would break nothing: the instance's own group serves no more. */
+  private _isReleased(
+    view: FormationView,
+    { membership }: TargetInstance,
+    groups: ReadonlyMap<string, ObservedGroup>,
+  ): boolean {
+    if (!membership) return true;
+    const id = groupId(membership);
+    const group = groups.get(id);
+    if (!group) return true;
+    if (!group.head) {
+      const sinceMs = this._headMissingSinceMs.get(id);
+      return sinceMs !== undefined && view.nowMs - sinceMs >= HEAD_MISSING_GRACE_MS;
+    }
+    if (isHeadServing(group)) return false;
+    if (group.head.membership?.state === 'broken') return true;
+    if (view.ordered.has(group.head.id)) return false;
+    return !isWhole(group) && !this._isComingTogether(view, group);
+  }
+
+  /** A group of an earlier planner whose members are all there and still join is left to become ready. */
+  private _isComingTogether(view: FormationView, group: ObservedGroup): boolean {
+    return (
+      group.model !== undefined &&
+      group.members.length === group.model.groupSize &&
+      group.members.every(
+        ({ id, state, membership }) =>
+          state === 'ready' && !view.silent.has(id) && membership?.state !== 'broken',
+      )
+    );
+  }
+
+  private _beginFormations(
+    view: FormationView,
+    service: ServingService,
+    groups: ReadonlyMap<string, ObservedGroup>,
+    free: readonly TargetInstance[],
+  ): void {
+    if (!view.isListSettled) return;
+    const counts = this._countGroups(view, service, groups);
+    const pools = new Map<string, TargetInstance[]>();
+    for (const instance of free) {
+      const pool = pools.get(instance.fabricDomain);
+      if (pool) pool.push(instance);
+      else pools.set(instance.fabricDomain, [instance]);
+    }
+    for (;;) {
+      const best = chooseFormation(service, view.demand, counts, pools);
+      if (!best) return;
+      this._begin(service, best.model, best.members);
+      counts.set(best.model.name, (counts.get(best.model.name) ?? 0) + 1);
+      const pool = pools.get(best.fabricDomain) ?? [];
+      pools.set(
+        best.fabricDomain,
+        pool.filter((instance) => !best.members.includes(instance)),
+      );
+    }
+  }
+
+  private _countGroups(
+    view: FormationView,
+    service: ServingService,
+    groups: ReadonlyMap<string, ObservedGroup>,
+  ): Map<string, number> {
+    const counts = new Map<string, number>();
+    const add = (model: string) => counts.set(model, (counts.get(model) ?? 0) + 1);
+    const names = new Set<string>();
+    for (const formation of this._formations.values()) {
+      if (formation.service !== service.name) continue;
+      names.add(groupId({ group: formation.name, epoch: formation.epoch }));
+      add(formation.model.name);
+    }
+    for (const [id, group] of groups) {
+      if (names.has(id) || !group.model) continue;
+      if (isWhole(group) || this._isComingTogether(view, group)) add(group.model.name);
+    }
+    return counts;
+  }
+
+  private _begin(service: ServingService, model: ModelProfile, members: readonly TargetInstance[]): void {
+    this._sequence++;
+    const epoch = this._term * MAX_FORMATIONS_A_TERM + this._sequence;
+    const name = `group-${epoch}`;
+    this._formations.set(name, {
+      name,
+      epoch,
+      service: service.name,
+      model,
+      members: members.map(({ id }) => id),
+    });
+  }
+
+  private _joinOrders(view: FormationView, formation: Formation): readonly InstanceOrder[] {
+    const orders: InstanceOrder[] = [];
+    for (const id of formation.members) {
+      const instance = view.instances.get(id);
+      if (!instance || view.ordered.has(id)) continue;
+      const { membership } = instance;
+      if (membership?.group === formation.name && membership.epoch === formation.epoch) continue;
+      if (!instance.stagedModels.includes(formation.model.name) && !this._takeLoad()) continue;
+      orders.push({
+        kind: 'join',
+        instance,
+        expectedOrderCount: instance.orderCount,
+        group: formation.name,
+        epoch: formation.epoch,
+        model: formation.model.name,
+        members: formation.members,
+      });
+    }
+    return orders;
+  }
+
+  /** Gives instances without weights those of the models that are most likely to need a substitute there. */
+  private _stageOrders(
+    view: FormationView,
+    service: ServingService,
+    free: readonly TargetInstance[],
+  ): readonly InstanceOrder[] {
+    const taken = new Set([...this._formations.values()].flatMap(({ members }) => members));
+    const spares = free.filter(({ id }) => !taken.has(id));
+    const orders: InstanceOrder[] = [];
+    const models = [...(service.engine?.models ?? [])].sort((a, b) => b.groupSize - a.groupSize);
+    for (const spare of spares) {
+      if (spare.stagedModels.length > 0 || view.ordered.has(spare.id)) continue;
+      const staged = spares.filter(({ fabricDomain }) => fabricDomain === spare.fabricDomain);
+      const model = models.find(
+        ({ name }) => !staged.some((other) => other !== spare && other.stagedModels.includes(name)),
+      );
+      const chosen = model ?? models[0];
+      if (!chosen || !this._takeLoad()) continue;
+      orders.push({
+        kind: 'stage',
+        instance: spare,
+        expectedOrderCount: spare.orderCount,
+        model: chosen.name,
+      });
+    }
+    return orders;
+  }
+
+  private _takeLoad(): boolean {
+    if (this._loads < 1) return false;
+    this._loads--;
+    return true;
+  }
+}
+
+/** Epochs that one reign may use. */
+const MAX_FORMATIONS_A_TERM = 100_000;
+
+function isElsewhere(instance: TargetInstance, formation: Formation): boolean {
+  return (instance.membership?.epoch ?? 0) > formation.epoch;
+}
+
+interface FormationChoice {
+  readonly model: ModelProfile;
+  readonly fabricDomain: string;
+  readonly members: readonly TargetInstance[];
+}
+
+/**
+ * The group that helps most: the demand that one more group of its model would carry, weighed by the time that
+ * the slowest member needs to take up the weights.
+ */
+function chooseFormation(
+  service: ServingService,
+  demand: ReadonlyMap<string, number>,
+  counts: ReadonlyMap<string, number>,
+  pools: ReadonlyMap<string, readonly TargetInstance[]>,
+): FormationChoice | undefined {
+  let best: (FormationChoice & { readonly score: number }) | undefined;
+  for (const model of service.engine?.models ?? []) {
+    const need = demand.get(model.name) ?? model.demandShare / model.groupSize;
+    const gain = need / ((counts.get(model.name) ?? 0) + 1);
+    for (const [fabricDomain, pool] of pools) {
+      const members = chooseMembers(model, pool);
+      if (!members) continue;
+      const readyMs = Math.max(...members.map((member) => joinMs(model, member)));
+      const score = gain / (readyMs + FORMATION_BASE_MS) + pool.length * 1e-12;
+      if (!best || score > best.score) best = { model, fabricDomain, members, score };
+    }
+  }
+  return best;
+}
+
+function chooseMembers(
+  model: ModelProfile,
+  pool: readonly TargetInstance[],
+): readonly TargetInstance[] | undefined {
+  if (pool.length < model.groupSize) return undefined;
+  const byTime = [...pool].sort(
+    (a, b) =>
+      joinMs(model, a) - joinMs(model, b) ||
+      a.stagedModels.length - b.stagedModels.length ||
+      (a.id < b.id ? -1 : 1),
+  );
+  return byTime.slice(0, model.groupSize);
+}
+
+/** Time until this instance is ready for the model, in milliseconds. */
+function joinMs(model: ModelProfile, instance: TargetInstance): number {
+  if (!instance.stagedModels.includes(model.name)) return model.loadMs;
+  return instance.membership && instance.models.includes(model.name) ? REJOIN_MS : model.warmupMs;
+}
--- a/packages/daemon/src/fleetNode.ts
+++ b/packages/daemon/src/fleetNode.ts
@@ -34,7 +34,7 @@
   type PeerTls,
   RelayedLog,
 } from '@monsoonreach/peers';
-import { HttpLog, StreamFollower } from '@monsoonreach/platform';
+import { HttpLog, StreamFollower } from '@monsoonreach/log';
 import type { ConnectRouter } from '@connectrpc/connect';
 
 /** The settings that every daemon has. */
--- a/packages/daemon/src/liveInstances.ts
+++ b/packages/daemon/src/liveInstances.ts
@@ -1,5 +1,5 @@
 import { BackgroundLoop, type Clock } from '@monsoonreach/core';
-import { type ListedInstance, type LiveList, LiveListUnavailableError } from '@monsoonreach/platform';
+import { type ListedInstance, type LiveList, LiveListUnavailableError } from '@monsoonreach/log';
 
 /** How often the live list is read, in milliseconds; with the lease's life it bounds how long a leaving target gets work. */
 const POLL_INTERVAL_MS = 800;
--- a/packages/entry/src/atMostOnce.ts
+++ b/packages/entry/src/atMostOnce.ts
@@ -21,7 +21,7 @@
   toClaimsStream,
 } from '@monsoonreach/core';
 import type { CallContext, ServiceAnswer } from '@monsoonreach/callers';
-import { LogWriter, StreamFollower, type WrittenRecord } from '@monsoonreach/platform';
+import { LogWriter, StreamFollower, type WrittenRecord } from '@monsoonreach/log';
 import type { EntryContext } from './entryContext.js';
 import type { PreparedCall } from './serviceCalls.js';
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -25,7 +25,7 @@
 } from '@monsoonreach/callers';
 import { type Daemon, FleetNode, LeasePuller, LiveInstances } from '@monsoonreach/daemon';
 import { OperatorsServer } from '@monsoonreach/operators';
-import { HttpLiveList, LogWriter } from '@monsoonreach/platform';
+import { HttpLiveList, LogWriter } from '@monsoonreach/log';
 import { TargetClients } from '@monsoonreach/targets';
 import { AtMostOnce } from './atMostOnce.js';
 import { Completions } from './completions.js';
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,2 @@
+export * from './node.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/node/src/node.ts
@@ -0,0 +1,337 @@
+import { randomUUID } from 'node:crypto';
+import { createServer, type Server } from 'node:http';
+import {
+  type Clock,
+  Counters,
+  createRandom,
+  hash32,
+  KeyTrust,
+  pause,
+  type Random,
+  RetryAllowance,
+  RouteTable,
+  type ServingConfiguration,
+  splitAddress,
+  type TargetCandidate,
+  TargetHealth,
+} from '@monsoonreach/core';
+import {
+  CONFIGURATION_KEY,
+  decodeConfiguration,
+  type KeyedRecord,
+  READINESS_PATH,
+  RecordError,
+  StoreClient,
+  Topic,
+} from '@monsoonreach/platform';
+import { DecisionLog } from './decisionLog.js';
+import { answerPlainly, FrontServer } from './frontServer.js';
+import { InstanceList, RESTORE_MS } from './instanceList.js';
+import { KeyedFollower } from './keyedFollower.js';
+import { LoadBook } from './loadBook.js';
+import { type Digest, type OwnState, PeerExchange } from './peerExchange.js';
+import { Planning } from './planning.js';
+import type { RequestRun } from './requestRun.js';
+import type { ServingContext } from './servingContext.js';
+import type { NodeSettings } from './settings.js';
+import { TargetConnections } from './targetConnections.js';
+import { TargetDirectory } from './targetDirectory.js';
+
+/** How long a read of the configuration waits for news, in milliseconds; it bounds how old the trust in keys gets. */
+const CONFIGURATION_WAIT_MS = 1_300;
+/** Pause between two reads of the list, in milliseconds; a leaving target gets no work two seconds after it says so. */
+const LIST_INTERVAL_MS = 450;
+/** How often requests in progress are checked for silence, in milliseconds. */
+const WATCH_INTERVAL_MS = 50;
+/** How long pools of targets without calls are kept, in milliseconds. */
+const UNUSED_POOL_MS = 10_000;
+/** Time after SIGTERM in which the balancer still sends new connections, in milliseconds: two missed questions, a second apart. */
+const BALANCER_MS = 2_600;
+/** Time before the kill at which the last requests are given up, in milliseconds. */
+const EXIT_MARGIN_MS = 400;
+
+/** One node: takes callers' requests, follows the store, and plans groups when it is its turn. */
+export class Node {
+  private readonly _counters = new Counters();
+  private readonly _random: Random;
+  private readonly _log: DecisionLog;
+  private readonly _store: StoreClient;
+  private readonly _trust: KeyTrust;
+  private readonly _list: InstanceList;
+  private readonly _loads = new LoadBook();
+  private readonly _health = new TargetHealth();
+  private readonly _connections: TargetConnections;
+  private readonly _exchange: PeerExchange;
+  private readonly _planning: Planning;
+  private readonly _front: FrontServer;
+  private readonly _context: ServingContext;
+  private readonly _runs = new Set<RequestRun>();
+  private readonly _configurationFollower: KeyedFollower;
+  private readonly _listFollower: KeyedFollower;
+  private readonly _servers: Server[] = [];
+  private readonly _silentMembers = new Map<string, number>();
+  private _table: RouteTable | undefined;
+  private _hasList = false;
+  private _hasTraffic = false;
+
+  constructor(
+    private readonly _settings: NodeSettings,
+    private readonly _clock: Clock,
+  ) {
+    const incarnation = randomUUID();
+    this._random = createRandom(hash32(incarnation));
+    this._log = new DecisionLog('monsoonreach-node', _settings.node.log, _clock, this._counters);
+    this._store = new StoreClient(_settings.store.address);
+    this._trust = new KeyTrust(_clock, _settings.bounds['key-trust']);
+    this._connections = new TargetConnections(_clock);
+    this._list = new InstanceList(_clock, this._log, this._counters, () => this._listFollower.regainedAtMs);
+    this._configurationFollower = this._followConfiguration();
+    this._listFollower = this._followList();
+    this._exchange = new PeerExchange({
+      node: _settings.node.name,
+      address: _settings.peers.address,
+      incarnation,
+      clock: _clock,
+      random: this._random,
+      counters: this._counters,
+      log: this._log,
+      describe: () => this._describe(),
+      onDigest: (digest, heardAtMs) => {
+        this._learn(digest, heardAtMs);
+      },
+    });
+    this._context = this._createContext();
+    this._front = new FrontServer({
+      address: _settings.callers.address,
+      context: this._context,
+      trust: this._trust,
+      table: () => this._table,
+    });
+    this._planning = this._createPlanning();
+  }
+
+  async start(): Promise<void> {
+    this._log.info('started', { node: this._settings.node.name, store: this._settings.store.address });
+    this._serve(this._settings.callers.readiness, (path) =>
+      path.startsWith(READINESS_PATH) ? { status: this._isReady() ? 200 : 503, text: '' } : undefined,
+    );
+    this._serve(this._settings.peers.metrics, (path) =>
+      path.startsWith('/metrics') ? { status: 200, text: this._counters.expose() } : undefined,
+    );
+    await this._exchange.start();
+    await this._front.listen();
+    void this._configurationFollower.run();
+    void this._listFollower.run();
+    void this._meetPeers();
+    void this._planning.run();
+    setInterval(() => {
+      this._watch();
+    }, WATCH_INTERVAL_MS);
+    setInterval(() => {
+      this._connections.closeUnused(UNUSED_POOL_MS);
+    }, UNUSED_POOL_MS);
+  }
+
+  /** Finishes what is in progress, within the time that the platform gives; returns how many requests were cut. */
+  async drain(): Promise<number> {
+    const endsAtMs = this._clock.monotonic() + this._settings.callers['drain-timeout'] - EXIT_MARGIN_MS;
+    this._log.info('stopping', { requests: this._runs.size });
+    this._front.drain();
+    this._planning.stop();
+    this._exchange.tell();
+    await pause(BALANCER_MS);
+    this._front.close();
+    while (this._runs.size > 0 && this._clock.monotonic() < endsAtMs) await pause(WATCH_INTERVAL_MS);
+    this._log.info('stopped', { cut: this._runs.size });
+    return this._runs.size;
+  }
+
+  /** The settings file was read again. */
+  reload(): void {
+    this._log.info('settings read again', { node: this._settings.node.name });
+  }
+
+  private _isReady(): boolean {
+    return this._table !== undefined && this._hasList && !this._front.isDraining && this._trust.isTrusted();
+  }
+
+  private _createContext(): ServingContext {
+    const { bounds, node } = this._settings;
+    return {
+      clock: this._clock,
+      random: this._random,
+      counters: this._counters,
+      log: this._log,
+      failureDomain: node['failure-domain'],
+      health: this._health,
+      loads: this._loads,
+      retries: new RetryAllowance(
+        { share: bounds['retry-share'], slack: bounds['retry-slack'], windowMs: bounds['retry-window'] },
+        () => this._exchange.livePeers().length + 1,
+      ),
+      connections: this._connections,
+      directory: new TargetDirectory(this._list, this._loads, this._clock),
+      runs: this._runs,
+      configuration: () => this._table?.configuration,
+      connectionHeaders: () => this._front.connectionHeaders(),
+      onSilentTarget: (candidate) => {
+        this._noteSilentTarget(candidate);
+      },
+      answerPlainly: (response, status, body, headers) => {
+        answerPlainly(this._front.connectionHeaders(), response, status, body, headers);
+      },
+    };
+  }
+
+  private _createPlanning(): Planning {
+    return new Planning({
+      node: this._settings.node.name,
+      store: this._store,
+      list: this._list,
+      exchange: this._exchange,
+      clock: this._clock,
+      random: this._random,
+      counters: this._counters,
+      log: this._log,
+      configuration: () => (this._hasList ? this._table?.configuration : undefined),
+      isListSettled: () =>
+        !this._listFollower.isFailing &&
+        this._clock.monotonic() - this._listFollower.regainedAtMs > RESTORE_MS,
+      demand: () => new Map(),
+      hasTraffic: () => this._hasTraffic || this._exchange.livePeers().some(({ digest }) => digest.hasTraffic),
+      silent: () => new Set(this._silentMembers.keys()),
+    });
+  }
+
+  private _followConfiguration(): KeyedFollower {
+    const take = (records: readonly KeyedRecord[]) => {
+      for (const record of records) this._takeConfiguration(record);
+    };
+    return new KeyedFollower({
+      topic: Topic.operator,
+      store: this._store,
+      clock: this._clock,
+      random: this._random,
+      log: this._log,
+      waitMs: CONFIGURATION_WAIT_MS,
+      intervalMs: 0,
+      onSnapshot: take,
+      onChanges: take,
+      onContact: (sentAtMs) => {
+        this._trust.confirm(sentAtMs);
+      },
+    });
+  }
+
+  private _followList(): KeyedFollower {
+    return new KeyedFollower({
+      topic: Topic.instances,
+      store: this._store,
+      clock: this._clock,
+      random: this._random,
+      log: this._log,
+      waitMs: 0,
+      intervalMs: LIST_INTERVAL_MS,
+      onSnapshot: (records) => {
+        this._list.takeAll(records);
+        this._hasList = true;
+      },
+      onChanges: (records) => {
+        this._list.takeChanges(records);
+      },
+    });
+  }
+
+  private _takeConfiguration({ key, value }: KeyedRecord): void {
+    if (key !== CONFIGURATION_KEY || !value) return;
+    let configuration: ServingConfiguration;
+    try {
+      configuration = decodeConfiguration(value);
+    } catch (error) {
+      if (!(error instanceof RecordError)) throw error;
+      this._counters.add('monsoonreach_configuration_refusals_total');
+      this._log.warn('configuration cannot be read; the one before stays in force', { error: error.message });
+      return;
+    }
+    const current = this._table?.configuration.version ?? -Infinity;
+    if (configuration.version <= current) return;
+    this._table = new RouteTable(configuration);
+    this._front.configure(configuration.limits);
+    this._log.info('configuration in force', {
+      version: configuration.version,
+      before: current,
+      routes: configuration.routes.length,
+    });
+  }
+
+  /** Writes this node's address where newcomers look for peers, and meets those that are there. */
+  private async _meetPeers(): Promise<void> {
+    for (;;) {
+      try {
+        await this._store.appendKeyed(Topic.nodes, this._settings.node.name, this._settings.peers.address);
+        const { records } = await this._store.readNewest(Topic.nodes);
+        this._exchange.meet(records.flatMap(({ value }) => (value ? [Buffer.from(value).toString('utf8')] : [])));
+        return;
+      } catch (error) {
+        this._log.warn('peers not found yet', { error: String(error) });
+        await pause(PEER_RETRY_MS);
+      }
+    }
+  }
+
+  private _describe(): OwnState {
+    const nowMs = this._clock.monotonic();
+    const storeAgeMs = Math.min(MAX_AGE_MS, this._trust.ageMs());
+    return {
+      storeAgeMs,
+      version: this._table?.configuration.version ?? -1,
+      ...(this._planning.term === undefined ? {} : { term: this._planning.term }),
+      isLeaving: this._front.isDraining,
+      loads: Object.fromEntries([...this._loads.own()].map(([key, load]) => [key, [...load]])),
+      silent: [...this._silentMembers].filter(([, untilMs]) => untilMs > nowMs).map(([id]) => id),
+      hasTraffic: this._hasTraffic,
+      demand: {},
+    };
+  }
+
+  private _learn(digest: Digest, heardAtMs: number): void {
+    this._loads.learn(digest.node, new Map(Object.entries(digest.loads)), heardAtMs);
+    if (digest.version === this._table?.configuration.version) {
+      this._trust.confirm(heardAtMs - digest.storeAgeMs - DATAGRAM_AGE_MS);
+    }
+  }
+
+  private _noteSilentTarget({ key }: TargetCandidate): void {
+    this._counters.add('monsoonreach_silent_targets_total');
+    void key;
+  }
+
+  private _watch(): void {
+    const nowMs = this._clock.monotonic();
+    if (this._trust.checkJump()) this._log.warn('clocks drifted apart; keys are not trusted', {});
+    if (this._runs.size > 0) this._hasTraffic = true;
+    for (const run of this._runs) run.checkProgress(nowMs);
+    this._list.expire();
+  }
+
+  private _serve(
+    address: string,
+    answer: (path: string) => { readonly status: number; readonly text: string } | undefined,
+  ): void {
+    const { host, port } = splitAddress(address);
+    const server = createServer((request, response) => {
+      const { status, text } = answer(request.url ?? '/') ?? { status: 404, text: '' };
+      response.writeHead(status, { 'Content-Type': 'text/plain', 'Content-Length': Buffer.byteLength(text) });
+      response.end(text);
+    });
+    server.listen({ host, port });
+    this._servers.push(server);
+  }
+}
+
+/** Longest age that is told, in milliseconds; JSON has no infinity. */
+const MAX_AGE_MS = 1_000_000;
+/** Time that a datagram may have been under way, in milliseconds; far above the time between failure domains. */
+const DATAGRAM_AGE_MS = 300;
+/** Pause before peers are looked for again, in milliseconds. */
+const PEER_RETRY_MS = 700;
--- /dev/null
+++ b/packages/node/src/peerExchange.ts
@@ -0,0 +1,153 @@
+import { createSocket, type Socket } from 'node:dgram';
+import { type Clock, type Counters, type Random, splitAddress } from '@monsoonreach/core';
+import { z } from 'zod';
+import type { DecisionLog } from './decisionLog.js';
+
+/** How often a node tells its peers how it stands, in milliseconds; a fraction of the time a request takes. */
+const INTERVAL_MS = 200;
+/** Peers that are told in one interval, so that a node's share of the traffic does not grow with the fleet. */
+const FANOUT = 6;
+/** How long a peer may be silent before it counts as lost, in milliseconds; several intervals and a lost datagram or two. */
+const PEER_LIFE_MS = 1_500;
+/** How long a silent peer is remembered and now and then told, in milliseconds. */
+const PEER_MEMORY_MS = 60_000;
+
+const digestSchema = z.object({
+  node: z.string(),
+  address: z.string(),
+  incarnation: z.string(),
+  sequence: z.number(),
+  /** Milliseconds since the sender last heard from the store. */
+  storeAgeMs: z.number(),
+  version: z.number(),
+  /** The term in which the sender plans, if it does. */
+  term: z.number().optional(),
+  isLeaving: z.boolean(),
+  loads: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
+  silent: z.array(z.string()),
+  /** Requests that were served, so that a newcomer knows that there is traffic. */
+  hasTraffic: z.boolean(),
+  demand: z.record(z.string(), z.number()),
+});
+
+/** What one node tells the others of itself. */
+export type Digest = Readonly<z.infer<typeof digestSchema>>;
+/** What a node says of itself, without what the exchange adds. */
+export type OwnState = Omit<Digest, 'node' | 'address' | 'incarnation' | 'sequence'>;
+
+/** A peer as it was last heard of. */
+export interface Peer {
+  readonly digest: Digest;
+  readonly heardAtMs: number;
+}
+
+/** What an exchange is made of. */
+export interface PeerExchangeOptions {
+  readonly node: string;
+  readonly address: string;
+  readonly incarnation: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly counters: Counters;
+  readonly log: DecisionLog;
+  readonly describe: () => OwnState;
+  readonly onDigest: (digest: Digest, heardAtMs: number) => void;
+}
+
+/** Tells peers by datagrams how this node stands, each interval a bounded number of them. */
+export class PeerExchange {
+  private readonly _socket: Socket = createSocket('udp4');
+  private readonly _peers = new Map<string, Peer>();
+  private readonly _addresses = new Map<string, { heardAtMs: number }>();
+  private _sequence = 0;
+  private _timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly _options: PeerExchangeOptions) {}
+
+  /** Peers that were heard of lately. */
+  livePeers(): readonly Peer[] {
+    const nowMs = this._options.clock.monotonic();
+    return [...this._peers.values()].filter(
+      ({ heardAtMs, digest }) => nowMs - heardAtMs < PEER_LIFE_MS && !digest.isLeaving,
+    );
+  }
+
+  /** Names addresses at which peers may be. */
+  meet(addresses: readonly string[]): void {
+    for (const address of addresses) this._remember(address);
+  }
+
+  start(): Promise<void> {
+    const { host, port } = splitAddress(this._options.address);
+    this._socket.on('message', (message) => {
+      this._take(message);
+    });
+    this._socket.on('error', (error) => {
+      this._options.log.warn('peer socket failed', { error: String(error) });
+    });
+    this._timer = setInterval(() => {
+      this.tell();
+    }, INTERVAL_MS);
+    return new Promise((resolve) => {
+      this._socket.bind(port, host, resolve);
+    });
+  }
+
+  stop(): void {
+    clearInterval(this._timer);
+    this._socket.close();
+  }
+
+  /** Tells some of the peers now. */
+  tell(): void {
+    const { node, address, incarnation, describe } = this._options;
+    this._sequence++;
+    const digest: Digest = { node, address, incarnation, sequence: this._sequence, ...describe() };
+    const message = Buffer.from(JSON.stringify(digest));
+    for (const peer of this._chooseAddresses()) {
+      const { host, port } = splitAddress(peer);
+      this._socket.send(message, port, host, (error) => {
+        if (error) this._options.counters.add('monsoonreach_datagram_errors_total');
+      });
+    }
+  }
+
+  private _chooseAddresses(): readonly string[] {
+    const { clock, random } = this._options;
+    const nowMs = clock.monotonic();
+    for (const [address, { heardAtMs }] of this._addresses) {
+      if (nowMs - heardAtMs > PEER_MEMORY_MS) this._addresses.delete(address);
+    }
+    const all = [...this._addresses.keys()];
+    for (let at = all.length - 1; at > 0; at--) {
+      const other = random.below(at + 1);
+      [all[at], all[other]] = [all[other] ?? '', all[at] ?? ''];
+    }
+    return all.slice(0, FANOUT);
+  }
+
+  private _take(message: Buffer): void {
+    let digest: Digest;
+    try {
+      digest = digestSchema.parse(JSON.parse(message.toString('utf8')));
+    } catch (error) {
+      this._options.counters.add('monsoonreach_datagrams_refused_total');
+      this._options.log.warn('datagram refused', { error: String(error).slice(0, 200) });
+      return;
+    }
+    const known = this._peers.get(digest.node)?.digest;
+    if (known?.incarnation === digest.incarnation && known.sequence >= digest.sequence) return;
+    const heardAtMs = this._options.clock.monotonic();
+    if (known?.incarnation !== digest.incarnation) {
+      this._options.log.info('peer met', { peer: digest.node, incarnation: digest.incarnation });
+    }
+    this._peers.set(digest.node, { digest, heardAtMs });
+    this._remember(digest.address);
+    this._options.onDigest(digest, heardAtMs);
+  }
+
+  private _remember(address: string): void {
+    if (address === this._options.address) return;
+    this._addresses.set(address, { heardAtMs: this._options.clock.monotonic() });
+  }
+}
--- /dev/null
+++ b/packages/node/src/planning.ts
@@ -0,0 +1,231 @@
+import {
+  type Clock,
+  type Counters,
+  FormationPlanner,
+  type FormationView,
+  type InstanceOrder,
+  pause,
+  type Random,
+  type ServingConfiguration,
+  type TargetInstance,
+} from '@monsoonreach/core';
+import {
+  AppendConditionError,
+  HistoryGoneError,
+  type OrderOutcome,
+  readReport,
+  ReportError,
+  sendOrder,
+  type StoreClient,
+  StoreUnavailableError,
+  Topic,
+} from '@monsoonreach/platform';
+import type { DecisionLog } from './decisionLog.js';
+import type { InstanceList } from './instanceList.js';
+import type { PeerExchange } from './peerExchange.js';
+
+/** How often the planner looks at the groups, in milliseconds; a rejoin takes 200 ms. */
+const TURN_MS = 100;
+/** How long an order may go unanswered before it is sent again, in milliseconds; many round trips. */
+const ORDER_TIMEOUT_MS = 400;
+/** How long an instance's own report is awaited, in milliseconds. */
+const REPORT_TIMEOUT_MS = 300;
+/** How long after an order the list may take to show its effect, in milliseconds; one interval of the list and its lag. */
+const EFFECT_WAIT_MS = 1_500;
+/** Least pause between two looks at who plans, in milliseconds. */
+const ELECTION_INTERVAL_MS = 400;
+/** Most random wait before a claim, in milliseconds, so that two nodes seldom claim at once. */
+const ELECTION_JITTER_MS = 300;
+
+/** What planning is made of. */
+export interface PlanningOptions {
+  readonly node: string;
+  readonly store: StoreClient;
+  readonly list: InstanceList;
+  readonly exchange: PeerExchange;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly counters: Counters;
+  readonly log: DecisionLog;
+  readonly configuration: () => ServingConfiguration | undefined;
+  readonly isListSettled: () => boolean;
+  readonly demand: () => ReadonlyMap<string, number>;
+  readonly hasTraffic: () => boolean;
+  /** Ids of members that do not answer. */
+  readonly silent: () => ReadonlySet<string>;
+}
+
+/**
+ * Plans the groups on one node at a time. A planner's term is the offset of its claim in the store's log, which
+ * fences its orders: an instance that has seen a higher term refuses those of a lower one.
+ */
+export class Planning {
+  private _term: number | undefined;
+  private _planner: FormationPlanner | undefined;
+  private readonly _ordered = new Map<string, number>();
+  /** What instances reported themselves, until the list shows at least as much. */
+  private readonly _reported = new Map<string, TargetInstance>();
+  private readonly _stopping = new AbortController();
+
+  constructor(private readonly _options: PlanningOptions) {}
+
+  /** The term in which this node plans; undefined while it does not. */
+  get term(): number | undefined {
+    return this._term;
+  }
+
+  async run(): Promise<void> {
+    const { signal } = this._stopping;
+    while (!signal.aborted) {
+      if (this._term === undefined) {
+        await this._considerClaim();
+        await pause(ELECTION_INTERVAL_MS, signal);
+      } else {
+        this._turn();
+        await pause(TURN_MS, signal);
+      }
+    }
+  }
+
+  stop(): void {
+    this._stopping.abort();
+    this._term = undefined;
+  }
+
+  private async _considerClaim(): Promise<void> {
+    const { exchange, random, configuration } = this._options;
+    if (!configuration() || this._isPlannedElsewhere()) return;
+    const rank = exchange.livePeers().filter(({ digest }) => digest.node < this._options.node).length;
+    await pause(random.next() * ELECTION_JITTER_MS + Math.min(rank, 3) * ELECTION_JITTER_MS, this._stopping.signal);
+    if (this._isPlannedElsewhere() || this._stopping.signal.aborted) return;
+    try {
+      await this._claim();
+    } catch (error) {
+      this._options.counters.add('monsoonreach_planning_claims_failed_total');
+      if (error instanceof AppendConditionError) return;
+      if (!(error instanceof StoreUnavailableError || error instanceof HistoryGoneError)) throw error;
+      this._options.log.warn('planning claim failed', { error: error.message });
+    }
+  }
+
+  private async _claim(): Promise<void> {
+    const { store, node, clock, log } = this._options;
+    const end = await this._readEnd();
+    const record = Buffer.from(JSON.stringify({ planner: node }));
+    const offset = await store.append(Topic.planning, record, end);
+    this._term = offset + 1;
+    this._planner = new FormationPlanner(this._term);
+    this._ordered.clear();
+    log.info('planning begun', { term: this._term, atMs: Math.round(clock.monotonic()) });
+    this._options.exchange.tell();
+  }
+
+  private async _readEnd(): Promise<number> {
+    const { store } = this._options;
+    try {
+      const { end } = await store.read({ topic: Topic.planning, from: 0, waitMs: 0 });
+      return end;
+    } catch (error) {
+      if (!(error instanceof HistoryGoneError)) throw error;
+      const { end } = await store.read({ topic: Topic.planning, from: error.first, waitMs: 0 });
+      return end;
+    }
+  }
+
+  private _isPlannedElsewhere(): boolean {
+    return this._options.exchange.livePeers().some(({ digest }) => digest.term !== undefined);
+  }
+
+  private _turn(): void {
+    const { configuration, log } = this._options;
+    const current = configuration();
+    if (!current || !this._planner) return;
+    if (this._isOutranked()) {
+      log.info('planning ended', { term: this._term, reason: 'a peer plans in a later term' });
+      this._stepDown();
+      return;
+    }
+    for (const order of this._planner.plan(this._view(current))) void this._send(order);
+  }
+
+  private _isOutranked(): boolean {
+    const term = this._term ?? 0;
+    return this._options.exchange.livePeers().some(({ digest }) => (digest.term ?? -1) > term);
+  }
+
+  private _stepDown(): void {
+    this._term = undefined;
+    this._planner = undefined;
+  }
+
+  private _view(configuration: ServingConfiguration): FormationView {
+    const { clock, list, isListSettled, demand, hasTraffic, silent } = this._options;
+    const nowMs = clock.monotonic();
+    for (const [id, untilMs] of this._ordered) if (untilMs <= nowMs) this._ordered.delete(id);
+    return {
+      nowMs,
+      services: [...configuration.services.values()],
+      instances: this._mergeReports(list.instances),
+      ordered: new Set(this._ordered.keys()),
+      silent: silent(),
+      isListSettled: isListSettled(),
+      demand: demand(),
+      hasTraffic: hasTraffic(),
+    };
+  }
+
+  private _mergeReports(listed: ReadonlyMap<string, TargetInstance>): ReadonlyMap<string, TargetInstance> {
+    const merged = new Map(listed);
+    for (const [id, reported] of this._reported) {
+      const entry = listed.get(id);
+      const isOlder =
+        entry?.startedAtMs === reported.startedAtMs && entry.orderCount < reported.orderCount;
+      if (isOlder) merged.set(id, { ...reported, state: entry.state });
+      else this._reported.delete(id);
+    }
+    return merged;
+  }
+
+  private async _send(order: InstanceOrder): Promise<void> {
+    const { clock, counters, log } = this._options;
+    const { id } = order.instance;
+    const term = this._term;
+    if (term === undefined) return;
+    this._ordered.set(id, clock.monotonic() + EFFECT_WAIT_MS);
+    const outcome = await sendOrder(order, { fencingToken: term, timeoutMs: ORDER_TIMEOUT_MS });
+    counters.add('monsoonreach_orders_total', { kind: order.kind, outcome: outcome.kind });
+    log.info('order', {
+      term,
+      target: id,
+      kind: order.kind,
+      group: 'group' in order ? order.group : undefined,
+      orderCount: order.expectedOrderCount,
+      outcome: outcome.kind,
+    });
+    if (outcome.kind === 'fenced') this._noteFenced(order, term);
+    await this._readBack(order, outcome);
+  }
+
+  private _noteFenced(order: InstanceOrder, term: number): void {
+    if (this._term !== term) return;
+    this._options.log.warn('planning ended', { term, reason: `fenced at ${order.instance.id}` });
+    this._stepDown();
+  }
+
+  /** Asks the instance what the order has done, unless the list will tell soon enough. */
+  private async _readBack(order: InstanceOrder, outcome: OrderOutcome): Promise<void> {
+    const { clock, list } = this._options;
+    const { id } = order.instance;
+    try {
+      const { state } = await readReport(order.instance, REPORT_TIMEOUT_MS);
+      const entry = list.get(id) ?? order.instance;
+      this._reported.set(id, { ...entry, ...state, fabricDomain: entry.fabricDomain });
+      this._ordered.delete(id);
+    } catch (error) {
+      if (!(error instanceof ReportError)) throw error;
+      this._options.counters.add('monsoonreach_reports_missed_total');
+      const waitMs = outcome.kind === 'accepted' ? EFFECT_WAIT_MS : ORDER_TIMEOUT_MS;
+      this._ordered.set(id, clock.monotonic() + waitMs);
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/servingContext.ts
@@ -0,0 +1,42 @@
+import type { ServerResponse } from 'node:http';
+import type {
+  Clock,
+  Counters,
+  Random,
+  RetryAllowance,
+  ServingConfiguration,
+  TargetCandidate,
+  TargetHealth,
+} from '@monsoonreach/core';
+import type { DecisionLog } from './decisionLog.js';
+import type { LoadBook } from './loadBook.js';
+import type { RequestRun } from './requestRun.js';
+import type { TargetConnections } from './targetConnections.js';
+import type { TargetDirectory } from './targetDirectory.js';
+
+/** What all requests of a node share. */
+export interface ServingContext {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly counters: Counters;
+  readonly log: DecisionLog;
+  readonly failureDomain: string;
+  readonly health: TargetHealth;
+  readonly loads: LoadBook;
+  readonly retries: RetryAllowance;
+  readonly connections: TargetConnections;
+  readonly directory: TargetDirectory;
+  /** Requests in progress. */
+  readonly runs: Set<RequestRun>;
+  readonly configuration: () => ServingConfiguration | undefined;
+  /** Headers that every answer carries for its connection: names and values in turn. */
+  readonly connectionHeaders: () => readonly string[];
+  readonly onSilentTarget: (candidate: TargetCandidate) => void;
+  /** Answers with a small JSON document of this node's own. */
+  readonly answerPlainly: (
+    response: ServerResponse,
+    status: number,
+    body: Readonly<Record<string, string>>,
+    headers?: Readonly<Record<string, string>>,
+  ) => void;
+}
--- /dev/null
+++ b/packages/node/src/settings.ts
@@ -0,0 +1,44 @@
+import {
+  addressField,
+  durationField,
+  numberField,
+  parseDocument,
+  textField,
+} from '@monsoonreach/core';
+import { z } from 'zod';
+
+const settingsSchema = z.strictObject({
+  node: z.strictObject({
+    name: textField,
+    'failure-domain': textField,
+    log: z.enum(['json', 'pretty', 'hidden']).default('json'),
+  }),
+  callers: z.strictObject({
+    address: addressField,
+    /** Where the balancer asks whether this node takes new connections. */
+    readiness: addressField,
+    /** Time from SIGTERM until the process is killed. */
+    'drain-timeout': durationField,
+  }),
+  store: z.strictObject({ address: addressField }),
+  peers: z.strictObject({
+    address: addressField,
+    metrics: addressField,
+  }),
+  bounds: z.strictObject({
+    /** Longest time that a key may be trusted after it was taken away. */
+    'key-trust': durationField,
+    /** Retries that a service may get beyond its requests, in one window: a share of them, and a fixed number. */
+    'retry-share': numberField({ min: 0, max: 10, isWhole: false }),
+    'retry-window': durationField,
+    'retry-slack': numberField({ min: 0, max: 1_000_000 }),
+  }),
+});
+
+/** Settings of one `monsoonreach-node` process. */
+export type NodeSettings = Readonly<z.infer<typeof settingsSchema>>;
+
+/** @throws DocumentError that lists every fault. */
+export function parseNodeSettings(text: string): NodeSettings {
+  return parseDocument(text, settingsSchema);
+}
--- /dev/null
+++ b/packages/node/src/targetDirectory.ts
@@ -0,0 +1,91 @@
+import {
+
+  type Clock,
+  isHeadServing,
+  observeGroups,
+  type ServingConfiguration,
+  type ServingService,
+  type TargetCandidate,
+  type TargetInstance,
+} from '@monsoonreach/core';
+import type { InstanceList } from './instanceList.js';
+import type { LoadBook } from './loadBook.js';
+
+interface KnownTarget {
+  readonly key: string;
+  readonly instance: TargetInstance;
+  readonly slots: number;
+  readonly engine: TargetCandidate['engine'];
+}
+
+/** The targets that may take requests of a service and a model, by what the list says. */
+export class TargetDirectory {
+  private _listVersion = -1;
+  private _configuration: ServingConfiguration | undefined;
+  private _targets = new Map<string, readonly KnownTarget[]>();
+
+  constructor(
+    private readonly _list: InstanceList,
+    private readonly _loads: LoadBook,
+    private readonly _clock: Clock,
+  ) {}
+
+  /** Targets with their loads as they are believed to be now. */
+  candidates(
+    configuration: ServingConfiguration,
+    service: string,
+    model: string | undefined,
+  ): readonly TargetCandidate[] {
+    this._refresh(configuration);
+    const nowMs = this._clock.monotonic();
+    const targets = this._targets.get(targetsId(service, model)) ?? [];
+    return targets.map((target) => ({ ...target, load: this._loads.estimate(target.key, nowMs) }));
+  }
+
+  /** The key of every target that takes requests. */
+  keys(configuration: ServingConfiguration): ReadonlySet<string> {
+    this._refresh(configuration);
+    return new Set([...this._targets.values()].flatMap((targets) => targets.map(({ key }) => key)));
+  }
+
+  private _refresh(configuration: ServingConfiguration): void {
+    if (this._listVersion === this._list.version && this._configuration === configuration) return;
+    this._listVersion = this._list.version;
+    this._configuration = configuration;
+    this._targets = new Map();
+    for (const service of configuration.services.values()) {
+      for (const [id, targets] of this._targetsOf(service)) this._targets.set(id, targets);
+    }
+  }
+
+  private _targetsOf(service: ServingService): ReadonlyMap<string, readonly KnownTarget[]> {
+    const { engine } = service;
+    if (!engine || engine.models.length === 0) return new Map([[targetsId(service.name, undefined), this._plainTargets(service)]]);
+    const byModel = new Map<string, KnownTarget[]>();
+    for (const [key, group] of observeGroups(service, this._list.instances.values())) {
+      const { head, model } = group;
+      if (!head || !model || head.state !== 'ready' || !isHeadServing(group)) continue;
+      if (head.membership?.state !== 'open') continue;
+      const id = targetsId(service.name, model.name);
+      const target = { key, instance: head, slots: engine.slots, engine: { profile: engine, model } };
+      byModel.set(id, [...(byModel.get(id) ?? []), target]);
+    }
+    return byModel;
+  }
+
+  private _plainTargets(service: ServingService): readonly KnownTarget[] {
+    return [...this._list.instances.values()]
+      .filter((instance) => instance.service === service.name && instance.state === 'ready')
+      .map((instance) => ({
+        key: `${instance.id}#${instance.startedAtMs}`,
+        instance,
+        slots: instance.slots,
+        engine: undefined,
+      }));
+  }
+}
+
+
+function targetsId(service: string, model: string | undefined): string {
+  return model === undefined ? service : `${service}/${model}`;
+}
--- a/packages/operators/src/commands.ts
+++ b/packages/operators/src/commands.ts
@@ -9,7 +9,7 @@
   pause,
   systemClock,
 } from '@monsoonreach/core';
-import { HttpLog } from '@monsoonreach/platform';
+import { HttpLog } from '@monsoonreach/log';
 import { Command, Option } from 'clipanion';
 import { describeDifference, diffDocuments } from './documentDiff.js';
 import { writeDrain } from './drains.js';
--- a/packages/operators/src/drains.ts
+++ b/packages/operators/src/drains.ts
@@ -1,5 +1,5 @@
 import { controlDefinition } from '@monsoonreach/core';
-import { StreamFollower } from '@monsoonreach/platform';
+import { StreamFollower } from '@monsoonreach/log';
 import { type OperatorLog, writeOneRecord } from './oneRecord.js';
 
 /**
--- a/packages/operators/src/oneRecord.ts
+++ b/packages/operators/src/oneRecord.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { type Clock, Counters, type Log, type StreamState } from '@monsoonreach/core';
-import { LogWriter, type StreamFollower, type WrittenRecord } from '@monsoonreach/platform';
+import { LogWriter, type StreamFollower, type WrittenRecord } from '@monsoonreach/log';
 
 const WRITE_TIMEOUT_MS = 10_000;
 
--- a/packages/operators/src/publisher.ts
+++ b/packages/operators/src/publisher.ts
@@ -5,7 +5,7 @@
   parseConfiguration,
   type PublishedConfiguration,
 } from '@monsoonreach/core';
-import { StreamFollower } from '@monsoonreach/platform';
+import { StreamFollower } from '@monsoonreach/log';
 import { type OperatorLog, writeOneRecord } from './oneRecord.js';
 
 /** Another operator's publication came first; nothing was changed. */
--- a/packages/steward/src/planning.ts
+++ b/packages/steward/src/planning.ts
@@ -20,7 +20,7 @@
   type Verdict,
   type Writer,
 } from '@monsoonreach/core';
-import type { ListedInstance, LogWriter } from '@monsoonreach/platform';
+import type { ListedInstance, LogWriter } from '@monsoonreach/log';
 import { v7 as uuidv7 } from 'uuid';
 import { EngineOrders } from './engineOrders.js';
 import type { Observation, Prober } from './prober.js';
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -17,7 +17,7 @@
 import { type Daemon, FleetNode, LeasePuller, LiveInstances } from '@monsoonreach/daemon';
 import { OperatorsServer } from '@monsoonreach/operators';
 import { LeaseService } from '@monsoonreach/peers';
-import { HttpLiveList, LogWriter, StreamFollower } from '@monsoonreach/platform';
+import { HttpLiveList, LogWriter, StreamFollower } from '@monsoonreach/log';
 import { type CheckpointedStream, Checkpointing } from './checkpointing.js';
 import { Planning } from './planning.js';
 import { Prober } from './prober.js';
--- a/scripts/checkLayers.ts
+++ b/scripts/checkLayers.ts
@@ -6,12 +6,12 @@
   core: [],
   callers: ['core'],
   targets: ['core'],
-  platform: ['core'],
+  log: ['core'],
   peers: ['core'],
-  operators: ['core', 'platform', 'peers'],
-  daemon: ['core', 'platform', 'peers', 'operators'],
-  entry: ['core', 'callers', 'targets', 'platform', 'peers', 'operators', 'daemon'],
-  steward: ['core', 'targets', 'platform', 'peers', 'operators', 'daemon'],
+  operators: ['core', 'log', 'peers'],
+  daemon: ['core', 'log', 'peers', 'operators'],
+  entry: ['core', 'callers', 'targets', 'log', 'peers', 'operators', 'daemon'],
+  steward: ['core', 'targets', 'log', 'peers', 'operators', 'daemon'],
 };
 
 /** Modules of input and output that `core` must not reach for. */
--- a/tests/platform/stream.test.ts
+++ b/tests/platform/stream.test.ts
@@ -12,7 +12,7 @@
   splitCheckpoint,
   UnsupportedFormatError,
 } from '@monsoonreach/core';
-import { LogWriter, StreamFollower } from '@monsoonreach/platform';
+import { LogWriter, StreamFollower } from '@monsoonreach/log';
 import t from 'tap';
 import { v7 as uuidv7 } from 'uuid';
 import { MemoryLog } from '../support/memoryLog.js';
--- a/tests/support/localFleet.ts
+++ b/tests/support/localFleet.ts
@@ -5,7 +5,7 @@
 import { fileURLToPath } from 'node:url';
 import { sha256, systemClock } from '@monsoonreach/core';
 import { Publisher } from '@monsoonreach/operators';
-import { HttpLog } from '@monsoonreach/platform';
+import { HttpLog } from '@monsoonreach/log';
 import { findFreePorts } from './ports.js';
 
 const ROOT = fileURLToPath(new URL('../../../', import.meta.url));
