--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -11,10 +11,9 @@
 /** Loads that may start at once beyond the weight store's steady rate; the store tolerates three more. */
 const LOAD_BURST = 3;
 
-/** An order to one instance. `expectedOrderCount` makes a late or repeated order without effect. */
+/** An order to one instance. */
 export type InstanceOrder = {
   readonly instance: TargetInstance;
-  readonly expectedOrderCount: number;
 } & (
   | {
       readonly kind: 'join';
@@ -132,12 +131,7 @@
   private _tendGroup(view: FormationView, group: ObservedGroup): readonly InstanceOrder[] {
     const { head } = group;
     if (!head || view.ordered.has(head.id)) return [];
-    const order = {
-      instance: head,
-      expectedOrderCount: head.orderCount,
-      group: group.name,
-      epoch: group.epoch,
-    };
+    const order = { instance: head, group: group.name, epoch: group.epoch };
     const isAnswering = group.members.every((member) => !view.silent.has(member.id));
     if (head.membership?.state === 'ready' && isWhole(group) && isAnswering) {
       return [{ ...order, kind: 'open' }];
@@ -268,7 +262,6 @@
       orders.push({
         kind: 'join',
         instance,
-        expectedOrderCount: instance.orderCount,
         group: formation.name,
         epoch: formation.epoch,
         model: formation.model.name,
@@ -299,7 +292,6 @@
       orders.push({
         kind: 'stage',
         instance: spare,
-        expectedOrderCount: spare.orderCount,
         model: chosen.name,
       });
     }
--- a/packages/core/src/serving/targetInstance.ts
+++ b/packages/core/src/serving/targetInstance.ts
@@ -23,8 +23,6 @@
   readonly slots: number;
   /** Wall-clock start of the process, in milliseconds; another value is another incarnation of the same id. */
   readonly startedAtMs: number;
-  /** Orders that have begun something since the start. */
-  readonly orderCount: number;
   readonly fabricDomain: string;
   /** Models whose weights are on the host. */
   readonly stagedModels: readonly string[];
--- a/packages/node/src/decisionLog.ts
+++ b/packages/node/src/decisionLog.ts
@@ -1,15 +1,21 @@
-import { createStateLog, type Clock, type Counters, type LogStyle, type StateLog } from '@monsoonreach/core';
+import type { Clock, Counters, LogStyle } from '@monsoonreach/core';
+import { Logger } from 'tslog';
 
 /** Lines that a process may write each second, beyond which they are counted instead. */
 const LINES_PER_S = 150;
 /** Lines that may be written at once after a quiet time. */
 const LINE_BURST = 600;
 
+/** tslog's number of the level of information. */
+const INFO_LEVEL = 3;
+/** Bytes that may wait for a slow reader of standard output, beyond which lines are dropped. */
+const MAX_WAITING_BYTES = 262_144;
+
 type Fields = Readonly<Record<string, unknown>>;
 
 /** Structured lines on standard output: one a decision, bounded in number. */
 export class DecisionLog {
-  private readonly _log: StateLog;
+  private readonly _log: Logger<unknown>;
   private _allowance = LINE_BURST;
   private _allowedAtMs = 0;
   private _dropped = 0;
@@ -20,7 +26,14 @@
     private readonly _clock: Clock,
     private readonly _counters: Counters,
   ) {
-    this._log = createStateLog(name, style);
+    this._log = new Logger({
+      name,
+      type: style,
+      minLevel: INFO_LEVEL,
+      hideLogPositionForProduction: true,
+      overwrite: { transportJSON: writeLine },
+    });
+    makeOutputAsynchronous();
   }
 
   info(message: string, fields: Fields): void {
@@ -49,3 +62,25 @@
     return true;
   }
 }
+
+/** Writes one line: time, level and message first, then the fields. */
+function writeLine(json: unknown): void {
+  const { 0: message, 1: fields, _meta: meta } = json as TslogLine;
+  if (process.stdout.writableLength > MAX_WAITING_BYTES) return;
+  const line = { time: meta.date, level: meta.logLevelName, message, ...fields };
+  process.stdout.write(`${JSON.stringify(line)}\n`);
+}
+
+interface TslogLine {
+  readonly 0: string;
+  readonly 1: Fields;
+  readonly _meta: { readonly date: string; readonly logLevelName: string };
+}
+
+/** Pipes are written synchronously by default, so that a reader that stands still would stop the process. */
+function makeOutputAsynchronous(): void {
+  const { _handle: handle } = process.stdout as unknown as {
+    readonly _handle?: { readonly setBlocking?: (isBlocking: boolean) => void };
+  };
+  handle?.setBlocking?.(false);
+}
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -4,6 +4,7 @@
   FormationPlanner,
   type FormationView,
   type InstanceOrder,
+  type MemberState,
   pause,
   type Random,
   type ServingConfiguration,
@@ -30,8 +31,12 @@
 const ORDER_TIMEOUT_MS = 400;
 /** How long an instance's own report is awaited, in milliseconds. */
 const REPORT_TIMEOUT_MS = 300;
+/** How far a report may lag behind, in milliseconds; the engines say 200. */
+const REPORT_LAG_MS = 300;
 /** How long after an order the list may take to show its effect, in milliseconds; one interval of the list and its lag. */
 const EFFECT_WAIT_MS = 1_500;
+/** How long a report may be ahead of the list, in milliseconds; one interval of the list and its lag. */
+const LIST_LAG_MS = 1_300;
 /** Least pause between two looks at who plans, in milliseconds. */
 const ELECTION_INTERVAL_MS = 400;
 /** Most random wait before a claim, in milliseconds, so that two nodes seldom claim at once. */
@@ -64,7 +69,7 @@
   private _planner: FormationPlanner | undefined;
   private readonly _ordered = new Map<string, number>();
   /** What instances reported themselves, until the list shows at least as much. */
-  private readonly _reported = new Map<string, TargetInstance>();
+  private readonly _reported = new Map<string, ReportedInstance>();
   private readonly _stopping = new AbortController();
 
   constructor(private readonly _options: PlanningOptions) {}
@@ -174,14 +179,16 @@
     };
   }
 
+  /** What the list says, with reports of instances themselves where those are newer. */
   private _mergeReports(listed: ReadonlyMap<string, TargetInstance>): ReadonlyMap<string, TargetInstance> {
+    const nowMs = this._options.clock.monotonic();
     const merged = new Map(listed);
-    for (const [id, reported] of this._reported) {
+    for (const [id, { instance, atMs }] of this._reported) {
       const entry = listed.get(id);
-      const isOlder =
-        entry?.startedAtMs === reported.startedAtMs && entry.orderCount < reported.orderCount;
-      if (isOlder) merged.set(id, { ...reported, state: entry.state });
-      else this._reported.delete(id);
+      if (!entry || entry.startedAtMs !== instance.startedAtMs) this._reported.delete(id);
+      else if (nowMs - atMs < LIST_LAG_MS && isNewer(instance, entry)) {
+        merged.set(id, { ...instance, state: entry.state });
+      }
     }
     return merged;
   }
@@ -192,18 +199,53 @@
     const term = this._term;
     if (term === undefined) return;
     this._ordered.set(id, clock.monotonic() + EFFECT_WAIT_MS);
-    const outcome = await sendOrder(order, { fencingToken: term, timeoutMs: ORDER_TIMEOUT_MS });
+    const known = this._reported.get(id);
+    const expectedOrderCount =
+      known?.instance.startedAtMs === order.instance.startedAtMs ? known.orderCount : 0;
+    const outcome = await sendOrder(order, {
+      fencingToken: term,
+      expectedOrderCount,
+      timeoutMs: ORDER_TIMEOUT_MS,
+    });
     counters.add('monsoonreach_orders_total', { kind: order.kind, outcome: outcome.kind });
     log.info('order', {
       term,
       target: id,
       kind: order.kind,
       group: 'group' in order ? order.group : undefined,
-      orderCount: order.expectedOrderCount,
+      epoch: 'epoch' in order ? order.epoch : undefined,
+      expectedOrderCount,
       outcome: outcome.kind,
     });
-    if (outcome.kind === 'fenced') this._noteFenced(order, term);
-    await this._readBack(order, outcome);
+    await this._settle(order, outcome, { term, expectedOrderCount });
+  }
+
+  private async _settle(
+    order: InstanceOrder,
+    outcome: OrderOutcome,
+    sent: { readonly term: number; readonly expectedOrderCount: number },
+  ): Promise<void> {
+    const { clock } = this._options;
+    const { id } = order.instance;
+    switch (outcome.kind) {
+      case 'begun':
+        this._reported.set(id, {
+          instance: expectEffect(order),
+          orderCount: sent.expectedOrderCount + 1,
+          atMs: clock.monotonic(),
+        });
+        return;
+      case 'holds':
+      case 'misdirected':
+        return;
+      case 'fenced':
+        this._noteFenced(order, sent.term);
+        return;
+      case 'conflict':
+      case 'unknown':
+        await pause(REPORT_LAG_MS, this._stopping.signal);
+        await this._readBack(order);
+    }
   }
 
   private _noteFenced(order: InstanceOrder, term: number): void {
@@ -212,20 +254,58 @@
     this._stepDown();
   }
 
-  /** Asks the instance what the order has done, unless the list will tell soon enough. */
-  private async _readBack(order: InstanceOrder, outcome: OrderOutcome): Promise<void> {
-    const { clock, list } = this._options;
+  /** Asks the instance itself how it stands, when an order's effect is not known. */
+  private async _readBack(order: InstanceOrder): Promise<void> {
+    const { clock, counters, list } = this._options;
     const { id } = order.instance;
     try {
-      const { state } = await readReport(order.instance, REPORT_TIMEOUT_MS);
-      const entry = list.get(id) ?? order.instance;
-      this._reported.set(id, { ...entry, ...state, fabricDomain: entry.fabricDomain });
+      const { state, orderCount } = await readReport(order.instance, REPORT_TIMEOUT_MS);
+      const instance = { ...(list.get(id) ?? order.instance), ...state };
+      this._reported.set(id, { instance, orderCount, atMs: clock.monotonic() });
       this._ordered.delete(id);
     } catch (error) {
       if (!(error instanceof ReportError)) throw error;
-      this._options.counters.add('monsoonreach_reports_missed_total');
-      const waitMs = outcome.kind === 'accepted' ? EFFECT_WAIT_MS : ORDER_TIMEOUT_MS;
-      this._ordered.set(id, clock.monotonic() + waitMs);
+      counters.add('monsoonreach_reports_missed_total');
+      this._ordered.set(id, clock.monotonic() + ORDER_TIMEOUT_MS);
     }
   }
 }
+
+/** How an instance will describe itself when it has begun to carry out an order. */
+function expectEffect(order: InstanceOrder): TargetInstance {
+  const { instance } = order;
+  switch (order.kind) {
+    case 'join': {
+      const rank = order.members.indexOf(instance.id);
+      const membership = { group: order.group, epoch: order.epoch, rank, state: 'joining' as const };
+      return { ...instance, membership, models: [order.model] };
+    }
+    case 'open':
+      return instance;
+    case 'close':
+      return instance.membership
+        ? { ...instance, membership: { ...instance.membership, state: 'closing' } }
+        : instance;
+    case 'stage':
+      return { ...instance, stagedModels: [order.model] };
+  }
+}
+
+interface ReportedInstance {
+  readonly instance: TargetInstance;
+  readonly orderCount: number;
+  readonly atMs: number;
+}
+
+/** Order in which a member passes through its states. */
+const MEMBER_STATES: readonly MemberState[] = ['joining', 'ready', 'open', 'closing', 'broken'];
+
+/** Whether an instance's own report is ahead of its entry in the list. */
+function isNewer(reported: TargetInstance, entry: TargetInstance): boolean {
+  if (!reported.membership) return !entry.membership && reported.stagedModels.length > entry.stagedModels.length;
+  if (!entry.membership || reported.membership.epoch > entry.membership.epoch) return true;
+  if (reported.membership.epoch < entry.membership.epoch) return false;
+  return (
+    MEMBER_STATES.indexOf(reported.membership.state) > MEMBER_STATES.indexOf(entry.membership.state)
+  );
+}
