Lay out each fabric domain as a whole, by demand, once the list has stopped growing

Cause: groups were formed from the first instances listed, so that only one group of the larger model fitted.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -1,13 +1,10 @@
+import { layOutGroups } from './groupLayout.js';
 import { groupId, isHeadServing, isWhole, type ObservedGroup, observeGroups } from './observedGroups.js';
 import type { ModelProfile, ServingService } from './servingConfiguration.js';
 import type { TargetInstance } from './targetInstance.js';
 
 /** How long a head must be missing before its members are used elsewhere, in milliseconds; one list interval. */
 const HEAD_MISSING_GRACE_MS = 700;
-/** Time of a join that needs no weights, in milliseconds; the engines' own figure. */
-const REJOIN_MS = 200;
-/** Marginal demand is divided by the time to form plus this, in milliseconds, so that a quick repair goes first. */
-const FORMATION_BASE_MS = 4_000;
 /** Loads that may start at once beyond the weight store's steady rate; the store tolerates three more. */
 const LOAD_BURST = 3;
 
@@ -19,13 +16,13 @@
       readonly kind: 'join';
       readonly group: string;
       readonly epoch: number;
-      readonly model: string;
+      readonly model: ModelProfile;
       /** Ids; the first is the head. */
       readonly members: readonly string[];
     }
   | { readonly kind: 'open'; readonly group: string; readonly epoch: number }
   | { readonly kind: 'close'; readonly group: string; readonly epoch: number }
-  | { readonly kind: 'stage'; readonly model: string }
+  | { readonly kind: 'stage'; readonly model: ModelProfile }
 );
 
 /** What a planner sees in one turn. */
@@ -40,7 +37,7 @@
   readonly silent: ReadonlySet<string>;
   /** False while the list may lack instances that live, as after an outage of the store. */
   readonly isListSettled: boolean;
-  /** Demand of each model in request-seconds a second; empty before there is any. */
+  /** Groups that the traffic needs of each model; empty before there is any. */
   readonly demand: ReadonlyMap<string, number>;
   /** Requests were served already, so that loads count against the weight store's rate. */
   readonly hasTraffic: boolean;
@@ -198,23 +195,11 @@
     free: readonly TargetInstance[],
   ): void {
     if (!view.isListSettled) return;
+    const { engine } = service;
+    if (!engine) return;
     const counts = this._countGroups(view, service, groups);
-    const pools = new Map<string, TargetInstance[]>();
-    for (const instance of free) {
-      const pool = pools.get(instance.fabricDomain);
-      if (pool) pool.push(instance);
-      else pools.set(instance.fabricDomain, [instance]);
-    }
-    for (;;) {
-      const best = chooseFormation(service, view.demand, counts, pools);
-      if (!best) return;
-      this._begin(service, best.model, best.members);
-      counts.set(best.model.name, (counts.get(best.model.name) ?? 0) + 1);
-      const pool = pools.get(best.fabricDomain) ?? [];
-      pools.set(
-        best.fabricDomain,
-        pool.filter((instance) => !best.members.includes(instance)),
-      );
+    for (const { model, members } of layOutGroups({ engine, free, counts, demand: view.demand })) {
+      this._begin(service, model, members);
     }
   }
 
@@ -264,7 +249,7 @@
         instance,
         group: formation.name,
         epoch: formation.epoch,
-        model: formation.model.name,
+        model: formation.model,
         members: formation.members,
       });
     }
@@ -279,6 +264,7 @@
   ): readonly InstanceOrder[] {
     const taken = new Set([...this._formations.values()].flatMap(({ members }) => members));
     const spares = free.filter(({ id }) => !taken.has(id));
+    if (!view.isListSettled) return [];
     const orders: InstanceOrder[] = [];
     const models = [...(service.engine?.models ?? [])].sort((a, b) => b.groupSize - a.groupSize);
     for (const spare of spares) {
@@ -292,7 +278,7 @@
       orders.push({
         kind: 'stage',
         instance: spare,
-        model: chosen.name,
+        model: chosen,
       });
     }
     return orders;
@@ -311,54 +297,3 @@
 function isElsewhere(instance: TargetInstance, formation: Formation): boolean {
   return (instance.membership?.epoch ?? 0) > formation.epoch;
 }
-
-interface FormationChoice {
-  readonly model: ModelProfile;
-  readonly fabricDomain: string;
-  readonly members: readonly TargetInstance[];
-}
-
-/**
- * The group that helps most: the demand that one more group of its model would carry, weighed by the time that
- * the slowest member needs to take up the weights.
- */
-function chooseFormation(
-  service: ServingService,
-  demand: ReadonlyMap<string, number>,
-  counts: ReadonlyMap<string, number>,
-  pools: ReadonlyMap<string, readonly TargetInstance[]>,
-): FormationChoice | undefined {
-  let best: (FormationChoice & { readonly score: number }) | undefined;
-  for (const model of service.engine?.models ?? []) {
-    const need = demand.get(model.name) ?? model.demandShare / model.groupSize;
-    const gain = need / ((counts.get(model.name) ?? 0) + 1);
-    for (const [fabricDomain, pool] of pools) {
-      const members = chooseMembers(model, pool);
-      if (!members) continue;
-      const readyMs = Math.max(...members.map((member) => joinMs(model, member)));
-      const score = gain / (readyMs + FORMATION_BASE_MS) + pool.length * 1e-12;
-      if (!best || score > best.score) best = { model, fabricDomain, members, score };
-    }
-  }
-  return best;
-}
-
-function chooseMembers(
-  model: ModelProfile,
-  pool: readonly TargetInstance[],
-): readonly TargetInstance[] | undefined {
-  if (pool.length < model.groupSize) return undefined;
-  const byTime = [...pool].sort(
-    (a, b) =>
-      joinMs(model, a) - joinMs(model, b) ||
-      a.stagedModels.length - b.stagedModels.length ||
-      (a.id < b.id ? -1 : 1),
-  );
-  return byTime.slice(0, model.groupSize);
-}
-
-/** Time until this instance is ready for the model, in milliseconds. */
-function joinMs(model: ModelProfile, instance: TargetInstance): number {
-  if (!instance.stagedModels.includes(model.name)) return model.loadMs;
-  return instance.membership && instance.models.includes(model.name) ? REJOIN_MS : model.warmupMs;
-}
--- a/packages/node/src/instanceList.ts
+++ b/packages/node/src/instanceList.ts
@@ -14,6 +14,7 @@
   /** Entries that went missing after an outage, with the time until which they are kept. */
   private readonly _missing = new Map<string, number>();
   private _version = 0;
+  private _grownAtMs = -Infinity;
 
   constructor(
     private readonly _clock: Clock,
@@ -32,6 +33,11 @@
     return this._version;
   }
 
+  /** Monotonic time at which an instance was listed for the first time. */
+  get grownAtMs(): number {
+    return this._grownAtMs;
+  }
+
   get(id: string): TargetInstance | undefined {
     return this._instances.get(id);
   }
@@ -69,6 +75,7 @@
     if (before && before.state !== instance.state) {
       this._log.info('target changed', { target: instance.id, state: instance.state });
     }
+    if (!before) this._grownAtMs = this._clock.monotonic();
     this._instances.set(instance.id, instance);
     this._version++;
   }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -4,6 +4,7 @@
   type Clock,
   Counters,
   createRandom,
+  DemandMeter,
   hash32,
   KeyTrust,
   pause,
@@ -59,6 +60,7 @@
   private readonly _trust: KeyTrust;
   private readonly _list: InstanceList;
   private readonly _loads = new LoadBook();
+  private readonly _demand = new DemandMeter();
   private readonly _health = new TargetHealth();
   private readonly _connections: TargetConnections;
   private readonly _exchange: PeerExchange;
@@ -165,6 +167,7 @@
       failureDomain: node['failure-domain'],
       health: this._health,
       loads: this._loads,
+      demand: this._demand,
       retries: new RetryAllowance(
         { share: bounds['retry-share'], slack: bounds['retry-slack'], windowMs: bounds['retry-window'] },
         () => this._exchange.livePeers().length + 1,
@@ -194,11 +197,9 @@
       counters: this._counters,
       log: this._log,
       configuration: () => (this._hasList ? this._table?.configuration : undefined),
-      isListSettled: () =>
-        !this._listFollower.isFailing &&
-        this._clock.monotonic() - this._listFollower.regainedAtMs > RESTORE_MS,
-      demand: () => new Map(),
-      hasTraffic: () => this._hasTraffic || this._exchange.livePeers().some(({ digest }) => digest.hasTraffic),
+      isListSettled: () => this._isListSettled(),
+      demand: () => this._fleetDemand(),
+      hasTraffic: () => this._fleetHasTraffic(),
       silent: () => new Set(this._silentMembers.keys()),
     });
   }
@@ -290,7 +291,7 @@
       loads: Object.fromEntries([...this._loads.own()].map(([key, load]) => [key, [...load]])),
       silent: [...this._silentMembers].filter(([, untilMs]) => untilMs > nowMs).map(([id]) => id),
       hasTraffic: this._hasTraffic,
-      demand: {},
+      demand: Object.fromEntries(this._demand.groups(nowMs)),
     };
   }
 
@@ -301,6 +302,28 @@
     }
   }
 
+  private _fleetHasTraffic(): boolean {
+    return this._hasTraffic || this._exchange.livePeers().some(({ digest }) => digest.hasTraffic);
+  }
+
+  /** Whether the list shows what there is: after an outage entries come back, and at the start they come bit by bit. */
+  private _isListSettled(): boolean {
+    const nowMs = this._clock.monotonic();
+    if (this._listFollower.isFailing || nowMs - this._listFollower.regainedAtMs < RESTORE_MS) return false;
+    return this._fleetHasTraffic() || nowMs - this._list.grownAtMs > START_SETTLE_MS;
+  }
+
+  /** Groups that the requests at all nodes need, by model. */
+  private _fleetDemand(): ReadonlyMap<string, number> {
+    const demand = new Map(this._demand.groups(this._clock.monotonic()));
+    for (const { digest } of this._exchange.livePeers()) {
+      for (const [model, groups] of Object.entries(digest.demand)) {
+        demand.set(model, (demand.get(model) ?? 0) + groups);
+      }
+    }
+    return demand;
+  }
+
   private _noteSilentTarget({ key }: TargetCandidate): void {
     this._counters.add('monsoonreach_silent_targets_total');
     void key;
@@ -331,6 +354,8 @@
 
 /** Longest age that is told, in milliseconds; JSON has no infinity. */
 const MAX_AGE_MS = 1_000_000;
+/** How long no instance must have come anew before the first groups are laid out, in milliseconds; two reads of the list. */
+const START_SETTLE_MS = 1_000;
 /** Time that a datagram may have been under way, in milliseconds; far above the time between failure domains. */
 const DATAGRAM_AGE_MS = 300;
 /** Pause before peers are looked for again, in milliseconds. */
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -183,10 +183,10 @@
   private _mergeReports(listed: ReadonlyMap<string, TargetInstance>): ReadonlyMap<string, TargetInstance> {
     const nowMs = this._options.clock.monotonic();
     const merged = new Map(listed);
-    for (const [id, { instance, atMs }] of this._reported) {
+    for (const [id, { instance, untilMs }] of this._reported) {
       const entry = listed.get(id);
       if (!entry || entry.startedAtMs !== instance.startedAtMs) this._reported.delete(id);
-      else if (nowMs - atMs < LIST_LAG_MS && isNewer(instance, entry)) {
+      else if (nowMs < untilMs && isNewer(instance, entry)) {
         merged.set(id, { ...instance, state: entry.state });
       }
     }
@@ -199,9 +199,8 @@
     const term = this._term;
     if (term === undefined) return;
     this._ordered.set(id, clock.monotonic() + EFFECT_WAIT_MS);
-    const known = this._reported.get(id);
-    const expectedOrderCount =
-      known?.instance.startedAtMs === order.instance.startedAtMs ? known.orderCount : 0;
+    const expectedOrderCount = await this._orderCount(order.instance);
+    if (expectedOrderCount === undefined) return;
     const outcome = await sendOrder(order, {
       fencingToken: term,
       expectedOrderCount,
@@ -212,6 +211,7 @@
       term,
       target: id,
       kind: order.kind,
+      model: 'model' in order ? order.model.name : undefined,
       group: 'group' in order ? order.group : undefined,
       epoch: 'epoch' in order ? order.epoch : undefined,
       expectedOrderCount,
@@ -220,6 +220,16 @@
     await this._settle(order, outcome, { term, expectedOrderCount });
   }
 
+  /** Orders that the instance has begun so far; undefined when it does not say. */
+  private async _orderCount(instance: TargetInstance): Promise<number | undefined> {
+    const known = this._reported.get(instance.id);
+    if (known?.instance.startedAtMs === instance.startedAtMs) return known.orderCount;
+    const isUntouched = !instance.membership && instance.stagedModels.length === 0;
+    if (isUntouched) return 0;
+    await this._readBack(instance);
+    return this._reported.get(instance.id)?.orderCount;
+  }
+
   private async _settle(
     order: InstanceOrder,
     outcome: OrderOutcome,
@@ -229,11 +239,7 @@
     const { id } = order.instance;
     switch (outcome.kind) {
       case 'begun':
-        this._reported.set(id, {
-          instance: expectEffect(order),
-          orderCount: sent.expectedOrderCount + 1,
-          atMs: clock.monotonic(),
-        });
+        this._noteBegun(order, sent.expectedOrderCount);
         return;
       case 'holds':
       case 'misdirected':
@@ -244,10 +250,23 @@
       case 'conflict':
       case 'unknown':
         await pause(REPORT_LAG_MS, this._stopping.signal);
-        await this._readBack(order);
+        await this._readBack(order.instance);
+        if (order.kind === 'stage') this._ordered.set(id, clock.monotonic() + EFFECT_WAIT_MS);
     }
   }
 
+  private _noteBegun(order: InstanceOrder, expectedOrderCount: number): void {
+    const { clock } = this._options;
+    const { id } = order.instance;
+    const atMs = clock.monotonic();
+    const isCounted = order.kind === 'join' || order.kind === 'stage';
+    const orderCount = expectedOrderCount + (isCounted ? 1 : 0);
+    // Until the weights are there, the list does not tell that a host stages them.
+    const lagMs = LIST_LAG_MS + (order.kind === 'stage' ? order.model.loadMs : 0);
+    this._reported.set(id, { instance: expectEffect(order), orderCount, untilMs: atMs + lagMs });
+    this._ordered.delete(id);
+  }
+
   private _noteFenced(order: InstanceOrder, term: number): void {
     if (this._term !== term) return;
     this._options.log.warn('planning ended', { term, reason: `fenced at ${order.instance.id}` });
@@ -255,13 +274,13 @@
   }
 
   /** Asks the instance itself how it stands, when an order's effect is not known. */
-  private async _readBack(order: InstanceOrder): Promise<void> {
+  private async _readBack(instance: TargetInstance): Promise<void> {
     const { clock, counters, list } = this._options;
-    const { id } = order.instance;
+    const { id } = instance;
     try {
-      const { state, orderCount } = await readReport(order.instance, REPORT_TIMEOUT_MS);
-      const instance = { ...(list.get(id) ?? order.instance), ...state };
-      this._reported.set(id, { instance, orderCount, atMs: clock.monotonic() });
+      const { state, orderCount } = await readReport(instance, REPORT_TIMEOUT_MS);
+      const reported = { ...(list.get(id) ?? instance), ...state };
+      this._reported.set(id, { instance: reported, orderCount, untilMs: clock.monotonic() + LIST_LAG_MS });
       this._ordered.delete(id);
     } catch (error) {
       if (!(error instanceof ReportError)) throw error;
@@ -278,7 +297,7 @@
     case 'join': {
       const rank = order.members.indexOf(instance.id);
       const membership = { group: order.group, epoch: order.epoch, rank, state: 'joining' as const };
-      return { ...instance, membership, models: [order.model] };
+      return { ...instance, membership, models: [order.model.name] };
     }
     case 'open':
       return instance;
@@ -287,14 +306,15 @@
         ? { ...instance, membership: { ...instance.membership, state: 'closing' } }
         : instance;
     case 'stage':
-      return { ...instance, stagedModels: [order.model] };
+      return { ...instance, stagedModels: [order.model.name] };
   }
 }
 
 interface ReportedInstance {
   readonly instance: TargetInstance;
   readonly orderCount: number;
-  readonly atMs: number;
+  /** Until when it goes before the list. */
+  readonly untilMs: number;
 }
 
 /** Order in which a member passes through its states. */
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -82,12 +82,19 @@
     response.on('close', () => {
       if (!this._isOver) this._leave();
     });
-    if (this._service !== undefined) {
-      context.retries.noteRequest(this._service, context.clock.monotonic());
-    }
+    if (this._service !== undefined) this._noteArrival(this._service);
     this._dispatch();
   }
 
+  private _noteArrival(service: string): void {
+    const { context, caller } = this._options;
+    const nowMs = context.clock.monotonic();
+    context.retries.noteRequest(service, nowMs);
+    const engine = context.configuration()?.services.get(service)?.engine;
+    const model = engine?.models.find(({ name }) => name === caller.model);
+    if (engine && model) context.demand.note(engine, model, caller.size, nowMs);
+  }
+
   /** Moves on from a target at which nothing moves. */
   checkProgress(nowMs: number): void {
     const attempt = this._attempt;
--- a/packages/node/src/servingContext.ts
+++ b/packages/node/src/servingContext.ts
@@ -2,6 +2,7 @@
 import type {
   Clock,
   Counters,
+  DemandMeter,
   Random,
   RetryAllowance,
   ServingConfiguration,
@@ -23,6 +24,7 @@
   readonly failureDomain: string;
   readonly health: TargetHealth;
   readonly loads: LoadBook;
+  readonly demand: DemandMeter;
   readonly retries: RetryAllowance;
   readonly connections: TargetConnections;
   readonly directory: TargetDirectory;
