--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -3,8 +3,6 @@
 import type { ModelProfile, ServingService } from './servingConfiguration.js';
 import type { TargetInstance } from './targetInstance.js';
 
-/** How long a head must be missing before its members are used elsewhere, in milliseconds; one list interval. */
-const HEAD_MISSING_GRACE_MS = 700;
 /** Loads that may start at once beyond the weight store's steady rate; the store tolerates three more. */
 const LOAD_BURST = 3;
 
@@ -35,6 +33,10 @@
   readonly ordered: ReadonlySet<string>;
   /** Instances that do not answer, although they are listed. */
   readonly silent: ReadonlySet<string>;
+  /** Whether a group whose head is not listed serves no more, as far as the nodes can find out. */
+  readonly isHeadGone: (group: string) => boolean;
+  /** Heads that are not listed and serve all the same. */
+  readonly unlistedServingHeads: readonly TargetInstance[];
   /** False while the list may lack instances that live, as after an outage of the store. */
   readonly isListSettled: boolean;
   /** Groups that the traffic needs of each model; empty before there is any. */
@@ -57,7 +59,6 @@
  */
 export class FormationPlanner {
   private readonly _formations = new Map<string, Formation>();
-  private readonly _headMissingSinceMs = new Map<string, number>();
   private _sequence = 0;
   private _loads = LOAD_BURST;
   private _loadsAtMs: number | undefined;
@@ -77,10 +78,10 @@
   private _planService(view: FormationView, service: ServingService): readonly InstanceOrder[] {
     this._refillLoads(view, service);
     const groups = observeGroups(service, view.instances.values());
-    this._trackMissingHeads(view, groups);
     this._endFormations(view, service);
     const orders: InstanceOrder[] = [];
     for (const group of groups.values()) orders.push(...this._tendGroup(view, group));
+    orders.push(...closeUnlistedHeads(view, service));
     const free = this._freeInstances(view, service, groups);
     this._beginFormations(view, service, groups, free);
     for (const formation of this._formations.values()) {
@@ -102,16 +103,6 @@
     this._loadsAtMs = view.nowMs;
   }
 
-  private _trackMissingHeads(view: FormationView, groups: ReadonlyMap<string, ObservedGroup>): void {
-    for (const [id, { head }] of groups) {
-      if (head || !view.isListSettled) this._headMissingSinceMs.delete(id);
-      else if (!this._headMissingSinceMs.has(id)) this._headMissingSinceMs.set(id, view.nowMs);
-    }
-    for (const id of this._headMissingSinceMs.keys()) {
-      if (!groups.has(id)) this._headMissingSinceMs.delete(id);
-    }
-  }
-
   /** Drops formations that are complete or have lost a member before they were. */
   private _endFormations(view: FormationView, service: ServingService): void {
     for (const [id, formation] of this._formations) {
@@ -166,10 +157,7 @@
     const id = groupId(membership);
     const group = groups.get(id);
     if (!group) return true;
-    if (!group.head) {
-      const sinceMs = this._headMissingSinceMs.get(id);
-      return sinceMs !== undefined && view.nowMs - sinceMs >= HEAD_MISSING_GRACE_MS;
-    }
+    if (!group.head) return view.isListSettled && view.isHeadGone(id);
     if (isHeadServing(group)) return false;
     if (group.head.membership?.state === 'broken') return true;
     if (view.ordered.has(group.head.id)) return false;
@@ -297,3 +285,14 @@
 function isElsewhere(instance: TargetInstance, formation: Formation): boolean {
   return (instance.membership?.epoch ?? 0) > formation.epoch;
 }
+
+/** A head that is cut off from the store gets no requests; closing it sets its members free. */
+function closeUnlistedHeads(view: FormationView, service: ServingService): readonly InstanceOrder[] {
+  if (!view.isListSettled) return [];
+  return view.unlistedServingHeads.flatMap((head) => {
+    const isOurs = head.service === service.name && !view.ordered.has(head.id);
+    if (!isOurs || !head.membership) return [];
+    const { group, epoch } = head.membership;
+    return [{ kind: 'close' as const, instance: head, group, epoch }];
+  });
+}
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -12,3 +12,4 @@
 export * from './silence.js';
 export * from './targetHealth.js';
 export * from './targetInstance.js';
+export * from './unlistedHeads.js';
--- /dev/null
+++ b/packages/node/src/headWatch.ts
@@ -0,0 +1,73 @@
+import {
+  type Clock,
+  type HeadFinding,
+  observeGroups,
+  type ServingConfiguration,
+  type TargetInstance,
+  UnlistedHeads,
+} from '@monsoonreach/core';
+import { readReport, ReportError } from '@monsoonreach/platform';
+import type { DecisionLog } from './decisionLog.js';
+import type { InstanceList } from './instanceList.js';
+
+/** Pause between two questions to a head that vanished, in milliseconds. */
+const QUESTION_INTERVAL_MS = 500;
+/** How long a head's answer is awaited, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 300;
+
+/** What a watch is made of. */
+export interface HeadWatchOptions {
+  readonly list: InstanceList;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly configuration: () => ServingConfiguration | undefined;
+}
+
+/** Asks heads that have vanished from the list whether they still serve. */
+export class HeadWatch {
+  private readonly _heads = new UnlistedHeads();
+  private _askedAtMs = -Infinity;
+
+  constructor(private readonly _options: HeadWatchOptions) {}
+
+  findings(): ReadonlyMap<string, HeadFinding> {
+    return this._heads.findings();
+  }
+
+  /** Heads that are not listed and serve all the same. */
+  serving(): readonly TargetInstance[] {
+    return this._heads.serving();
+  }
+
+  isReleased(group: string, peers: readonly ReadonlyMap<string, HeadFinding>[]): boolean {
+    return this._heads.isReleased(group, peers, this._options.clock.monotonic());
+  }
+
+  turn(): void {
+    const { clock, list, configuration } = this._options;
+    const nowMs = clock.monotonic();
+    for (const service of configuration()?.services.values() ?? []) {
+      if (service.engine) this._heads.update(observeGroups(service, list.instances.values()), nowMs);
+    }
+    if (nowMs - this._askedAtMs < QUESTION_INTERVAL_MS) return;
+    this._askedAtMs = nowMs;
+    for (const head of this._heads.toAsk()) void this._ask(head);
+  }
+
+  private async _ask(head: TargetInstance): Promise<void> {
+    const before = this._findingOf(head);
+    try {
+      const { state } = await readReport(head, ANSWER_TIMEOUT_MS);
+      this._heads.note(head, state.startedAtMs === head.startedAtMs ? state.membership : undefined);
+    } catch (error) {
+      if (!(error instanceof ReportError)) throw error;
+      this._heads.note(head, 'none');
+    }
+    const finding = this._findingOf(head);
+    if (finding !== before) this._options.log.info('unlisted head asked', { target: head.id, finding });
+  }
+
+  private _findingOf({ membership }: TargetInstance): HeadFinding | undefined {
+    return membership && this.findings().get(`${membership.group}@${membership.epoch}`);
+  }
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,2 +1,3 @@
 export * from './node.js';
 export * from './settings.js';
+export * from './targetConnections.js';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -27,6 +27,7 @@
 } from '@monsoonreach/platform';
 import { DecisionLog } from './decisionLog.js';
 import { answerPlainly, FrontServer } from './frontServer.js';
+import { HeadWatch } from './headWatch.js';
 import { InstanceList, RESTORE_MS } from './instanceList.js';
 import { KeyedFollower } from './keyedFollower.js';
 import { LoadBook } from './loadBook.js';
@@ -64,6 +65,7 @@
   private readonly _health = new TargetHealth();
   private readonly _connections: TargetConnections;
   private readonly _exchange: PeerExchange;
+  private readonly _heads: HeadWatch;
   private readonly _planning: Planning;
   private readonly _front: FrontServer;
   private readonly _context: ServingContext;
@@ -109,6 +111,12 @@
       trust: this._trust,
       table: () => this._table,
     });
+    this._heads = new HeadWatch({
+      list: this._list,
+      clock: _clock,
+      log: this._log,
+      configuration: () => this._table?.configuration,
+    });
     this._planning = this._createPlanning();
   }
 
@@ -201,6 +209,7 @@
       demand: () => this._fleetDemand(),
       hasTraffic: () => this._fleetHasTraffic(),
       silent: () => new Set(this._silentMembers.keys()),
+      heads: this._heads,
     });
   }
 
@@ -290,6 +299,7 @@
       isLeaving: this._front.isDraining,
       loads: Object.fromEntries([...this._loads.own()].map(([key, load]) => [key, [...load]])),
       silent: [...this._silentMembers].filter(([, untilMs]) => untilMs > nowMs).map(([id]) => id),
+      heads: Object.fromEntries(this._heads.findings()),
       hasTraffic: this._hasTraffic,
       demand: Object.fromEntries(this._demand.groups(nowMs)),
     };
@@ -335,6 +345,7 @@
     if (this._runs.size > 0) this._hasTraffic = true;
     for (const run of this._runs) run.checkProgress(nowMs);
     this._list.expire();
+    if (!this._listFollower.isFailing) this._heads.turn();
   }
 
   private _serve(
--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -25,6 +25,8 @@
   isLeaving: z.boolean(),
   loads: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
   silent: z.array(z.string()),
+  /** What the sender found when it asked heads that are not listed, by group. */
+  heads: z.record(z.string(), z.enum(['serving', 'idle', 'silent'])),
   /** Requests that were served, so that a newcomer knows that there is traffic. */
   hasTraffic: z.boolean(),
   demand: z.record(z.string(), z.number()),
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -22,6 +22,7 @@
   Topic,
 } from '@monsoonreach/platform';
 import type { DecisionLog } from './decisionLog.js';
+import type { HeadWatch } from './headWatch.js';
 import type { InstanceList } from './instanceList.js';
 import type { PeerExchange } from './peerExchange.js';
 
@@ -58,6 +59,7 @@
   readonly hasTraffic: () => boolean;
   /** Ids of members that do not answer. */
   readonly silent: () => ReadonlySet<string>;
+  readonly heads: HeadWatch;
 }
 
 /**
@@ -164,8 +166,9 @@
   }
 
   private _view(configuration: ServingConfiguration): FormationView {
-    const { clock, list, isListSettled, demand, hasTraffic, silent } = this._options;
+    const { clock, list, isListSettled, demand, hasTraffic, silent, heads, exchange } = this._options;
     const nowMs = clock.monotonic();
+    const peers = exchange.livePeers().map(({ digest }) => new Map(Object.entries(digest.heads)));
     for (const [id, untilMs] of this._ordered) if (untilMs <= nowMs) this._ordered.delete(id);
     return {
       nowMs,
@@ -173,6 +176,8 @@
       instances: this._mergeReports(list.instances),
       ordered: new Set(this._ordered.keys()),
       silent: silent(),
+      isHeadGone: (group) => heads.isReleased(group, peers),
+      unlistedServingHeads: heads.serving(),
       isListSettled: isListSettled(),
       demand: demand(),
       hasTraffic: hasTraffic(),
--- a/packages/node/src/targetConnections.ts
+++ b/packages/node/src/targetConnections.ts
@@ -1,6 +1,6 @@
 import { type Clock, MonsoonreachError } from '@monsoonreach/core';
 import { decodeTargetHead, type TargetHead } from '@monsoonreach/platform';
-import { Client, type Dispatcher, Pool } from 'undici';
+import { buildConnector, Client, type Dispatcher, Pool } from 'undici';
 
 /** Longest wait for a connection to a target, in milliseconds; many times the time between failure domains. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -51,13 +51,14 @@
 
 /** Connections to targets; one request at a time on each. */
 export class TargetConnections {
+  private readonly _resets = new ResetWatch();
   private readonly _pools = new Map<string, { readonly pool: Pool; usedAtMs: number }>();
 
   constructor(private readonly _clock: Clock) {}
 
   open(call: TargetCall, listener: CallListener): OpenCall {
     const { dispatcher, release } = this._dispatcherFor(call);
-    const handler = new CallHandler(listener, release);
+    const handler = new CallHandler(listener, release, this._resets);
     try {
       dispatcher.dispatch(
         {
@@ -89,7 +90,7 @@
 
   private _dispatcherFor(call: TargetCall): { readonly dispatcher: Dispatcher; readonly release: () => void } {
     const origin = `http://${call.address}`;
-    const connect = { timeout: CONNECT_TIMEOUT_MS };
+    const connect = this._resets.connect;
     if (call.isFresh) {
       const client = new Client(origin, { pipelining: 1, connect });
       return { dispatcher: client, release: () => void client.destroy() };
@@ -105,6 +106,37 @@
   }
 }
 
+/**
+ * Tells whether a connection is being reset at this moment. An answer without a length ends with its connection,
+ * and the client library takes a reset for such an end.
+ */
+class ResetWatch {
+  private _isResetting = false;
+
+  readonly connect: buildConnector.connector = (options, callback) => {
+    this._connector(options, (...result) => {
+      const [, socket] = result;
+      socket?.prependListener('error', () => {
+        this._note();
+      });
+      callback(...result);
+    });
+  };
+  private readonly _connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+
+  /** True while the listeners of a connection's error run. */
+  get isResetting(): boolean {
+    return this._isResetting;
+  }
+
+  private _note(): void {
+    this._isResetting = true;
+    queueMicrotask(() => {
+      this._isResetting = false;
+    });
+  }
+}
+
 class CallHandler implements Dispatcher.DispatchHandler, OpenCall {
   private _controller: Dispatcher.DispatchController | undefined;
   private _isOver = false;
@@ -113,6 +145,7 @@
   constructor(
     private readonly _listener: CallListener,
     private readonly _release: () => void,
+    private readonly _resets: ResetWatch,
   ) {}
 
   cancel(): void {
@@ -150,6 +183,10 @@
 
   onResponseEnd(): void {
     if (this._isOver) return;
+    if (this._resets.isResetting) {
+      this.onResponseError(undefined, new Error('The connection was reset before the answer had ended.'));
+      return;
+    }
     this._isOver = true;
     this._release();
     this._listener.onEnd();
