--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -19,7 +19,13 @@
       readonly members: readonly string[];
     }
   | { readonly kind: 'open'; readonly group: string; readonly epoch: number }
-  | { readonly kind: 'close'; readonly group: string; readonly epoch: number }
+  | {
+      readonly kind: 'close';
+      readonly group: string;
+      readonly epoch: number;
+      /** Whether requests in progress may end first. */
+      readonly mode: 'wait' | 'at-once';
+    }
   | { readonly kind: 'stage'; readonly model: ModelProfile }
 );
 
@@ -66,6 +72,11 @@
   /** @param _term number of this planner's reign; epochs of a later one are always higher. */
   constructor(private readonly _term: number) {}
 
+  /** Whether groups are being formed. */
+  get isForming(): boolean {
+    return this._formations.size > 0;
+  }
+
   /** The orders to send now. */
   plan(view: FormationView): readonly InstanceOrder[] {
     const orders: InstanceOrder[] = [];
@@ -87,7 +98,7 @@
     for (const formation of this._formations.values()) {
       if (formation.service === service.name) orders.push(...this._joinOrders(view, formation));
     }
-    orders.push(...this._stageOrders(view, service, free));
+    orders.push(...this._standbyOrders(view, service, free));
     return orders;
   }
 
@@ -124,9 +135,11 @@
     if (head.membership?.state === 'ready' && isWhole(group) && isAnswering) {
       return [{ ...order, kind: 'open' }];
     }
+    if (head.membership?.state !== 'open') return [];
+    // Nothing moves in a group that has lost a member; closing it sets the others free before the engines find out.
+    if (!isAnswering && !view.silent.has(head.id)) return [{ ...order, kind: 'close', mode: 'at-once' }];
     const isLeaving = group.members.some(({ state }) => state === 'leaving');
-    if (head.membership?.state === 'open' && isLeaving) return [{ ...order, kind: 'close' }];
-    return [];
+    return isLeaving ? [{ ...order, kind: 'close', mode: 'wait' }] : [];
   }
 
 
@@ -157,7 +170,7 @@
     const id = groupId(membership);
     const group = groups.get(id);
     if (!group) return true;
-    if (!group.head) return view.isListSettled && view.isHeadGone(id);
+    if (!group.head || view.silent.has(group.head.id)) return view.isListSettled && view.isHeadGone(id);
     if (isHeadServing(group)) return false;
     if (group.head.membership?.state === 'broken') return true;
     if (view.ordered.has(group.head.id)) return false;
@@ -212,8 +225,7 @@
   }
 
   private _begin(service: ServingService, model: ModelProfile, members: readonly TargetInstance[]): void {
-    this._sequence++;
-    const epoch = this._term * MAX_FORMATIONS_A_TERM + this._sequence;
+    const epoch = this._nextEpoch();
     const name = `group-${epoch}`;
     this._formations.set(name, {
       name,
@@ -244,34 +256,47 @@
     return orders;
   }
 
-  /** Gives instances without weights those of the models that are most likely to need a substitute there. */
-  private _stageOrders(
+  /** Makes the instances that are left over substitutes: first the weights on the host, then taken up. */
+  private _standbyOrders(
     view: FormationView,
     service: ServingService,
     free: readonly TargetInstance[],
   ): readonly InstanceOrder[] {
+    if (!view.isListSettled) return [];
     const taken = new Set([...this._formations.values()].flatMap(({ members }) => members));
     const spares = free.filter(({ id }) => !taken.has(id));
-    if (!view.isListSettled) return [];
     const orders: InstanceOrder[] = [];
     const models = [...(service.engine?.models ?? [])].sort((a, b) => b.groupSize - a.groupSize);
     for (const spare of spares) {
-      if (spare.stagedModels.length > 0 || view.ordered.has(spare.id)) continue;
-      const staged = spares.filter(({ fabricDomain }) => fabricDomain === spare.fabricDomain);
-      const model = models.find(
-        ({ name }) => !staged.some((other) => other !== spare && other.stagedModels.includes(name)),
+      const staged = models.find(({ name }) => spare.stagedModels.includes(name));
+      if (staged) {
+        if (!isTakenUp(spare, staged)) orders.push(this._standbyJoin(spare, staged));
+        continue;
+      }
+      const others = spares.filter(
+        (other) => other !== spare && other.fabricDomain === spare.fabricDomain,
       );
-      const chosen = model ?? models[0];
-      if (!chosen || !this._takeLoad()) continue;
-      orders.push({
-        kind: 'stage',
-        instance: spare,
-        model: chosen,
-      });
+      const uncovered = models.find(({ name }) => !others.some((other) => other.stagedModels.includes(name)));
+      const model = uncovered ?? models[0];
+      if (model && this._takeLoad()) orders.push({ kind: 'stage', instance: spare, model });
     }
     return orders;
   }
 
+  /**
+   * Joins an instance to a group of its own that is never opened, so that it has taken up the model's weights
+   * and joins a real group of that model as fast as one of its former members.
+   */
+  private _standbyJoin(instance: TargetInstance, model: ModelProfile): InstanceOrder {
+    const epoch = this._nextEpoch();
+    return { kind: 'join', instance, group: `standby-${epoch}`, epoch, model, members: [instance.id] };
+  }
+
+  private _nextEpoch(): number {
+    this._sequence++;
+    return this._term * MAX_FORMATIONS_A_TERM + this._sequence;
+  }
+
   private _takeLoad(): boolean {
     if (this._loads < 1) return false;
     this._loads--;
@@ -293,6 +318,11 @@
     const isOurs = head.service === service.name && !view.ordered.has(head.id);
     if (!isOurs || !head.membership) return [];
     const { group, epoch } = head.membership;
-    return [{ kind: 'close' as const, instance: head, group, epoch }];
+    return [{ kind: 'close' as const, instance: head, group, epoch, mode: 'wait' as const }];
   });
 }
+
+/** Whether the instance has the model's weights in use already. */
+function isTakenUp(instance: TargetInstance, model: ModelProfile): boolean {
+  return instance.membership !== undefined && instance.models.includes(model.name);
+}
--- a/packages/core/src/serving/groupChoice.ts
+++ b/packages/core/src/serving/groupChoice.ts
@@ -8,6 +8,8 @@
 const REMOTE_PENALTY_MS = 4;
 /** Predicted time that one expected failure costs, in milliseconds; a second attempt with a new prefill. */
 const FAILURE_COST_MS = 400;
+/** Predicted time that doubt costs a plain instance, in milliseconds; it is used when nothing else is left. */
+const DOUBT_PENALTY_MS = 2_000;
 /** Requests that may wait at a target beyond those that it runs, as a share of its slots. */
 const QUEUE_SHARE = 0.25;
 /** Random share of the predicted time that spreads equal choices of many nodes. */
@@ -53,7 +55,7 @@
 ): TargetChoice {
   const untried = candidates.filter(({ key }) => !context.tried.has(key));
   if (untried.length === 0) return { kind: 'none', reason: 'no-target' };
-  const moving = untried.filter(({ key }) => !context.health.isSuspect(key, context.nowMs));
+  const moving = untried.filter((candidate) => isMoving(candidate, context));
   if (moving.length === 0) return { kind: 'none', reason: 'all-silent' };
   const free = moving.filter(hasRoom);
   let best: { readonly candidate: TargetCandidate; readonly costMs: number; predictedMs: number } | undefined;
@@ -66,6 +68,11 @@
   return { kind: 'chosen', candidate: best.candidate, predictedMs: best.predictedMs };
 }
 
+/** Nothing is known to have stopped at the target; a plain instance is used all the same when all are doubted. */
+function isMoving({ key, engine }: TargetCandidate, { health, nowMs }: ChoiceContext): boolean {
+  return engine === undefined || !health.isSuspect(key, nowMs);
+}
+
 /** Whether the target can take one more request without a long wait. */
 export function hasRoom({ load, slots }: TargetCandidate): boolean {
   return load.requests < slots * (1 + QUEUE_SHARE);
@@ -82,5 +89,10 @@
 function penaltyMs(candidate: TargetCandidate, context: ChoiceContext): number {
   const isRemote = candidate.instance.failureDomain !== context.failureDomain;
   const failureRate = context.health.failureRate(candidate.key, context.nowMs);
-  return (isRemote ? REMOTE_PENALTY_MS : 0) + failureRate * FAILURE_COST_MS;
+  const isDoubted = context.health.isSuspect(candidate.key, context.nowMs);
+  return (
+    (isRemote ? REMOTE_PENALTY_MS : 0) +
+    (isDoubted ? DOUBT_PENALTY_MS : 0) +
+    failureRate * FAILURE_COST_MS
+  );
 }
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -5,6 +5,7 @@
 export * from './groupChoice.js';
 export * from './groupLayout.js';
 export * from './keyTrust.js';
+export * from './memberChecks.js';
 export * from './observedGroups.js';
 export * from './retryAllowance.js';
 export * from './routeTable.js';
--- a/packages/core/src/serving/silence.ts
+++ b/packages/core/src/serving/silence.ts
@@ -30,6 +30,8 @@
   /** Predicted time to the first bytes. */
   readonly predictedMs: number;
   readonly pauseObjectiveMs: number;
+  /** A plain call says nothing until it is done, so that its silence tells nothing of its target. */
+  readonly isPlainCall: boolean;
 }
 
 /**
@@ -42,6 +44,7 @@
     ? Math.max(MIN_SILENCE_MS, evidence.pauseObjectiveMs * PAUSE_SHARE)
     : Math.max(MIN_SILENCE_MS, evidence.predictedMs * FIRST_EVENT_FACTOR);
   if (evidence.silentMs < boundMs) return 'wait';
+  if (evidence.isPlainCall) return 'connection-silent';
   if (evidence.targetSilentMs >= boundMs) return 'target-silent';
   return evidence.silentMs >= boundMs * LONE_FACTOR ? 'connection-silent' : 'wait';
 }
--- a/packages/node/src/instanceList.ts
+++ b/packages/node/src/instanceList.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util';
 import type { Clock, Counters, TargetInstance } from '@monsoonreach/core';
 import { decodeInstance, type KeyedRecord, RecordError } from '@monsoonreach/platform';
 import type { DecisionLog } from './decisionLog.js';
@@ -13,6 +14,7 @@
   private readonly _instances = new Map<string, TargetInstance>();
   /** Entries that went missing after an outage, with the time until which they are kept. */
   private readonly _missing = new Map<string, number>();
+  private readonly _changedAtMs = new Map<string, number>();
   private _version = 0;
   private _grownAtMs = -Infinity;
 
@@ -38,6 +40,11 @@
     return this._grownAtMs;
   }
 
+  /** Monotonic time at which the instance's entry was last seen to change. */
+  changedAtMs(id: string): number {
+    return this._changedAtMs.get(id) ?? -Infinity;
+  }
+
   get(id: string): TargetInstance | undefined {
     return this._instances.get(id);
   }
@@ -65,7 +72,7 @@
     for (const [id, untilMs] of this._missing) {
       if (nowMs < untilMs) continue;
       this._missing.delete(id);
-      if (this._instances.delete(id)) this._version++;
+      this._drop(id);
     }
   }
 
@@ -76,6 +83,8 @@
       this._log.info('target changed', { target: instance.id, state: instance.state });
     }
     if (!before) this._grownAtMs = this._clock.monotonic();
+    if (before && isDeepStrictEqual(before, instance)) return;
+    this._changedAtMs.set(instance.id, this._clock.monotonic());
     this._instances.set(instance.id, instance);
     this._version++;
   }
@@ -88,8 +97,12 @@
       return;
     }
     this._log.info('target gone', { target: id });
-    this._instances.delete(id);
-    this._version++;
+    this._drop(id);
+  }
+
+  private _drop(id: string): void {
+    this._changedAtMs.delete(id);
+    if (this._instances.delete(id)) this._version++;
   }
 
   private _decode(id: string, value: Uint8Array): TargetInstance | undefined {
--- a/packages/node/src/keyedFollower.ts
+++ b/packages/node/src/keyedFollower.ts
@@ -22,7 +22,7 @@
   /** How long a read waits for news, in milliseconds. */
   readonly waitMs: number;
   /** Pause between two reads, in milliseconds. */
-  readonly intervalMs: number;
+  readonly intervalMs: () => number;
   /** Takes the newest record of every key; keys that are not among them are gone. */
   readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
   /** Takes changes in order. */
@@ -59,7 +59,7 @@
     const { signal } = this._stopping;
     while (!signal.aborted) {
       const isDone = await this._turn();
-      await pause(isDone ? this._options.intervalMs : this._backoffMs(), signal);
+      await pause(isDone ? this._options.intervalMs() : this._backoffMs(), signal);
     }
   }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -43,6 +43,8 @@
 const CONFIGURATION_WAIT_MS = 1_300;
 /** Pause between two reads of the list, in milliseconds; a leaving target gets no work two seconds after it says so. */
 const LIST_INTERVAL_MS = 450;
+/** The same on the node that forms groups, in milliseconds; a member joins in 200 ms. */
+const BUSY_LIST_INTERVAL_MS = 150;
 /** How often requests in progress are checked for silence, in milliseconds. */
 const WATCH_INTERVAL_MS = 50;
 /** How long pools of targets without calls are kept, in milliseconds. */
@@ -73,7 +75,8 @@
   private readonly _configurationFollower: KeyedFollower;
   private readonly _listFollower: KeyedFollower;
   private readonly _servers: Server[] = [];
-  private readonly _silentMembers = new Map<string, number>();
+  /** Targets at which nothing moves, with the time until which peers are told. */
+  private readonly _silentTargets = new Map<string, number>();
   private _table: RouteTable | undefined;
   private _hasList = false;
   private _hasTraffic = false;
@@ -208,7 +211,6 @@
       isListSettled: () => this._isListSettled(),
       demand: () => this._fleetDemand(),
       hasTraffic: () => this._fleetHasTraffic(),
-      silent: () => new Set(this._silentMembers.keys()),
       heads: this._heads,
     });
   }
@@ -224,7 +226,7 @@
       random: this._random,
       log: this._log,
       waitMs: CONFIGURATION_WAIT_MS,
-      intervalMs: 0,
+      intervalMs: () => 0,
       onSnapshot: take,
       onChanges: take,
       onContact: (sentAtMs) => {
@@ -241,7 +243,7 @@
       random: this._random,
       log: this._log,
       waitMs: 0,
-      intervalMs: LIST_INTERVAL_MS,
+      intervalMs: () => (this._planning.isBusy ? BUSY_LIST_INTERVAL_MS : LIST_INTERVAL_MS),
       onSnapshot: (records) => {
         this._list.takeAll(records);
         this._hasList = true;
@@ -298,7 +300,7 @@
       ...(this._planning.term === undefined ? {} : { term: this._planning.term }),
       isLeaving: this._front.isDraining,
       loads: Object.fromEntries([...this._loads.own()].map(([key, load]) => [key, [...load]])),
-      silent: [...this._silentMembers].filter(([, untilMs]) => untilMs > nowMs).map(([id]) => id),
+      silent: [...this._silentTargets].filter(([, untilMs]) => untilMs > nowMs).map(([key]) => key),
       heads: Object.fromEntries(this._heads.findings()),
       hasTraffic: this._hasTraffic,
       demand: Object.fromEntries(this._demand.groups(nowMs)),
@@ -307,6 +309,7 @@
 
   private _learn(digest: Digest, heardAtMs: number): void {
     this._loads.learn(digest.node, new Map(Object.entries(digest.loads)), heardAtMs);
+    for (const key of digest.silent) this._heedSilence(key, heardAtMs);
     if (digest.version === this._table?.configuration.version) {
       this._trust.confirm(heardAtMs - digest.storeAgeMs - DATAGRAM_AGE_MS);
     }
@@ -336,7 +339,15 @@
 
   private _noteSilentTarget({ key }: TargetCandidate): void {
     this._counters.add('monsoonreach_silent_targets_total');
-    void key;
+    this._silentTargets.set(key, this._clock.monotonic() + SILENCE_NEWS_MS);
+    this._planning.suspectGroup(key);
+    this._exchange.tell();
+  }
+
+  /** A peer finds a target silent; that counts here unless bytes came from it just now. */
+  private _heedSilence(key: string, nowMs: number): void {
+    this._planning.suspectGroup(key);
+    if (nowMs - this._health.progressAtMs(key) > HEARSAY_MS) this._health.noteSilence(key, nowMs);
   }
 
   private _watch(): void {
@@ -367,6 +378,10 @@
 const MAX_AGE_MS = 1_000_000;
 /** How long no instance must have come anew before the first groups are laid out, in milliseconds; two reads of the list. */
 const START_SETTLE_MS = 1_000;
+/** How long peers are told that a target is silent, in milliseconds; a few intervals of the exchange. */
+const SILENCE_NEWS_MS = 600;
+/** Age of the last bytes from a target that outweighs a peer's word, in milliseconds; two passes of a full batch. */
+const HEARSAY_MS = 200;
 /** Time that a datagram may have been under way, in milliseconds; far above the time between failure domains. */
 const DATAGRAM_AGE_MS = 300;
 /** Pause before peers are looked for again, in milliseconds. */
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -3,8 +3,9 @@
   type Counters,
   FormationPlanner,
   type FormationView,
+  groupId,
   type InstanceOrder,
-  type MemberState,
+  MemberChecks,
   pause,
   type Random,
   type ServingConfiguration,
@@ -32,10 +33,14 @@
 const ORDER_TIMEOUT_MS = 400;
 /** How long an instance's own report is awaited, in milliseconds. */
 const REPORT_TIMEOUT_MS = 300;
+/** How long a member's answer is awaited when its group is silent, in milliseconds; many round trips. */
+const CHECK_TIMEOUT_MS = 200;
 /** How far a report may lag behind, in milliseconds; the engines say 200. */
 const REPORT_LAG_MS = 300;
 /** How long after an order the list may take to show its effect, in milliseconds; one interval of the list and its lag. */
 const EFFECT_WAIT_MS = 1_500;
+/** How long a head is asked whether it has closed, in milliseconds; its requests may take as long as that. */
+const CLOSE_WAIT_MS = 8_000;
 /** How long a report may be ahead of the list, in milliseconds; one interval of the list and its lag. */
 const LIST_LAG_MS = 1_300;
 /** Least pause between two looks at who plans, in milliseconds. */
@@ -57,8 +62,6 @@
   readonly isListSettled: () => boolean;
   readonly demand: () => ReadonlyMap<string, number>;
   readonly hasTraffic: () => boolean;
-  /** Ids of members that do not answer. */
-  readonly silent: () => ReadonlySet<string>;
   readonly heads: HeadWatch;
 }
 
@@ -72,6 +75,7 @@
   private readonly _ordered = new Map<string, number>();
   /** What instances reported themselves, until the list shows at least as much. */
   private readonly _reported = new Map<string, ReportedInstance>();
+  private readonly _checks = new MemberChecks();
   private readonly _stopping = new AbortController();
 
   constructor(private readonly _options: PlanningOptions) {}
@@ -81,6 +85,16 @@
     return this._term;
   }
 
+  /** Whether a group is being formed or closed, so that news of the list matter at once. */
+  get isBusy(): boolean {
+    return this._term !== undefined && (this._ordered.size > 0 || (this._planner?.isForming ?? false));
+  }
+
+  /** Requests find that nothing moves at a group. */
+  suspectGroup(group: string): void {
+    this._checks.suspect(group, this._options.clock.monotonic());
+  }
+
   async run(): Promise<void> {
     const { signal } = this._stopping;
     while (!signal.aborted) {
@@ -152,9 +166,37 @@
       this._stepDown();
       return;
     }
+    this._checkMembers();
     for (const order of this._planner.plan(this._view(current))) void this._send(order);
   }
 
+  private _checkMembers(): void {
+    const { clock, list } = this._options;
+    const nowMs = clock.monotonic();
+    this._checks.retain(list.instances, nowMs);
+    const members = [...list.instances.values()].flatMap(({ id, membership }) =>
+      membership ? [{ id, group: groupId(membership) }] : [],
+    );
+    for (const id of this._checks.toAsk(members, nowMs)) void this._checkMember(id);
+  }
+
+  private async _checkMember(id: string): Promise<void> {
+    const { list, counters, log } = this._options;
+    const instance = list.get(id);
+    if (!instance) return;
+    const wasLost = this._checks.lost().has(id);
+    try {
+      await readReport(instance, CHECK_TIMEOUT_MS);
+      this._checks.note(id, true);
+    } catch (error) {
+      if (!(error instanceof ReportError)) throw error;
+      counters.add('monsoonreach_reports_missed_total');
+      this._checks.note(id, false);
+    }
+    const isLost = this._checks.lost().has(id);
+    if (isLost !== wasLost) log.info(isLost ? 'member lost' : 'member answers again', { target: id });
+  }
+
   private _isOutranked(): boolean {
     const term = this._term ?? 0;
     return this._options.exchange.livePeers().some(({ digest }) => (digest.term ?? -1) > term);
@@ -166,7 +208,7 @@
   }
 
   private _view(configuration: ServingConfiguration): FormationView {
-    const { clock, list, isListSettled, demand, hasTraffic, silent, heads, exchange } = this._options;
+    const { clock, list, isListSettled, demand, hasTraffic, heads, exchange } = this._options;
     const nowMs = clock.monotonic();
     const peers = exchange.livePeers().map(({ digest }) => new Map(Object.entries(digest.heads)));
     for (const [id, untilMs] of this._ordered) if (untilMs <= nowMs) this._ordered.delete(id);
@@ -175,7 +217,7 @@
       services: [...configuration.services.values()],
       instances: this._mergeReports(list.instances),
       ordered: new Set(this._ordered.keys()),
-      silent: silent(),
+      silent: this._checks.lost(),
       isHeadGone: (group) => heads.isReleased(group, peers),
       unlistedServingHeads: heads.serving(),
       isListSettled: isListSettled(),
@@ -188,11 +230,12 @@
   private _mergeReports(listed: ReadonlyMap<string, TargetInstance>): ReadonlyMap<string, TargetInstance> {
     const nowMs = this._options.clock.monotonic();
     const merged = new Map(listed);
-    for (const [id, { instance, untilMs }] of this._reported) {
+    for (const [id, report] of this._reported) {
       const entry = listed.get(id);
-      if (!entry || entry.startedAtMs !== instance.startedAtMs) this._reported.delete(id);
-      else if (nowMs < untilMs && isNewer(instance, entry)) {
-        merged.set(id, { ...instance, state: entry.state });
+      if (!entry || entry.startedAtMs !== report.instance.startedAtMs) {
+        this._reported.delete(id);
+      } else if (nowMs < report.untilMs && isNewer(report, entry, this._options.list.changedAtMs(id))) {
+        merged.set(id, { ...report.instance, state: entry.state });
       }
     }
     return merged;
@@ -268,8 +311,21 @@
     const orderCount = expectedOrderCount + (isCounted ? 1 : 0);
     // Until the weights are there, the list does not tell that a host stages them.
     const lagMs = LIST_LAG_MS + (order.kind === 'stage' ? order.model.loadMs : 0);
-    this._reported.set(id, { instance: expectEffect(order), orderCount, untilMs: atMs + lagMs });
+    this._reported.set(id, { kind: order.kind, instance: expectEffect(order), orderCount, atMs, untilMs: atMs + lagMs });
     this._ordered.delete(id);
+    if (order.kind === 'close') void this._awaitClosed(order.instance);
+  }
+
+  /** Asks a head until it has closed, as the list tells it late. */
+  private async _awaitClosed(head: TargetInstance): Promise<void> {
+    const { clock } = this._options;
+    const endsAtMs = clock.monotonic() + CLOSE_WAIT_MS;
+    while (clock.monotonic() < endsAtMs && this._term !== undefined) {
+      await pause(REPORT_LAG_MS, this._stopping.signal);
+      await this._readBack(head);
+      const state = this._reported.get(head.id)?.instance.membership?.state;
+      if (state !== 'open' && state !== 'closing') return;
+    }
   }
 
   private _noteFenced(order: InstanceOrder, term: number): void {
@@ -285,7 +341,14 @@
     try {
       const { state, orderCount } = await readReport(instance, REPORT_TIMEOUT_MS);
       const reported = { ...(list.get(id) ?? instance), ...state };
-      this._reported.set(id, { instance: reported, orderCount, untilMs: clock.monotonic() + LIST_LAG_MS });
+      const atMs = clock.monotonic();
+      this._reported.set(id, {
+        kind: 'report',
+        instance: reported,
+        orderCount,
+        atMs,
+        untilMs: atMs + LIST_LAG_MS,
+      });
       this._ordered.delete(id);
     } catch (error) {
       if (!(error instanceof ReportError)) throw error;
@@ -315,22 +378,28 @@
   }
 }
 
+/** What is known of an instance beside its entry: from its own report, or from an order that it has begun. */
 interface ReportedInstance {
+  readonly kind: 'report' | InstanceOrder['kind'];
   readonly instance: TargetInstance;
   readonly orderCount: number;
-  /** Until when it goes before the list. */
+  readonly atMs: number;
+  /** Until when it may go before the list. */
   readonly untilMs: number;
 }
 
-/** Order in which a member passes through its states. */
-const MEMBER_STATES: readonly MemberState[] = ['joining', 'ready', 'open', 'closing', 'broken'];
-
-/** Whether an instance's own report is ahead of its entry in the list. */
-function isNewer(reported: TargetInstance, entry: TargetInstance): boolean {
-  if (!reported.membership) return !entry.membership && reported.stagedModels.length > entry.stagedModels.length;
-  if (!entry.membership || reported.membership.epoch > entry.membership.epoch) return true;
-  if (reported.membership.epoch < entry.membership.epoch) return false;
-  return (
-    MEMBER_STATES.indexOf(reported.membership.state) > MEMBER_STATES.indexOf(entry.membership.state)
-  );
+/** Whether what is known of an instance is ahead of its entry in the list. */
+function isNewer(known: ReportedInstance, entry: TargetInstance, entryChangedAtMs: number): boolean {
+  switch (known.kind) {
+    case 'report':
+      return entryChangedAtMs < known.atMs;
+    case 'join':
+      return (entry.membership?.epoch ?? -1) < (known.instance.membership?.epoch ?? 0);
+    case 'close':
+      return entry.membership?.state === 'open' && entry.membership.epoch === known.instance.membership?.epoch;
+    case 'stage':
+      return !known.instance.stagedModels.every((model) => entry.stagedModels.includes(model));
+    case 'open':
+      return false;
+  }
 }
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -106,6 +106,7 @@
       hasBegun: attempt.events > 0,
       predictedMs: attempt.predictedMs,
       pauseObjectiveMs: route.pauseObjectiveMs ?? route.latencyObjectiveMs,
+      isPlainCall: !this._isStream,
     });
     if (verdict === 'wait') return;
     if (verdict === 'target-silent' && context.health.noteSilence(attempt.candidate.key, nowMs)) {
--- a/packages/node/src/targetConnections.ts
+++ b/packages/node/src/targetConnections.ts
@@ -1,6 +1,6 @@
 import { type Clock, MonsoonreachError } from '@monsoonreach/core';
-import { decodeTargetHead, type TargetHead } from '@monsoonreach/platform';
-import { buildConnector, Client, type Dispatcher, Pool } from 'undici';
+import { createConnector, decodeTargetHead, type TargetHead } from '@monsoonreach/platform';
+import { type buildConnector, Client, type Dispatcher, Pool } from 'undici';
 
 /** Longest wait for a connection to a target, in milliseconds; many times the time between failure domains. */
 const CONNECT_TIMEOUT_MS = 250;
@@ -122,7 +122,7 @@
       callback(...result);
     });
   };
-  private readonly _connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+  private readonly _connector = createConnector(CONNECT_TIMEOUT_MS);
 
   /** True while the listeners of a connection's error run. */
   get isResetting(): boolean {
