--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -19,13 +19,10 @@
       readonly members: readonly string[];
     }
   | { readonly kind: 'open'; readonly group: string; readonly epoch: number }
-  | {
-      readonly kind: 'close';
-      readonly group: string;
-      readonly epoch: number;
-      /** Whether requests in progress may end first. */
-      readonly mode: 'wait' | 'at-once';
-    }
+  /** The head takes nothing new, and is ready again when its requests have ended. */
+  | { readonly kind: 'close'; readonly group: string; readonly epoch: number }
+  /** The instance is no member any more, at once. */
+  | { readonly kind: 'leave'; readonly group: string; readonly epoch: number }
   | { readonly kind: 'stage'; readonly model: ModelProfile }
 );
 
@@ -41,6 +38,8 @@
   readonly silent: ReadonlySet<string>;
   /** Whether a group whose head is not listed serves no more, as far as the nodes can find out. */
   readonly isHeadGone: (group: string) => boolean;
+  /** Groups whose head has left them by this planner's order. */
+  readonly headless: ReadonlySet<string>;
   /** Heads that are not listed and serve all the same. */
   readonly unlistedServingHeads: readonly TargetInstance[];
   /** False while the list may lack instances that live, as after an outage of the store. */
@@ -136,10 +135,10 @@
       return [{ ...order, kind: 'open' }];
     }
     if (head.membership?.state !== 'open') return [];
-    // Nothing moves in a group that has lost a member; closing it sets the others free before the engines find out.
-    if (!isAnswering && !view.silent.has(head.id)) return [{ ...order, kind: 'close', mode: 'at-once' }];
+    // Nothing moves in a group that has lost a member; without a head its members are free before the engines find out.
+    if (!isAnswering && !view.silent.has(head.id)) return [{ ...order, kind: 'leave' }];
     const isLeaving = group.members.some(({ state }) => state === 'leaving');
-    return isLeaving ? [{ ...order, kind: 'close', mode: 'wait' }] : [];
+    return isLeaving ? [{ ...order, kind: 'close' }] : [];
   }
 
 
@@ -170,6 +169,7 @@
     const id = groupId(membership);
     const group = groups.get(id);
     if (!group) return true;
+    if (view.headless.has(id)) return true;
     if (!group.head || view.silent.has(group.head.id)) return view.isListSettled && view.isHeadGone(id);
     if (isHeadServing(group)) return false;
     if (group.head.membership?.state === 'broken') return true;
@@ -270,7 +270,8 @@
     for (const spare of spares) {
       const staged = models.find(({ name }) => spare.stagedModels.includes(name));
       if (staged) {
-        if (!isTakenUp(spare, staged)) orders.push(this._standbyJoin(spare, staged));
+        const isJoining = spare.membership?.state === 'joining';
+        if (!isJoining && !isTakenUp(spare, staged)) orders.push(this._standbyJoin(spare, staged));
         continue;
       }
       const others = spares.filter(
@@ -318,7 +319,7 @@
     const isOurs = head.service === service.name && !view.ordered.has(head.id);
     if (!isOurs || !head.membership) return [];
     const { group, epoch } = head.membership;
-    return [{ kind: 'close' as const, instance: head, group, epoch, mode: 'wait' as const }];
+    return [{ kind: 'close' as const, instance: head, group, epoch }];
   });
 }
 
--- a/packages/core/src/serving/memberChecks.ts
+++ b/packages/core/src/serving/memberChecks.ts
@@ -1,7 +1,7 @@
 /** Questions in a row that a member must leave unanswered before it counts as lost. */
 const LOST_AFTER = 2;
 /** Pause between two questions to one member, in milliseconds; the time that an answer is awaited. */
-const QUESTION_INTERVAL_MS = 250;
+const QUESTION_INTERVAL_MS = 160;
 /** Least time between two rounds of questions to the members of one group, in milliseconds; a quarter of what engines take. */
 const ROUND_INTERVAL_MS = 1_000;
 
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -34,13 +34,15 @@
 /** How long an instance's own report is awaited, in milliseconds. */
 const REPORT_TIMEOUT_MS = 300;
 /** How long a member's answer is awaited when its group is silent, in milliseconds; many round trips. */
-const CHECK_TIMEOUT_MS = 200;
+const CHECK_TIMEOUT_MS = 150;
 /** How far a report may lag behind, in milliseconds; the engines say 200. */
 const REPORT_LAG_MS = 300;
 /** How long after an order the list may take to show its effect, in milliseconds; one interval of the list and its lag. */
 const EFFECT_WAIT_MS = 1_500;
 /** How long a head is asked whether it has closed, in milliseconds; its requests may take as long as that. */
 const CLOSE_WAIT_MS = 8_000;
+/** How long a group is remembered whose head was made to leave, in milliseconds; its members are used long before. */
+const HEADLESS_MS = 60_000;
 /** How long a report may be ahead of the list, in milliseconds; one interval of the list and its lag. */
 const LIST_LAG_MS = 1_300;
 /** Least pause between two looks at who plans, in milliseconds. */
@@ -75,6 +77,8 @@
   private readonly _ordered = new Map<string, number>();
   /** What instances reported themselves, until the list shows at least as much. */
   private readonly _reported = new Map<string, ReportedInstance>();
+  /** Groups whose head has left by an order of this node, with the time of it. */
+  private readonly _headless = new Map<string, number>();
   private readonly _checks = new MemberChecks();
   private readonly _stopping = new AbortController();
 
@@ -212,12 +216,14 @@
     const nowMs = clock.monotonic();
     const peers = exchange.livePeers().map(({ digest }) => new Map(Object.entries(digest.heads)));
     for (const [id, untilMs] of this._ordered) if (untilMs <= nowMs) this._ordered.delete(id);
+    for (const [id, atMs] of this._headless) if (nowMs - atMs > HEADLESS_MS) this._headless.delete(id);
     return {
       nowMs,
       services: [...configuration.services.values()],
       instances: this._mergeReports(list.instances),
       ordered: new Set(this._ordered.keys()),
       silent: this._checks.lost(),
+      headless: new Set(this._headless.keys()),
       isHeadGone: (group) => heads.isReleased(group, peers),
       unlistedServingHeads: heads.serving(),
       isListSettled: isListSettled(),
@@ -290,6 +296,8 @@
         this._noteBegun(order, sent.expectedOrderCount);
         return;
       case 'holds':
+        if (order.kind === 'leave') this._noteBegun(order, sent.expectedOrderCount);
+        return;
       case 'misdirected':
         return;
       case 'fenced':
@@ -307,13 +315,13 @@
     const { clock } = this._options;
     const { id } = order.instance;
     const atMs = clock.monotonic();
-    const isCounted = order.kind === 'join' || order.kind === 'stage';
-    const orderCount = expectedOrderCount + (isCounted ? 1 : 0);
+    const orderCount = expectedOrderCount + 1;
     // Until the weights are there, the list does not tell that a host stages them.
     const lagMs = LIST_LAG_MS + (order.kind === 'stage' ? order.model.loadMs : 0);
     this._reported.set(id, { kind: order.kind, instance: expectEffect(order), orderCount, atMs, untilMs: atMs + lagMs });
-    this._ordered.delete(id);
+    if (order.kind !== 'open') this._ordered.delete(id);
     if (order.kind === 'close') void this._awaitClosed(order.instance);
+    if (order.kind === 'leave') this._headless.set(groupId({ group: order.group, epoch: order.epoch }), atMs);
   }
 
   /** Asks a head until it has closed, as the list tells it late. */
@@ -373,6 +381,8 @@
       return instance.membership
         ? { ...instance, membership: { ...instance.membership, state: 'closing' } }
         : instance;
+    case 'leave':
+      return { ...instance, membership: undefined };
     case 'stage':
       return { ...instance, stagedModels: [order.model.name] };
   }
@@ -397,6 +407,8 @@
       return (entry.membership?.epoch ?? -1) < (known.instance.membership?.epoch ?? 0);
     case 'close':
       return entry.membership?.state === 'open' && entry.membership.epoch === known.instance.membership?.epoch;
+    case 'leave':
+      return entry.membership?.epoch !== undefined && entryChangedAtMs < known.atMs + REPORT_LAG_MS;
     case 'stage':
       return !known.instance.stagedModels.every((model) => entry.stagedModels.includes(model));
     case 'open':
