--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -268,10 +268,10 @@
     const orders: InstanceOrder[] = [];
     const models = [...(service.engine?.models ?? [])].sort((a, b) => b.groupSize - a.groupSize);
     for (const spare of spares) {
+      if (spare.membership?.state === 'joining') continue;
       const staged = models.find(({ name }) => spare.stagedModels.includes(name));
       if (staged) {
-        const isJoining = spare.membership?.state === 'joining';
-        if (!isJoining && !isTakenUp(spare, staged)) orders.push(this._standbyJoin(spare, staged));
+        if (!isTakenUp(spare, staged)) orders.push(this._standbyJoin(spare, staged));
         continue;
       }
       const others = spares.filter(
@@ -317,7 +317,7 @@
   if (!view.isListSettled) return [];
   return view.unlistedServingHeads.flatMap((head) => {
     const isOurs = head.service === service.name && !view.ordered.has(head.id);
-    if (!isOurs || !head.membership) return [];
+    if (!isOurs || !head.membership || view.headless.has(groupId(head.membership))) return [];
     const { group, epoch } = head.membership;
     return [{ kind: 'close' as const, instance: head, group, epoch }];
   });
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -61,6 +61,9 @@
   private _mayHaveRun = false;
   private _lastEventId: string | undefined;
   private _passedEvents = 0;
+  private _firstEventAtMs: number | undefined;
+  private _lastEventAtMs: number | undefined;
+  private _longestPauseMs = 0;
   private _isOver = false;
 
   constructor(private readonly _options: RequestRunOptions) {
@@ -263,7 +266,7 @@
     if (!batch) return;
     attempt.load.read();
     attempt.events += batch.events;
-    this._passedEvents += batch.events;
+    this._notePassed(batch.events, nowMs);
     this._lastEventId = batch.lastId ?? this._lastEventId;
     this._beginStream(attempt.head);
     if (!this._options.response.write(batch.bytes)) {
@@ -274,6 +277,15 @@
     }
   }
 
+  private _notePassed(events: number, nowMs: number): void {
+    this._passedEvents += events;
+    this._firstEventAtMs ??= nowMs;
+    if (this._lastEventAtMs !== undefined) {
+      this._longestPauseMs = Math.max(this._longestPauseMs, nowMs - this._lastEventAtMs);
+    }
+    this._lastEventAtMs = nowMs;
+  }
+
   private _beginStream(head: TargetHead): void {
     const { response, context } = this._options;
     if (response.headersSent) return;
@@ -444,6 +456,8 @@
       version: context.configuration()?.version,
       outcome,
       events: this._passedEvents,
+      firstMs: this._firstEventAtMs === undefined ? undefined : Math.round(this._firstEventAtMs - startedAtMs),
+      pauseMs: Math.round(this._longestPauseMs),
       trail: this._trail,
       ms,
     });
