--- a/packages/core/src/serving/demandMeter.ts
+++ b/packages/core/src/serving/demandMeter.ts
@@ -1,9 +1,12 @@
-import { predictServiceMs, type RequestSize } from './engineCost.js';
+import { prefillMs, predictServiceMs, type RequestSize } from './engineCost.js';
 import type { EngineProfile, ModelProfile } from './servingConfiguration.js';
 
 /** Time in which old demand loses most of its weight, in milliseconds; several times a request's own time. */
 const HORIZON_MS = 5_000;
 
+/** Weight of the time in which a prompt is read, as it holds up all requests of the batch. */
+const PREFILL_WEIGHT = 2;
+
 interface Rate {
   groups: number;
   atMs: number;
@@ -24,7 +27,8 @@
     const batch = { requests, contextTokens: requests * engine.usualPromptTokens, unreadTokens: 0 };
     const serviceMs = predictServiceMs(engine, model, batch, size);
     const rate = this._rates.get(model.name) ?? { groups: 0, atMs: nowMs };
-    rate.groups = decay(rate, nowMs) + serviceMs / engine.slots / HORIZON_MS;
+    const busyMs = serviceMs / engine.slots + PREFILL_WEIGHT * prefillMs(engine, model, size.promptTokens);
+    rate.groups = decay(rate, nowMs) + busyMs / HORIZON_MS;
     rate.atMs = nowMs;
     this._rates.set(model.name, rate);
   }
--- a/packages/core/src/serving/groupLayout.ts
+++ b/packages/core/src/serving/groupLayout.ts
@@ -7,6 +7,10 @@
 const FORMATION_BASE_MS = 4_000;
 /** Added to the number of a model's groups, so that a model without any counts as very badly served, not infinitely. */
 const NO_GROUP = 0.25;
+/** How fast waiting grows as groups get busier; beyond 2, as times rise steeply towards a full batch. */
+const STEEPNESS = 3;
+/** Share of a group's time that each of its members costs by being lost now and then. */
+const LOSS_SHARE = 0.02;
 
 /** A group that is to be formed. */
 export interface LaidOutGroup {
@@ -122,7 +126,9 @@
   for (const { model, members } of groups) {
     const count = counts.get(model.name) ?? 0;
     const need = options.demand.get(model.name) ?? model.demandShare / model.groupSize;
-    const relief = need * need * (1 / (count + NO_GROUP) - 1 / (count + 1 + NO_GROUP));
+    const strain = (groups: number) =>
+      (need * (1 + LOSS_SHARE * model.groupSize)) ** STEEPNESS / (groups + NO_GROUP) ** (STEEPNESS - 1);
+    const relief = strain(count) - strain(count + 1);
     const readyMs = Math.max(...members.map((member) => joinMs(model, member)));
     gain += relief / (readyMs + FORMATION_BASE_MS);
     counts.set(model.name, count + 1);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -42,7 +42,7 @@
 /** How long a read of the configuration waits for news, in milliseconds; it bounds how old the trust in keys gets. */
 const CONFIGURATION_WAIT_MS = 1_300;
 /** Pause between two reads of the list, in milliseconds; a leaving target gets no work two seconds after it says so. */
-const LIST_INTERVAL_MS = 450;
+const LIST_INTERVAL_MS = 600;
 /** The same on the node that forms groups, in milliseconds; a member joins in 200 ms. */
 const BUSY_LIST_INTERVAL_MS = 150;
 /** How often requests in progress are checked for silence, in milliseconds. */
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -255,6 +255,7 @@
     this._ordered.set(id, clock.monotonic() + EFFECT_WAIT_MS);
     const expectedOrderCount = await this._orderCount(order.instance);
     if (expectedOrderCount === undefined) return;
+    this._ordered.set(id, clock.monotonic() + EFFECT_WAIT_MS);
     const outcome = await sendOrder(order, {
       fencingToken: term,
       expectedOrderCount,
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -337,6 +337,7 @@
   private _fail(attempt: Attempt, reason: CallOutcomeReason, mayHaveRun: boolean): void {
     if (mayHaveRun) this._mayHaveRun = true;
     const { context } = this._options;
+    if (reason === 'unsent') this._sends--;
     if (reason === 'unsent' || reason === 'target-lost') {
       context.health.noteSilence(attempt.candidate.key, context.clock.monotonic());
     }
--- a/packages/node/src/targetConnections.ts
+++ b/packages/node/src/targetConnections.ts
@@ -3,9 +3,9 @@
 import { type buildConnector, Client, type Dispatcher, Pool } from 'undici';
 
 /** Longest wait for a connection to a target, in milliseconds; many times the time between failure domains. */
-const CONNECT_TIMEOUT_MS = 250;
+const CONNECT_TIMEOUT_MS = 120;
 /** How long an idle connection is reused, in milliseconds; short, as idle connections may die silently. */
-const IDLE_MS = 800;
+const IDLE_MS = 2_500;
 
 /** A call that did not end with a whole answer. */
 export class CallError extends MonsoonreachError {
