--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -65,6 +65,8 @@
   private _lastEventAtMs: number | undefined;
   private _longestPauseMs = 0;
   private _isOver = false;
+  /** Whether the answer that has begun says itself where it ends. */
+  private _isFramed = true;
 
   constructor(private readonly _options: RequestRunOptions) {
     const { context, caller, route, startedAtMs } = _options;
@@ -290,7 +292,9 @@
     const { response, context } = this._options;
     if (response.headersSent) return;
     const headers = withoutLength(head.passedHeaders);
-    response.writeHead(head.status, [...headers, ...context.connectionHeaders()]);
+    this._isFramed = head.isFramed;
+    if (!head.isFramed) endWithConnection(response);
+    response.writeHead(head.status, [...headers, ...(head.isFramed ? context.connectionHeaders() : CLOSE)]);
   }
 
   private _takeEnd(attempt: Attempt): void {
@@ -310,16 +314,30 @@
     }
     this._noteEnd(attempt, head.status >= 500);
     this._finish(`answered ${head.status}`);
-    const headers = [...withoutLength(head.passedHeaders), 'content-length', String(body.length)];
-    this._options.response.writeHead(head.status, [
-      ...headers,
-      ...this._options.context.connectionHeaders(),
-    ]);
-    this._options.response.end(body);
+    this._passOn(head, body);
+  }
+
+  /** Passes on a whole answer with the target's own framing: what nobody can tell to be whole is not made to look so. */
+  private _passOn(head: TargetHead, body: Buffer): void {
+    const { response, context } = this._options;
+    const headers = withoutLength(head.passedHeaders);
+    if (head.isFramed) {
+      response.writeHead(head.status, [
+        ...headers,
+        'content-length',
+        String(body.length),
+        ...context.connectionHeaders(),
+      ]);
+    } else {
+      endWithConnection(response);
+      response.writeHead(head.status, [...headers, ...CLOSE]);
+    }
+    response.end(body);
   }
 
   private _endStream(attempt: Attempt, head: TargetHead): void {
-    if (attempt.framer.pendingBytes > 0) {
+    const isInDoubt = !head.isFramed && this._options.response.headersSent && this._isFramed;
+    if (attempt.framer.pendingBytes > 0 || isInDoubt) {
       this._fail(attempt, 'truncated', true);
       return;
     }
@@ -476,6 +494,15 @@
 /** Time after which a place is likely, in milliseconds: a group forms in about 2 s; a batch frees a place in less than 200 ms. */
 const NO_TARGET_WAIT_MS = { 'no-target': 1_500, 'all-full': 200, 'all-silent': 700 } as const;
 
+/** Headers of an answer that ends with its connection. */
+const CLOSE = ['Connection', 'close'] as const;
+
+/** Makes the end of the connection the only end of the answer. */
+function endWithConnection(response: ServerResponse): void {
+  response.useChunkedEncodingByDefault = false;
+  response.shouldKeepAlive = false;
+}
+
 function withoutLength(headers: readonly string[]): readonly string[] {
   const kept: string[] = [];
   for (let at = 0; at + 1 < headers.length; at += 2) {
