Whole-path test with stand-ins of the store and of engines; confirm at once after a store outage

The test found: a plain target that reset one call was not used for a retry; and after an outage keys stayed untrusted for another long read.

--- a/packages/node/src/decisionLog.ts
+++ b/packages/node/src/decisionLog.ts
@@ -31,7 +31,7 @@
       type: style,
       minLevel: INFO_LEVEL,
       hideLogPositionForProduction: true,
-      overwrite: { transportJSON: writeLine },
+      overwrite: style === 'json' ? { transportJSON: writeLine } : {},
     });
     makeOutputAsynchronous();
   }
--- a/packages/node/src/keyedFollower.ts
+++ b/packages/node/src/keyedFollower.ts
@@ -93,7 +93,9 @@
   }
 
   private async _readOn(from: number): Promise<void> {
-    const { store, topic, waitMs, onChanges } = this._options;
+    const { store, topic, onChanges } = this._options;
+    // After a failure the answer itself is the news: it tells that nothing was missed.
+    const waitMs = this._failures > 0 ? 0 : this._options.waitMs;
     const { records } = await store.read({ topic, from, waitMs, signal: this._stopping.signal });
     this._from = from + records.length;
     if (records.length > 0) onChanges(records.map(decodeKeyedRecord));
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -8,6 +8,7 @@
   type RequestSize,
   type ServingRoute,
   type TargetCandidate,
+  type TargetChoice,
 } from '@monsoonreach/core';
 import { type CallerRequest, encodeDispatch, encodeRetryAfter, type TargetHead } from '@monsoonreach/platform';
 import type { ServingContext } from './servingContext.js';
@@ -19,7 +20,7 @@
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
 
 /** Why a request was refused without having been run. */
-export type RefusalReason = 'no-group' | 'all-full' | 'all-silent' | 'not-run-by-target' | 'keys-stale' | 'no-configuration';
+export type RefusalReason = Extract<TargetChoice, { readonly kind: 'none' }>['reason'] | 'not-run-by-target';
 
 interface Attempt {
   readonly candidate: TargetCandidate;
@@ -135,15 +136,24 @@
   }
 
   private _dispatch(): void {
-    const { context, caller, route } = this._options;
-    const configuration = context.configuration();
-    if (!configuration || this._service === undefined) {
-      this._refuse('no-configuration', UNKNOWN_WAIT_MS);
-      return;
+    const nowMs = this._options.context.clock.monotonic();
+    const choice = this._choose(nowMs);
+    switch (choice.kind) {
+      case 'chosen':
+        this._send(choice.candidate, choice.predictedMs, nowMs);
+        return;
+      case 'none':
+        this._trail.push(choice.reason);
+        this._giveUp(choice.reason, NO_TARGET_WAIT_MS[choice.reason]);
     }
-    const nowMs = context.clock.monotonic();
+  }
+
+  private _choose(nowMs: number): TargetChoice {
+    const { context, caller } = this._options;
+    const configuration = context.configuration();
+    if (!configuration || this._service === undefined) return { kind: 'none', reason: 'no-target' };
     const model = this._isStream ? caller.model : undefined;
-    const choice = chooseTarget(context.directory.candidates(configuration, this._service, model), {
+    return chooseTarget(context.directory.candidates(configuration, this._service, model), {
       nowMs,
       random: context.random,
       health: context.health,
@@ -151,15 +161,6 @@
       size: caller.size,
       tried: this._tried,
     });
-    switch (choice.kind) {
-      case 'chosen':
-        this._send(choice.candidate, choice.predictedMs, nowMs);
-        return;
-      case 'none':
-        this._trail.push(choice.reason);
-        this._giveUp(choice.reason === 'no-target' ? 'no-group' : choice.reason, NO_TARGET_WAIT_MS[choice.reason]);
-    }
-    void route;
   }
 
   private _send(candidate: TargetCandidate, predictedMs: number, nowMs: number): void {
@@ -356,7 +357,8 @@
     if (mayHaveRun) this._mayHaveRun = true;
     const { context } = this._options;
     if (reason === 'unsent') this._sends--;
-    if (reason === 'unsent' || reason === 'target-lost') {
+    const isGroup = attempt.candidate.engine !== undefined;
+    if (isGroup && (reason === 'unsent' || reason === 'target-lost')) {
       context.health.noteSilence(attempt.candidate.key, context.clock.monotonic());
     }
     if ((!mayHaveRun || this._isRepeatable()) && this._canRetry()) {
@@ -369,15 +371,8 @@
 
   private _canRetry(): boolean {
     const { context, route } = this._options;
-    if (this._sends >= route.maxAttempts || this._service === undefined) return false;
     const nowMs = context.clock.monotonic();
-    const configuration = context.configuration();
-    if (!configuration || nowMs >= this._endsAtMs) return false;
-    const model = this._isStream ? this._options.caller.model : undefined;
-    const others = context.directory
-      .candidates(configuration, this._service, model)
-      .filter(({ key }) => !this._tried.has(key) && !context.health.isSuspect(key, nowMs));
-    return others.length > 0;
+    return this._sends < route.maxAttempts && nowMs < this._endsAtMs && this._choose(nowMs).kind === 'chosen';
   }
 
   private _retry(attempt: Attempt, reason: CallOutcomeReason): void {
@@ -487,8 +482,6 @@
   }
 }
 
-/** Time after which a caller may find a configuration, in milliseconds; a process starts and reads it in about that. */
-const UNKNOWN_WAIT_MS = 1_000;
 /** Time after which another target may take a request that its target turned away, in milliseconds. */
 const NOT_RUN_WAIT_MS = 150;
 /** Time after which a place is likely, in milliseconds: a group forms in about 2 s; a batch frees a place in less than 200 ms. */
--- /dev/null
+++ b/tests/platform/platformFleet.ts
@@ -0,0 +1,136 @@
+import { systemClock } from '@monsoonreach/core';
+import { Node, parseNodeSettings } from '@monsoonreach/node';
+import { findFreePorts } from '../support/ports.js';
+import { sleep } from '../standins/http.js';
+import { InstanceFleet } from './instanceStandin.js';
+import { StoreStandin } from './storeStandin.js';
+
+/** The model of the test's groups, and the key of its workspace. */
+export const MODEL = 'model-a';
+export const KEY = 'key-1';
+/** Events of a whole stream. */
+export const EVENTS = 40;
+
+/** The operator's configuration of a test. */
+export function describeConfiguration(version: number, keys: readonly string[] = [KEY]): unknown {
+  const route = { host: '127.0.0.1', priority: 1, targetLatencyMs: 400 };
+  const plain = { ...route, service: 'plain', timeoutMs: 1_500 };
+  return {
+    version,
+    routes: [
+      {
+        ...route,
+        name: 'stream',
+        pathPrefix: '/stream/',
+        routeType: 'streaming',
+        service: 'engines',
+        timeoutMs: 6_000,
+        gapTargetMs: 250,
+        maxAttempts: 2,
+        streamResume: true,
+      },
+      { ...plain, name: 'order', pathPrefix: '/order/', routeType: 'unsafe', maxAttempts: 1 },
+      { ...plain, name: 'status', pathPrefix: '/status/', routeType: 'safe', maxAttempts: 2 },
+      { ...plain, name: 'open', pathPrefix: '/open/', routeType: 'safe', authExempt: true, maxAttempts: 1 },
+    ],
+    services: [
+      {
+        name: 'engines',
+        maxConnections: 100,
+        engine: {
+          slots: 8,
+          kvCapacityTokens: 100_000,
+          stride: 1,
+          models: [{ name: MODEL, size: 2, share: 1, pace: 1, loadS: 0.05, warmupS: 0.03 }],
+          step_ms: 5,
+          per_seq_ms: 0.1,
+          context_per_k: 0,
+          read_per_s: 50_000,
+          usual: { prompt: 100, answer: 40 },
+          loadsPerS: 50,
+          loads_at_once: 8,
+        },
+      },
+      { name: 'plain', maxConnections: 50 },
+    ],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    tenants: [{ name: 'workspace-1', apiKeys: keys, priority: 1 }],
+  };
+}
+
+/** One node with a store, engines and plain instances as stand-ins. */
+export class PlatformFleet {
+  readonly store = new StoreStandin();
+  readonly fleet = new InstanceFleet(this.store, EVENTS);
+  address = '';
+
+  async start(): Promise<void> {
+    const store = await this.store.start();
+    this.store.put('keyed.op', 'config', describeConfiguration(1));
+    this.store.put('keyed.servers', 'unreadable', { service: 7 });
+    for (const id of ['engine-1', 'engine-2', 'engine-3', 'engine-4', 'engine-5']) {
+      await this.fleet.add(id, 'engines', 'domain-1');
+    }
+    await this.fleet.add('plain-1', 'plain', 'domain-1');
+    await this.fleet.add('plain-2', 'plain', 'domain-1');
+    const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
+    this.address = `127.0.0.1:${front}`;
+    await new Node(parseNodeSettings(settingsText({ store, front, readiness, peers, metrics })), systemClock).start();
+    await this._untilOpen(2);
+  }
+
+  /** Sends a request as a caller does. */
+  send(path: string, options: { readonly id: string; readonly key?: string; readonly method?: string }) {
+    return fetch(`http://${this.address}${path}`, {
+      method: options.method ?? 'POST',
+      headers: {
+        'Attempt-Id': options.id,
+        'Deadline-Ms': '5000',
+        Authorization: `Bearer ${options.key ?? KEY}`,
+        Model: MODEL,
+        'Token-Count': '100,40',
+      },
+      ...((options.method ?? 'POST') === 'GET' ? {} : { body: `body-of-${options.id}` }),
+    });
+  }
+
+  private async _untilOpen(groups: number): Promise<void> {
+    for (let tries = 0; tries < 400; tries++) {
+      const heads = [...this.fleet.instances.values()].filter(({ group }) => group?.state === 'open');
+      if (heads.length >= groups) {
+        await sleep(1_300);
+        return;
+      }
+      await sleep(50);
+    }
+    throw new Error(`Timed out waiting for ${groups} open groups.`);
+  }
+}
+
+function settingsText(options: {
+  readonly store: string;
+  readonly front: number;
+  readonly readiness: number;
+  readonly peers: number;
+  readonly metrics: number;
+}): string {
+  return `[node]
+name = node-1
+failure-domain = zone-1
+log = hidden
+[callers]
+address = 127.0.0.1:${options.front}
+readiness = 127.0.0.1:${options.readiness}
+drain-timeout = 8s
+[store]
+address = ${options.store}
+[peers]
+address = 127.0.0.1:${options.peers}
+metrics = 127.0.0.1:${options.metrics}
+[bounds]
+key-trust = 5000ms
+retry-share = 0.2
+retry-window = 10s
+retry-slack = 130
+`;
+}
--- /dev/null
+++ b/tests/platform/wholePath.test.ts
@@ -0,0 +1,149 @@
+import t from 'tap';
+import { sleep } from '../standins/http.js';
+import type { InstanceMood } from './instanceStandin.js';
+import { describeConfiguration, EVENTS, KEY, PlatformFleet } from './platformFleet.js';
+
+const platform = new PlatformFleet();
+const { fleet, store } = platform;
+
+function runsOf(id: string) {
+  return fleet.runs.filter(({ requestId }) => requestId === id);
+}
+
+function readIds(text: string): readonly number[] {
+  return [...text.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+}
+
+const ALL_IDS = Array.from({ length: EVENTS }, (_, index) => index + 1);
+
+function setMood(service: 'plain', mood: InstanceMood): void {
+  for (const [id, instance] of fleet.instances) if (id.startsWith(service)) instance.mood = mood;
+}
+
+interface PlainCase {
+  readonly name: string;
+  readonly path: string;
+  readonly mood: InstanceMood;
+  readonly key?: string;
+  readonly status: number;
+  readonly runs: number;
+  readonly saysNotRun?: boolean;
+}
+
+const plainCases: readonly PlainCase[] = [
+  { name: 'an order is answered', path: '/order/1', mood: 'well', status: 200, runs: 1 },
+  { name: 'an order that may have run is not sent again', path: '/order/2', mood: 'resets', status: 502, runs: 1 },
+  { name: 'an order with a wrong echo is not answered', path: '/order/3', mood: 'wrong-echo', status: 502, runs: 1 },
+  { name: 'an order that was turned away has not run', path: '/order/4', mood: 'full', status: 503, runs: 0, saysNotRun: true },
+  { name: 'a look-up goes to a second target', path: '/status/1', mood: 'resets', status: 502, runs: 2 },
+  { name: 'a look-up that was turned away has not run', path: '/status/2', mood: 'full', status: 503, runs: 0, saysNotRun: true },
+  { name: 'an unknown key is refused', path: '/order/5', mood: 'well', key: 'stranger', status: 401, runs: 0 },
+  { name: 'a route without keys takes any', path: '/open/1', mood: 'well', key: 'stranger', status: 200, runs: 1 },
+  { name: 'an unknown route is refused', path: '/nowhere/1', mood: 'well', status: 404, runs: 0 },
+];
+
+async function killAnyBut(head: string | undefined, members: readonly string[]): Promise<void> {
+  const lost = members.find((id) => id !== head);
+  fleet.instances.get(lost ?? '')?.goDark(3_600);
+  await sleep(0);
+}
+
+void t.test('one node serves on the platform', async (t) => {
+  await platform.start();
+  t.teardown(() => {
+    fleet.stop();
+    store.stop();
+    setTimeout(() => process.exit(), 100);
+  });
+
+  for (const [index, one] of plainCases.entries()) {
+    await t.test(one.name, async (t) => {
+      setMood('plain', one.mood);
+      const id = `plain-${index}`;
+      const response = await platform.send(one.path, { id, ...(one.key === undefined ? {} : { key: one.key }) });
+      const text = await response.text();
+      t.equal(response.status, one.status);
+      t.equal(runsOf(id).length, one.runs);
+      if (one.status === 200) t.equal(text, `${id}:body-of-${id}`);
+      if (one.status === 200) t.equal(response.headers.get('attempt-id'), id);
+      t.equal(response.headers.has('retry-after'), one.saysNotRun === true);
+    });
+  }
+
+  await t.test('an answer without a length is passed on without one', async (t) => {
+    setMood('plain', 'unframed');
+    const response = await platform.send('/status/3', { id: 'unframed' });
+    t.equal(response.headers.get('content-length'), null);
+    t.equal(response.headers.get('transfer-encoding'), null);
+    t.equal(await response.text(), 'unframed:body-of-unframed');
+    setMood('plain', 'well');
+  });
+
+  await t.test('a stream is whole, of a whole group, for its workspace', async (t) => {
+    const response = await platform.send('/stream/1', { id: 'stream-1' });
+    t.same(readIds(await response.text()), ALL_IDS);
+    t.match(runsOf('stream-1'), [{ isWhole: true, workspace: 'workspace-1' }]);
+  });
+
+  await t.test('a stream whose group loses a member goes on at another group', async (t) => {
+    const response = await platform.send('/stream/2', { id: 'stream-2' });
+    await sleep(100);
+    const [run] = runsOf('stream-2');
+    const head = fleet.instances.get(run?.instance ?? '');
+    await killAnyBut(head?.id, head?.group?.members ?? []);
+    t.same(readIds(await response.text()), ALL_IDS);
+    t.equal(runsOf('stream-2').length, 2);
+    t.equal(response.headers.get('server-seal'), `seal-of-${head?.id ?? ''}`, 'the first headers stay');
+  });
+
+  await t.test('the group forms anew with the substitute, and only whole groups run requests', async (t) => {
+    await sleep(2_000);
+    const open = [...fleet.instances.values()].filter(({ group }) => group?.state === 'open');
+    t.equal(open.length, 2);
+    t.ok(fleet.runs.every(({ isWhole }) => isWhole));
+  });
+
+  await t.test('an unsafe request never runs twice', (t) => {
+    const counts = new Map<string, number>();
+    for (const { requestId } of fleet.runs) counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+    for (const [index, one] of plainCases.entries()) {
+      if (one.path.startsWith('/order/')) t.ok((counts.get(`plain-${index}`) ?? 0) <= 1);
+    }
+    t.end();
+  });
+
+  await t.test('a leaving target gets nothing new', async (t) => {
+    fleet.instances.get('plain-1')?.leave();
+    await sleep(1_500);
+    for (const id of ['left-1', 'left-2', 'left-3', 'left-4']) await platform.send('/order/6', { id });
+    t.ok(fleet.runs.filter(({ requestId }) => requestId.startsWith('left-')).every(({ instance }) => instance === 'plain-2'));
+  });
+
+  await t.test('a key that was taken away is refused, and never comes back with an older version', async (t) => {
+    store.put('keyed.op', 'config', describeConfiguration(3, ['key-2']));
+    store.put('keyed.op', 'config', describeConfiguration(2, [KEY]));
+    await sleep(500);
+    t.equal((await platform.send('/order/7', { id: 'revoked' })).status, 401);
+    t.equal((await platform.send('/order/7', { id: 'granted', key: 'key-2' })).status, 200);
+  });
+
+  await t.test('history that is gone is read anew', async (t) => {
+    store.compact('keyed.op');
+    store.compact('keyed.servers');
+    store.put('keyed.op', 'config', describeConfiguration(4));
+    await sleep(2_500);
+    t.equal((await platform.send('/order/8', { id: 'compacted' })).status, 200);
+  });
+
+  await t.test('keys are not trusted once the store has been away too long', async (t) => {
+    store.mood = 'silent';
+    await sleep(5_000);
+    const response = await platform.send('/order/9', { id: 'stale' });
+    t.equal(response.status, 503);
+    t.ok(response.headers.has('retry-after'));
+    t.equal((await platform.send('/open/2', { id: 'open-stale' })).status, 200);
+    store.mood = 'well';
+    await sleep(3_000);
+    t.equal((await platform.send('/order/9', { id: 'fresh' })).status, 200);
+  });
+});
