--- a/scripts/checkLayers.ts
+++ b/scripts/checkLayers.ts
@@ -78,7 +78,7 @@
   'read_per_s',
   'keyed\\.',
   '/v1/log-',
-  '/v1/order',
+  '/v1/order(?!s)',
   '/v1/report',
   '/v1/readyz',
 ];
--- /dev/null
+++ b/tests/serving/formationPlanner.test.ts
@@ -0,0 +1,189 @@
+import {
+  FormationPlanner,
+  type FormationView,
+  type InstanceOrder,
+  type TargetInstance,
+} from '@monsoonreach/core';
+import t from 'tap';
+import { describeGroup, describeInstance, describeView, LARGE, SMALL } from './support.js';
+
+/** Orders as short texts, sorted. */
+function summarize(orders: readonly InstanceOrder[]): readonly string[] {
+  return orders.map(({ kind, instance }) => `${kind} ${instance.id}`).sort();
+}
+
+const [head = describeInstance('none'), second = head, third = head] = describeGroup('a', 7, LARGE, [
+  'open',
+  'ready',
+  'ready',
+]);
+const standby = describeInstance('standby', {
+  stagedModels: ['large'],
+  models: ['large'],
+  membership: { group: 'standby-1', epoch: 2, rank: 0, state: 'ready' },
+});
+
+function inState(member: TargetInstance, state: 'ready' | 'broken' | 'closing'): TargetInstance {
+  return { ...member, membership: member.membership && { ...member.membership, state } };
+}
+
+interface Case {
+  readonly name: string;
+  readonly instances: readonly TargetInstance[];
+  readonly view?: Partial<FormationView>;
+  readonly orders: readonly string[];
+}
+
+const JOINS = ['join a-1', 'join a-2', 'join standby'];
+
+const cases: readonly Case[] = [
+  { name: 'a whole open group is left alone', instances: [head, second, third], orders: [] },
+  {
+    name: 'a whole ready group is opened',
+    instances: [inState(head, 'ready'), second, third],
+    orders: ['open a-0'],
+  },
+  {
+    name: 'a ready group that lacks a member is not opened; its members are free',
+    instances: [inState(head, 'ready'), second, standby],
+    orders: ['join a-0', 'join a-1', 'join standby'],
+  },
+  {
+    name: 'an open group with a silent member loses its head, and its members wait for that',
+    instances: [head, second, third, standby],
+    view: { silent: new Set(['a-2']) },
+    orders: ['leave a-0'],
+  },
+  {
+    name: 'members whose head has left form anew with the substitute',
+    instances: [{ ...head, membership: undefined, models: [] }, second, third, standby],
+    view: { headless: new Set(['a@7']), silent: new Set(['a-0']) },
+    orders: JOINS,
+  },
+  {
+    name: 'members of an open group are not used elsewhere',
+    instances: [head, second, standby],
+    orders: [],
+  },
+  {
+    name: 'members of a closing group are not used elsewhere',
+    instances: [inState(head, 'closing'), second, third, standby],
+    orders: [],
+  },
+  {
+    name: 'members of a broken group form anew',
+    instances: [inState(head, 'broken'), second, standby],
+    orders: ['join a-0', 'join a-1', 'join standby'],
+  },
+  {
+    name: 'members whose head is not listed wait until it is known to be gone',
+    instances: [second, third, standby],
+    orders: [],
+  },
+  {
+    name: 'members whose head is gone form anew',
+    instances: [second, third, standby],
+    view: { isHeadGone: () => true },
+    orders: JOINS,
+  },
+  {
+    name: 'a head that serves without being listed is closed first',
+    instances: [second, third, standby],
+    view: { unlistedServingHeads: [head] },
+    orders: ['close a-0'],
+  },
+  {
+    name: 'nothing is decided by absence while the list may lack entries',
+    instances: [second, third, standby],
+    view: { isHeadGone: () => true, isListSettled: false },
+    orders: [],
+  },
+  {
+    name: 'a group with a leaving member is closed when its requests have ended',
+    instances: [head, second, { ...third, state: 'leaving' }],
+    orders: ['close a-0'],
+  },
+  {
+    name: 'a lone instance stages the weights of the larger model',
+    instances: [describeInstance('new')],
+    orders: ['stage new'],
+  },
+  {
+    name: 'an instance that has the weights staged takes them up',
+    instances: [describeInstance('new', { stagedModels: ['large'] })],
+    orders: ['join new'],
+  },
+  { name: 'a standby is joined once', instances: [standby], orders: [] },
+  {
+    name: 'instances with an order under way get no other',
+    instances: [inState(head, 'ready'), second, third],
+    view: { ordered: new Set(['a-0']) },
+    orders: [],
+  },
+];
+
+for (const { name, instances, view, orders } of cases) {
+  void t.test(name, (t) => {
+    const planner = new FormationPlanner(3);
+    t.same(summarize(planner.plan(describeView(instances, view))), orders);
+    t.end();
+  });
+}
+
+void t.test('joins of one formation name the same members, and a later epoch than all before', (t) => {
+  const planner = new FormationPlanner(3);
+  const orders = planner.plan(describeView([inState(head, 'broken'), second, standby]));
+  const joins = orders.flatMap((order) => (order.kind === 'join' ? [order] : []));
+  t.equal(new Set(joins.map(({ group, epoch, members }) => `${group} ${epoch} ${members.join()}`)).size, 1);
+  t.ok(joins.every(({ epoch }) => epoch > 7));
+  t.end();
+});
+
+void t.test('a later term uses later epochs', (t) => {
+  const epochOf = (term: number) => {
+    const [order] = new FormationPlanner(term).plan(describeView([inState(head, 'broken'), second, standby]));
+    return order?.kind === 'join' ? order.epoch : 0;
+  };
+  t.ok(epochOf(4) > epochOf(3) + 10_000);
+  t.end();
+});
+
+void t.test('load pattern: loads from the weight store start no faster than it bears', (t) => {
+  const planner = new FormationPlanner(3);
+  const instances = Array.from({ length: 30 }, (_, index) =>
+    describeInstance(`i-${String(index).padStart(2, '0')}`),
+  );
+  let loads = 0;
+  for (let nowMs = 0; nowMs <= 5_000; nowMs += 100) {
+    loads += planner.plan(describeView(instances, { nowMs })).length;
+  }
+  t.ok(loads <= 5.5 * 5 + 3, `${loads} loads in 5 s`);
+  t.ok(loads >= 5.5 * 5 - 1);
+  t.end();
+});
+
+void t.test('load pattern: at the start each model has groups, and few instances are left over', (t) => {
+  const planner = new FormationPlanner(1);
+  const instances = Array.from({ length: 4 }, (_, domain) =>
+    Array.from({ length: 6 }, (_, index) =>
+      describeInstance(`i-${domain}-${index}`, { fabricDomain: `fabric-${domain}` }),
+    ),
+  ).flat();
+  const orders = planner.plan(describeView(instances, { hasTraffic: false }));
+  const groups = new Map<string, { readonly model: string; readonly domains: Set<string> }>();
+  for (const order of orders) {
+    if (order.kind !== 'join') continue;
+    const group = groups.get(order.group) ?? { model: order.model.name, domains: new Set<string>() };
+    group.domains.add(order.instance.fabricDomain);
+    groups.set(order.group, group);
+  }
+  t.ok(
+    [...groups.values()].every(({ domains }) => domains.size === 1),
+    'no group spans fabric domains',
+  );
+  for (const model of [LARGE, SMALL]) {
+    t.ok([...groups.values()].some((group) => group.model === model.name));
+  }
+  t.ok(orders.filter(({ kind }) => kind === 'join').length >= 20);
+  t.end();
+});
--- /dev/null
+++ b/tests/serving/support.ts
@@ -0,0 +1,100 @@
+import type {
+  EngineProfile,
+  FormationView,
+  MemberState,
+  ModelProfile,
+  ServingService,
+  TargetInstance,
+} from '@monsoonreach/core';
+
+export const LARGE: ModelProfile = {
+  name: 'large',
+  groupSize: 3,
+  demandShare: 0.67,
+  pace: 1,
+  loadMs: 16_000,
+  warmupMs: 1_600,
+};
+export const SMALL: ModelProfile = {
+  name: 'small',
+  groupSize: 2,
+  demandShare: 0.33,
+  pace: 0.6,
+  loadMs: 12_000,
+  warmupMs: 1_100,
+};
+
+export const ENGINE: EngineProfile = {
+  slots: 18,
+  memoryTokens: 1_710_000,
+  stepsPerPass: 6,
+  stepMs: 6.45,
+  stepMsPerRequest: 0.14,
+  stepMsPerThousandTokens: 0.0042,
+  prefillTokensPerS: 56_100,
+  prefillMsPerMillionPairs: 0.309,
+  prefillChunk: 2_048,
+  usualPromptTokens: 1_115,
+  usualAnswerTokens: 152,
+  models: [LARGE, SMALL],
+  loadsPerS: 5.5,
+  concurrentLoads: 8,
+  crossDomainFactor: 2.5,
+};
+
+export const SERVICE: ServingService = { name: 'engines', maxConnections: 400, engine: ENGINE };
+
+/** An instance of the engines' service. */
+export function describeInstance(id: string, options: Partial<TargetInstance> = {}): TargetInstance {
+  return {
+    id,
+    service: 'engines',
+    address: '10.0.0.1:1',
+    failureDomain: 'zone-1',
+    state: 'ready',
+    slots: 18,
+    startedAtMs: 1,
+    fabricDomain: 'fabric-1',
+    stagedModels: [],
+    models: [],
+    membership: undefined,
+    ...options,
+  };
+}
+
+/** The members of one group, the first as its head. */
+export function describeGroup(
+  group: string,
+  epoch: number,
+  model: ModelProfile,
+  states: readonly MemberState[],
+): readonly TargetInstance[] {
+  return states.map((state, rank) =>
+    describeInstance(`${group}-${rank}`, {
+      stagedModels: [model.name],
+      models: [model.name],
+      membership: { group, epoch, rank, state },
+    }),
+  );
+}
+
+/** What a planner sees when all is well. */
+export function describeView(
+  instances: readonly TargetInstance[],
+  options: Partial<FormationView> = {},
+): FormationView {
+  return {
+    nowMs: 1_000,
+    services: [SERVICE],
+    instances: new Map(instances.map((instance) => [instance.id, instance])),
+    ordered: new Set(),
+    silent: new Set(),
+    headless: new Set(),
+    isHeadGone: () => false,
+    unlistedServingHeads: [],
+    isListSettled: true,
+    demand: new Map(),
+    hasTraffic: true,
+    ...options,
+  };
+}
