--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -52,7 +52,7 @@
 /** Time after SIGTERM in which the balancer still sends new connections, in milliseconds: two missed questions, a second apart. */
 const BALANCER_MS = 2_600;
 /** Time before the kill at which the last requests are given up, in milliseconds. */
-const EXIT_MARGIN_MS = 400;
+const EXIT_MARGIN_MS = 700;
 
 /** One node: takes callers' requests, follows the store, and plans groups when it is its turn. */
 export class Node {
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -27,6 +27,9 @@
 /** Why a request was refused without having been run. */
 export type RefusalReason = Extract<TargetChoice, { readonly kind: 'none' }>['reason'] | 'not-run-by-target';
 
+/** Why a request failed that may have been run. */
+export type FailureReason = RefusalReason | 'no-answer' | 'timeout';
+
 interface Attempt {
   readonly candidate: TargetCandidate;
   readonly startedAtMs: number;
@@ -372,7 +375,7 @@
       return;
     }
     this._endAttempt(attempt, reason);
-    this._giveUp('not-run-by-target', NOT_RUN_WAIT_MS);
+    this._giveUp(this._mayHaveRun ? 'no-answer' : 'not-run-by-target', NOT_RUN_WAIT_MS);
   }
 
   private _canRetry(): boolean {
@@ -387,7 +390,7 @@
       context.counters.add('monsoonreach_retries_denied_total', { reason });
       if (reason === 'silent') return;
       this._endAttempt(attempt, reason);
-      this._giveUp('not-run-by-target', NOT_RUN_WAIT_MS);
+      this._giveUp(this._mayHaveRun ? 'no-answer' : 'not-run-by-target', NOT_RUN_WAIT_MS);
       return;
     }
     context.counters.add('monsoonreach_retries_total', { reason });
@@ -416,13 +419,13 @@
   }
 
   /** No target is left: says so truthfully, at once. */
-  private _giveUp(reason: RefusalReason, retryAfterMs: number): void {
+  private _giveUp(reason: FailureReason, retryAfterMs: number): void {
     if (this._options.response.headersSent) this._cut(reason);
     else if (this._mayHaveRun) this._answerFailure(502, reason);
     else this._refuse(reason, retryAfterMs);
   }
 
-  private _refuse(reason: RefusalReason, retryAfterMs: number): void {
+  private _refuse(reason: FailureReason, retryAfterMs: number): void {
     const { context, response } = this._options;
     const leftMs = Math.max(0, this._endsAtMs - context.clock.monotonic());
     const waitMs = Math.min(retryAfterMs, leftMs * MAX_RETRY_AFTER_SHARE);
@@ -431,7 +434,7 @@
     context.answerPlainly(response, 503, { reason, run: 'not-run' }, encodeRetryAfter(waitMs));
   }
 
-  private _answerFailure(status: 502 | 504, reason: string): void {
+  private _answerFailure(status: 502 | 504, reason: FailureReason): void {
     const { context, response } = this._options;
     context.counters.add('monsoonreach_failures_total', { reason });
     this._finish(`failed ${status} ${reason}`);
--- /dev/null
+++ b/tests/platform/codecs.test.ts
@@ -0,0 +1,194 @@
+import {
+  decodeCallerRequest,
+  decodeConfiguration,
+  decodeInstance,
+  decodeKeyedRecord,
+  decodeReport,
+  decodeTargetHead,
+  encodeDispatch,
+  RecordError,
+} from '@monsoonreach/platform';
+import fc from 'fast-check';
+import t from 'tap';
+import { describeConfiguration } from './platformFleet.js';
+
+const encode = (value: unknown) => Buffer.from(JSON.stringify(value));
+
+const ENTRY = {
+  service: 's',
+  address: '10.0.0.1:80',
+  zone: 'z',
+  state: 'ready',
+  slots: 18,
+  seqNo: 4,
+  domain: 3,
+  staged: ['m'],
+  models: [{ name: 'm', version: 1, adapters: [] }],
+  group: { name: 'g', epoch: 12, rank: 0, state: 'open' },
+  born: 1_700_000_000_000,
+};
+
+const decoders = [
+  { name: 'an entry', decode: (bytes: Buffer) => decodeInstance('i', bytes), sample: ENTRY },
+  { name: 'a report', decode: decodeReport, sample: { ...ENTRY, busy: false, active: 3, pace: 1 } },
+  { name: 'a configuration', decode: decodeConfiguration, sample: describeConfiguration(7) },
+] as const;
+
+for (const { name, decode, sample } of decoders) {
+  void t.test(`${name}: a good one is read, with fields that are not known`, (t) => {
+    t.doesNotThrow(() => decode(encode({ ...(sample as object), later: { x: 1 } })));
+    t.end();
+  });
+
+  void t.test(`${name}: any other bytes are refused with a typed error, or read`, (t) => {
+    const isTyped = (bytes: Buffer) => {
+      try {
+        decode(bytes);
+        return true;
+      } catch (error) {
+        return error instanceof RecordError;
+      }
+    };
+    fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => isTyped(Buffer.from(bytes))));
+    fc.assert(fc.property(fc.jsonValue(), (value) => isTyped(encode(value))));
+    const keys = Object.keys(sample as object);
+    fc.assert(
+      fc.property(fc.constantFrom(...keys), fc.jsonValue(), (key, value) =>
+        isTyped(encode({ ...(sample as object), [key]: value })),
+      ),
+    );
+    t.end();
+  });
+}
+
+void t.test('an entry is decoded into what its fields hold', (t) => {
+  t.match(decodeInstance('i', encode(ENTRY)), {
+    id: 'i',
+    failureDomain: 'z',
+    fabricDomain: '3',
+    stagedModels: ['m'],
+    models: ['m'],
+    membership: { group: 'g', epoch: 12, rank: 0, state: 'open' },
+    startedAtMs: 1_700_000_000_000,
+  });
+  t.equal(decodeInstance('i', encode({ ...ENTRY, state: 'draining' })).state, 'leaving');
+  t.equal(decodeReport(encode(ENTRY)).orderCount, 4);
+  t.end();
+});
+
+void t.test('a keyed record of any key and value is split as it was made', (t) => {
+  fc.assert(
+    fc.property(fc.string({ maxLength: 40 }), fc.uint8Array({ minLength: 1 }), (key, value) => {
+      const name = Buffer.from(key);
+      const record = decodeKeyedRecord(Buffer.concat([Buffer.from([name.length]), name, value]));
+      return record.key === name.toString() && Buffer.from(record.value ?? []).equals(Buffer.from(value));
+    }),
+  );
+  t.equal(decodeKeyedRecord(Buffer.from([1, 97])).value, undefined);
+  t.end();
+});
+
+const dispatch = {
+  host: 'h',
+  remainingMs: 500.7,
+  instanceId: 'i-1',
+  workspace: 'w',
+  lastEventId: undefined,
+  urgency: undefined,
+};
+const headers = [
+  {
+    name: 'ordinary ones are passed on',
+    raw: ['X-A', '1', 'x-a', '2'],
+    has: ['X-A', '1', 'x-a', '2'],
+    lacks: [],
+  },
+  {
+    name: 'the key is not',
+    raw: ['Authorization', 'Bearer k'],
+    has: [],
+    lacks: ['Authorization', 'Bearer k'],
+  },
+  {
+    name: 'a workspace of the caller is not',
+    raw: ['tenant', 'other'],
+    has: ['Tenant', 'w'],
+    lacks: ['other'],
+  },
+  {
+    name: 'those of one connection are not',
+    raw: ['Connection', 'close, X-B', 'X-B', '1', 'Keep-Alive', '5'],
+    has: [],
+    lacks: ['close, X-B', 'X-B', 'Keep-Alive'],
+  },
+  {
+    name: 'the time that is left is set',
+    raw: ['Deadline-Ms', '9000'],
+    has: ['Deadline-Ms', '500'],
+    lacks: ['9000'],
+  },
+  {
+    name: 'another instance that the caller names is not',
+    raw: ['Expect-Instance', 'i-9'],
+    has: ['Expect-Instance', 'i-1'],
+    lacks: ['i-9'],
+  },
+];
+for (const { name, raw, has, lacks } of headers) {
+  void t.test(`headers to a target: ${name}`, (t) => {
+    const encoded = encodeDispatch({ ...dispatch, rawHeaders: raw });
+    for (const text of has) t.ok(encoded.includes(text), text);
+    for (const text of lacks) t.notOk(encoded.includes(text), text);
+    t.end();
+  });
+}
+
+const answers = [
+  { name: 'turned away', status: 503, headers: { 'not-executed': '1' }, expected: { isNotRun: true } },
+  { name: 'another instance', status: 421, headers: {}, expected: { isNotRun: true } },
+  {
+    name: 'a bare 503 proves nothing',
+    status: 503,
+    headers: {},
+    expected: { isNotRun: false, isSealed: false },
+  },
+  {
+    name: 'a whole answer',
+    status: 200,
+    headers: { 'server-seal': 's', 'content-length': '3', 'attempt-id': 'a' },
+    expected: { isSealed: true, length: 3, isFramed: true, requestId: 'a' },
+  },
+  {
+    name: 'chunks',
+    status: 200,
+    headers: { 'transfer-encoding': 'chunked' },
+    expected: { length: undefined, isFramed: true },
+  },
+  { name: 'no length', status: 200, headers: {}, expected: { length: undefined, isFramed: false } },
+  {
+    name: 'a lost member',
+    status: 503,
+    headers: { 'not-executed': '1', 'at-server': 'i-3' },
+    expected: { faultyInstance: 'i-3' },
+  },
+];
+for (const { name, status, headers: fields, expected } of answers) {
+  void t.test(`the beginning of an answer: ${name}`, (t) => {
+    t.match(decodeTargetHead(status, fields), expected);
+    t.end();
+  });
+}
+
+const callers = [
+  { headers: { 'token-count': '1460,80' }, expected: { size: { promptTokens: 1_460, answerTokens: 80 } } },
+  { headers: { 'token-count': 'x' }, expected: { size: { promptTokens: 0, answerTokens: 0 } } },
+  { headers: { 'deadline-ms': '-1' }, expected: { patienceMs: undefined } },
+  { headers: { authorization: 'Bearer k1' }, expected: { key: 'k1' } },
+  { headers: { authorization: 'Basic k1' }, expected: { key: undefined } },
+];
+for (const { headers: fields, expected } of callers) {
+  void t.test(`a caller's headers: ${JSON.stringify(fields)}`, (t) => {
+    t.match(decodeCallerRequest(fields), expected);
+    t.end();
+  });
+}
