--- a/packages/node/src/loadBook.ts
+++ b/packages/node/src/loadBook.ts
@@ -1,6 +1,6 @@
 import type { BatchLoad, RequestSize } from '@monsoonreach/core';
 
-/** How long a peer's figures count, in milliseconds; several times the interval at which peers tell them. */
+/** How long a peer's figures count at first, in milliseconds; several times the interval at which peers tell them. */
 const PEER_LIFE_MS = 1_500;
 
 interface OwnLoad {
@@ -19,6 +19,8 @@
 
 /** What this node has in progress at each target, and what its peers say that they have. */
 export class LoadBook {
+  /** How long a peer's figures count, in milliseconds. */
+  peerLifeMs = PEER_LIFE_MS;
   private readonly _own = new Map<string, OwnLoad>();
   private readonly _peers = new Map<string, PeerLoads>();
 
@@ -69,7 +71,7 @@
     let contextTokens = own?.contextTokens ?? 0;
     let unreadTokens = own?.unreadTokens ?? 0;
     for (const { atMs, loads } of this._peers.values()) {
-      if (nowMs - atMs > PEER_LIFE_MS) continue;
+      if (nowMs - atMs > this.peerLifeMs) continue;
       const load = loads.get(target);
       if (!load) continue;
       requests += load[0];
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -102,6 +102,7 @@
       random: this._random,
       counters: this._counters,
       log: this._log,
+      ownTerm: () => this._planning.term,
       describe: () => this._describe(),
       onDigest: (digest, heardAtMs) => {
         this._learn(digest, heardAtMs);
@@ -299,7 +300,6 @@
     return {
       storeAgeMs,
       version: this._table?.configuration.version ?? -1,
-      ...(this._planning.term === undefined ? {} : { term: this._planning.term }),
       isLeaving: this._front.isDraining,
       loads: Object.fromEntries([...this._loads.own()].map(([key, load]) => [key, [...load]])),
       silent: [...this._silentTargets].filter(([, untilMs]) => untilMs > nowMs).map(([key]) => key),
@@ -311,6 +311,7 @@
 
   private _learn(digest: Digest, heardAtMs: number): void {
     this._loads.learn(digest.node, new Map(Object.entries(digest.loads)), heardAtMs);
+    this._loads.peerLifeMs = this._exchange.peerLifeMs;
     for (const key of digest.silent) this._heedSilence(key, heardAtMs);
     if (digest.version === this._table?.configuration.version) {
       this._trust.confirm(heardAtMs - digest.storeAgeMs - DATAGRAM_AGE_MS);
@@ -343,7 +344,7 @@
     this._counters.add('monsoonreach_silent_targets_total');
     this._silentTargets.set(key, this._clock.monotonic() + SILENCE_NEWS_MS);
     this._planning.suspectGroup(key);
-    this._exchange.tell();
+    this._exchange.tellPlanner();
   }
 
   /** A peer finds a target silent; that counts here unless bytes came from it just now. */
--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -8,7 +8,11 @@
 /** Peers that are told in one interval, so that a node's share of the traffic does not grow with the fleet. */
 const FANOUT = 6;
 /** How long a peer may be silent before it counts as lost, in milliseconds; several intervals and a lost datagram or two. */
-const PEER_LIFE_MS = 1_500;
+const MIN_PEER_LIFE_MS = 1_500;
+/** The same where a peer tells only some of many nodes each interval, in times of its turn coming round. */
+const PEER_LIFE_TURNS = 3;
+/** How long nobody may have heard of the planner before another node plans, in milliseconds; news pass all nodes in a second. */
+const PLANNER_LIFE_MS = 1_400;
 /** How long a silent peer is remembered and now and then told, in milliseconds. */
 const PEER_MEMORY_MS = 60_000;
 
@@ -20,8 +24,10 @@
   /** Milliseconds since the sender last heard from the store. */
   storeAgeMs: z.number(),
   version: z.number(),
-  /** The term in which the sender plans, if it does. */
-  term: z.number().optional(),
+  /** The last planner that the sender knows of, itself or another node. */
+  planner: z
+    .object({ node: z.string(), address: z.string(), term: z.number(), ageMs: z.number() })
+    .optional(),
   isLeaving: z.boolean(),
   loads: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
   silent: z.array(z.string()),
@@ -35,7 +41,16 @@
 /** What one node tells the others of itself. */
 export type Digest = Readonly<z.infer<typeof digestSchema>>;
 /** What a node says of itself, without what the exchange adds. */
-export type OwnState = Omit<Digest, 'node' | 'address' | 'incarnation' | 'sequence'>;
+export type OwnState = Omit<Digest, 'node' | 'address' | 'incarnation' | 'sequence' | 'planner'>;
+
+/** The node that plans, as far as this node knows. */
+export interface PlannerSighting {
+  readonly node: string;
+  readonly address: string;
+  readonly term: number;
+  /** When it was last known to plan. */
+  readonly atMs: number;
+}
 
 /** A peer as it was last heard of. */
 export interface Peer {
@@ -52,6 +67,8 @@
   readonly random: Random;
   readonly counters: Counters;
   readonly log: DecisionLog;
+  /** The term in which this node plans, if it does. */
+  readonly ownTerm: () => number | undefined;
   readonly describe: () => OwnState;
   readonly onDigest: (digest: Digest, heardAtMs: number) => void;
 }
@@ -61,6 +78,7 @@
   private readonly _socket: Socket = createSocket('udp4');
   private readonly _peers = new Map<string, Peer>();
   private readonly _addresses = new Map<string, { heardAtMs: number }>();
+  private _planner: PlannerSighting | undefined;
   private _sequence = 0;
   private _timer: NodeJS.Timeout | undefined;
 
@@ -69,11 +87,24 @@
   /** Peers that were heard of lately. */
   livePeers(): readonly Peer[] {
     const nowMs = this._options.clock.monotonic();
+    const lifeMs = this.peerLifeMs;
     return [...this._peers.values()].filter(
-      ({ heardAtMs, digest }) => nowMs - heardAtMs < PEER_LIFE_MS && !digest.isLeaving,
+      ({ heardAtMs, digest }) => nowMs - heardAtMs < lifeMs && !digest.isLeaving,
     );
   }
 
+  /** How long what a peer told counts, in milliseconds; longer in a large fleet, where its turn comes seldom. */
+  get peerLifeMs(): number {
+    const turnMs = (INTERVAL_MS * this._addresses.size) / FANOUT;
+    return Math.max(MIN_PEER_LIFE_MS, turnMs * PEER_LIFE_TURNS);
+  }
+
+  /** The node that plans; undefined when nobody has heard of one lately. */
+  planner(): PlannerSighting | undefined {
+    const ageMs = this._options.clock.monotonic() - (this._planner?.atMs ?? -Infinity);
+    return ageMs < PLANNER_LIFE_MS ? this._planner : undefined;
+  }
+
   /** Names addresses at which peers may be. */
   meet(addresses: readonly string[]): void {
     for (const address of addresses) this._remember(address);
@@ -102,11 +133,29 @@
 
   /** Tells some of the peers now. */
   tell(): void {
+    this._send(this._chooseAddresses());
+  }
+
+  /** Tells the node that plans, and some others, now. */
+  tellPlanner(): void {
+    const planner = this.planner();
+    this._send(new Set([...(planner ? [planner.address] : []), ...this._chooseAddresses()]));
+  }
+
+  private _send(addresses: Iterable<string>): void {
     const { node, address, incarnation, describe } = this._options;
     this._sequence++;
-    const digest: Digest = { node, address, incarnation, sequence: this._sequence, ...describe() };
+    const digest: Digest = {
+      node,
+      address,
+      incarnation,
+      sequence: this._sequence,
+      ...this._describePlanner(),
+      ...describe(),
+    };
     const message = Buffer.from(JSON.stringify(digest));
-    for (const peer of this._chooseAddresses()) {
+    for (const peer of addresses) {
+      if (peer === address) continue;
       const { host, port } = splitAddress(peer);
       this._socket.send(message, port, host, (error) => {
         if (error) this._options.counters.add('monsoonreach_datagram_errors_total');
@@ -114,6 +163,31 @@
     }
   }
 
+  private _describePlanner(): Pick<Digest, 'planner'> {
+    const { node, address, clock, ownTerm } = this._options;
+    const term = ownTerm();
+    if (term !== undefined) return { planner: { node, address, term, ageMs: 0 } };
+    const planner = this.planner();
+    if (!planner) return {};
+    const { atMs, ...rest } = planner;
+    return { planner: { ...rest, ageMs: clock.monotonic() - atMs } };
+  }
+
+  /** A planner that says that it plans no more, or that it has started anew, is none. */
+  private _noteEnd(digest: Digest): void {
+    const isPlanning = digest.planner?.node === digest.node && !digest.isLeaving;
+    if (this._planner?.node === digest.node && !isPlanning) this._planner = undefined;
+  }
+
+  private _notePlanner(planner: Digest['planner'], heardAtMs: number): void {
+    if (!planner || planner.node === this._options.node) return;
+    const { ageMs, ...rest } = planner;
+    const sighting = { ...rest, atMs: heardAtMs - ageMs };
+    const known = this.planner();
+    const isNewer = !known || sighting.term > known.term;
+    if (isNewer || (sighting.term === known.term && sighting.atMs > known.atMs)) this._planner = sighting;
+  }
+
   private _chooseAddresses(): readonly string[] {
     const { clock, random } = this._options;
     const nowMs = clock.monotonic();
@@ -145,6 +219,8 @@
     }
     this._peers.set(digest.node, { digest, heardAtMs });
     this._remember(digest.address);
+    this._noteEnd(digest);
+    this._notePlanner(digest.planner, heardAtMs);
     this._options.onDigest(digest, heardAtMs);
   }
 
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -161,7 +161,7 @@
   }
 
   private _isPlannedElsewhere(): boolean {
-    return this._options.exchange.livePeers().some(({ digest }) => digest.term !== undefined);
+    return this._options.exchange.planner() !== undefined;
   }
 
   private _turn(): void {
@@ -206,7 +206,7 @@
 
   private _isOutranked(): boolean {
     const term = this._term ?? 0;
-    return this._options.exchange.livePeers().some(({ digest }) => (digest.term ?? -1) > term);
+    return (this._options.exchange.planner()?.term ?? -1) > term;
   }
 
   private _stepDown(): void {
