--- a/packages/node/src/decisionLog.ts
+++ b/packages/node/src/decisionLog.ts
@@ -84,3 +84,10 @@
   };
   handle?.setBlocking?.(false);
 }
+
+/** An error and what caused it, as one text for a log line. */
+export function describeError(error: unknown): string {
+  if (!(error instanceof Error)) return String(error);
+  const cause = error.cause === undefined ? '' : ` Cause: ${describeError(error.cause)}`;
+  return `${error.message}${cause}`;
+}
--- a/packages/node/src/keyedFollower.ts
+++ b/packages/node/src/keyedFollower.ts
@@ -6,7 +6,7 @@
   type StoreClient,
   StoreUnavailableError,
 } from '@monsoonreach/platform';
-import type { DecisionLog } from './decisionLog.js';
+import { type DecisionLog, describeError } from './decisionLog.js';
 
 /** First wait after a call that failed, in milliseconds; doubles up to the longest, with full jitter. */
 const FIRST_BACKOFF_MS = 100;
@@ -115,7 +115,7 @@
   private _noteFailure(error: unknown): void {
     this._failures++;
     if (!(error instanceof StoreUnavailableError) || this._failures === 1) {
-      this._options.log.warn('store lost', { topic: this._options.topic, error: String(error) });
+      this._options.log.warn('store lost', { topic: this._options.topic, error: describeError(error) });
     }
   }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -25,7 +25,7 @@
   StoreClient,
   Topic,
 } from '@monsoonreach/platform';
-import { DecisionLog } from './decisionLog.js';
+import { DecisionLog, describeError } from './decisionLog.js';
 import { answerPlainly, FrontServer } from './frontServer.js';
 import { HeadWatch } from './headWatch.js';
 import { InstanceList, RESTORE_MS } from './instanceList.js';
@@ -288,7 +288,7 @@
         );
         return;
       } catch (error) {
-        this._log.warn('peers not found yet', { error: String(error) });
+        this._log.warn('peers not found yet', { error: describeError(error) });
         await pause(PEER_RETRY_MS);
       }
     }
--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -1,7 +1,7 @@
 import { createSocket, type Socket } from 'node:dgram';
 import { type Clock, type Counters, type Random, splitAddress } from '@monsoonreach/core';
 import { z } from 'zod';
-import type { DecisionLog } from './decisionLog.js';
+import { type DecisionLog, describeError } from './decisionLog.js';
 
 /** How often a node tells its peers how it stands, in milliseconds; a fraction of the time a request takes. */
 const INTERVAL_MS = 200;
@@ -116,7 +116,7 @@
       this._take(message);
     });
     this._socket.on('error', (error) => {
-      this._options.log.warn('peer socket failed', { error: String(error) });
+      this._options.log.warn('peer socket failed', { error: describeError(error) });
     });
     this._timer = setInterval(() => {
       this.tell();
