A planner that takes over reads back before it orders, and takes left-over groups from their planner first

Now an unknown instance is asked first and planned again; a group of an earlier term that will not become whole loses its head by an order of the new term before its members are used; a claim waits for news of another one.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -134,6 +134,7 @@
     if (head.membership?.state === 'ready' && isWhole(group) && isAnswering) {
       return [{ ...order, kind: 'open' }];
     }
+    if (this._isLeftOver(view, group)) return [{ ...order, kind: 'leave' }];
     if (head.membership?.state !== 'open') return [];
     // Nothing moves in a group that has lost a member; without a head its members are free before the engines find out.
     if (!isAnswering && !view.silent.has(head.id)) return [{ ...order, kind: 'leave' }];
@@ -170,12 +171,28 @@
     if (!group) return true;
     if (view.headless.has(id)) return true;
     if (!group.head || view.silent.has(group.head.id)) return view.isListSettled && view.isHeadGone(id);
-    if (isHeadServing(group)) return false;
+    if (isHeadServing(group) || this._isLeftOver(view, group)) return false;
     if (group.head.membership?.state === 'broken') return true;
     if (view.ordered.has(group.head.id)) return false;
     return !isWhole(group) && !this._isComingTogether(view, group);
   }
 
+  /**
+   * A group of an earlier planner that will not become whole. That planner may yet open it, until its head has
+   * seen an order of this term.
+   */
+  private _isLeftOver(view: FormationView, group: ObservedGroup): boolean {
+    const isEarlier = group.epoch < this._term * MAX_FORMATIONS_A_TERM;
+    const state = group.head?.membership?.state;
+    return (
+      isEarlier &&
+      group.members.length > 1 &&
+      (state === 'ready' || state === 'joining') &&
+      !isWhole(group) &&
+      !this._isComingTogether(view, group)
+    );
+  }
+
   /** A group of an earlier planner whose members are all there and still join is left to become ready. */
   private _isComingTogether(view: FormationView, group: ObservedGroup): boolean {
     return (
--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -84,6 +84,11 @@
 
   constructor(private readonly _options: PeerExchangeOptions) {}
 
+  /** Where peers reach this node. */
+  get address(): string {
+    return this._options.address;
+  }
+
   /** Peers that were heard of lately. */
   livePeers(): readonly Peer[] {
     const nowMs = this._options.clock.monotonic();
@@ -99,6 +104,12 @@
     return Math.max(MIN_PEER_LIFE_MS, turnMs * PEER_LIFE_TURNS);
   }
 
+  /** How long news need to pass all nodes, in milliseconds. */
+  get spreadMs(): number {
+    const rounds = Math.ceil(Math.log(this._addresses.size + 1) / Math.log(FANOUT));
+    return INTERVAL_MS * (Math.max(1, rounds) + 1);
+  }
+
   /** The node that plans; undefined when nobody has heard of one lately. */
   planner(): PlannerSighting | undefined {
     const ageMs = this._options.clock.monotonic() - (this._planner?.atMs ?? -Infinity);
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -46,9 +46,9 @@
 /** How long a report may be ahead of the list, in milliseconds; one interval of the list and its lag. */
 const LIST_LAG_MS = 1_300;
 /** Least pause between two looks at who plans, in milliseconds. */
-const ELECTION_INTERVAL_MS = 400;
+const ELECTION_INTERVAL_MS = 200;
 /** Most random wait before a claim, in milliseconds, so that two nodes seldom claim at once. */
-const ELECTION_JITTER_MS = 300;
+const ELECTION_JITTER_MS = 200;
 
 /** What planning is made of. */
 export interface PlanningOptions {
@@ -73,6 +73,8 @@
  */
 export class Planning {
   private _term: number | undefined;
+  /** End of the topic of claims, and when this node saw it for the first time. */
+  private _claimsEnd: { readonly offset: number; readonly seenAtMs: number } | undefined;
   private _planner: FormationPlanner | undefined;
   private readonly _ordered = new Map<string, number>();
   /** What instances reported themselves, until the list shows at least as much. */
@@ -139,6 +141,7 @@
   private async _claim(): Promise<void> {
     const { store, node, clock, log } = this._options;
     const end = await this._readEnd();
+    if (this._isClaimNews(end)) return;
     const record = Buffer.from(JSON.stringify({ planner: node }));
     const offset = await store.append(Topic.planning, record, end);
     this._term = offset + 1;
@@ -148,6 +151,13 @@
     this._options.exchange.tell();
   }
 
+  /** Whether another node may have claimed just now, so that news of it may still be on their way. */
+  private _isClaimNews(end: number): boolean {
+    const nowMs = this._options.clock.monotonic();
+    if (this._claimsEnd?.offset !== end) this._claimsEnd = { offset: end, seenAtMs: nowMs };
+    return end > 0 && nowMs - this._claimsEnd.seenAtMs < this._options.exchange.spreadMs;
+  }
+
   private async _readEnd(): Promise<number> {
     const { store } = this._options;
     try {
@@ -243,7 +253,10 @@
       const entry = listed.get(id);
       if (!entry || entry.startedAtMs !== report.instance.startedAtMs) {
         this._reported.delete(id);
-      } else if (nowMs < report.untilMs && isNewer(report, entry, this._options.list.changedAtMs(id))) {
+      } else if (
+        (report.kind === 'report' || nowMs < report.untilMs) &&
+        isNewer(report, entry, this._options.list.changedAtMs(id))
+      ) {
         merged.set(id, { ...report.instance, state: entry.state });
       }
     }
@@ -256,9 +269,8 @@
     const term = this._term;
     if (term === undefined) return;
     this._ordered.set(id, clock.monotonic() + EFFECT_WAIT_MS);
-    const expectedOrderCount = await this._orderCount(order.instance);
+    const expectedOrderCount = this._orderCount(order.instance);
     if (expectedOrderCount === undefined) return;
-    this._ordered.set(id, clock.monotonic() + EFFECT_WAIT_MS);
     const outcome = await sendOrder(order, {
       fencingToken: term,
       expectedOrderCount,
@@ -278,14 +290,17 @@
     await this._settle(order, outcome, { term, expectedOrderCount });
   }
 
-  /** Orders that the instance has begun so far; undefined when it does not say. */
-  private async _orderCount(instance: TargetInstance): Promise<number | undefined> {
+  /**
+   * Orders that the instance has begun so far. Where that is not known, the instance is asked, and nothing is
+   * ordered before the planner has seen how it stands: another planner may have ordered it just now.
+   */
+  private _orderCount(instance: TargetInstance): number | undefined {
     const known = this._reported.get(instance.id);
     if (known?.instance.startedAtMs === instance.startedAtMs) return known.orderCount;
     const isUntouched = !instance.membership && instance.stagedModels.length === 0;
     if (isUntouched) return 0;
-    await this._readBack(instance);
-    return this._reported.get(instance.id)?.orderCount;
+    void this._readBack(instance);
+    return undefined;
   }
 
   private async _settle(
