--- a/packages/entry/src/atMostOnce.ts
+++ b/packages/entry/src/atMostOnce.ts
@@ -23,7 +23,7 @@
 import type { CallContext, ServiceAnswer } from '@monsoonreach/callers';
 import { LogWriter, StreamFollower, type WrittenRecord } from '@monsoonreach/log';
 import type { EntryContext } from './entryContext.js';
-import type { PreparedCall } from './serviceCalls.js';
+import type { PreparedCall } from './preparedCall.js';
 
 const CLAIM_TIMEOUT_MS = 3_000;
 /** How long an outcome is offered to the log before it is given up; the claim then stays in doubt. */
--- a/packages/entry/src/serviceCalls.ts
+++ b/packages/entry/src/serviceCalls.ts
@@ -13,6 +13,7 @@
 import type { CallContext, ServiceAnswer, ServiceRequest } from '@monsoonreach/callers';
 import { isUnsent, TargetCallError } from '@monsoonreach/targets';
 import type { AtMostOnce } from './atMostOnce.js';
+import type { PreparedCall } from './preparedCall.js';
 import { type EntryContext, spendRetry } from './entryContext.js';
 import type { ServiceTargets } from './serviceTargets.js';
 
@@ -20,13 +21,6 @@
 const TARGET_WAIT_MS = 1_000;
 const TARGET_POLL_MS = 20;
 
-/** One call of a plain service, ready to be sent. */
-export interface PreparedCall {
-  readonly request: ServiceRequest;
-  readonly call: CallContext;
-  readonly service: ServiceConfiguration;
-}
-
 /** Plain services: idempotent calls with retries, the others at most once. */
 export class ServiceCalls {
   constructor(
