--- a/packages/entry/src/serviceCalls.ts
+++ b/packages/entry/src/serviceCalls.ts
@@ -7,7 +7,6 @@
   retryDelayMs,
   type RetryReason,
   type RouteConfiguration,
-  type ServiceConfiguration,
   Undispatched,
 } from '@monsoonreach/core';
 import type { CallContext, ServiceAnswer, ServiceRequest } from '@monsoonreach/callers';
