--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -147,7 +147,7 @@
     service: ServingService,
     groups: ReadonlyMap<string, ObservedGroup>,
   ): readonly TargetInstance[] {
-    const taken = new Set([...this._formations.values()].flatMap(({ members }) => members));
+    const taken = this._takenInstances();
     return [...view.instances.values()].filter(
       (instance) =>
         instance.service === service.name &&
@@ -159,6 +159,11 @@
     );
   }
 
+  /** Instances that a formation under way has chosen. */
+  private _takenInstances(): ReadonlySet<string> {
+    return new Set([...this._formations.values()].flatMap(({ members }) => members));
+  }
+
   /** Whether joining another group would break nothing: the instance's own group serves no more. */
   private _isReleased(
     view: FormationView,
@@ -279,7 +284,7 @@
     free: readonly TargetInstance[],
   ): readonly InstanceOrder[] {
     if (!view.isListSettled) return [];
-    const taken = new Set([...this._formations.values()].flatMap(({ members }) => members));
+    const taken = this._takenInstances();
     const spares = free.filter(({ id }) => !taken.has(id));
     const orders: InstanceOrder[] = [];
     const models = [...(service.engine?.models ?? [])].sort((a, b) => b.groupSize - a.groupSize);
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -83,14 +83,14 @@
     const table = this._options.table();
     const caller = decodeCallerRequest(request.headers);
     if (!table) {
-      this._answer(request, response, caller, 503, 'no-configuration', encodeRetryAfter(STALE_WAIT_MS));
+      this._answer(response, caller, 503, 'no-configuration', encodeRetryAfter(STALE_WAIT_MS));
       return;
     }
     const body = await this._readBody(request, response, caller, table.configuration.limits.maxBodyBytes);
     if (body === 'ended') return;
     const route = table.findRoute(request.headers.host ?? '', request.url ?? '/');
     if (!route) {
-      this._answer(request, response, caller, 404, 'no-route');
+      this._answer(response, caller, 404, 'no-route');
       return;
     }
     const access = this._checkKey(table, route, caller);
@@ -99,10 +99,10 @@
         this._run({ request, response, caller, route, body, startedAtMs, ...access });
         return;
       case 'unknown-key':
-        this._answer(request, response, caller, 401, 'unknown-key');
+        this._answer(response, caller, 401, 'unknown-key');
         return;
       case 'stale':
-        this._answer(request, response, caller, 503, 'keys-stale', encodeRetryAfter(STALE_WAIT_MS));
+        this._answer(response, caller, 503, 'keys-stale', encodeRetryAfter(STALE_WAIT_MS));
     }
   }
 
@@ -153,7 +153,7 @@
       for await (const chunk of request as AsyncIterable<Buffer>) {
         length += chunk.length;
         if (length > maxBytes) {
-          this._answer(request, response, caller, 413, 'body-too-large', { Connection: 'close' });
+          this._answer(response, caller, 413, 'body-too-large', { Connection: 'close' });
           return 'ended';
         }
         chunks.push(chunk);
@@ -170,7 +170,6 @@
   }
 
   private _answer(
-    _request: IncomingMessage,
     response: ServerResponse,
     caller: CallerRequest,
     status: number,
--- a/packages/node/src/headWatch.ts
+++ b/packages/node/src/headWatch.ts
@@ -1,5 +1,6 @@
 import {
   type Clock,
+  groupId,
   type HeadFinding,
   observeGroups,
   type ServingConfiguration,
@@ -68,6 +69,6 @@
   }
 
   private _findingOf({ membership }: TargetInstance): HeadFinding | undefined {
-    return membership && this.findings().get(`${membership.group}@${membership.epoch}`);
+    return membership && this.findings().get(groupId(membership));
   }
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import { createServer, type Server } from 'node:http';
+import { createServer } from 'node:http';
 import {
   type Clock,
   Counters,
@@ -74,7 +74,6 @@
   private readonly _runs = new Set<RequestRun>();
   private readonly _configurationFollower: KeyedFollower;
   private readonly _listFollower: KeyedFollower;
-  private readonly _servers: Server[] = [];
   /** Targets at which nothing moves, with the time until which peers are told. */
   private readonly _silentTargets = new Map<string, number>();
   private _table: RouteTable | undefined;
@@ -373,7 +372,6 @@
       response.end(text);
     });
     server.listen({ host, port });
-    this._servers.push(server);
   }
 }
 
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -299,12 +299,18 @@
   }
 
   private _beginStream(head: TargetHead): void {
+    if (this._options.response.headersSent) return;
+    this._isFramed = head.isFramed;
+    this._writeHead(head, []);
+  }
+
+  /** Begins an answer with the target's own framing; `length` is sent only where the target tells where it ends. */
+  private _writeHead(head: TargetHead, length: readonly string[]): void {
     const { response, context } = this._options;
-    if (response.headersSent) return;
     const headers = withoutLength(head.passedHeaders);
-    this._isFramed = head.isFramed;
     if (!head.isFramed) endWithConnection(response);
-    response.writeHead(head.status, [...headers, ...(head.isFramed ? context.connectionHeaders() : CLOSE)]);
+    const framing = head.isFramed ? [...length, ...context.connectionHeaders()] : CLOSE;
+    response.writeHead(head.status, [...headers, ...framing]);
   }
 
   private _takeEnd(attempt: Attempt): void {
@@ -324,25 +330,9 @@
     }
     this._noteEnd(attempt, head.status >= 500);
     this._finish(`answered ${head.status}`);
-    this._passOn(head, body);
-  }
-
-  /** Passes on a whole answer with the target's own framing: what nobody can tell to be whole is not made to look so. */
-  private _passOn(head: TargetHead, body: Buffer): void {
-    const { response, context } = this._options;
-    const headers = withoutLength(head.passedHeaders);
-    if (head.isFramed) {
-      response.writeHead(head.status, [
-        ...headers,
-        'content-length',
-        String(body.length),
-        ...context.connectionHeaders(),
-      ]);
-    } else {
-      endWithConnection(response);
-      response.writeHead(head.status, [...headers, ...CLOSE]);
-    }
-    response.end(body);
+    // What nobody can tell to be whole is not made to look so.
+    this._writeHead(head, ['content-length', String(body.length)]);
+    this._options.response.end(body);
   }
 
   private _endStream(attempt: Attempt, head: TargetHead): void {
@@ -374,6 +364,11 @@
       this._retry(attempt, reason);
       return;
     }
+    this._giveUpAfter(attempt, reason);
+  }
+
+  /** The last attempt is over, and there is no other. */
+  private _giveUpAfter(attempt: Attempt, reason: CallOutcomeReason): void {
     this._endAttempt(attempt, reason);
     this._giveUp(this._mayHaveRun ? 'no-answer' : 'not-run-by-target', NOT_RUN_WAIT_MS);
   }
@@ -388,9 +383,7 @@
     const { context } = this._options;
     if (!context.retries.take(this._service ?? '', context.clock.monotonic())) {
       context.counters.add('monsoonreach_retries_denied_total', { reason });
-      if (reason === 'silent') return;
-      this._endAttempt(attempt, reason);
-      this._giveUp(this._mayHaveRun ? 'no-answer' : 'not-run-by-target', NOT_RUN_WAIT_MS);
+      if (reason !== 'silent') this._giveUpAfter(attempt, reason);
       return;
     }
     context.counters.add('monsoonreach_retries_total', { reason });
--- a/packages/node/src/targetDirectory.ts
+++ b/packages/node/src/targetDirectory.ts
@@ -1,6 +1,5 @@
 import {
   type Clock,
-  isHeadServing,
   observeGroups,
   type ServingConfiguration,
   type ServingService,
@@ -64,7 +63,7 @@
     const byModel = new Map<string, KnownTarget[]>();
     for (const [key, group] of observeGroups(service, this._list.instances.values())) {
       const { head, model } = group;
-      if (!head || !model || head.state !== 'ready' || !isHeadServing(group)) continue;
+      if (!head || !model || head.state !== 'ready') continue;
       if (head.membership?.state !== 'open') continue;
       const id = targetsId(service.name, model.name);
       const target = { key, instance: head, slots: engine.slots, engine: { profile: engine, model } };
