Followers read to the head at once; entries are ready once claims are read; tests take ports that no connection gets

Cause: a follower's first read of an empty stream waited 2.5 s for news before it counted as read, and an entry called itself ready before its claims were read, so that orders in that time got 503 (claims are not read yet). Ports of tests came from the range of outgoing connections, so that a process could find its port taken.

--- a/packages/entry/src/atMostOnce.ts
+++ b/packages/entry/src/atMostOnce.ts
@@ -70,6 +70,11 @@
     await Promise.all(this._shards.map(({ follower }) => follower.stop()));
   }
 
+  /** Whether the claims of every shard are read, so that any key can be looked up. */
+  isReady(): boolean {
+    return this._shards.every(({ follower }) => follower.isReady());
+  }
+
   /** Records that wait for the log. */
   get backlog(): number {
     return this._shards.reduce((sum, { writer }) => sum + writer.backlog, 0);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -143,7 +143,7 @@
   }
 
   isReady(): boolean {
-    return !this._fleet.isLeaving && this._isServing();
+    return !this._fleet.isLeaving && this._isServing() && this._atMostOnce.isReady();
   }
 
   maxBodyBytes(): number {
--- a/packages/log/src/streamFollower.ts
+++ b/packages/log/src/streamFollower.ts
@@ -18,6 +18,7 @@
   ValidationError,
 } from '@monsoonreach/core';
 
+/** How long a read waits for news once the stream has been read to its head, in milliseconds. */
 const READ_WAIT_MS = 2_500;
 const RETRY_DELAY_MS = 200;
 const READ_LIMIT = 500;
@@ -121,7 +122,8 @@
 
   private async _turn(): Promise<void> {
     try {
-      await this.step(READ_WAIT_MS);
+      // Until the head was reached once, an answer is worth more than news: it makes the follower ready.
+      await this.step(this._caughtUpAtMs === undefined ? 0 : READ_WAIT_MS);
       this._failure = undefined;
       this._isLastReadDone = true;
     } catch (error) {
--- a/tests/entry/wholePath.test.ts
+++ b/tests/entry/wholePath.test.ts
@@ -166,7 +166,11 @@
 void t.test('an order runs once, whichever entries its copies go through', async (t) => {
   const key = uuidv7();
   const answers = await Promise.all([0, 1, 2, 0, 1, 2].map((entry) => order(entry, key, '{"cowl":"H"}')));
-  t.same([...new Set(answers.map(({ status }) => status))], [200]);
+  t.same(
+    answers.filter(({ status }) => status !== 200),
+    [],
+    'all copies are answered',
+  );
   t.equal(new Set(answers.map(({ body }) => body)).size, 1, 'all get the same answer');
   t.equal(answers.filter(({ isReplayed }) => !isReplayed).length, 1);
   t.equal(runsOf(key), 1);
--- /dev/null
+++ b/tests/log/streamFollower.test.ts
@@ -0,0 +1,64 @@
+import {
+  claimsDefinition,
+  type Log,
+  type LogReadOptions,
+  type LogSlice,
+  LogUnavailableError,
+  systemClock,
+} from '@monsoonreach/core';
+import { StreamFollower } from '@monsoonreach/log';
+import t from 'tap';
+
+/** An empty log that answers a read at once when it need not wait, and otherwise never. */
+class EmptyLog implements Log {
+  readonly waits: number[] = [];
+  failures = 0;
+
+  append(): Promise<number> {
+    return Promise.reject(new LogUnavailableError('Nobody writes here.'));
+  }
+
+  read(_stream: string, _from: number, options: LogReadOptions = {}): Promise<LogSlice> {
+    this.waits.push(options.waitMs ?? 0);
+    if (this.failures > 0) {
+      this.failures--;
+      return Promise.reject(new LogUnavailableError('The log is down.'));
+    }
+    if ((options.waitMs ?? 0) === 0) {
+      return Promise.resolve({ batches: [], first: 0, head: 0, isCurrent: true });
+    }
+    return new Promise((_resolve, reject) => {
+      options.signal?.addEventListener('abort', () => {
+        reject(new LogUnavailableError('The read was given up.'));
+      });
+    });
+  }
+}
+
+const cases = [
+  { name: 'an empty stream', failures: 0 },
+  { name: 'an empty stream after reads that failed', failures: 2 },
+];
+
+for (const { name, failures } of cases) {
+  void t.test(`a follower is ready without waiting for news: ${name}`, async (t) => {
+    const log = new EmptyLog();
+    log.failures = failures;
+    const follower = new StreamFollower({
+      stream: 'claims/0',
+      log,
+      clock: systemClock,
+      definition: claimsDefinition,
+    });
+    t.equal(follower.isReady(), false);
+    follower.start();
+    while (log.waits.length < failures + 2) await new Promise((resolve) => setTimeout(resolve, 5));
+    t.equal(follower.isReady(), true);
+    t.same(
+      log.waits.map((waitMs) => waitMs > 0),
+      [...Array.from({ length: failures + 1 }, () => false), true],
+      'only a follower that has reached the head waits for news',
+    );
+    await follower.stop();
+  });
+}
--- a/tests/support/localFleet.ts
+++ b/tests/support/localFleet.ts
@@ -51,6 +51,7 @@
   readonly services: FleetProcess[] = [];
   log!: FleetProcess;
   liveList!: FleetProcess;
+  private _areLogsKept = false;
 
   constructor(private readonly _options: LocalFleetOptions = {}) {}
 
@@ -157,6 +158,7 @@
       if (await isDone().catch(() => false)) return;
       await new Promise((resolve) => setTimeout(resolve, POLL_MS));
     }
+    this._areLogsKept = true;
     throw new Error(`Timed out waiting for ${awaited}; see the logs in ${this.directory}.`);
   }
 
@@ -190,7 +192,7 @@
       this.liveList,
     ];
     await Promise.all(all.map(({ child }) => endProcess(child)));
-    rmSync(this.directory, { recursive: true, force: true });
+    if (!this._areLogsKept) rmSync(this.directory, { recursive: true, force: true });
   }
 
   private _startEngine(index: number, port: number): FleetProcess {
--- a/tests/support/ports.ts
+++ b/tests/support/ports.ts
@@ -1,19 +1,43 @@
 import { createServer } from 'node:net';
 
-/** Finds free loopback ports. */
+/** Ports below the range from which the system takes those of outgoing connections, and well above the known ones. */
+const FIRST_PORT = 10_000;
+const LAST_PORT = 32_000;
+/** Ports that one test process may use; test files run side by side. */
+const BLOCK_SIZE = 50;
+const BLOCKS = Math.floor((LAST_PORT - FIRST_PORT) / BLOCK_SIZE);
+
+/** Ports of this process's block that were handed out. */
+let taken = 0;
+
+/**
+ * Finds free loopback ports. They are free until a server listens on them: no outgoing connection gets one of
+ * them, nor does another test process.
+ */
 export async function findFreePorts(count: number): Promise<readonly number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => open()));
-  const ports = servers.map((server) => (server.address() as { readonly port: number }).port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = nextPort();
+    if (await isFree(port)) ports.push(port);
+  }
   return ports;
 }
 
-function open(): Promise<ReturnType<typeof createServer>> {
+function nextPort(): number {
+  const block = process.pid % BLOCKS;
+  return FIRST_PORT + block * BLOCK_SIZE + (taken++ % BLOCK_SIZE);
+}
+
+function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => {
-      resolve(server);
+  return new Promise((resolve) => {
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, '127.0.0.1', () => {
+      server.close(() => {
+        resolve(true);
+      });
     });
   });
 }
