Planner: a head counts as serving when list or report shows it so; an unanswered opening keeps its members

Change: what is known beside the list is a module of its own (instanceKnowledge). A report with fewer orders than were begun is passed over; a head that has begun to open serves until the list shows something else; within the lag of a report the serving state wins. A group whose opening was not answered loses its head before its members are used, as the order may be carried out seconds later.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -40,6 +40,8 @@
   readonly isHeadGone: (group: string) => boolean;
   /** Groups whose head has left them by this planner's order. */
   readonly headless: ReadonlySet<string>;
+  /** Groups that were told to open without an answer: their head may yet do so, until it has left. */
+  readonly doubtfulOpenings: ReadonlySet<string>;
   /** Heads that are not listed and serve all the same. */
   readonly unlistedServingHeads: readonly TargetInstance[];
   /** False while the list may lack instances that live, as after an outage of the store. */
@@ -183,14 +185,16 @@
   }
 
   /**
-   * A group of an earlier planner that will not become whole. That planner may yet open it, until its head has
-   * seen an order of this term.
+   * A group that will not become whole and may yet be opened, until its head has seen another order: by its earlier
+   * planner, or by an order to open that was not answered and is carried out late.
    */
   private _isLeftOver(view: FormationView, group: ObservedGroup): boolean {
     const isEarlier = group.epoch < this._term * MAX_FORMATIONS_A_TERM;
+    const mayOpen =
+      isEarlier || view.doubtfulOpenings.has(groupId({ group: group.name, epoch: group.epoch }));
     const state = group.head?.membership?.state;
     return (
-      isEarlier &&
+      mayOpen &&
       group.members.length > 1 &&
       (state === 'ready' || state === 'joining') &&
       !isWhole(group) &&
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -4,6 +4,7 @@
 export * from './formationPlanner.js';
 export * from './groupChoice.js';
 export * from './groupLayout.js';
+export * from './instanceKnowledge.js';
 export * from './keyTrust.js';
 export * from './memberChecks.js';
 export * from './observedGroups.js';
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -4,10 +4,12 @@
   FormationPlanner,
   type FormationView,
   groupId,
+  InstanceKnowledge,
   type InstanceOrder,
   MemberChecks,
   pause,
   type Random,
+  REPORT_LAG_MS,
   type ServingConfiguration,
   type TargetInstance,
 } from '@monsoonreach/core';
@@ -35,16 +37,12 @@
 const REPORT_TIMEOUT_MS = 300;
 /** How long a member's answer is awaited when its group is silent, in milliseconds; many round trips. */
 const CHECK_TIMEOUT_MS = 150;
-/** How far a report may lag behind, in milliseconds; the engines say 200. */
-const REPORT_LAG_MS = 300;
 /** How long after an order the list may take to show its effect, in milliseconds; one interval of the list and its lag. */
 const EFFECT_WAIT_MS = 1_500;
 /** How long a head is asked whether it has closed, in milliseconds; its requests may take as long as that. */
 const CLOSE_WAIT_MS = 8_000;
 /** How long a group is remembered whose head was made to leave, in milliseconds; its members are used long before. */
 const HEADLESS_MS = 60_000;
-/** How long a report may be ahead of the list, in milliseconds; one interval of the list and its lag. */
-const LIST_LAG_MS = 1_300;
 /** Least pause between two looks at who plans, in milliseconds. */
 const ELECTION_INTERVAL_MS = 200;
 /** Most random wait before a claim, in milliseconds, so that two nodes seldom claim at once. */
@@ -77,10 +75,11 @@
   private _claimsEnd: { readonly offset: number; readonly seenAtMs: number } | undefined;
   private _planner: FormationPlanner | undefined;
   private readonly _ordered = new Map<string, number>();
-  /** What instances reported themselves, until the list shows at least as much. */
-  private readonly _reported = new Map<string, ReportedInstance>();
+  private readonly _knowledge = new InstanceKnowledge();
   /** Groups whose head has left by an order of this node, with the time of it. */
   private readonly _headless = new Map<string, number>();
+  /** Groups that were told to open without an answer. */
+  private readonly _doubtfulOpenings = new Set<string>();
   private readonly _checks = new MemberChecks();
   private readonly _stopping = new AbortController();
 
@@ -147,6 +146,7 @@
     this._term = offset + 1;
     this._planner = new FormationPlanner(this._term);
     this._ordered.clear();
+    this._doubtfulOpenings.clear();
     log.info('planning begun', { term: this._term, atMs: Math.round(clock.monotonic()) });
     this._options.exchange.tell();
   }
@@ -233,10 +233,11 @@
     return {
       nowMs,
       services: [...configuration.services.values()],
-      instances: this._mergeReports(list.instances),
+      instances: this._knowledge.merge(list, nowMs),
       ordered: new Set(this._ordered.keys()),
       silent: this._checks.lost(),
       headless: new Set(this._headless.keys()),
+      doubtfulOpenings: this._doubtfulOpenings,
       isHeadGone: (group) => heads.isReleased(group, peers),
       unlistedServingHeads: heads.serving(),
       isListSettled: isListSettled(),
@@ -245,24 +246,6 @@
     };
   }
 
-  /** What the list says, with reports of instances themselves where those are newer. */
-  private _mergeReports(listed: ReadonlyMap<string, TargetInstance>): ReadonlyMap<string, TargetInstance> {
-    const nowMs = this._options.clock.monotonic();
-    const merged = new Map(listed);
-    for (const [id, report] of this._reported) {
-      const entry = listed.get(id);
-      if (!entry || entry.startedAtMs !== report.instance.startedAtMs) {
-        this._reported.delete(id);
-      } else if (
-        (report.kind === 'report' || nowMs < report.untilMs) &&
-        isNewer(report, entry, this._options.list.changedAtMs(id))
-      ) {
-        merged.set(id, { ...report.instance, state: entry.state });
-      }
-    }
-    return merged;
-  }
-
   private async _send(order: InstanceOrder): Promise<void> {
     const { clock, counters, log } = this._options;
     const { id } = order.instance;
@@ -295,8 +278,8 @@
    * ordered before the planner has seen how it stands: another planner may have ordered it just now.
    */
   private _orderCount(instance: TargetInstance): number | undefined {
-    const known = this._reported.get(instance.id);
-    if (known?.instance.startedAtMs === instance.startedAtMs) return known.orderCount;
+    const known = this._knowledge.orderCount(instance);
+    if (known !== undefined) return known;
     const isUntouched = !instance.membership && instance.stagedModels.length === 0;
     if (isUntouched) return 0;
     void this._readBack(instance);
@@ -312,10 +295,12 @@
     const { id } = order.instance;
     switch (outcome.kind) {
       case 'begun':
-        this._noteBegun(order, sent.expectedOrderCount);
+        this._noteBegun(order, sent.expectedOrderCount + 1);
         return;
       case 'holds':
-        if (order.kind === 'leave') this._noteBegun(order, sent.expectedOrderCount);
+        // A member leaves at once, so that its answer tells of an order that is done already.
+        if (order.kind === 'leave') this._noteBegun(order, sent.expectedOrderCount + 1);
+        if (order.kind === 'open') this._noteBegun(order, sent.expectedOrderCount);
         return;
       case 'misdirected':
         return;
@@ -324,29 +309,21 @@
         return;
       case 'conflict':
       case 'unknown':
+        if (order.kind === 'open') this._doubtfulOpenings.add(groupId(order));
         await pause(REPORT_LAG_MS, this._stopping.signal);
         await this._readBack(order.instance);
         if (order.kind === 'stage') this._ordered.set(id, clock.monotonic() + EFFECT_WAIT_MS);
     }
   }
 
-  private _noteBegun(order: InstanceOrder, expectedOrderCount: number): void {
-    const { clock } = this._options;
+  private _noteBegun(order: InstanceOrder, orderCount: number): void {
     const { id } = order.instance;
-    const atMs = clock.monotonic();
-    const orderCount = expectedOrderCount + 1;
-    // Until the weights are there, the list does not tell that a host stages them.
-    const lagMs = LIST_LAG_MS + (order.kind === 'stage' ? order.model.loadMs : 0);
-    this._reported.set(id, {
-      kind: order.kind,
-      instance: expectEffect(order),
-      orderCount,
-      atMs,
-      untilMs: atMs + lagMs,
-    });
+    const nowMs = this._options.clock.monotonic();
+    this._knowledge.noteBegun(order, orderCount, nowMs);
     if (order.kind !== 'open') this._ordered.delete(id);
     if (order.kind === 'close') void this._awaitClosed(order.instance);
-    if (order.kind === 'leave') this._headless.set(groupId({ group: order.group, epoch: order.epoch }), atMs);
+    if (order.kind === 'leave')
+      this._headless.set(groupId({ group: order.group, epoch: order.epoch }), nowMs);
   }
 
   /** Asks a head until it has closed, as the list tells it late. */
@@ -356,7 +333,7 @@
     while (clock.monotonic() < endsAtMs && this._term !== undefined) {
       await pause(REPORT_LAG_MS, this._stopping.signal);
       await this._readBack(head);
-      const state = this._reported.get(head.id)?.instance.membership?.state;
+      const state = this._knowledge.memberState(head.id);
       if (state !== 'open' && state !== 'closing') return;
     }
   }
@@ -373,15 +350,7 @@
     const { id } = instance;
     try {
       const { state, orderCount } = await readReport(instance, REPORT_TIMEOUT_MS);
-      const reported = { ...(list.get(id) ?? instance), ...state };
-      const atMs = clock.monotonic();
-      this._reported.set(id, {
-        kind: 'report',
-        instance: reported,
-        orderCount,
-        atMs,
-        untilMs: atMs + LIST_LAG_MS,
-      });
+      this._knowledge.noteReport({ ...(list.get(id) ?? instance), ...state }, orderCount, clock.monotonic());
       this._ordered.delete(id);
     } catch (error) {
       if (!(error instanceof ReportError)) throw error;
@@ -390,55 +359,3 @@
     }
   }
 }
-
-/** How an instance will describe itself when it has begun to carry out an order. */
-function expectEffect(order: InstanceOrder): TargetInstance {
-  const { instance } = order;
-  switch (order.kind) {
-    case 'join': {
-      const rank = order.members.indexOf(instance.id);
-      const membership = { group: order.group, epoch: order.epoch, rank, state: 'joining' as const };
-      return { ...instance, membership, models: [order.model.name] };
-    }
-    case 'open':
-      return instance;
-    case 'close':
-      return instance.membership
-        ? { ...instance, membership: { ...instance.membership, state: 'closing' } }
-        : instance;
-    case 'leave':
-      return { ...instance, membership: undefined };
-    case 'stage':
-      return { ...instance, stagedModels: [order.model.name] };
-  }
-}
-
-/** What is known of an instance beside its entry: from its own report, or from an order that it has begun. */
-interface ReportedInstance {
-  readonly kind: 'report' | InstanceOrder['kind'];
-  readonly instance: TargetInstance;
-  readonly orderCount: number;
-  readonly atMs: number;
-  /** Until when it may go before the list. */
-  readonly untilMs: number;
-}
-
-/** Whether what is known of an instance is ahead of its entry in the list. */
-function isNewer(known: ReportedInstance, entry: TargetInstance, entryChangedAtMs: number): boolean {
-  switch (known.kind) {
-    case 'report':
-      return entryChangedAtMs < known.atMs;
-    case 'join':
-      return (entry.membership?.epoch ?? -1) < (known.instance.membership?.epoch ?? 0);
-    case 'close':
-      return (
-        entry.membership?.state === 'open' && entry.membership.epoch === known.instance.membership?.epoch
-      );
-    case 'leave':
-      return entry.membership?.epoch !== undefined && entryChangedAtMs < known.atMs + REPORT_LAG_MS;
-    case 'stage':
-      return !known.instance.stagedModels.every((model) => entry.stagedModels.includes(model));
-    case 'open':
-      return false;
-  }
-}
--- a/tests/serving/formationPlanner.test.ts
+++ b/tests/serving/formationPlanner.test.ts
@@ -54,6 +54,12 @@
     instances: [inState(head, 'ready'), second, standby],
     orders: ['leave a-0'],
   },
+  {
+    name: 'such a group whose order to open was not answered, and may be carried out late, loses its head first',
+    instances: [inState(ownHead, 'ready'), ownSecond, standby],
+    view: { doubtfulOpenings: new Set(['b@300001']) },
+    orders: ['leave b-0'],
+  },
   {
     name: 'an open group with a silent member loses its head, and its members wait for that',
     instances: [head, second, third, standby],
--- a/tests/serving/support.ts
+++ b/tests/serving/support.ts
@@ -90,6 +90,7 @@
     ordered: new Set(),
     silent: new Set(),
     headless: new Set(),
+    doubtfulOpenings: new Set(),
     isHeadGone: () => false,
     unlistedServingHeads: [],
     isListSettled: true,
