Places in engine groups are given by the node that plans, which knows what all nodes have in progress

By spread figures a node knew a peer's load 2.8 s late, longer than a request lasts. Change: LoadBook in core takes what a peer tells itself and counts places given until they show; Placement asks the planner, 30 ms at most, and chooses alone after that. A stream that goes on waits at a full group rather than break.

--- a/packages/core/src/serving/groupChoice.ts
+++ b/packages/core/src/serving/groupChoice.ts
@@ -12,8 +12,10 @@
 const DOUBT_PENALTY_MS = 2_000;
 /** Requests that may wait at a target beyond those that it runs, as a share of its slots. */
 const QUEUE_SHARE = 0.25;
-/** Random share of the predicted time that spreads equal choices of many nodes. */
+/** Random share of the predicted time that spreads equal choices of many nodes that choose by old figures. */
 const SPREAD = 0.15;
+/** The same where the figures are those of this moment; it only spreads ties. */
+const EXACT_SPREAD = 0.02;
 
 /** A target that may take a request: a plain instance, or the head of a whole group. */
 export interface TargetCandidate {
@@ -36,6 +38,10 @@
   readonly size: RequestSize;
   /** Targets that this request has been to. */
   readonly tried: ReadonlySet<string>;
+  /** Whether the loads are those of this moment; false by default, where peers may have sent more since. */
+  readonly isExact?: boolean;
+  /** Whether the request goes on with an answer that has begun, and so waits at a full target rather than fail. */
+  readonly isContinuing?: boolean;
 }
 
 /** The outcome of a choice. */
@@ -54,11 +60,12 @@
   if (untried.length === 0) return { kind: 'none', reason: 'no-target' };
   const moving = untried.filter((candidate) => isMoving(candidate, context));
   if (moving.length === 0) return { kind: 'none', reason: 'all-silent' };
-  const free = moving.filter(hasRoom);
+  const free = moving.filter((candidate) => context.isContinuing === true || hasRoom(candidate));
+  const spread = context.isExact === true ? EXACT_SPREAD : SPREAD;
   let best: { readonly candidate: TargetCandidate; readonly costMs: number; predictedMs: number } | undefined;
   for (const candidate of free) {
     const predictedMs = predictMs(candidate, context.size);
-    const costMs = predictedMs * (1 + SPREAD * context.random.next()) + penaltyMs(candidate, context);
+    const costMs = predictedMs * (1 + spread * context.random.next()) + penaltyMs(candidate, context);
     if (!best || costMs < best.costMs) best = { candidate, costMs, predictedMs };
   }
   if (!best) return { kind: 'none', reason: 'all-full' };
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -6,6 +6,7 @@
 export * from './groupLayout.js';
 export * from './instanceKnowledge.js';
 export * from './keyTrust.js';
+export * from './loadBook.js';
 export * from './memberChecks.js';
 export * from './observedGroups.js';
 export * from './retryAllowance.js';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,12 +1,14 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
 import {
+  chooseTarget,
   type Clock,
   Counters,
   createRandom,
   DemandMeter,
   hash32,
   KeyTrust,
+  LoadBook,
   pause,
   type Random,
   RetryAllowance,
@@ -30,8 +32,8 @@
 import { HeadWatch } from './headWatch.js';
 import { InstanceList, RESTORE_MS } from './instanceList.js';
 import { KeyedFollower } from './keyedFollower.js';
-import { LoadBook } from './loadBook.js';
 import { type Digest, type OwnState, PeerExchange } from './peerExchange.js';
+import { Placement, type PlacementNeed } from './placement.js';
 import { Planning } from './planning.js';
 import type { RequestRun } from './requestRun.js';
 import type { ServingContext } from './servingContext.js';
@@ -62,14 +64,18 @@
   private readonly _store: StoreClient;
   private readonly _trust: KeyTrust;
   private readonly _list: InstanceList;
-  private readonly _loads = new LoadBook();
+  private readonly _loads = new LoadBook(() => {
+    this._placement.noteChange();
+  });
   private readonly _demand = new DemandMeter();
   private readonly _health = new TargetHealth();
   private readonly _connections: TargetConnections;
   private readonly _exchange: PeerExchange;
   private readonly _heads: HeadWatch;
   private readonly _planning: Planning;
+  private readonly _placement: Placement;
   private readonly _front: FrontServer;
+  private readonly _directory: TargetDirectory;
   private readonly _context: ServingContext;
   private readonly _runs = new Set<RequestRun>();
   private readonly _configurationFollower: KeyedFollower;
@@ -106,7 +112,12 @@
       onDigest: (digest, heardAtMs) => {
         this._learn(digest, heardAtMs);
       },
+      onPlacement: (message) => {
+        this._placement.receive(message);
+      },
     });
+    this._directory = new TargetDirectory(this._list, this._loads, _clock);
+    this._placement = this._createPlacement(incarnation);
     this._context = this._createContext();
     this._front = new FrontServer({
       address: _settings.callers.address,
@@ -184,7 +195,8 @@
         () => this._exchange.livePeers().length + 1,
       ),
       connections: this._connections,
-      directory: new TargetDirectory(this._list, this._loads, this._clock),
+      directory: this._directory,
+      placement: this._placement,
       runs: this._runs,
       configuration: () => this._table?.configuration,
       connectionHeaders: () => this._front.connectionHeaders(),
@@ -197,6 +209,41 @@
     };
   }
 
+  private _createPlacement(incarnation: string): Placement {
+    const { node, peers } = this._settings;
+    return new Placement({
+      node: node.name,
+      address: peers.address,
+      incarnation,
+      failureDomain: node['failure-domain'],
+      clock: this._clock,
+      counters: this._counters,
+      log: this._log,
+      loads: this._loads,
+      coordinator: () => (this._planning.term === undefined ? this._exchange.planner()?.address : 'self'),
+      send: (address, message) => {
+        this._exchange.sendPlacement(address, message);
+      },
+      chooseLocally: (choice) =>
+        chooseTarget(this._candidates(choice), {
+          ...choice,
+          nowMs: this._clock.monotonic(),
+          random: this._random,
+          health: this._health,
+        }),
+      findCandidate: (need, key) => this._candidates(need).find((candidate) => candidate.key === key),
+      silentTargets: (need) =>
+        this._candidates(need)
+          .filter(({ key }) => this._health.isSuspect(key, this._clock.monotonic()))
+          .map(({ key }) => key),
+    });
+  }
+
+  private _candidates({ service, model }: PlacementNeed): readonly TargetCandidate[] {
+    const configuration = this._table?.configuration;
+    return configuration ? this._directory.candidates(configuration, service, model) : [];
+  }
+
   private _createPlanning(): Planning {
     return new Planning({
       node: this._settings.node.name,
@@ -357,6 +404,7 @@
     if (this._trust.checkJump()) this._log.warn('clocks drifted apart; keys are not trusted', {});
     if (this._runs.size > 0) this._hasTraffic = true;
     for (const run of this._runs) run.checkProgress(nowMs);
+    this._placement.turn(nowMs);
     this._list.expire();
     if (!this._listFollower.isFailing) this._heads.turn();
   }
--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -2,6 +2,7 @@
 import { type Clock, type Counters, type Random, splitAddress } from '@monsoonreach/core';
 import { z } from 'zod';
 import { type DecisionLog, describeError } from './decisionLog.js';
+import { type PlacementMessage, placementMessageSchema } from './placementMessages.js';
 
 /** How often a node tells its peers how it stands, in milliseconds; a fraction of the time a request takes. */
 const INTERVAL_MS = 200;
@@ -17,6 +18,7 @@
 const PEER_MEMORY_MS = 60_000;
 
 const digestSchema = z.object({
+  kind: z.literal('digest'),
   node: z.string(),
   address: z.string(),
   incarnation: z.string(),
@@ -38,10 +40,12 @@
   demand: z.record(z.string(), z.number()),
 });
 
+const messageSchema = z.discriminatedUnion('kind', [digestSchema, ...placementMessageSchema.options]);
+
 /** What one node tells the others of itself. */
 export type Digest = Readonly<z.infer<typeof digestSchema>>;
 /** What a node says of itself, without what the exchange adds. */
-export type OwnState = Omit<Digest, 'node' | 'address' | 'incarnation' | 'sequence' | 'planner'>;
+export type OwnState = Omit<Digest, 'kind' | 'node' | 'address' | 'incarnation' | 'sequence' | 'planner'>;
 
 /** The node that plans, as far as this node knows. */
 export interface PlannerSighting {
@@ -71,6 +75,7 @@
   readonly ownTerm: () => number | undefined;
   readonly describe: () => OwnState;
   readonly onDigest: (digest: Digest, heardAtMs: number) => void;
+  readonly onPlacement: (message: PlacementMessage) => void;
 }
 
 /** Tells peers by datagrams how this node stands, each interval a bounded number of them. */
@@ -157,6 +162,7 @@
     const { node, address, incarnation, describe } = this._options;
     this._sequence++;
     const digest: Digest = {
+      kind: 'digest',
       node,
       address,
       incarnation,
@@ -164,14 +170,20 @@
       ...this._describePlanner(),
       ...describe(),
     };
-    const message = Buffer.from(JSON.stringify(digest));
-    for (const peer of addresses) {
-      if (peer === address) continue;
-      const { host, port } = splitAddress(peer);
-      this._socket.send(message, port, host, (error) => {
-        if (error) this._options.counters.add('monsoonreach_datagram_errors_total');
-      });
-    }
+    const bytes = Buffer.from(JSON.stringify(digest));
+    for (const peer of addresses) if (peer !== address) this._sendBytes(peer, bytes);
+  }
+
+  /** Sends a question of placement, or its answer. */
+  sendPlacement(address: string, message: PlacementMessage): void {
+    this._sendBytes(address, Buffer.from(JSON.stringify(message)));
+  }
+
+  private _sendBytes(address: string, bytes: Buffer): void {
+    const { host, port } = splitAddress(address);
+    this._socket.send(bytes, port, host, (error) => {
+      if (error) this._options.counters.add('monsoonreach_datagram_errors_total');
+    });
   }
 
   private _describePlanner(): Pick<Digest, 'planner'> {
@@ -214,14 +226,19 @@
   }
 
   private _take(message: Buffer): void {
-    let digest: Digest;
+    let parsed: Digest | PlacementMessage;
     try {
-      digest = digestSchema.parse(JSON.parse(message.toString('utf8')));
+      parsed = messageSchema.parse(JSON.parse(message.toString('utf8')));
     } catch (error) {
       this._options.counters.add('monsoonreach_datagrams_refused_total');
       this._options.log.warn('datagram refused', { error: String(error).slice(0, 200) });
       return;
     }
+    if (parsed.kind === 'digest') this._takeDigest(parsed);
+    else this._options.onPlacement(parsed);
+  }
+
+  private _takeDigest(digest: Digest): void {
     const known = this._peers.get(digest.node)?.digest;
     if (known?.incarnation === digest.incarnation && known.sequence >= digest.sequence) return;
     const heardAtMs = this._options.clock.monotonic();
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -16,6 +16,7 @@
   encodeRetryAfter,
   type TargetHead,
 } from '@monsoonreach/platform';
+import type { PlacementNeed } from './placement.js';
 import type { ServingContext } from './servingContext.js';
 import type { CallError, OpenCall } from './targetConnections.js';
 
@@ -145,11 +146,20 @@
   }
 
   private _dispatch(): void {
-    const nowMs = this._options.context.clock.monotonic();
-    const choice = this._choose(nowMs);
+    const need = this._placementNeed();
+    if (!need) {
+      this._takeChoice(this._choose());
+      return;
+    }
+    this._options.context.placement.place(need, (choice) => {
+      if (!this._isOver) this._takeChoice(choice);
+    });
+  }
+
+  private _takeChoice(choice: TargetChoice): void {
     switch (choice.kind) {
       case 'chosen':
-        this._send(choice.candidate, choice.predictedMs, nowMs);
+        this._send(choice.candidate, choice.predictedMs, this._options.context.clock.monotonic());
         return;
       case 'none':
         this._trail.push(choice.reason);
@@ -157,18 +167,33 @@
     }
   }
 
-  private _choose(nowMs: number): TargetChoice {
+  /** What an engine group is needed for; undefined for a call to a plain service. */
+  private _placementNeed(): PlacementNeed | undefined {
+    const { size, model } = this._options.caller;
+    if (!this._isStream || model === undefined || this._service === undefined) return undefined;
+    return {
+      service: this._service,
+      model,
+      size,
+      tried: this._tried,
+      isContinuing: this._passedEvents > 0,
+    };
+  }
+
+  /** The target that this node would choose by itself. */
+  private _choose(): TargetChoice {
     const { context, caller } = this._options;
     const configuration = context.configuration();
     if (!configuration || this._service === undefined) return { kind: 'none', reason: 'no-target' };
     const model = this._isStream ? caller.model : undefined;
     return chooseTarget(context.directory.candidates(configuration, this._service, model), {
-      nowMs,
+      nowMs: context.clock.monotonic(),
       random: context.random,
       health: context.health,
       failureDomain: context.failureDomain,
       size: caller.size,
       tried: this._tried,
+      isContinuing: this._passedEvents > 0,
     });
   }
 
@@ -376,7 +401,7 @@
   private _canRetry(): boolean {
     const { context, route } = this._options;
     const nowMs = context.clock.monotonic();
-    return this._sends < route.maxAttempts && nowMs < this._endsAtMs && this._choose(nowMs).kind === 'chosen';
+    return this._sends < route.maxAttempts && nowMs < this._endsAtMs && this._choose().kind === 'chosen';
   }
 
   private _retry(attempt: Attempt, reason: CallOutcomeReason): void {
--- a/packages/node/src/servingContext.ts
+++ b/packages/node/src/servingContext.ts
@@ -3,6 +3,7 @@
   Clock,
   Counters,
   DemandMeter,
+  LoadBook,
   Random,
   RetryAllowance,
   ServingConfiguration,
@@ -10,7 +11,7 @@
   TargetHealth,
 } from '@monsoonreach/core';
 import type { DecisionLog } from './decisionLog.js';
-import type { LoadBook } from './loadBook.js';
+import type { Placement } from './placement.js';
 import type { RequestRun } from './requestRun.js';
 import type { TargetConnections } from './targetConnections.js';
 import type { TargetDirectory } from './targetDirectory.js';
@@ -28,6 +29,8 @@
   readonly retries: RetryAllowance;
   readonly connections: TargetConnections;
   readonly directory: TargetDirectory;
+  /** Gives requests to engine groups their target. */
+  readonly placement: Placement;
   /** Requests in progress. */
   readonly runs: Set<RequestRun>;
   readonly configuration: () => ServingConfiguration | undefined;
--- a/packages/node/src/targetDirectory.ts
+++ b/packages/node/src/targetDirectory.ts
@@ -1,5 +1,7 @@
 import {
+  type BatchLoad,
   type Clock,
+  type LoadBook,
   observeGroups,
   type ServingConfiguration,
   type ServingService,
@@ -7,7 +9,6 @@
   type TargetInstance,
 } from '@monsoonreach/core';
 import type { InstanceList } from './instanceList.js';
-import type { LoadBook } from './loadBook.js';
 
 interface KnownTarget {
   readonly key: string;
@@ -16,6 +17,8 @@
   readonly engine: TargetCandidate['engine'];
 }
 
+const NO_LOAD: BatchLoad = { requests: 0, contextTokens: 0, unreadTokens: 0 };
+
 /** The targets that may take requests of a service and a model, by what the list says. */
 export class TargetDirectory {
   private _listVersion = -1;
@@ -35,9 +38,9 @@
     model: string | undefined,
   ): readonly TargetCandidate[] {
     this._refresh(configuration);
-    const nowMs = this._clock.monotonic();
+    const totals = this._loads.totals(this._clock.monotonic());
     const targets = this._targets.get(targetsId(service, model)) ?? [];
-    return targets.map((target) => ({ ...target, load: this._loads.estimate(target.key, nowMs) }));
+    return targets.map((target) => ({ ...target, load: totals.get(target.key) ?? NO_LOAD }));
   }
 
   /** The key of every target that takes requests. */
--- a/tests/node/planning.test.ts
+++ b/tests/node/planning.test.ts
@@ -35,6 +35,7 @@
       demand: {},
     }),
     onDigest: () => undefined,
+    onPlacement: () => undefined,
   });
   const planning: Planning = new Planning({
     ...common,
