A few nodes of each failure domain read the store for the others; a node that the store turns away reads through a peer

Change: topics are read through a peer (TopicSources, TopicMirror, TopicServer), which node reads is a rendezvous in core (topicReaders); offsets are the store's, so that a reader changes its source at any time. The planner reads the store itself.

--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -15,4 +15,5 @@
 export * from './silence.js';
 export * from './targetHealth.js';
 export * from './targetInstance.js';
+export * from './topicReaders.js';
 export * from './unlistedHeads.js';
--- a/packages/node/src/keyedFollower.ts
+++ b/packages/node/src/keyedFollower.ts
@@ -1,49 +1,47 @@
 import { type Clock, pause, type Random } from '@monsoonreach/core';
-import {
-  decodeKeyedRecord,
-  HistoryGoneError,
-  type KeyedRecord,
-  type StoreClient,
-  StoreUnavailableError,
-} from '@monsoonreach/platform';
+import { HistoryGoneError, type KeyedRecord, StoreUnavailableError } from '@monsoonreach/platform';
 import { type DecisionLog, describeError } from './decisionLog.js';
+import { TopicMirror, type TopicSlice } from './topicMirror.js';
+import type { TopicSources } from './topicSources.js';
 
 /** First wait after a call that failed, in milliseconds; doubles up to the longest, with full jitter. */
 const FIRST_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 800;
 
+const NO_WAIT = { waitMs: 0, peerWaitMs: 0 } as const;
+
 /** What a follower is made of. */
 export interface KeyedFollowerOptions {
   readonly topic: string;
-  readonly store: StoreClient;
+  readonly sources: TopicSources;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: DecisionLog;
   /** How long a read waits for news, in milliseconds. */
   readonly waitMs: number;
-  /** Pause between two reads, in milliseconds. */
+  /** The same where a peer reads the store for this node. */
+  readonly peerWaitMs: number;
+  /** Pause between two reads of the store, in milliseconds. */
   readonly intervalMs: () => number;
   /** Takes the newest record of every key; keys that are not among them are gone. */
   readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
   /** Takes changes in order. */
   readonly onChanges: (records: readonly KeyedRecord[]) => void;
-  /** Called after each answer with the monotonic time at which the call was sent. */
-  readonly onContact?: (sentAtMs: number) => void;
+  /** Called after each answer with the monotonic time at which what was read was the newest. */
+  readonly onContact?: (atMs: number) => void;
 }
 
 /** Follows the newest records of a keyed topic: first all of them, then the changes. */
 export class KeyedFollower {
   private _from: number | undefined;
   private _failures = 0;
-  private _contactAtMs: number | undefined;
   private _regainedAtMs = -Infinity;
   private readonly _stopping = new AbortController();
+  /** What was read, for peers. */
+  readonly mirror: TopicMirror;
 
-  constructor(private readonly _options: KeyedFollowerOptions) {}
-
-  /** Monotonic time at which the last answered call was sent. */
-  get contactAtMs(): number | undefined {
-    return this._contactAtMs;
+  constructor(private readonly _options: KeyedFollowerOptions) {
+    this.mirror = new TopicMirror(_options.clock);
   }
 
   /** Monotonic time at which the store was last reached again after calls that failed. */
@@ -58,8 +56,8 @@
   async run(): Promise<void> {
     const { signal } = this._stopping;
     while (!signal.aborted) {
-      const isDone = await this._turn();
-      await pause(isDone ? this._options.intervalMs() : this._backoffMs(), signal);
+      const pauseMs = await this._turn();
+      await pause(pauseMs, signal);
     }
   }
 
@@ -67,49 +65,58 @@
     this._stopping.abort();
   }
 
-  private async _turn(): Promise<boolean> {
+  /** @returns how long to pause before the next turn, in milliseconds. */
+  private async _turn(): Promise<number> {
     const sentAtMs = this._options.clock.monotonic();
     try {
-      await (this._from === undefined ? this._readAll() : this._readOn(this._from));
+      const slice = await (this._from === undefined ? this._readAll() : this._readOn(this._from));
+      this._noteContact(sentAtMs, slice);
+      return slice.isFromPeer ? 0 : this._options.intervalMs();
     } catch (error) {
-      if (this._stopping.signal.aborted) return true;
+      if (this._stopping.signal.aborted) return 0;
       if (error instanceof HistoryGoneError) {
         this._options.log.warn('history gone; reading all again', { topic: this._options.topic });
         this._from = undefined;
-        return true;
+        return 0;
       }
       this._noteFailure(error);
-      return false;
+      return this._backoffMs();
     }
-    this._noteContact(sentAtMs);
-    return true;
   }
 
-  private async _readAll(): Promise<void> {
-    const { store, topic, onSnapshot } = this._options;
-    const { records, end } = await store.readNewest(topic);
-    onSnapshot(records);
-    this._from = end;
+  private async _readAll(): Promise<TopicSlice> {
+    const { sources, topic, onSnapshot } = this._options;
+    const slice = await sources.readNewest(topic);
+    onSnapshot(slice.records);
+    this.mirror.takeAll(slice.records, slice.end);
+    this._from = slice.end;
+    return slice;
   }
 
-  private async _readOn(from: number): Promise<void> {
-    const { store, topic, onChanges } = this._options;
+  private async _readOn(from: number): Promise<TopicSlice> {
+    const { sources, topic, onChanges } = this._options;
     // After a failure the answer itself is the news: it tells that nothing was missed.
-    const waitMs = this._failures > 0 ? 0 : this._options.waitMs;
-    const { records } = await store.read({ topic, from, waitMs, signal: this._stopping.signal });
-    this._from = from + records.length;
-    if (records.length > 0) onChanges(records.map(decodeKeyedRecord));
+    const { waitMs, peerWaitMs } = this._failures > 0 ? NO_WAIT : this._options;
+    const slice = await sources.read({ topic, from, waitMs, peerWaitMs, signal: this._stopping.signal });
+    this._from = from + slice.records.length;
+    if (slice.records.length > 0) onChanges(slice.records);
+    this.mirror.takeChanges(slice.records);
+    return slice;
   }
 
-  private _noteContact(sentAtMs: number): void {
+  private _noteContact(sentAtMs: number, { ageMs, regainedMs }: TopicSlice): void {
     const { clock, log, topic, onContact } = this._options;
+    const contactAtMs = sentAtMs - ageMs;
+    if (regainedMs !== undefined) {
+      this._regainedAtMs = Math.max(this._regainedAtMs, clock.monotonic() - regainedMs);
+    }
     if (this._failures > 0) {
       this._regainedAtMs = clock.monotonic();
       log.info('store regained', { topic, failures: this._failures });
     }
     this._failures = 0;
-    this._contactAtMs = sentAtMs;
-    onContact?.(sentAtMs);
+    this.mirror.confirm(contactAtMs, Number.isFinite(this._regainedAtMs) ? this._regainedAtMs : undefined);
+    onContact?.(contactAtMs);
   }
 
   private _noteFailure(error: unknown): void {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -40,11 +40,15 @@
 import type { NodeSettings } from './settings.js';
 import { TargetConnections } from './targetConnections.js';
 import { TargetDirectory } from './targetDirectory.js';
+import { TopicServer } from './topicServer.js';
+import { TopicSources } from './topicSources.js';
 
 /** How long a read of the configuration waits for news, in milliseconds; it bounds how old the trust in keys gets. */
 const CONFIGURATION_WAIT_MS = 1_300;
 /** Pause between two reads of the list, in milliseconds; a leaving target gets no work two seconds after it says so. */
 const LIST_INTERVAL_MS = 600;
+/** How long a read of the list through a peer waits for changes, in milliseconds; it bounds how late a silent peer is found out. */
+const LIST_PEER_WAIT_MS = 1_000;
 /** The same on the node that forms groups, in milliseconds; a member joins in 200 ms. */
 const BUSY_LIST_INTERVAL_MS = 150;
 /** How often requests in progress are checked for silence, in milliseconds. */
@@ -62,6 +66,7 @@
   private readonly _random: Random;
   private readonly _log: DecisionLog;
   private readonly _store: StoreClient;
+  private readonly _sources: TopicSources;
   private readonly _trust: KeyTrust;
   private readonly _list: InstanceList;
   private readonly _loads = new LoadBook(() => {
@@ -94,6 +99,7 @@
     this._random = createRandom(hash32(incarnation));
     this._log = new DecisionLog('monsoonreach-node', _settings.node.log, _clock, this._counters);
     this._store = new StoreClient(_settings.store.address);
+    this._sources = this._createSources();
     this._trust = new KeyTrust(_clock, _settings.bounds['key-trust']);
     this._connections = new TargetConnections(_clock);
     this._list = new InstanceList(_clock, this._log, this._counters, () => this._listFollower.regainedAtMs);
@@ -143,6 +149,7 @@
       path.startsWith('/metrics') ? { status: 200, text: this._counters.expose() } : undefined,
     );
     await this._exchange.start();
+    await this._createTopicServer().start();
     await this._front.listen();
     void this._configurationFollower.run();
     void this._listFollower.run();
@@ -179,6 +186,34 @@
     return this._table !== undefined && this._hasList && !this._front.isDraining && this._trust.isTrusted();
   }
 
+  private _createSources(): TopicSources {
+    const { node } = this._settings;
+    return new TopicSources({
+      node: node.name,
+      failureDomain: node['failure-domain'],
+      store: this._store,
+      clock: this._clock,
+      counters: this._counters,
+      log: this._log,
+      peers: () =>
+        this._exchange.livePeers().map(({ digest, heardAtMs }) => ({
+          node: digest.node,
+          address: digest.address,
+          failureDomain: digest.failureDomain,
+          storeAgeMs: digest.storeAgeMs + this._clock.monotonic() - heardAtMs,
+        })),
+      isDirect: () => this._planning.term !== undefined,
+    });
+  }
+
+  private _createTopicServer(): TopicServer {
+    const mirrors = new Map([
+      [Topic.operator, this._configurationFollower.mirror],
+      [Topic.instances, this._listFollower.mirror],
+    ]);
+    return new TopicServer(this._settings.peers.address, mirrors, this._counters);
+  }
+
   private _createContext(): ServingContext {
     const { bounds, node } = this._settings;
     return {
@@ -268,16 +303,17 @@
     };
     return new KeyedFollower({
       topic: Topic.operator,
-      store: this._store,
+      sources: this._sources,
       clock: this._clock,
       random: this._random,
       log: this._log,
       waitMs: CONFIGURATION_WAIT_MS,
+      peerWaitMs: CONFIGURATION_WAIT_MS,
       intervalMs: () => 0,
       onSnapshot: take,
       onChanges: take,
-      onContact: (sentAtMs) => {
-        this._trust.confirm(sentAtMs);
+      onContact: (atMs) => {
+        this._trust.confirm(atMs);
       },
     });
   }
@@ -285,11 +321,12 @@
   private _followList(): KeyedFollower {
     return new KeyedFollower({
       topic: Topic.instances,
-      store: this._store,
+      sources: this._sources,
       clock: this._clock,
       random: this._random,
       log: this._log,
       waitMs: 0,
+      peerWaitMs: LIST_PEER_WAIT_MS,
       intervalMs: () => (this._planning.isBusy ? BUSY_LIST_INTERVAL_MS : LIST_INTERVAL_MS),
       onSnapshot: (records) => {
         this._list.takeAll(records);
@@ -344,6 +381,7 @@
     const nowMs = this._clock.monotonic();
     const storeAgeMs = Math.min(MAX_AGE_MS, this._trust.ageMs());
     return {
+      failureDomain: this._settings.node['failure-domain'],
       storeAgeMs,
       version: this._table?.configuration.version ?? -1,
       isLeaving: this._front.isDraining,
--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -21,6 +21,7 @@
   kind: z.literal('digest'),
   node: z.string(),
   address: z.string(),
+  failureDomain: z.string(),
   incarnation: z.string(),
   sequence: z.number(),
   /** Milliseconds since the sender last heard from the store. */
--- a/tests/node/planning.test.ts
+++ b/tests/node/planning.test.ts
@@ -25,6 +25,7 @@
     incarnation: name,
     ownTerm: () => planning.term,
     describe: () => ({
+      failureDomain: 'zone-1',
       storeAgeMs: 0,
       version: 1,
       isLeaving: false,
