--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -4,6 +4,7 @@
 export * from './node.js';
 export * from './peerExchange.js';
 export * from './placement.js';
+export * from './placementMessages.js';
 export * from './planning.js';
 export * from './settings.js';
 export * from './targetConnections.js';
--- /dev/null
+++ b/scripts/bundle/build.js
@@ -0,0 +1,4 @@
+import { build } from 'esbuild';
+import { bundleOptions } from './options.js';
+
+await build(bundleOptions);
--- /dev/null
+++ b/tests/node/placement.test.ts
@@ -0,0 +1,155 @@
+import {
+  type Clock,
+  Counters,
+  createRandom,
+  LoadBook,
+  systemClock,
+  TargetHealth,
+  type TargetCandidate,
+  type TargetChoice,
+  chooseTarget,
+} from '@monsoonreach/core';
+import { DecisionLog, Placement, type PlacementMessage } from '@monsoonreach/node';
+import t from 'tap';
+import { describeInstance, ENGINE, SMALL } from '../serving/support.js';
+import { sleep } from '../standins/http.js';
+
+const SIZE = { promptTokens: 700, answerTokens: 180 };
+const GROUPS = 12;
+const NO_LOAD = { requests: 0, contextTokens: 0, unreadTokens: 0 };
+const COORDINATOR = 'node-0';
+
+/** Nodes that reach each other by calls in this process. */
+class Fleet {
+  readonly nodes = new Map<string, { readonly placement: Placement; readonly loads: LoadBook }>();
+  /** Nodes that answer nothing. */
+  readonly dead = new Set<string>();
+  coordinator: string | undefined = COORDINATOR;
+
+  constructor(
+    size: number,
+    private readonly _clock: Clock = systemClock,
+  ) {
+    for (let index = 0; index < size; index++) this._add(`node-${index}`);
+  }
+
+  place(node: string, tried: ReadonlySet<string> = new Set()): Promise<TargetChoice> {
+    const need = { service: 'engines', model: SMALL.name, size: SIZE, tried, isContinuing: false };
+    return new Promise((resolve) => this.nodes.get(node)?.placement.place(need, resolve));
+  }
+
+  private _add(name: string): void {
+    const random = createRandom(this.nodes.size + 1);
+    const counters = new Counters();
+    const loads: LoadBook = new LoadBook(() => {
+      placement.noteChange();
+    });
+    const candidates = (): readonly TargetCandidate[] => {
+      const totals = loads.totals(this._clock.monotonic());
+      return Array.from({ length: GROUPS }, (_, index) => ({
+        key: `group-${index}`,
+        instance: describeInstance(`head-${index}`),
+        slots: ENGINE.slots,
+        engine: { profile: ENGINE, model: SMALL },
+        load: totals.get(`group-${index}`) ?? NO_LOAD,
+      }));
+    };
+    const health = new TargetHealth();
+    const placement: Placement = new Placement({
+      node: name,
+      address: name,
+      incarnation: `${name}-1`,
+      failureDomain: 'zone-1',
+      clock: this._clock,
+      counters,
+      log: new DecisionLog(name, 'hidden', this._clock, counters),
+      loads,
+      coordinator: () => (this.coordinator === name ? 'self' : this.coordinator),
+      send: (address, message) => {
+        this._deliver(address, message);
+      },
+      chooseLocally: (choice) =>
+        chooseTarget(candidates(), { ...choice, nowMs: this._clock.monotonic(), random, health }),
+      findCandidate: (_need, key) => candidates().find((candidate) => candidate.key === key),
+      silentTargets: () => [],
+    });
+    this.nodes.set(name, { placement, loads });
+  }
+
+  private _deliver(address: string, message: PlacementMessage): void {
+    if (this.dead.has(address)) return;
+    setImmediate(() => this.nodes.get(address)?.placement.receive(message));
+  }
+}
+
+function keyOf(choice: TargetChoice): string {
+  return choice.kind === 'chosen' ? choice.candidate.key : choice.reason;
+}
+
+void t.test(
+  'load pattern: many nodes with one request each fill groups evenly, where figures are old they do not',
+  async (t) => {
+    const counts = async (coordinator: string | undefined) => {
+      const fleet = new Fleet(GROUPS * 6);
+      fleet.coordinator = coordinator;
+      const placed = await Promise.all([...fleet.nodes.keys()].map((node) => fleet.place(node)));
+      const byGroup = new Map<string, number>();
+      for (const choice of placed) byGroup.set(keyOf(choice), (byGroup.get(keyOf(choice)) ?? 0) + 1);
+      return Math.max(...byGroup.values());
+    };
+    t.equal(await counts(COORDINATOR), 6, 'each group gets its share');
+    t.ok((await counts(undefined)) > 6, 'nodes that choose alone overfill some');
+  },
+);
+
+void t.test('places that were given count until the node tells of them, and no longer', async (t) => {
+  const fleet = new Fleet(2);
+  const first = await fleet.place('node-1');
+  const coordinator = fleet.nodes.get(COORDINATOR);
+  const total = () =>
+    [...(coordinator?.loads.totals(systemClock.monotonic()).values() ?? [])].reduce(
+      (sum, { requests }) => sum + requests,
+      0,
+    );
+  t.equal(total(), 1, 'the place that was given');
+  const load = fleet.nodes.get('node-1')?.loads.begin(keyOf(first), SIZE);
+  await sleep(100);
+  t.equal(total(), 1, 'the request itself, once');
+  load?.end();
+  await sleep(100);
+  t.equal(total(), 0);
+});
+
+const failures = [
+  { name: 'the node that gives places is dead', dead: [COORDINATOR], coordinator: COORDINATOR },
+  { name: 'no node gives places', dead: [], coordinator: undefined },
+];
+
+for (const { name, dead, coordinator } of failures) {
+  void t.test(`a node chooses by itself: ${name}`, async (t) => {
+    const fleet = new Fleet(3);
+    for (const node of dead) fleet.dead.add(node);
+    fleet.coordinator = coordinator;
+    const startedAtMs = systemClock.monotonic();
+    t.match(keyOf(await fleet.place('node-1')), /^group-/);
+    t.match(keyOf(await fleet.place('node-1')), /^group-/);
+    t.match(keyOf(await fleet.place('node-1')), /^group-/);
+    t.ok(systemClock.monotonic() - startedAtMs < 3_000, 'it does not wait for each request anew');
+  });
+}
+
+void t.test('a target that the request has been to is not given again', async (t) => {
+  const fleet = new Fleet(2);
+  const tried = new Set(Array.from({ length: GROUPS - 1 }, (_, index) => `group-${index}`));
+  t.equal(keyOf(await fleet.place('node-1', tried)), `group-${GROUPS - 1}`);
+});
+
+void t.test('load pattern: when all groups are full the node that gives places says so to all', async (t) => {
+  const fleet = new Fleet(3);
+  const places = GROUPS * Math.ceil(ENGINE.slots * 1.25);
+  for (let index = 0; index < places; index++) {
+    const choice = await fleet.place('node-1');
+    if (choice.kind === 'chosen') fleet.nodes.get('node-1')?.loads.begin(choice.candidate.key, SIZE);
+  }
+  t.equal(keyOf(await fleet.place('node-2')), 'all-full');
+});
--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -9,9 +9,14 @@
 const JOIN_MS = 30;
 /** Time that a group stands still before its head finds that it is broken. */
 const STALL_MS = 2_000;
+/** Time after which an order that was not answered is carried out. */
+const LATE_ORDER_MS = 2_500;
+/** Silence after which an instance's entry lapses. */
+const LAPSE_MS = 3_600;
 
 /** What an instance does with the next requests. */
-export type InstanceMood = 'well' | 'dark' | 'full' | 'resets' | 'unframed' | 'wrong-echo';
+export type InstanceMood =
+  'well' | 'dark' | 'full' | 'resets' | 'unframed' | 'wrong-echo' | 'truncates' | 'late-orders';
 
 /** One request that an instance has begun to run. */
 export interface RunRecord {
@@ -20,6 +25,8 @@
   readonly workspace: string | undefined;
   readonly lastEventId: string | undefined;
   readonly isWhole: boolean;
+  /** Wall-clock time of the start, in milliseconds. */
+  readonly atMs: number;
 }
 
 /** An instance's part in a group. */
@@ -35,6 +42,10 @@
 export class InstanceFleet {
   readonly instances = new Map<string, InstanceStandin>();
   readonly runs: RunRecord[] = [];
+  /** What the engines saw that must never be: an instance in two groups, a group that was never whole. */
+  readonly faults: string[] = [];
+  /** Members that were ready in a group, each with the group's name, epoch and list. */
+  readonly readied = new Set<string>();
 
   constructor(
     readonly store: StoreStandin,
@@ -42,8 +53,14 @@
     readonly events: number,
   ) {}
 
-  async add(id: string, service: string, fabricDomain: string): Promise<InstanceStandin> {
-    const instance = new InstanceStandin(this, id, service, fabricDomain);
+  /** @param publicAddress where others reach it, when that is not its own address. */
+  async add(
+    id: string,
+    service: string,
+    fabricDomain: string,
+    publicAddress?: string,
+  ): Promise<InstanceStandin> {
+    const instance = new InstanceStandin(this, id, service, fabricDomain, publicAddress);
     this.instances.set(id, instance);
     await instance.start();
     return instance;
@@ -57,7 +74,10 @@
 /** A stand-in of one instance: a plain service, or an engine that joins groups. */
 export class InstanceStandin {
   mood: InstanceMood = 'well';
-  private readonly _bornMs = 1;
+  /** Cut off from the store: its entry lapses, while requests still reach it. */
+  isCut = false;
+  private _bornMs = 1;
+  private _fence = 0;
   private readonly _staged: string[] = [];
   private _server: Server | undefined;
   private _group: Membership | undefined;
@@ -72,6 +92,7 @@
     readonly id: string,
     private readonly _service: string,
     private readonly _fabricDomain: string,
+    private readonly _publicAddress?: string,
   ) {}
 
   get group(): Readonly<Membership> | undefined {
@@ -104,22 +125,50 @@
   /** Goes silent; its entry lapses after a while, as that of a crashed instance does. */
   goDark(lapseMs: number): void {
     this.mood = 'dark';
+    const bornMs = this._bornMs;
     setTimeout(() => {
-      this._fleet.store.put('keyed.servers', this.id, undefined);
+      if (this._bornMs === bornMs) this._fleet.store.put('keyed.servers', this.id, undefined);
     }, lapseMs);
   }
 
+  /** Crashes with all that it knows, and starts again under its id after a while. */
+  async crash(downMs: number): Promise<void> {
+    this.goDark(LAPSE_MS);
+    this._server?.closeAllConnections();
+    await sleep(downMs);
+    this._bornMs++;
+    this._group = undefined;
+    this._model = undefined;
+    this._orders = 0;
+    this._fence = 0;
+    this._highestEpoch = 0;
+    this.mood = 'well';
+    this.announce();
+  }
+
+  /** Loses the store for a while; its entry lapses meanwhile if that is long. */
+  async cutFromStore(forMs: number): Promise<void> {
+    this.isCut = true;
+    const lapse = setTimeout(() => {
+      this._fleet.store.put('keyed.servers', this.id, undefined);
+    }, LAPSE_MS);
+    await sleep(forMs);
+    clearTimeout(lapse);
+    this.isCut = false;
+    this.announce();
+  }
+
   leave(): void {
     this._state = 'draining';
     this.announce();
   }
 
   announce(): void {
-    if (this.mood === 'dark') return;
+    if (this.mood === 'dark' || this.isCut) return;
     this._beats++;
     this._fleet.store.put('keyed.servers', this.id, {
       service: this._service,
-      address: this.address,
+      address: this._publicAddress ?? this.address,
       zone: 'zone-1',
       version: 'v1',
       slots: 4,
@@ -155,6 +204,17 @@
 
   private async _takeOrder(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const order = JSON.parse(await readText(request)) as Readonly<Record<string, unknown>>;
+    if (this.mood === 'late-orders') {
+      const bornMs = this._bornMs;
+      await sleep(LATE_ORDER_MS);
+      if (this._bornMs !== bornMs) return;
+    }
+    const fence = Number(order.fencingToken ?? 0);
+    if (fence < this._fence) {
+      response.writeHead(412).end();
+      return;
+    }
+    this._fence = fence;
     if (order.expected !== undefined && order.expected !== this._orders) {
       response.writeHead(409).end();
       return;
@@ -195,6 +255,7 @@
 
   private _join(order: Readonly<Record<string, unknown>>, epoch: number): void {
     const members = order.members as readonly string[];
+    this._checkRelease(String(order.group), epoch);
     this._highestEpoch = epoch;
     const group = {
       name: String(order.group),
@@ -210,10 +271,25 @@
       if (this._group !== joined) return;
       joined.state = 'ready';
       this._model = String(order.model);
+      this._fleet.readied.add(readyMark(this.id, joined));
       this.announce();
     }, JOIN_MS);
   }
 
+  /** An instance may join another group only once the head of its own serves no more. */
+  private _checkRelease(group: string, epoch: number): void {
+    const own = this._group;
+    if (!own || (own.name === group && own.epoch === epoch)) return;
+    const head = this._fleet.instances.get(own.members[0] ?? '');
+    const isSame = head?.group?.name === own.name && head.group.epoch === own.epoch;
+    const isServing = isSame && head.mood !== 'dark' && head.group.state !== 'ready';
+    if (head === this || !isServing || head.group.state === 'joining' || head.group.state === 'broken')
+      return;
+    this._fleet.faults.push(
+      `${this.id} joined ${group} while ${own.name} of ${head.id} was ${head.group.state}`,
+    );
+  }
+
   private async _run(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readText(request);
     const requestId = String(request.headers['attempt-id']);
@@ -227,7 +303,9 @@
       workspace: request.headers.tenant as string | undefined,
       lastEventId: request.headers['last-event-id'] as string | undefined,
       isWhole: this._group === undefined || this._isWhole(this._group),
+      atMs: Date.now(),
     });
+    if (this._group) this._checkFormation(this._group);
     if (this.mood === 'resets') {
       request.socket.resetAndDestroy();
       return;
@@ -238,11 +316,23 @@
     else this._answerPlainly(response, head, `${requestId}:${body}`);
   }
 
+  private _checkFormation(group: Membership): void {
+    const missing = group.members.filter((id) => !this._fleet.readied.has(readyMark(id, group)));
+    if (missing.length === 0) return;
+    this._fleet.faults.push(`${group.name} runs a request though ${missing.join()} was never ready in it`);
+  }
+
   private _answerPlainly(
     response: ServerResponse,
     head: Readonly<Record<string, string>>,
     text: string,
   ): void {
+    if (this.mood === 'truncates') {
+      response.writeHead(200, { ...head, 'Content-Length': Buffer.byteLength(text) });
+      response.write(text.slice(0, 3));
+      setTimeout(() => response.destroy(), 5);
+      return;
+    }
     if (this.mood === 'unframed') {
       response.useChunkedEncodingByDefault = false;
       response.shouldKeepAlive = false;
@@ -281,3 +371,7 @@
     });
   }
 }
+
+function readyMark(id: string, { name, epoch, members }: Membership): string {
+  return `${id}/${name}@${epoch}/${members.join()}`;
+}
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -29,7 +29,7 @@
         maxAttempts: 2,
         streamResume: true,
       },
-      { ...plain, name: 'order', pathPrefix: '/order/', routeType: 'unsafe', maxAttempts: 1 },
+      { ...plain, name: 'order', pathPrefix: '/order/', routeType: 'unsafe', maxAttempts: 2 },
       { ...plain, name: 'status', pathPrefix: '/status/', routeType: 'safe', maxAttempts: 2 },
       { ...plain, name: 'open', pathPrefix: '/open/', routeType: 'safe', authExempt: true, maxAttempts: 1 },
     ],
@@ -76,7 +76,18 @@
     const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
     this.address = `127.0.0.1:${front}`;
     await new Node(
-      parseNodeSettings(settingsText({ store, front, readiness, peers, metrics })),
+      parseNodeSettings(
+        settingsText({
+          name: 'node-1',
+          domain: 'zone-1',
+          store,
+          front,
+          readiness,
+          peers,
+          metrics,
+          log: 'hidden',
+        }),
+      ),
       systemClock,
     ).start();
     await this._untilOpen(2);
@@ -110,7 +121,11 @@
   }
 }
 
-function settingsText(options: {
+/** Settings of one node. */
+export function settingsText(options: {
+  readonly name: string;
+  readonly domain: string;
+  readonly log: 'json' | 'hidden';
   readonly store: string;
   readonly front: number;
   readonly readiness: number;
@@ -118,9 +133,9 @@
   readonly metrics: number;
 }): string {
   return `[node]
-name = node-1
-failure-domain = zone-1
-log = hidden
+name = ${options.name}
+failure-domain = ${options.domain}
+log = ${options.log}
 [callers]
 address = 127.0.0.1:${options.front}
 readiness = 127.0.0.1:${options.readiness}
--- a/tests/platform/storeStandin.ts
+++ b/tests/platform/storeStandin.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { listen, sendJson } from '../standins/http.js';
+import { listen, sendJson, sleep } from '../standins/http.js';
 
 interface Partition {
   readonly first: number;
@@ -8,11 +8,16 @@
 }
 
 /** How the store answers for now. */
-export type StoreMood = 'well' | 'busy' | 'silent';
+export type StoreMood = 'well' | 'busy' | 'silent' | 'slow' | 'loses-answers';
+
+/** How long a slow store takes to answer. */
+const SLOW_MS = 240;
 
 /** A stand-in of the platform's store: topics with conditional appends, long reads and newest-of-key. */
 export class StoreStandin {
   mood: StoreMood = 'well';
+  /** Calls that were answered or refused. */
+  calls = 0;
   private readonly _topics = new Map<string, Partition>();
   private readonly _waiting = new Set<() => void>();
   private _server: Server | undefined;
@@ -44,7 +49,9 @@
   private readonly _compacted = new Map<string, readonly Buffer[]>();
 
   private async _answer(request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> {
+    this.calls++;
     if (this.mood === 'silent') return;
+    if (this.mood === 'slow') await sleep(SLOW_MS);
     if (this.mood === 'busy') {
       response.writeHead(503).end();
       return;
@@ -80,6 +87,10 @@
       return;
     }
     this._append(topic, splitRecords(Buffer.concat(chunks)));
+    if (this.mood === 'loses-answers') {
+      request.socket.destroy();
+      return;
+    }
     sendJson(response, 200, { offset: end, end: this._end(topic) });
   }
 
--- /dev/null
+++ b/tests/soak/callers.ts
@@ -0,0 +1,138 @@
+import { Agent, request as sendRequest } from 'node:http';
+import type { Random } from '@monsoonreach/core';
+import { MODEL } from '../platform/platformFleet.js';
+import type { CallOutcome, CallRecord } from './promises.js';
+import type { SoakFleet, SoakNode } from './soakFleet.js';
+
+/** Mean pause between two requests, in milliseconds. */
+const MEAN_PAUSE_MS = 25;
+/** How often the balancer asks whether nodes are ready, in milliseconds. */
+const BALANCER_INTERVAL_MS = 1_000;
+/** Answers other than 200 in a row that take a node out. */
+const OUT_AFTER = 2;
+/** Time after a fault in which a request of the node does not count as calm, in milliseconds. */
+const CALM_AFTER_MS = 3_000;
+const TIMEOUTS_MS = { order: 1_500, status: 1_500, stream: 6_000 } as const;
+
+/** Callers behind a balancer, which keep their connections open until the node ends them. */
+export class Callers {
+  readonly records: CallRecord[] = [];
+  /** The key that callers use from now on. */
+  key = '';
+  private readonly _agents = new Map<string, Agent>();
+  private readonly _misses = new Map<string, number>();
+  private _sent = 0;
+  private _inProgress = 0;
+  private _isStopped = false;
+
+  constructor(
+    private readonly _fleet: SoakFleet,
+    private readonly _random: Random,
+  ) {}
+
+  get inProgress(): number {
+    return this._inProgress;
+  }
+
+  start(key: string): void {
+    this.key = key;
+    void this._balance();
+    void this._callAll();
+  }
+
+  stop(): void {
+    this._isStopped = true;
+  }
+
+  private async _balance(): Promise<void> {
+    while (!this._isStopped) {
+      await Promise.all(
+        this._fleet.nodes.map(async (node) => {
+          const isReady = await this._fleet.isReady(node);
+          this._misses.set(node.name, isReady ? 0 : (this._misses.get(node.name) ?? 0) + 1);
+        }),
+      );
+      await pause(BALANCER_INTERVAL_MS);
+    }
+  }
+
+  private async _callAll(): Promise<void> {
+    while (!this._isStopped) {
+      const inRotation = this._fleet.nodes.filter(({ name }) => (this._misses.get(name) ?? 0) < OUT_AFTER);
+      const nodes = inRotation.length > 0 ? inRotation : this._fleet.nodes;
+      const node = nodes[this._random.below(nodes.length)];
+      const kind = (['stream', 'stream', 'order', 'status'] as const)[this._random.below(4)];
+      if (node && kind) void this._call(node, kind);
+      await pause(MEAN_PAUSE_MS * 2 * this._random.next());
+    }
+  }
+
+  private async _call(node: SoakNode, kind: CallRecord['kind']): Promise<void> {
+    const id = `request-${++this._sent}`;
+    const { key } = this;
+    const { starts, stoppedAtMs } = node;
+    const sentAtMs = Date.now();
+    this._inProgress++;
+    const outcome = await this._send(node, kind, id, key);
+    this._inProgress--;
+    const endedAtMs = Date.now();
+    this.records.push({
+      id,
+      node: node.name,
+      start: starts,
+      kind,
+      key,
+      sentAtMs,
+      endedAtMs,
+      timeoutMs: TIMEOUTS_MS[kind],
+      outcome,
+      isCalm:
+        node.harmedUntilMs + CALM_AFTER_MS < sentAtMs && this._fleet.harmedUntilMs + CALM_AFTER_MS < sentAtMs,
+      isStopping: node.stoppedAtMs > stoppedAtMs || node.stoppedAtMs > sentAtMs - CALM_AFTER_MS,
+    });
+  }
+
+  private _send(node: SoakNode, kind: CallRecord['kind'], id: string, key: string): Promise<CallOutcome> {
+    let agent = this._agents.get(node.name);
+    if (!agent) {
+      agent = new Agent({ keepAlive: true });
+      this._agents.set(node.name, agent);
+    }
+    const method = kind === 'status' ? 'GET' : 'POST';
+    const headers = {
+      'Attempt-Id': id,
+      'Deadline-Ms': String(TIMEOUTS_MS[kind]),
+      Authorization: `Bearer ${key}`,
+      Model: MODEL,
+      'Token-Count': '100,40',
+    };
+    const options = { host: '127.0.0.1', port: node.front, agent, method, path: `/${kind}/${id}`, headers };
+    return new Promise((resolve) => {
+      let body = '';
+      const request = sendRequest(options, (response) => {
+        const cut = () => {
+          resolve({ kind: 'cut', body, hasBegun: true });
+        };
+        response.setEncoding('utf8');
+        response.on('data', (chunk: string) => {
+          body += chunk;
+        });
+        response.on('aborted', cut);
+        response.on('error', cut);
+        response.on('end', () => {
+          const seal = response.headers['server-seal'] as string | undefined;
+          resolve({ kind: 'answered', status: response.statusCode ?? 0, body, seal });
+        });
+      });
+      request.on('error', () => {
+        // Whatever ended the connection, the caller has no answer.
+        resolve({ kind: 'cut', body, hasBegun: false });
+      });
+      request.end(method === 'POST' ? `body-of-${id}` : undefined);
+    });
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/tests/soak/program.ts
@@ -0,0 +1,117 @@
+import { mkdtempSync, readFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join, resolve } from 'node:path';
+import { pathToFileURL } from 'node:url';
+import type { BuildOptions } from 'esbuild';
+import { build } from 'esbuild';
+
+/** A guard that is taken out of the program, to show that the soak finds its lack. */
+export interface Mutant {
+  readonly name: string;
+  /** Module below the repository's root, as compiled. */
+  readonly file: string;
+  readonly find: string;
+  readonly replace: string;
+  /** Time in which a soak must find it, in milliseconds. */
+  readonly foundWithinMs: number;
+}
+
+/** Guards that are taken out one at a time. */
+export const MUTANTS: readonly Mutant[] = [
+  {
+    name: 'orders are sent again',
+    file: 'packages/node/lib/requestRun.js',
+    find: "return kind === 'idempotent' || (kind === 'stream' && isResumable);",
+    replace: 'return true;',
+    foundWithinMs: 60_000,
+  },
+  {
+    name: 'a failure is called not run',
+    file: 'packages/node/lib/requestRun.js',
+    find: 'if (mayHaveRun)\n            this._mayHaveRun = true;',
+    replace: '',
+    foundWithinMs: 60_000,
+  },
+  {
+    name: 'a truncated answer is passed on',
+    file: 'packages/node/lib/requestRun.js',
+    find: "this._fail(attempt, 'truncated', true);\n            return;\n        }\n        this._noteEnd",
+    replace: '}\n        this._noteEnd',
+    foundWithinMs: 60_000,
+  },
+  {
+    name: 'the echo is not read',
+    file: 'packages/node/lib/requestRun.js',
+    find: 'head.requestId !== undefined && head.requestId !== this._options.caller.requestId',
+    replace: 'false',
+    foundWithinMs: 60_000,
+  },
+  {
+    name: 'a resumed stream begins anew',
+    file: 'packages/node/lib/requestRun.js',
+    find: 'lastEventId: this._lastEventId,',
+    replace: 'lastEventId: undefined,',
+    foundWithinMs: 60_000,
+  },
+  {
+    name: 'keys are trusted for ever',
+    file: 'packages/core/lib/serving/keyTrust.js',
+    find: 'return this.ageMs() < this._boundMs * TRUST_SHARE;',
+    replace: 'return true;',
+    foundWithinMs: 120_000,
+  },
+  {
+    name: 'a stop ends at once',
+    file: 'packages/node/lib/node.js',
+    find: 'await pause(BALANCER_MS);',
+    replace: 'return 0;',
+    foundWithinMs: 60_000,
+  },
+  {
+    name: 'members are used while their head serves',
+    file: 'packages/core/lib/serving/formationPlanner.js',
+    find: 'if (isHeadServing(group) || this._isLeftOver(view, group))\n            return false;',
+    replace: '',
+    foundWithinMs: 60_000,
+  },
+  {
+    name: 'groups open before they are whole',
+    file: 'packages/core/lib/serving/formationPlanner.js',
+    find: "head.membership?.state === 'ready' && isWhole(group) && isAnswering",
+    replace: "head.membership?.state === 'ready' && isAnswering",
+    foundWithinMs: 60_000,
+  },
+  {
+    name: 'leaving targets get work',
+    file: 'packages/node/lib/targetDirectory.js',
+    find: "instance.service === service.name && instance.state === 'ready'",
+    replace: 'instance.service === service.name',
+    foundWithinMs: 90_000,
+  },
+];
+
+/** Bundles the program as it is deployed, or a mutant of it, into a folder of its own. */
+export async function buildProgram(mutant?: Mutant): Promise<string> {
+  const root = process.cwd();
+  const { bundleOptions } = (await import(pathToFileURL(join(root, 'scripts/bundle/options.js')).href)) as {
+    readonly bundleOptions: BuildOptions;
+  };
+  const outfile = join(mkdtempSync(join(tmpdir(), 'monsoonreach-program-')), 'monsoonreach-node.mjs');
+  await build({ ...bundleOptions, outfile, plugins: mutant ? [toPlugin(mutant, root)] : [] });
+  return outfile;
+}
+
+function toPlugin(mutant: Mutant, root: string): NonNullable<BuildOptions['plugins']>[number] {
+  return {
+    name: 'mutant',
+    setup(builder) {
+      builder.onLoad({ filter: /\.js$/ }, ({ path }) => {
+        if (path !== resolve(root, mutant.file)) return undefined;
+        const text = readFileSync(path, 'utf8');
+        if (!text.includes(mutant.find))
+          throw new Error(`Mutant "${mutant.name}" finds no such code in ${path}.`);
+        return { contents: text.replace(mutant.find, mutant.replace), loader: 'js' };
+      });
+    },
+  };
+}
--- /dev/null
+++ b/tests/soak/soak.ts
@@ -0,0 +1,110 @@
+import { createRandom } from '@monsoonreach/core';
+import { sleep } from '../standins/http.js';
+import { Callers } from './callers.js';
+import { type FaultEvent, type FaultName, Faults } from './faults.js';
+import { type CallRecord, checkPromises, type Violation } from './promises.js';
+import { SoakFleet } from './soakFleet.js';
+
+/** How often the promises are checked while the soak runs, in milliseconds. */
+const CHECK_INTERVAL_MS = 1_000;
+/** Calm after the last fault, in milliseconds; keys and lists have recovered long before its end. */
+const SETTLE_MS = 9_000;
+/** Time at the end of the calm in which service must be as before, in milliseconds. */
+const RECOVERED_MS = 3_000;
+/** Share of requests that must be answered then; the rest are those that a stopping node ends. */
+const RECOVERED_SHARE = 0.9;
+
+/** What a soak is asked for. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly faultMs: number;
+  readonly nodes: number;
+  /** The bundled program. */
+  readonly program: string;
+  /** Faults to draw from; all of them by default. */
+  readonly faults?: readonly FaultName[];
+  /** Whether promises with a time bound are checked; not where other work may hold up this process. */
+  readonly isTimed: boolean;
+  readonly onProgress?: (line: string) => void;
+}
+
+/** What a soak found. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly violations: readonly Violation[];
+  /** Log lines of the first violation's request. */
+  readonly evidence: readonly string[];
+  readonly timeline: readonly FaultEvent[];
+  readonly calls: readonly CallRecord[];
+  readonly runs: number;
+  /** Milliseconds from the first request to the first violation. */
+  readonly violatedAfterMs: number | undefined;
+  readonly directory: string;
+}
+
+/** Runs nodes under drawn faults and checks the promises while it does; ends at the first violation. */
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+  const fleet = new SoakFleet({ nodes: options.nodes, program: options.program });
+  const random = createRandom(options.seed);
+  const startedAtMs = Date.now();
+  const callers = new Callers(fleet, createRandom(options.seed + 1));
+  const faults = new Faults(fleet, callers, random, startedAtMs, options.faults);
+  const check = () =>
+    checkPromises(
+      {
+        calls: callers.records,
+        runs: fleet.instances.runs,
+        engineFaults: fleet.instances.faults,
+        keysEndedAtMs: faults.keysEndedAtMs,
+        leavingSinceMs: faults.leavingSinceMs,
+      },
+      options.isTimed,
+    );
+  try {
+    await fleet.start();
+    callers.start('key-1');
+    const firstAtMs = Date.now();
+    let isOver = false;
+    const work = faults.run(options.faultMs).then(() => sleep(SETTLE_MS));
+    void work.then(() => {
+      isOver = true;
+    });
+    let violations: readonly Violation[] = [];
+    while (!isOver && violations.length === 0) {
+      await sleep(CHECK_INTERVAL_MS);
+      violations = check();
+      options.onProgress?.(
+        `${Math.round((Date.now() - firstAtMs) / 1_000)} s: ${callers.records.length} requests, ${faults.timeline.length} faults`,
+      );
+    }
+    const violatedAfterMs = violations.length > 0 ? Date.now() - firstAtMs : undefined;
+    if (violations.length === 0) {
+      callers.stop();
+      await sleep(RECOVERED_MS);
+      violations = [...check(), ...checkRecovery(callers.records, Date.now() - 2 * RECOVERED_MS)];
+    }
+    callers.stop();
+    const requestId = violations[0]?.requestId;
+    return {
+      seed: options.seed,
+      violations,
+      evidence: requestId === undefined ? [] : fleet.linesOf(`"${requestId}"`),
+      timeline: faults.timeline,
+      calls: callers.records,
+      runs: fleet.instances.runs.length,
+      violatedAfterMs: violatedAfterMs ?? (violations.length > 0 ? Date.now() - firstAtMs : undefined),
+      directory: fleet.directory,
+    };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function checkRecovery(calls: readonly CallRecord[], sinceMs: number): readonly Violation[] {
+  const last = calls.filter(({ sentAtMs }) => sentAtMs > sinceMs);
+  const answered = last.filter(({ outcome }) => outcome.kind === 'answered' && outcome.status === 200).length;
+  if (last.length > 0 && answered >= last.length * RECOVERED_SHARE) return [];
+  const detail = `${answered} of ${last.length} requests are answered after the last fault`;
+  const requestId = last.find(({ outcome }) => outcome.kind !== 'answered' || outcome.status !== 200)?.id;
+  return [{ promise: 'service returns', requestId, detail }];
+}
--- a/tests/support/ports.ts
+++ b/tests/support/ports.ts
@@ -3,7 +3,7 @@
 /** Ports below the range from which the system takes those of outgoing connections, and well above the known ones. */
 const FIRST_PORT = 10_000;
 const LAST_PORT = 32_000;
-/** Ports that one test process may use; test files run side by side. */
+/** Distance between the first ports of two test processes, as test files run side by side. */
 const BLOCK_SIZE = 50;
 const BLOCKS = Math.floor((LAST_PORT - FIRST_PORT) / BLOCK_SIZE);
 
@@ -24,8 +24,8 @@
 }
 
 function nextPort(): number {
-  const block = process.pid % BLOCKS;
-  return FIRST_PORT + block * BLOCK_SIZE + (taken++ % BLOCK_SIZE);
+  const offset = (process.pid % BLOCKS) * BLOCK_SIZE + taken++;
+  return FIRST_PORT + (offset % (BLOCKS * BLOCK_SIZE));
 }
 
 function isFree(port: number): Promise<boolean> {
