--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -47,6 +47,7 @@
   'plain target full',
   'plain target truncates',
   'plain target has no length',
+  'plain target resets an answer without length',
   'wrong echo',
   'target leaves',
   'configuration',
@@ -137,6 +138,8 @@
         return this._setMood(name, 'plain', 'truncates', forMs);
       case 'plain target has no length':
         return this._setMood(name, 'plain', 'unframed', forMs);
+      case 'plain target resets an answer without length':
+        return this._setMood(name, 'plain', 'resets-unframed', forMs);
       case 'wrong echo':
         return this._setMood(name, 'plain', 'wrong-echo', forMs);
       case 'target leaves':
