Reading through peers: the wait of an empty answer counts as contact; a large answer is no failure; no read without a wait

While the store was doubted a read through a peer did not wait, so that nodes asked each other without a pause (seen in a soak: four nodes at a full core each).

--- a/packages/node/src/headWatch.ts
+++ b/packages/node/src/headWatch.ts
@@ -13,6 +13,8 @@
 
 /** Pause between two questions to a head that vanished, in milliseconds. */
 const QUESTION_INTERVAL_MS = 500;
+/** Pause between two looks at the listed groups, in milliseconds; the list itself is read every 600 ms. */
+const UPDATE_INTERVAL_MS = 200;
 /** How long a head's answer is awaited, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 300;
 
@@ -28,6 +30,7 @@
 export class HeadWatch {
   private readonly _heads = new UnlistedHeads();
   private _askedAtMs = -Infinity;
+  private _updatedAtMs = -Infinity;
 
   constructor(private readonly _options: HeadWatchOptions) {}
 
@@ -47,6 +50,8 @@
   turn(): void {
     const { clock, list, configuration } = this._options;
     const nowMs = clock.monotonic();
+    if (nowMs - this._updatedAtMs < UPDATE_INTERVAL_MS) return;
+    this._updatedAtMs = nowMs;
     for (const service of configuration()?.services.values() ?? []) {
       if (service.engine) this._heads.update(observeGroups(service, list.instances.values()), nowMs);
     }
--- a/packages/node/src/keyedFollower.ts
+++ b/packages/node/src/keyedFollower.ts
@@ -1,8 +1,8 @@
 import { type Clock, pause, type Random } from '@monsoonreach/core';
 import { HistoryGoneError, type KeyedRecord, StoreUnavailableError } from '@monsoonreach/platform';
 import { type DecisionLog, describeError } from './decisionLog.js';
-import { TopicMirror, type TopicSlice } from './topicMirror.js';
-import type { TopicSources } from './topicSources.js';
+import { TopicMirror } from './topicMirror.js';
+import type { TopicAnswer, TopicSources } from './topicSources.js';
 
 /** First wait after a call that failed, in milliseconds; doubles up to the longest, with full jitter. */
 const FIRST_BACKOFF_MS = 100;
@@ -67,11 +67,10 @@
 
   /** @returns how long to pause before the next turn, in milliseconds. */
   private async _turn(): Promise<number> {
-    const sentAtMs = this._options.clock.monotonic();
     try {
-      const slice = await (this._from === undefined ? this._readAll() : this._readOn(this._from));
-      this._noteContact(sentAtMs, slice);
-      return slice.isFromPeer ? 0 : this._options.intervalMs();
+      const answer = await (this._from === undefined ? this._readAll() : this._readOn(this._from));
+      this._noteContact(answer);
+      return answer.isFromPeer ? 0 : this._options.intervalMs();
     } catch (error) {
       if (this._stopping.signal.aborted) return 0;
       if (error instanceof HistoryGoneError) {
@@ -84,29 +83,28 @@
     }
   }
 
-  private async _readAll(): Promise<TopicSlice> {
+  private async _readAll(): Promise<TopicAnswer> {
     const { sources, topic, onSnapshot } = this._options;
-    const slice = await sources.readNewest(topic);
-    onSnapshot(slice.records);
-    this.mirror.takeAll(slice.records, slice.end);
-    this._from = slice.end;
-    return slice;
+    const answer = await sources.readNewest(topic);
+    onSnapshot(answer.records);
+    this.mirror.takeAll(answer.records, answer.end);
+    this._from = answer.end;
+    return answer;
   }
 
-  private async _readOn(from: number): Promise<TopicSlice> {
+  private async _readOn(from: number): Promise<TopicAnswer> {
     const { sources, topic, onChanges } = this._options;
     // After a failure the answer itself is the news: it tells that nothing was missed.
     const { waitMs, peerWaitMs } = this._failures > 0 ? NO_WAIT : this._options;
-    const slice = await sources.read({ topic, from, waitMs, peerWaitMs, signal: this._stopping.signal });
-    this._from = from + slice.records.length;
-    if (slice.records.length > 0) onChanges(slice.records);
-    this.mirror.takeChanges(slice.records);
-    return slice;
+    const answer = await sources.read({ topic, from, waitMs, peerWaitMs, signal: this._stopping.signal });
+    this._from = from + answer.records.length;
+    if (answer.records.length > 0) onChanges(answer.records);
+    this.mirror.takeChanges(answer.records);
+    return answer;
   }
 
-  private _noteContact(sentAtMs: number, { ageMs, regainedMs }: TopicSlice): void {
+  private _noteContact({ contactAtMs, regainedMs }: TopicAnswer): void {
     const { clock, log, topic, onContact } = this._options;
-    const contactAtMs = sentAtMs - ageMs;
     if (regainedMs !== undefined) {
       this._regainedAtMs = Math.max(this._regainedAtMs, clock.monotonic() - regainedMs);
     }
--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -10,8 +10,10 @@
 import type { PlacementAsk, PlacementGrant, PlacementMessage } from './placementMessages.js';
 
 /** How long an answer is awaited before this node chooses by itself, in milliseconds; ten times the way and back. */
-const ANSWER_TIMEOUT_MS = 30;
-/** How long a node that did not answer is not asked again, in milliseconds; a restart takes about as long. */
+const ANSWER_TIMEOUT_MS = 40;
+/** Answers in a row that must be missed before a node is doubted; a datagram or two may be lost. */
+const DOUBT_AFTER = 3;
+/** How long a doubted node is not asked again, in milliseconds; a restart takes about as long. */
 const DOUBT_MS = 500;
 /** How long changes of this node's own figures are gathered before they are told, in milliseconds; a pass of a batch. */
 const TELL_DELAY_MS = 50;
@@ -71,6 +73,7 @@
   private readonly _open = new Map<number, OpenAsk>();
   private _lastAsk = 0;
   private _sequence = 0;
+  private _misses = 0;
   private _doubted: { readonly address: string; readonly untilMs: number } | undefined;
   private _tellTimer: NodeJS.Timeout | undefined;
   private _toldAtMs = -Infinity;
@@ -151,10 +154,12 @@
     this._open.delete(ask);
     const { clock, counters, log } = this._options;
     counters.add('monsoonreach_placements_unanswered_total');
-    if (this._doubted?.address !== open.coordinator || this._doubted.untilMs <= clock.monotonic()) {
+    this._misses++;
+    if (this._misses >= DOUBT_AFTER) {
+      this._misses = 0;
+      this._doubted = { address: open.coordinator, untilMs: clock.monotonic() + DOUBT_MS };
       log.info('places are chosen alone', { coordinator: open.coordinator, forMs: DOUBT_MS });
     }
-    this._doubted = { address: open.coordinator, untilMs: clock.monotonic() + DOUBT_MS };
     open.take(this._chooseHere(open.need, false));
   }
 
@@ -199,6 +204,7 @@
     if (!open) return;
     this._open.delete(grant.ask);
     clearTimeout(open.timer);
+    this._misses = 0;
     this._options.counters.add('monsoonreach_placements_total', { by: 'answer' });
     open.take(this._toChoice(open.need, grant));
   }
--- a/packages/node/src/topicMessages.ts
+++ b/packages/node/src/topicMessages.ts
@@ -26,7 +26,7 @@
 /** @throws Error when the text is no slice. */
 export function decodeSlice(text: string): TopicSlice {
   const { records, regainedMs, ...rest } = sliceSchema.parse(JSON.parse(text));
-  return { ...rest, records: records.map(toRecord), regainedMs, isFromPeer: true };
+  return { ...rest, records: records.map(toRecord), regainedMs };
 }
 
 function toRecord([key, value]: readonly [string, string | null]): KeyedRecord {
--- a/packages/node/src/topicMirror.ts
+++ b/packages/node/src/topicMirror.ts
@@ -13,8 +13,6 @@
   readonly ageMs: number;
   /** Milliseconds since the source reached the store again after it could not; undefined if it always could. */
   readonly regainedMs: number | undefined;
-  /** Whether a peer was the source. */
-  readonly isFromPeer: boolean;
 }
 
 /** What a node has read of a keyed topic, for its peers. */
@@ -80,7 +78,7 @@
   private _slice(records: readonly KeyedRecord[], end: number): TopicSlice {
     const nowMs = this._clock.monotonic();
     const regainedMs = this._regainedAtMs === undefined ? undefined : nowMs - this._regainedAtMs;
-    return { records, end, ageMs: nowMs - this._contactAtMs, regainedMs, isFromPeer: false };
+    return { records, end, ageMs: nowMs - this._contactAtMs, regainedMs };
   }
 
   private _wake(): void {
--- a/packages/node/src/topicSources.ts
+++ b/packages/node/src/topicSources.ts
@@ -10,14 +10,14 @@
   createConnector,
   decodeKeyedRecord,
   HistoryGoneError,
+  type KeyedRecord,
   type StoreClient,
   StoreUnavailableError,
 } from '@monsoonreach/platform';
 import { Agent, request } from 'undici';
 import { type DecisionLog, describeError } from './decisionLog.js';
 import { decodeSlice } from './topicMessages.js';
-import type { TopicSlice } from './topicMirror.js';
-import { GONE_STATUS } from './topicServer.js';
+import { GONE_STATUS, TOO_LARGE_STATUS } from './topicServer.js';
 
 /** Longest wait for a connection to a peer, in milliseconds; many times the way between failure domains. */
 const CONNECT_TIMEOUT_MS = 150;
@@ -25,6 +25,8 @@
 const ANSWER_TIMEOUT_MS = 300;
 /** How long a peer that failed is not asked again, in milliseconds; about the time in which a lost peer is found out. */
 const DOUBT_MS = 2_000;
+/** How long a read through a peer waits for the first change while the store is doubted, in milliseconds. */
+const INSTEAD_WAIT_MS = 300;
 /** How long a store that failed is not asked while a peer can reach it, in milliseconds. */
 const STORE_DOUBT_MS = 2_000;
 /** Greatest age of what a peer has, in milliseconds; a reader hears from the store at least every 1.3 s. */
@@ -35,6 +37,9 @@
   readonly code = 'peer-read';
 }
 
+/** A peer has more to tell than it does over its link where the store can be asked. */
+class LargeAnswerError extends PeerReadError {}
+
 /** A peer that can be read through. */
 export interface ReadablePeer extends ReaderCandidate {
   readonly address: string;
@@ -51,6 +56,18 @@
   readonly signal: AbortSignal;
 }
 
+/** What was read. */
+export interface TopicAnswer {
+  readonly records: readonly KeyedRecord[];
+  /** Offset after the last change. */
+  readonly end: number;
+  /** Monotonic time at which this was the newest. */
+  readonly contactAtMs: number;
+  /** Milliseconds since the peer that was asked reached the store again. */
+  readonly regainedMs?: number | undefined;
+  readonly isFromPeer: boolean;
+}
+
 /** What sources are made of. */
 export interface TopicSourcesOptions {
   readonly node: string;
@@ -77,17 +94,18 @@
   constructor(private readonly _options: TopicSourcesOptions) {}
 
   /** @throws StoreUnavailableError when neither the store nor a peer answers. */
-  async readNewest(topic: string): Promise<TopicSlice> {
+  async readNewest(topic: string): Promise<TopicAnswer> {
     try {
+      const contactAtMs = this._options.clock.monotonic();
       const { records, end } = await this._options.store.readNewest(topic);
-      return { records, end, ageMs: 0, regainedMs: undefined, isFromPeer: false };
+      return { records, end, contactAtMs, isFromPeer: false };
     } catch (error) {
       return this._readInstead(error, `/topics/${topic}?whole`, 0);
     }
   }
 
   /** @throws StoreUnavailableError, HistoryGoneError */
-  async read(options: TopicRead): Promise<TopicSlice> {
+  async read(options: TopicRead): Promise<TopicAnswer> {
     const reader = this._options.isDirect() ? undefined : this._peer(chooseReader(this._view()));
     if (reader) {
       try {
@@ -95,49 +113,46 @@
         return await this._ask(reader, toPath({ ...options, waitMs: peerWaitMs }), peerWaitMs);
       } catch (error) {
         if (!(error instanceof PeerReadError)) throw error;
-        this._noteDoubt(reader, error);
+        if (!(error instanceof LargeAnswerError)) this._noteDoubt(reader, error);
       }
     }
     return this._readStore(options);
   }
 
-  private async _readStore(options: TopicRead): Promise<TopicSlice> {
+  private async _readStore(options: TopicRead): Promise<TopicAnswer> {
     const { store, clock } = this._options;
-    const path = `${toPath({ ...options, waitMs: 0 })}&whole`;
+    const path = `${toPath({ ...options, waitMs: INSTEAD_WAIT_MS })}&whole`;
     if (clock.monotonic() < this._storeDoubtedUntilMs) {
       const peer = this._peer(freshestPeer(this._view(), MAX_PEER_AGE_MS));
-      if (peer) return this._askOrDoubt(peer, path);
+      if (peer) return this._askOrDoubt(peer, path, INSTEAD_WAIT_MS);
     }
     try {
+      const sentAtMs = clock.monotonic();
       const { records, end } = await store.read(options);
       this._storeDoubtedUntilMs = -Infinity;
-      return {
-        records: records.map(decodeKeyedRecord),
-        end,
-        ageMs: 0,
-        regainedMs: undefined,
-        isFromPeer: false,
-      };
+      // The store answers with nothing only when it has waited that long.
+      const contactAtMs = sentAtMs + (records.length === 0 ? options.waitMs : 0);
+      return { records: records.map(decodeKeyedRecord), end, contactAtMs, isFromPeer: false };
     } catch (error) {
       if (!(error instanceof StoreUnavailableError) || options.signal.aborted) throw error;
-      return this._readInstead(error, path, STORE_DOUBT_MS);
+      return this._readInstead(error, path, INSTEAD_WAIT_MS);
     }
   }
 
   /** The store has failed: a peer may reach it. */
-  private async _readInstead(error: unknown, path: string, doubtMs: number): Promise<TopicSlice> {
+  private async _readInstead(error: unknown, path: string, waitMs: number): Promise<TopicAnswer> {
     if (!(error instanceof StoreUnavailableError)) throw error;
     const peer = this._peer(freshestPeer(this._view(), MAX_PEER_AGE_MS));
     if (!peer) throw error;
-    const slice = await this._askOrDoubt(peer, path);
-    this._storeDoubtedUntilMs = this._options.clock.monotonic() + doubtMs;
+    const answer = await this._askOrDoubt(peer, path, waitMs);
+    this._storeDoubtedUntilMs = this._options.clock.monotonic() + STORE_DOUBT_MS;
     this._options.log.info('store read through a peer', { peer: peer.node, error: describeError(error) });
-    return slice;
+    return answer;
   }
 
-  private async _askOrDoubt(peer: ReadablePeer, path: string): Promise<TopicSlice> {
+  private async _askOrDoubt(peer: ReadablePeer, path: string, waitMs: number): Promise<TopicAnswer> {
     try {
-      return await this._ask(peer, path, 0);
+      return await this._ask(peer, path, waitMs);
     } catch (error) {
       if (!(error instanceof PeerReadError)) throw error;
       this._noteDoubt(peer, error);
@@ -145,16 +160,17 @@
     }
   }
 
-  private async _ask(peer: ReadablePeer, path: string, waitMs: number): Promise<TopicSlice> {
+  private async _ask(peer: ReadablePeer, path: string, waitMs: number): Promise<TopicAnswer> {
     this._options.counters.add('monsoonreach_topic_reads_total', { from: 'peer' });
+    const sentAtMs = this._options.clock.monotonic();
     const answer = await this._call(peer, path, waitMs);
     if (answer.status === GONE_STATUS) throw new HistoryGoneError(0);
+    if (answer.status === TOO_LARGE_STATUS) throw new LargeAnswerError(`Peer ${peer.node} has much to tell.`);
     if (answer.status !== 200) throw new PeerReadError(`Peer ${peer.node} answered ${answer.status}.`);
-    const slice = decodeSlice(answer.text);
-    if (slice.ageMs <= MAX_PEER_AGE_MS) return slice;
-    throw new PeerReadError(
-      `Peer ${peer.node} has not heard from the store for ${Math.round(slice.ageMs)} ms.`,
-    );
+    const { records, end, ageMs, regainedMs } = decodeSlice(answer.text);
+    const contactAtMs = sentAtMs - ageMs;
+    if (ageMs <= MAX_PEER_AGE_MS) return { records, end, contactAtMs, regainedMs, isFromPeer: true };
+    throw new PeerReadError(`Peer ${peer.node} has not heard from the store for ${Math.round(ageMs)} ms.`);
   }
 
   private async _call(
