--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -7,11 +7,11 @@
 /** How often a node tells its peers how it stands, in milliseconds; a fraction of the time a request takes. */
 const INTERVAL_MS = 200;
 /** Peers that are told in one interval, so that a node's share of the traffic does not grow with the fleet. */
-const FANOUT = 6;
+const FANOUT = 4;
 /** How long a peer may be silent before it counts as lost, in milliseconds; several intervals and a lost datagram or two. */
 const MIN_PEER_LIFE_MS = 1_500;
-/** The same where a peer tells only some of many nodes each interval, in times of its turn coming round. */
-const PEER_LIFE_TURNS = 3;
+/** The same where a peer tells only some of many nodes each interval, in turns of the round; one may be lost. */
+const PEER_LIFE_TURNS = 2.5;
 /** How long nobody may have heard of the planner before another node plans, in milliseconds; news pass all nodes in a second. */
 const PLANNER_LIFE_MS = 1_400;
 /** How long a silent peer is remembered and now and then told, in milliseconds. */
@@ -86,6 +86,8 @@
   private readonly _addresses = new Map<string, { heardAtMs: number }>();
   private _planner: PlannerSighting | undefined;
   private _sequence = 0;
+  /** Addresses whose turn is still to come. */
+  private _round: readonly string[] = [];
   private _timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly _options: PeerExchangeOptions) {}
@@ -148,7 +150,7 @@
     this._socket.close();
   }
 
-  /** Tells some of the peers now. */
+  /** Tells the peers whose turn it is. */
   tell(): void {
     this._send(this._chooseAddresses());
   }
@@ -212,18 +214,25 @@
     if (isNewer || (sighting.term === known.term && sighting.atMs > known.atMs)) this._planner = sighting;
   }
 
+  /** The next addresses of a round in which each gets its turn, in an order drawn anew each round. */
   private _chooseAddresses(): readonly string[] {
-    const { clock, random } = this._options;
-    const nowMs = clock.monotonic();
+    const nowMs = this._options.clock.monotonic();
     for (const [address, { heardAtMs }] of this._addresses) {
       if (nowMs - heardAtMs > PEER_MEMORY_MS) this._addresses.delete(address);
     }
+    if (this._round.length < FANOUT) this._round = [...this._round, ...this._shuffle()];
+    const chosen = new Set(this._round.slice(0, FANOUT));
+    this._round = this._round.slice(FANOUT);
+    return [...chosen].filter((address) => this._addresses.has(address));
+  }
+
+  private _shuffle(): readonly string[] {
     const all = [...this._addresses.keys()];
     for (let at = all.length - 1; at > 0; at--) {
-      const other = random.below(at + 1);
+      const other = this._options.random.below(at + 1);
       [all[at], all[other]] = [all[other] ?? '', all[at] ?? ''];
     }
-    return all.slice(0, FANOUT);
+    return all;
   }
 
   private _take(message: Buffer): void {
@@ -243,9 +252,10 @@
     const known = this._peers.get(digest.node)?.digest;
     if (known?.incarnation === digest.incarnation && known.sequence >= digest.sequence) return;
     const heardAtMs = this._options.clock.monotonic();
-    if (known?.incarnation !== digest.incarnation) {
-      this._options.log.info('peer met', { peer: digest.node, incarnation: digest.incarnation });
+    if (known && known.incarnation !== digest.incarnation) {
+      this._options.log.info('peer restarted', { peer: digest.node, incarnation: digest.incarnation });
     }
+    if (!known) this._options.counters.add('monsoonreach_peers_met_total');
     this._peers.set(digest.node, { digest, heardAtMs });
     this._remember(digest.address);
     this._noteEnd(digest);
