--- a/packages/core/src/serving/topicReaders.ts
+++ b/packages/core/src/serving/topicReaders.ts
@@ -9,6 +9,8 @@
   readonly failureDomain: string;
   /** Milliseconds since it last heard from the store. */
   readonly storeAgeMs: number;
+  /** Whether it reads the store itself. */
+  readonly isFirstHand: boolean;
 }
 
 /** What a node knows when it chooses where to read. */
@@ -37,12 +39,14 @@
   return placeByRendezvous(node, usable, { count: 1 })[0];
 }
 
-/** The peer that heard from the store last, for a node that the store turns away. */
+/** The peer that reads the store itself and heard from it last, for a node that the store turns away. */
 export function freshestPeer(
   { peers, doubted }: Pick<ReaderView, 'peers' | 'doubted'>,
   maxAgeMs: number,
 ): string | undefined {
-  const usable = peers.filter(({ node, storeAgeMs }) => !doubted.has(node) && storeAgeMs <= maxAgeMs);
+  const usable = peers.filter(
+    ({ node, storeAgeMs, isFirstHand }) => isFirstHand && !doubted.has(node) && storeAgeMs <= maxAgeMs,
+  );
   const [freshest] = [...usable].sort((a, b) => a.storeAgeMs - b.storeAgeMs);
   return freshest?.node;
 }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,6 +1,7 @@
 export * from './decisionLog.js';
 export * from './headWatch.js';
 export * from './instanceList.js';
+export * from './keyedFollower.js';
 export * from './node.js';
 export * from './peerExchange.js';
 export * from './placement.js';
@@ -8,3 +9,6 @@
 export * from './planning.js';
 export * from './settings.js';
 export * from './targetConnections.js';
+export * from './topicMirror.js';
+export * from './topicServer.js';
+export * from './topicSources.js';
--- a/packages/node/src/keyedFollower.ts
+++ b/packages/node/src/keyedFollower.ts
@@ -103,7 +103,7 @@
     return answer;
   }
 
-  private _noteContact({ contactAtMs, regainedMs }: TopicAnswer): void {
+  private _noteContact({ contactAtMs, regainedMs, isFromPeer }: TopicAnswer): void {
     const { clock, log, topic, onContact } = this._options;
     if (regainedMs !== undefined) {
       this._regainedAtMs = Math.max(this._regainedAtMs, clock.monotonic() - regainedMs);
@@ -113,7 +113,8 @@
       log.info('store regained', { topic, failures: this._failures });
     }
     this._failures = 0;
-    this.mirror.confirm(contactAtMs, Number.isFinite(this._regainedAtMs) ? this._regainedAtMs : undefined);
+    const regainedAtMs = Number.isFinite(this._regainedAtMs) ? this._regainedAtMs : undefined;
+    this.mirror.confirm(contactAtMs, regainedAtMs, !isFromPeer);
     onContact?.(contactAtMs);
   }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -207,6 +207,7 @@
           address: digest.address,
           failureDomain: digest.failureDomain,
           storeAgeMs: digest.storeAgeMs + this._clock.monotonic() - heardAtMs,
+          isFirstHand: digest.isFirstHand,
         })),
       isDirect: () => this._planning.term !== undefined,
     });
@@ -389,6 +390,7 @@
     return {
       failureDomain: this._settings.node['failure-domain'],
       storeAgeMs,
+      isFirstHand: this._configurationFollower.mirror.isFirstHand && this._listFollower.mirror.isFirstHand,
       version: this._table?.configuration.version ?? -1,
       isLeaving: this._front.isDraining,
       loads: Object.fromEntries([...this._loads.own()].map(([key, load]) => [key, [...load]])),
--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -26,6 +26,8 @@
   sequence: z.number(),
   /** Milliseconds since the sender last heard from the store. */
   storeAgeMs: z.number(),
+  /** Whether the sender reads the store itself, so that others may read through it. */
+  isFirstHand: z.boolean(),
   version: z.number(),
   /** The last planner that the sender knows of, itself or another node. */
   planner: z
--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -9,7 +9,7 @@
 import type { DecisionLog } from './decisionLog.js';
 import type { PlacementAsk, PlacementGrant, PlacementMessage } from './placementMessages.js';
 
-/** How long an answer is awaited before this node chooses by itself, in milliseconds; ten times the way and back. */
+/** How long an answer is awaited by default, in milliseconds; ten times the way and back. */
 const ANSWER_TIMEOUT_MS = 40;
 /** Answers in a row that must be missed before a node is doubted; a datagram or two may be lost. */
 const DOUBT_AFTER = 3;
@@ -49,6 +49,8 @@
   readonly counters: Counters;
   readonly log: DecisionLog;
   readonly loads: LoadBook;
+  /** How long an answer is awaited before this node chooses by itself, in milliseconds; 40 by default. */
+  readonly answerTimeoutMs?: number;
   /** Address of the node that gives places; `self` where this node does. */
   readonly coordinator: () => 'self' | string | undefined;
   readonly send: (address: string, message: PlacementMessage) => void;
@@ -90,7 +92,7 @@
     const ask = ++this._lastAsk;
     const timer = setTimeout(() => {
       this._giveUp(ask);
-    }, ANSWER_TIMEOUT_MS);
+    }, this._options.answerTimeoutMs ?? ANSWER_TIMEOUT_MS);
     this._open.set(ask, { need, coordinator, take, timer });
     this._options.send(coordinator, {
       kind: 'ask',
--- a/packages/node/src/topicMirror.ts
+++ b/packages/node/src/topicMirror.ts
@@ -22,6 +22,7 @@
   private _end: number | undefined;
   private _contactAtMs = -Infinity;
   private _regainedAtMs: number | undefined;
+  private _isFirstHand = false;
   private readonly _waiting = new Set<() => void>();
 
   constructor(private readonly _clock: Clock) {}
@@ -31,6 +32,11 @@
     return this._contactAtMs;
   }
 
+  /** Whether this node itself has read the store for it, so that peers may read through this node. */
+  get isFirstHand(): boolean {
+    return this._isFirstHand;
+  }
+
   /** Takes all records, up to the offset `end`. */
   takeAll(records: readonly KeyedRecord[], end: number): void {
     this._newest.clear();
@@ -53,7 +59,8 @@
   }
 
   /** What was taken was the newest at this monotonic time. */
-  confirm(contactAtMs: number, regainedAtMs: number | undefined): void {
+  confirm(contactAtMs: number, regainedAtMs: number | undefined, isFirstHand: boolean): void {
+    this._isFirstHand = isFirstHand;
     this._contactAtMs = Math.max(this._contactAtMs, contactAtMs);
     this._regainedAtMs = regainedAtMs;
   }
--- a/packages/node/src/topicServer.ts
+++ b/packages/node/src/topicServer.ts
@@ -11,6 +11,8 @@
 
 /** Status of an answer that the peer had better read from the store. */
 export const TOO_LARGE_STATUS = 413;
+/** Status of an answer of a node that reads through another itself; two that did so of each other would learn nothing. */
+export const SECOND_HAND_STATUS = 409;
 /** Status of an answer to a peer that reads from before what is kept. */
 export const GONE_STATUS = 410;
 
@@ -49,6 +51,7 @@
     try {
       const slice = await readSlice(mirror, query);
       if (!slice) return [404, ''];
+      if (!mirror.isFirstHand) return [SECOND_HAND_STATUS, ''];
       const text = encodeSlice(slice);
       const isTooLarge = text.length > MAX_ANSWER_BYTES && !query.has('whole');
       return isTooLarge ? [TOO_LARGE_STATUS, ''] : [200, text];
--- a/tests/node/planning.test.ts
+++ b/tests/node/planning.test.ts
@@ -27,6 +27,7 @@
     describe: () => ({
       failureDomain: 'zone-1',
       storeAgeMs: 0,
+      isFirstHand: true,
       version: 1,
       isLeaving: false,
       loads: {},
--- /dev/null
+++ b/tests/node/topicSources.test.ts
@@ -0,0 +1,171 @@
+import { Counters, createRandom, systemClock } from '@monsoonreach/core';
+import { DecisionLog, KeyedFollower, type ReadablePeer, TopicServer, TopicSources } from '@monsoonreach/node';
+import { StoreClient } from '@monsoonreach/platform';
+import t from 'tap';
+import { StoreStandin } from '../platform/storeStandin.js';
+import { sleep } from '../standins/http.js';
+import { findFreePorts } from '../support/ports.js';
+
+const TOPIC = 'keyed.test';
+const DOMAIN = 'zone-1';
+
+/** A node that follows one topic and tells it to its peers. */
+class Node {
+  readonly values = new Map<string, string>();
+  peers: () => readonly ReadablePeer[] = () => [];
+  contactAtMs = -Infinity;
+  readonly counters = new Counters();
+  private readonly _follower: KeyedFollower;
+  private readonly _server: TopicServer;
+
+  constructor(
+    readonly name: string,
+    readonly address: string,
+    readonly store: StoreStandin,
+    storeAddress: string,
+  ) {
+    const log = new DecisionLog(name, 'hidden', systemClock, this.counters);
+    const sources = new TopicSources({
+      node: name,
+      failureDomain: DOMAIN,
+      store: new StoreClient(storeAddress),
+      clock: systemClock,
+      counters: this.counters,
+      log,
+      peers: () => this.peers(),
+      isDirect: () => false,
+    });
+    const take = (records: readonly { readonly key: string; readonly value: Uint8Array | undefined }[]) => {
+      for (const { key, value } of records) this.values.set(key, Buffer.from(value ?? []).toString('utf8'));
+    };
+    this._follower = new KeyedFollower({
+      topic: TOPIC,
+      sources,
+      clock: systemClock,
+      random: createRandom(1),
+      log,
+      waitMs: 300,
+      peerWaitMs: 300,
+      intervalMs: () => 0,
+      onSnapshot: take,
+      onChanges: take,
+      onContact: (atMs) => {
+        this.contactAtMs = atMs;
+      },
+    });
+    this._server = new TopicServer(address, new Map([[TOPIC, this._follower.mirror]]), this.counters);
+  }
+
+  async start(): Promise<void> {
+    await this._server.start();
+    void this._follower.run();
+  }
+
+  stop(): void {
+    this._follower.stop();
+  }
+
+  toPeer(): ReadablePeer {
+    const { isFirstHand, contactAtMs } = this._follower.mirror;
+    const storeAgeMs = systemClock.monotonic() - contactAtMs;
+    return { node: this.name, failureDomain: DOMAIN, address: this.address, storeAgeMs, isFirstHand };
+  }
+}
+
+/** Stores that hold the same, one for each node, so that a test can fail one node's. */
+async function createFleet(size: number) {
+  const [port = 0, ...more] = await findFreePorts(size);
+  const stores: StoreStandin[] = [];
+  const nodes: Node[] = [];
+  for (const [index, own] of [port, ...more].entries()) {
+    const store = new StoreStandin();
+    const address = await store.start();
+    stores.push(store);
+    nodes.push(new Node(`node-${index}`, `127.0.0.1:${own}`, store, address));
+  }
+  for (const node of nodes) {
+    node.peers = () => nodes.filter((peer) => peer !== node).map((peer) => peer.toPeer());
+  }
+  const put = (key: string, value: string) => {
+    for (const store of stores) store.put(TOPIC, key, value);
+  };
+  put('a', '1');
+  for (const node of nodes) await node.start();
+  await sleep(500);
+  const stop = () => {
+    for (const node of nodes) node.stop();
+    for (const store of stores) store.stop();
+  };
+  return { nodes, put, stop };
+}
+
+const json = (text: string) => JSON.stringify(text);
+
+void t.test(
+  'load pattern: of three nodes of a failure domain one reads the store, and all have each change',
+  async (t) => {
+    const { nodes, put, stop } = await createFleet(3);
+    t.teardown(stop);
+    const before = nodes.map(({ store }) => store.calls);
+    put('a', '2');
+    await sleep(300);
+    put('b', '3');
+    await sleep(1_200);
+    t.equal(nodes.filter(({ store }, index) => store.calls - (before[index] ?? 0) > 1).length, 1);
+    for (const { values } of nodes)
+      t.same(
+        [...values],
+        [
+          ['a', json('2')],
+          ['b', json('3')],
+        ],
+      );
+  },
+);
+
+const failures = [
+  { name: 'turned away with 503', mood: 'busy' },
+  { name: 'without an answer', mood: 'silent' },
+] as const;
+
+for (const { name, mood } of failures) {
+  void t.test(
+    `a node whose store is ${name} has each change through a peer, and stays in touch`,
+    async (t) => {
+      const { nodes, put, stop } = await createFleet(3);
+      t.teardown(stop);
+      const reader = [...nodes].sort((a, b) => b.store.calls - a.store.calls)[0];
+      if (!reader) throw new Error('One of the nodes reads.');
+      reader.store.mood = mood;
+      await sleep(2_500);
+      put('a', '4');
+      await sleep(1_000);
+      for (const { values } of nodes) t.equal(values.get('a'), json('4'));
+      for (const { contactAtMs } of nodes) t.ok(systemClock.monotonic() - contactAtMs < 2_500);
+    },
+  );
+}
+
+void t.test(
+  'a node asks the store when the node that reads for it is gone, or has nothing new',
+  async (t) => {
+    const { nodes, put, stop } = await createFleet(2);
+    t.teardown(stop);
+    for (const node of nodes) {
+      const lost = { node: 'node-x', failureDomain: DOMAIN, address: '127.0.0.1:9', storeAgeMs: 0 };
+      node.peers = () => [{ ...lost, isFirstHand: true }];
+    }
+    put('a', '5');
+    await sleep(1_000);
+    for (const { values } of nodes) t.equal(values.get('a'), json('5'));
+  },
+);
+
+void t.test('an answer that is too large for a narrow link is read from the store', async (t) => {
+  const { nodes, put, stop } = await createFleet(2);
+  t.teardown(stop);
+  put('large', 'x'.repeat(100_000));
+  await sleep(1_000);
+  for (const { values } of nodes) t.equal(values.get('large')?.length, 100_002);
+  t.teardown(() => setTimeout(() => process.exit(), 100));
+});
