--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -301,7 +301,8 @@
   private async _run(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readText(request);
     const requestId = String(request.headers['attempt-id']);
-    if (this._state === 'draining' || this.mood === 'full' || (this._group && this._group.state !== 'open')) {
+    // A target that is leaving still runs what reaches it.
+    if (this.mood === 'full' || (this._group && this._group.state !== 'open')) {
       response.writeHead(503, { 'Not-Executed': '1', 'Attempt-Id': requestId }).end();
       return;
     }
