Drop what nothing reads: a verdict of the load book, counts and a start number in the soak, a second sleep

No behaviour is meant to change: the value that learnTold returned had no reader, Callers had its own copy of the stand-ins' sleep, and the soak kept a number of starts and of requests in progress that no check used. Tests keep their assertions.

--- a/packages/core/src/serving/loadBook.ts
+++ b/packages/core/src/serving/loadBook.ts
@@ -89,17 +89,16 @@
     this._peers.set(peer, { atMs, source: 'spread', incarnation, sequence, loads, grants: new Map() });
   }
 
-  /** Takes in what a peer tells this node itself; false when it told something newer before. */
-  learnTold(peer: string, told: ToldLoads, atMs: number): boolean {
+  /** Takes in what a peer tells this node itself, unless it told something newer before. */
+  learnTold(peer: string, told: ToldLoads, atMs: number): void {
     const before = this._peers.get(peer);
     const isSameStart = before?.incarnation === told.incarnation;
-    if (isSameStart && before.sequence >= told.sequence) return false;
+    if (isSameStart && before.sequence >= told.sequence) return;
     const open = new Set(told.openAsks);
     const grants = isSameStart ? before.grants : new Map<number, Grant>();
     for (const ask of grants.keys()) if (ask <= told.lastAsk && !open.has(ask)) grants.delete(ask);
     const { incarnation, sequence, loads } = told;
     this._peers.set(peer, { atMs, source: 'told', incarnation, sequence, loads, grants });
-    return true;
   }
 
   /** Counts a place that a peer is given until its own figures show it. */
--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -165,11 +165,11 @@
     open.take(this._chooseHere(open.need, false));
   }
 
-  private _learn(message: Exclude<PlacementMessage, PlacementGrant>): boolean {
+  private _learn(message: Exclude<PlacementMessage, PlacementGrant>): void {
     const { node, incarnation, sequence, lastAsk, openAsks } = message;
     const loads = new Map(Object.entries(message.loads));
     const told = { incarnation, sequence, lastAsk, openAsks, loads };
-    return this._options.loads.learnTold(node, told, this._options.clock.monotonic());
+    this._options.loads.learnTold(node, told, this._options.clock.monotonic());
   }
 
   private _answer(ask: PlacementAsk): void {
--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -1,6 +1,7 @@
 import { Agent, request as sendRequest } from 'node:http';
 import type { Random } from '@monsoonreach/core';
 import { MODEL } from '../platform/platformFleet.js';
+import { sleep } from '../standins/http.js';
 import type { CallOutcome, CallRecord } from './promises.js';
 import type { SoakFleet, SoakNode } from './soakFleet.js';
 
@@ -22,7 +23,6 @@
   private readonly _agents = new Map<string, Agent>();
   private readonly _misses = new Map<string, number>();
   private _sent = 0;
-  private _inProgress = 0;
   private _isStopped = false;
 
   constructor(
@@ -30,10 +30,6 @@
     private readonly _random: Random,
   ) {}
 
-  get inProgress(): number {
-    return this._inProgress;
-  }
-
   start(key: string): void {
     this.key = key;
     void this._balance();
@@ -52,7 +48,7 @@
           this._misses.set(node.name, isReady ? 0 : (this._misses.get(node.name) ?? 0) + 1);
         }),
       );
-      await pause(BALANCER_INTERVAL_MS);
+      await sleep(BALANCER_INTERVAL_MS);
     }
   }
 
@@ -63,23 +59,20 @@
       const node = nodes[this._random.below(nodes.length)];
       const kind = (['stream', 'stream', 'order', 'status'] as const)[this._random.below(4)];
       if (node && kind) void this._call(node, kind);
-      await pause(MEAN_PAUSE_MS * 2 * this._random.next());
+      await sleep(MEAN_PAUSE_MS * 2 * this._random.next());
     }
   }
 
   private async _call(node: SoakNode, kind: CallRecord['kind']): Promise<void> {
     const id = `request-${++this._sent}`;
     const { key } = this;
-    const { starts, stoppedAtMs } = node;
+    const { stoppedAtMs } = node;
     const sentAtMs = Date.now();
-    this._inProgress++;
     const outcome = await this._send(node, kind, id, key);
-    this._inProgress--;
     const endedAtMs = Date.now();
     this.records.push({
       id,
       node: node.name,
-      start: starts,
       kind,
       key,
       sentAtMs,
@@ -132,7 +125,3 @@
     });
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/tests/soak/promises.test.ts
+++ b/tests/soak/promises.test.ts
@@ -10,7 +10,6 @@
   return {
     id: 'call-1',
     node: 'node-1',
-    start: 1,
     kind: 'order',
     key: 'key-1',
     sentAtMs: SENT_AT_MS,
--- a/tests/soak/promises.ts
+++ b/tests/soak/promises.ts
@@ -5,8 +5,6 @@
 export interface CallRecord {
   readonly id: string;
   readonly node: string;
-  /** Start of the node's process that took it. */
-  readonly start: number;
   readonly kind: 'order' | 'status' | 'stream';
   readonly key: string;
   readonly sentAtMs: number;
--- a/tests/soak/soakFleet.ts
+++ b/tests/soak/soakFleet.ts
@@ -30,8 +30,6 @@
   /** Between the node and the store. */
   readonly storeLink: FaultProxy;
   child: ChildProcess | undefined;
-  /** Counts its starts. */
-  starts: number;
   /** Until when the node itself, its links or its store are harmed, and a while longer; wall-clock milliseconds. */
   harmedUntilMs: number;
   /** When it was last told to stop; wall-clock milliseconds. */
@@ -92,7 +90,6 @@
     const args = ['--max-old-space-size=128', '--import', preload, this._options.program, node.settings];
     const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
     node.child = child;
-    node.starts++;
     const log = createWriteStream(node.log, { flags: 'a' });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
@@ -175,7 +172,7 @@
       settingsText({ name, domain, store, front, readiness, peers, metrics, log: 'json' }),
     );
     const log = join(this.directory, `${name}.log`);
-    const times = { starts: 0, harmedUntilMs: 0, stoppedAtMs: 0 };
+    const times = { harmedUntilMs: 0, stoppedAtMs: 0 };
     return { name, front, readiness, metrics, settings, log, storeLink, child: undefined, ...times };
   }
 
