Planning: instances keep their weights, models are divided by the groups that survive losses

Ruled out: detection (a lost member was found within 0.7 s each time) and the rate of loads (never used up).

Change: groups are formed only of instances that have the model's weights; the rest of a lost group stays as spares. An instance without weights gets the model that gains most by the number of groups expected to survive losses, also while one domain is out; an idle one is loaded with another model's weights only where that saves a fifth of the cost. Nothing is loaded in a domain while instances are still coming back. Names of groups hold the model, so that a planner that takes over does not restart loads. A node that starts later than the system knows that there is traffic (first-start), so that loads are limited. Settings: a bound may be a fraction.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -1,4 +1,6 @@
 import { layOutGroups } from './groupLayout.js';
+import { createGroupName, createStandbyName, findModelOfGroup } from './groupName.js';
+import { findLoadingModel, findUsedModel, ModelAssignment } from './modelAssignment.js';
 import { groupId, isHeadServing, isWhole, type ObservedGroup, observeGroups } from './observedGroups.js';
 import type { ModelProfile, ServingService } from './servingConfiguration.js';
 import type { TargetInstance } from './targetInstance.js';
@@ -66,6 +68,7 @@
  */
 export class FormationPlanner {
   private readonly _formations = new Map<string, Formation>();
+  private readonly _assignments = new Map<string, ModelAssignment>();
   private _sequence = 0;
   private _availableWeightLoads = WEIGHT_LOAD_BURST;
   private _refilledAtMs: number | undefined;
@@ -95,11 +98,12 @@
     for (const group of groups.values()) orders.push(...this._planGroup(view, group));
     orders.push(...planUnlistedHeadCloses(view, service));
     const free = this._findFreeInstances(view, service, groups);
-    this._startFormations(view, service, groups, free);
+    const loads = this._findLoads(view, service, free);
+    this._startFormations(view, service, free, loads);
     for (const formation of this._formations.values()) {
       if (formation.service === service.name) orders.push(...this._planJoins(view, formation));
     }
-    orders.push(...this._planStandbys(view, service, free));
+    orders.push(...this._planStandbys(view, service, free, loads));
     return orders;
   }
 
@@ -163,6 +167,7 @@
         !assigned.has(instance.id) &&
         !view.instancesWithPendingOrder.has(instance.id) &&
         !view.silentInstances.has(instance.id) &&
+        findLoadingModel(instance) === undefined &&
         this._isReleased(view, instance, groups),
     );
   }
@@ -221,44 +226,56 @@
     );
   }
 
-  private _startFormations(
+  /** Returns the model that each free instance should load, by id. */
+  private _findLoads(
     view: FormationView,
     service: ServingService,
-    groups: ReadonlyMap<string, ObservedGroup>,
     free: readonly TargetInstance[],
-  ): void {
-    if (!view.isListSettled) return;
+  ): ReadonlyMap<string, string> {
     const { engine } = service;
-    if (!engine) return;
-    const groupCounts = this._countGroups(view, service, groups);
-    for (const { model, members } of layOutGroups({
+    if (!engine || !view.isListSettled) return new Map();
+    let assignment = this._assignments.get(service.name);
+    if (!assignment) {
+      assignment = new ModelAssignment();
+      this._assignments.set(service.name, assignment);
+    }
+    const formingModels = new Map(
+      [...this._formations.values()].flatMap(({ members, model }) => members.map((id) => [id, model.name])),
+    );
+    return assignment.findLoads({
+      nowMs: view.nowMs,
       engine,
-      free,
-      groupCounts,
+      instances: [...view.instances.values()].filter(
+        ({ id, service: name, state }) =>
+          name === service.name && state === 'ready' && !view.silentInstances.has(id),
+      ),
+      freeIds: new Set(free.map(({ id }) => id)),
+      findFormingModel: (id) => formingModels.get(id),
       demand: view.demand,
-    })) {
-      this._startFormation(service, model, members);
-    }
+    });
   }
 
-  private _countGroups(
+  private _startFormations(
     view: FormationView,
     service: ServingService,
-    groups: ReadonlyMap<string, ObservedGroup>,
-  ): Map<string, number> {
-    const counts = new Map<string, number>();
-    const add = (model: string) => counts.set(model, (counts.get(model) ?? 0) + 1);
-    const formingIds = new Set<string>();
-    for (const formation of this._formations.values()) {
-      if (formation.service !== service.name) continue;
-      formingIds.add(groupId({ group: formation.name, epoch: formation.epoch }));
-      add(formation.model.name);
-    }
-    for (const [id, group] of groups) {
-      if (formingIds.has(id) || !group.model) continue;
-      if (isWhole(group) || this._isAssembling(view, group)) add(group.model.name);
+    free: readonly TargetInstance[],
+    loads: ReadonlyMap<string, string>,
+  ): void {
+    if (!view.isListSettled) return;
+    // Before there is traffic, weights load quickly, so that instances join their groups without being prepared.
+    const findModel = (instance: TargetInstance) =>
+      view.hasTraffic
+        ? loads.has(instance.id)
+          ? undefined
+          : findUsedModel(instance)
+        : (loads.get(instance.id) ?? findUsedModel(instance));
+    for (const { model, members } of layOutGroups({
+      models: service.engine?.models ?? [],
+      free,
+      findModel,
+    })) {
+      this._startFormation(service, model, members);
     }
-    return counts;
   }
 
   private _startFormation(
@@ -267,7 +284,7 @@
     members: readonly TargetInstance[],
   ): void {
     const epoch = this._takeEpoch();
-    const name = `group-${epoch}`;
+    const name = createGroupName(model.name, epoch);
     this._formations.set(name, {
       name,
       epoch,
@@ -297,41 +314,32 @@
     return orders;
   }
 
-  /** Prepares unassigned instances as standbys: stages the weights on the host, then loads them into the engine. */
+  /** Prepares the instances in no group, so that they later join a group without loading weights. */
   private _planStandbys(
     view: FormationView,
     service: ServingService,
     free: readonly TargetInstance[],
+    loads: ReadonlyMap<string, string>,
   ): readonly InstanceOrder[] {
     if (!view.isListSettled) return [];
     const assigned = this._getAssignedInstances();
-    const standbys = free.filter(({ id }) => !assigned.has(id));
     const orders: InstanceOrder[] = [];
-    const models = [...(service.engine?.models ?? [])].sort((a, b) => b.groupSize - a.groupSize);
-    for (const standby of standbys) {
-      if (standby.membership?.state === 'joining') continue;
-      const staged = models.find(({ name }) => standby.stagedModels.includes(name));
-      if (staged) {
-        if (!isWarm(standby, staged)) orders.push(this._createStandbyJoin(standby, staged));
-        continue;
-      }
-      const others = standbys.filter(
-        (other) => other !== standby && other.fabricDomain === standby.fabricDomain,
-      );
-      const uncovered = models.find(({ name }) => !others.some((other) => other.stagedModels.includes(name)));
-      const model = uncovered ?? models[0];
-      if (model && this._takeWeightLoad()) orders.push({ kind: 'stage', instance: standby, model });
+    for (const instance of free) {
+      if (assigned.has(instance.id)) continue;
+      const name = loads.get(instance.id) ?? findUsedModel(instance);
+      const model = service.engine?.models.find((other) => other.name === name);
+      if (!model || isPrepared(instance, model)) continue;
+      if (!instance.stagedModels.includes(model.name) && !this._takeWeightLoad()) continue;
+      orders.push(this._createStandbyJoin(instance, model));
     }
     return orders;
   }
 
-  /**
-   * Joins an instance to a single-member group that is never opened. This loads the model's weights into the engine,
-   * so that the instance later joins a serving group of that model as fast as a former member.
-   */
+  /** Joins an instance to a group of its own that is never opened, which loads the model's weights into its engine. */
   private _createStandbyJoin(instance: TargetInstance, model: ModelProfile): InstanceOrder {
     const epoch = this._takeEpoch();
-    return { kind: 'join', instance, group: `standby-${epoch}`, epoch, model, members: [instance.id] };
+    const group = createStandbyName(model.name, epoch);
+    return { kind: 'join', instance, group, epoch, model, members: [instance.id] };
   }
 
   private _takeEpoch(): number {
@@ -364,7 +372,9 @@
   });
 }
 
-/** Whether the model's weights are loaded into the instance's engine. */
-function isWarm(instance: TargetInstance, model: ModelProfile): boolean {
-  return instance.membership !== undefined && instance.models.includes(model.name);
+/** Whether the model's weights are in the instance's engine, or being loaded into it. */
+function isPrepared({ membership, models, stagedModels }: TargetInstance, model: ModelProfile): boolean {
+  if (!membership || !stagedModels.includes(model.name)) return false;
+  const isWarming = membership.state === 'joining' && findModelOfGroup(membership.group) === model.name;
+  return isWarming || models.includes(model.name);
 }
--- a/packages/core/src/serving/observedGroups.ts
+++ b/packages/core/src/serving/observedGroups.ts
@@ -1,3 +1,4 @@
+import { findModelOfGroup } from './groupName.js';
 import type { ModelProfile, ServingService } from './servingConfiguration.js';
 import type { TargetInstance } from './targetInstance.js';
 
@@ -37,9 +38,10 @@
 
 function toGroup(service: ServingService, unsorted: readonly TargetInstance[]): ObservedGroup {
   const members = [...unsorted].sort((a, b) => getRank(a) - getRank(b));
-  const modelName = members.find(({ models }) => models.length > 0)?.models[0];
+  const name = members[0]?.membership?.group ?? '';
+  const modelName = members.find(({ models }) => models.length > 0)?.models[0] ?? findModelOfGroup(name);
   return {
-    name: members[0]?.membership?.group ?? '',
+    name,
     epoch: members[0]?.membership?.epoch ?? 0,
     service: service.name,
     model: service.engine?.models.find(({ name }) => name === modelName),
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -89,13 +89,14 @@
   private readonly _silentTargets = new Map<string, number>();
   private _table: RouteTable | undefined;
   private _hasList = false;
-  private _hasTraffic = false;
+  private _hasTraffic: boolean;
 
   constructor(
     private readonly _settings: NodeSettings,
     private readonly _clock: Clock,
   ) {
     const incarnation = randomUUID();
+    this._hasTraffic = !_settings.node['first-start'];
     this._random = createRandom(hash32(incarnation));
     this._log = new DecisionLog('monsoonreach-node', _settings.node.log, _clock, this._counters);
     this._store = new StoreClient(_settings.store.address);
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -1,10 +1,19 @@
-import { addressField, durationField, numberField, parseDocument, textField } from '@monsoonreach/core';
+import {
+  addressField,
+  durationField,
+  numberField,
+  parseDocument,
+  switchField,
+  textField,
+} from '@monsoonreach/core';
 import { z } from 'zod';
 
 const settingsSchema = z.strictObject({
   node: z.strictObject({
     name: textField,
     'failure-domain': textField,
+    /** Whether the whole system starts for the first time, so that there has been no traffic yet. */
+    'first-start': switchField.default(false),
     log: z.enum(['json', 'pretty', 'hidden']).default('json'),
   }),
   callers: z.strictObject({
@@ -25,7 +34,7 @@
     /** Retries allowed for a service within one window: a share of its requests plus a fixed number. */
     'retry-share': numberField({ min: 0, max: 10, isWhole: false }),
     'retry-window': durationField,
-    'retry-slack': numberField({ min: 0, max: 1_000_000 }),
+    'retry-slack': numberField({ min: 0, max: 1_000_000, isWhole: false }),
   }),
 });
 
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -137,6 +137,7 @@
   return `[node]
 name = ${options.name}
 failure-domain = ${options.domain}
+first-start = yes
 log = ${options.log}
 [callers]
 address = 127.0.0.1:${options.front}
--- a/tests/serving/formationPlanner.test.ts
+++ b/tests/serving/formationPlanner.test.ts
@@ -1,4 +1,5 @@
 import {
+  createStandbyName,
   FormationPlanner,
   type FormationView,
   type InstanceOrder,
@@ -31,6 +32,23 @@
   return { ...member, membership: member.membership && { ...member.membership, state } };
 }
 
+/** Creates an instance that is loading weights, as its entry shows it until the weights are on the host. */
+function createLoadingStandby(id: string, model: string): TargetInstance {
+  const membership = { group: createStandbyName(model, 2), epoch: 2, rank: 0, state: 'joining' as const };
+  return createInstance(id, { membership });
+}
+
+/** Creates instances in standby groups, with the weights loaded. */
+function createStandbys(model: string, count: number): readonly TargetInstance[] {
+  return Array.from({ length: count }, (_, index) =>
+    createInstance(`${model}-standby-${index}`, {
+      stagedModels: [model],
+      models: [model],
+      membership: { group: createStandbyName(model, 10 + index), epoch: 10 + index, rank: 0, state: 'ready' },
+    }),
+  );
+}
+
 interface Case {
   readonly name: string;
   readonly instances: readonly TargetInstance[];
@@ -119,9 +137,9 @@
     orders: ['close a-0'],
   },
   {
-    name: 'a lone instance stages the weights of the larger model',
+    name: 'a lone instance loads weights in a standby group',
     instances: [createInstance('new')],
-    orders: ['stage new'],
+    orders: ['join new'],
   },
   {
     name: 'an instance with staged weights joins a standby group to load them',
@@ -129,6 +147,30 @@
     orders: ['join new'],
   },
   { name: 'an instance in a standby group gets no other join order', instances: [standby], orders: [] },
+  {
+    name: 'an instance that is loading weights gets no other order',
+    instances: [createLoadingStandby('new', 'large'), ...createStandbys('small', 1)],
+    orders: [],
+  },
+  {
+    name: 'load pattern, a lost member: the others do not load the weights of a smaller group',
+    instances: [
+      withState(head, 'broken'),
+      second,
+      ...createGroupMembers('s', 8, SMALL_MODEL, ['open', 'ready']),
+    ],
+    orders: [],
+  },
+  {
+    name: 'load pattern, a domain returns: instances group by the weights that they have',
+    instances: [
+      createInstance('l-1', { stagedModels: ['large'] }),
+      createInstance('l-2', { stagedModels: ['large'] }),
+      createInstance('l-3', { stagedModels: ['large'] }),
+      createInstance('s-1', { stagedModels: ['small'] }),
+    ],
+    orders: ['join l-1', 'join l-2', 'join l-3', 'join s-1'],
+  },
   {
     name: 'an instance with an order in progress gets no other',
     instances: [withState(head, 'ready'), second, third],
