Soak: the proxy passes a reset on as a reset

The node could not see that the answer was cut.

Ruled out: the node's own detection; with the reset passed on it reports the answer as lost (tests/node/targetConnections).

--- a/tests/soak/faultProxy.ts
+++ b/tests/soak/faultProxy.ts
@@ -70,7 +70,12 @@
       });
     });
     from.on('end', () => {
-      afterDelay(() => to.end());
+      // A reset directly after the last bytes arrives as 'end', but a reset socket has no remote address.
+      const isReset = from.remoteAddress === undefined;
+      afterDelay(() => {
+        if (isReset) to.resetAndDestroy();
+        else to.end();
+      });
     });
     from.on('error', () => {
       if (!to.destroyed) to.resetAndDestroy();
