--- a/packages/callers/src/callerServer.ts
+++ b/packages/callers/src/callerServer.ts
@@ -2,7 +2,7 @@
 import { type Clock, type Outcome, splitAddress, Undispatched } from '@monsoonreach/core';
 import { type H3Event, H3, toNodeHandler } from 'h3';
 import { v7 as uuidv7 } from 'uuid';
-import { z } from 'zod';
+import * as z from 'zod';
 import { BodyError, readBody } from './body.js';
 import { toEventStream } from './eventStream.js';
 import { toProblemResponse } from './problem.js';
--- a/packages/core/src/checkpoint.ts
+++ b/packages/core/src/checkpoint.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { ValidationError } from './errors.js';
 import { sha256 } from './hashing.js';
 import type { ReductionSnapshot } from './streamReducer.js';
--- a/packages/core/src/claims.ts
+++ b/packages/core/src/claims.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { readKeyTime } from './idempotencyKey.js';
 import { toWriterId } from './record.js';
 import { byKey } from './streamClock.js';
--- a/packages/core/src/configurationStream.ts
+++ b/packages/core/src/configurationStream.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { AppliedRecord, StreamDefinition, StreamState } from './streamReducer.js';
 
 /** A record of the `config` stream: a complete document, based on the one that the operator saw. */
--- a/packages/core/src/controlRecords.ts
+++ b/packages/core/src/controlRecords.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** One run of an instance: its address and the boot id that its engine reports. */
 export interface InstanceIdentity {
--- a/packages/core/src/fields.ts
+++ b/packages/core/src/fields.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const DURATION_UNITS_MS: Readonly<Record<string, number>> = { ms: 1, s: 1000, m: 60_000, h: 3_600_000 };
 const SIZE_UNITS_BYTES: Readonly<Record<string, number>> = { B: 1, KiB: 1024, MiB: 1_048_576 };
--- a/packages/core/src/record.ts
+++ b/packages/core/src/record.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { UnsupportedFormatError, ValidationError } from './errors.js';
 
 /** Newest record format that this program reads, and the format that it writes. */
--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -33,13 +33,18 @@
   /** Monotonic time in milliseconds. */
   readonly nowMs: number;
   readonly services: readonly ServingService[];
+  /** All listed instances. */
   readonly instances: ReadonlyMap<string, TargetInstance>;
+  /** Term in which this node plans a fabric domain; undefined for domains that others plan. */
+  readonly findTerm: (fabricDomain: string) => number | undefined;
   /** Ids of instances with an order in progress. */
   readonly instancesWithPendingOrder: ReadonlySet<string>;
   /** Ids of listed instances that do not respond. */
   readonly silentInstances: ReadonlySet<string>;
-  /** Whether a group without a listed or responding head has stopped serving, as far as the nodes can determine. */
+  /** Whether the head of a group that is not listed has stopped serving, as far as the nodes that ask it can tell. */
   readonly isHeadGone: (group: string) => boolean;
+  /** Whether several nodes find that a group makes no progress, so that its silent head is not cut off from one only. */
+  readonly isGroupStalled: (group: string) => boolean;
   /** Ids of groups whose head left on an order of this planner. */
   readonly headlessGroups: ReadonlySet<string>;
   /** Ids of groups whose `open` order was not acknowledged: the head may still carry it out until it has left. */
@@ -56,6 +61,7 @@
 
 interface Formation {
   readonly name: string;
+  readonly term: number;
   readonly epoch: number;
   readonly service: string;
   readonly model: ModelProfile;
@@ -73,14 +79,16 @@
   private _availableWeightLoads = WEIGHT_LOAD_BURST;
   private _refilledAtMs: number | undefined;
 
-  /** @param _term this planner's term; epochs of a later term are always higher. */
-  constructor(private readonly _term: number) {}
-
   /** Whether any formation is in progress. */
   get isForming(): boolean {
     return this._formations.size > 0;
   }
 
+  /** Ids of the instances of formations in progress. */
+  listFormingInstances(): readonly string[] {
+    return [...this._formations.values()].flatMap(({ members }) => members);
+  }
+
   /** Returns the orders to send now. */
   plan(view: FormationView): readonly InstanceOrder[] {
     const orders: InstanceOrder[] = [];
@@ -92,12 +100,15 @@
 
   private _planService(view: FormationView, service: ServingService): readonly InstanceOrder[] {
     this._refillWeightLoads(view, service);
-    const groups = observeGroups(service, view.instances.values());
+    const owned = [...view.instances.values()].filter(
+      ({ fabricDomain }) => view.findTerm(fabricDomain) !== undefined,
+    );
+    const groups = observeGroups(service, owned);
     this._removeEndedFormations(view, service);
     const orders: InstanceOrder[] = [];
     for (const group of groups.values()) orders.push(...this._planGroup(view, group));
     orders.push(...planUnlistedHeadCloses(view, service));
-    const free = this._findFreeInstances(view, service, groups);
+    const free = this._findFreeInstances(view, service, owned, groups);
     const loads = this._findLoads(view, service, free);
     this._startFormations(view, service, free, loads);
     for (const formation of this._formations.values()) {
@@ -131,6 +142,7 @@
         (member) =>
           member?.state !== 'ready' ||
           view.silentInstances.has(member.id) ||
+          view.findTerm(member.fabricDomain) !== formation.term ||
           hasNewerMembership(member, formation),
       );
       const isOpen = members[0]?.membership?.state === 'open';
@@ -140,6 +152,7 @@
 
   private _planGroup(view: FormationView, group: ObservedGroup): readonly InstanceOrder[] {
     const { head } = group;
+    if (isHeadLost(view, group)) return planMemberLeaves(view, group);
     if (!head || view.instancesWithPendingOrder.has(head.id)) return [];
     const order = { instance: head, group: group.name, epoch: group.epoch };
     const isAnswering = group.members.every((member) => !view.silentInstances.has(member.id));
@@ -157,10 +170,11 @@
   private _findFreeInstances(
     view: FormationView,
     service: ServingService,
+    owned: readonly TargetInstance[],
     groups: ReadonlyMap<string, ObservedGroup>,
   ): readonly TargetInstance[] {
     const assigned = this._getAssignedInstances();
-    return [...view.instances.values()].filter(
+    return owned.filter(
       (instance) =>
         instance.service === service.name &&
         instance.state === 'ready' &&
@@ -174,7 +188,7 @@
 
   /** Ids of instances that belong to a formation in progress. */
   private _getAssignedInstances(): ReadonlySet<string> {
-    return new Set([...this._formations.values()].flatMap(({ members }) => members));
+    return new Set(this.listFormingInstances());
   }
 
   /** Whether the instance may join another group because its own no longer serves. */
@@ -188,8 +202,7 @@
     const group = groups.get(id);
     if (!group) return true;
     if (view.headlessGroups.has(id)) return true;
-    if (!group.head || view.silentInstances.has(group.head.id))
-      return view.isListSettled && view.isHeadGone(id);
+    if (!group.head || view.silentInstances.has(group.head.id)) return false;
     if (isHeadServing(group) || this._isStale(view, group)) return false;
     if (group.head.membership?.state === 'broken') return true;
     if (view.instancesWithPendingOrder.has(group.head.id)) return false;
@@ -201,7 +214,8 @@
    * earlier term, or one that was not acknowledged. Another order to its head rules that out.
    */
   private _isStale(view: FormationView, group: ObservedGroup): boolean {
-    const isEarlierTerm = group.epoch < this._term * MAX_EPOCHS_PER_TERM;
+    const term = view.findTerm(group.members[0]?.fabricDomain ?? '') ?? 0;
+    const isEarlierTerm = group.epoch < term * MAX_EPOCHS_PER_TERM;
     const isOpenPossible =
       isEarlierTerm || view.unconfirmedOpens.has(groupId({ group: group.name, epoch: group.epoch }));
     const state = group.head?.membership?.state;
@@ -274,19 +288,22 @@
       free,
       findModel,
     })) {
-      this._startFormation(service, model, members);
+      this._startFormation(view, service, model, members);
     }
   }
 
   private _startFormation(
+    view: FormationView,
     service: ServingService,
     model: ModelProfile,
     members: readonly TargetInstance[],
   ): void {
-    const epoch = this._takeEpoch();
+    const term = view.findTerm(members[0]?.fabricDomain ?? '') ?? 0;
+    const epoch = this._takeEpoch(term);
     const name = createGroupName(model.name, epoch);
     this._formations.set(name, {
       name,
+      term,
       epoch,
       service: service.name,
       model,
@@ -330,21 +347,25 @@
       const model = service.engine?.models.find((other) => other.name === name);
       if (!model || isPrepared(instance, model)) continue;
       if (!instance.stagedModels.includes(model.name) && !this._takeWeightLoad()) continue;
-      orders.push(this._createStandbyJoin(instance, model));
+      orders.push(this._createStandbyJoin(view, instance, model));
     }
     return orders;
   }
 
   /** Joins an instance to a group of its own that is never opened, which loads the model's weights into its engine. */
-  private _createStandbyJoin(instance: TargetInstance, model: ModelProfile): InstanceOrder {
-    const epoch = this._takeEpoch();
+  private _createStandbyJoin(
+    view: FormationView,
+    instance: TargetInstance,
+    model: ModelProfile,
+  ): InstanceOrder {
+    const epoch = this._takeEpoch(view.findTerm(instance.fabricDomain) ?? 0);
     const group = createStandbyName(model.name, epoch);
     return { kind: 'join', instance, group, epoch, model, members: [instance.id] };
   }
 
-  private _takeEpoch(): number {
+  private _takeEpoch(term: number): number {
     this._sequence++;
-    return this._term * MAX_EPOCHS_PER_TERM + this._sequence;
+    return term * MAX_EPOCHS_PER_TERM + this._sequence;
   }
 
   private _takeWeightLoad(): boolean {
@@ -354,9 +375,36 @@
   }
 }
 
-/** Epochs reserved for each term. */
+/** Epochs reserved for each term, so that those of a later term are higher. */
 const MAX_EPOCHS_PER_TERM = 100_000;
 
+/** Whether the head cannot be reached, so that the group cannot be ended by an order to it. */
+function isHeadLost(view: FormationView, { name, epoch, head }: ObservedGroup): boolean {
+  const id = groupId({ group: name, epoch });
+  if (view.headlessGroups.has(id)) return false;
+  if (!head) return view.isListSettled && view.isHeadGone(id);
+  return view.silentInstances.has(head.id) && view.isGroupStalled(id);
+}
+
+/**
+ * Makes the members leave a group whose head is lost. They may join another group only then: the head may still be
+ * running, cut off from this node, and would not notice that its members have joined another group.
+ */
+function planMemberLeaves(
+  view: FormationView,
+  { name, epoch, members }: ObservedGroup,
+): readonly InstanceOrder[] {
+  return members
+    .filter(
+      ({ id, state, membership }) =>
+        state === 'ready' &&
+        membership?.rank !== 0 &&
+        !view.silentInstances.has(id) &&
+        !view.instancesWithPendingOrder.has(id),
+    )
+    .map((instance) => ({ kind: 'leave' as const, instance, group: name, epoch }));
+}
+
 function hasNewerMembership(instance: TargetInstance, formation: Formation): boolean {
   return (instance.membership?.epoch ?? 0) > formation.epoch;
 }
@@ -365,7 +413,10 @@
 function planUnlistedHeadCloses(view: FormationView, service: ServingService): readonly InstanceOrder[] {
   if (!view.isListSettled) return [];
   return view.unlistedServingHeads.flatMap((head) => {
-    const isOrderable = head.service === service.name && !view.instancesWithPendingOrder.has(head.id);
+    const isOrderable =
+      head.service === service.name &&
+      view.findTerm(head.fabricDomain) !== undefined &&
+      !view.instancesWithPendingOrder.has(head.id);
     if (!isOrderable || !head.membership || view.headlessGroups.has(groupId(head.membership))) return [];
     const { group, epoch } = head.membership;
     return [{ kind: 'close' as const, instance: head, group, epoch }];
--- a/packages/core/src/serving/instanceStateOverlay.ts
+++ b/packages/core/src/serving/instanceStateOverlay.ts
@@ -23,6 +23,8 @@
   readonly instances: ReadonlyMap<string, TargetInstance>;
   /** Monotonic time when the instance's entry was last seen to change, in milliseconds. */
   changedAtMs(id: string): number;
+  /** Monotonic time at which the list was last known to be current, in milliseconds. */
+  readonly currentAtMs: number;
 }
 
 /**
@@ -75,12 +77,12 @@
   }
 
   /** Returns the listed instances, with the overlay's state where that is newer. */
-  merge(entries: InstanceEntries, nowMs: number): ReadonlyMap<string, TargetInstance> {
+  merge(entries: InstanceEntries): ReadonlyMap<string, TargetInstance> {
     const merged = new Map(entries.instances);
     for (const [id, overlay] of this._entries) {
       const entry = entries.instances.get(id);
       if (!entry || entry.startedAtMs !== overlay.instance.startedAtMs) this._entries.delete(id);
-      else merged.set(id, mergeEntry(overlay, entry, entries.changedAtMs(id), nowMs));
+      else merged.set(id, mergeEntry(overlay, entry, entries.changedAtMs(id), entries.currentAtMs));
     }
     return merged;
   }
@@ -114,7 +116,8 @@
   overlay: OverlayEntry,
   entry: TargetInstance,
   entryChangedAtMs: number,
-  nowMs: number,
+  /** While the list cannot be read, it does not show the effect of an order either. */
+  listAtMs: number,
 ): TargetInstance {
   const newer = { ...overlay.instance, state: entry.state };
   switch (overlay.source) {
@@ -127,19 +130,19 @@
       // Only the planner closes a head, so it serves until the list shows a state that follows the opening.
       return isBeforeOpen(entry, overlay.instance) ? newer : entry;
     case 'join':
-      return nowMs < overlay.expiresAtMs && getEpoch(entry) < getEpoch(overlay.instance) ? newer : entry;
+      return listAtMs < overlay.expiresAtMs && getEpoch(entry) < getEpoch(overlay.instance) ? newer : entry;
     case 'close':
-      return nowMs < overlay.expiresAtMs && isServing(entry) && isSameGroup(entry, overlay.instance)
+      return listAtMs < overlay.expiresAtMs && isServing(entry) && isSameGroup(entry, overlay.instance)
         ? newer
         : entry;
     case 'leave':
-      return nowMs < overlay.expiresAtMs &&
+      return listAtMs < overlay.expiresAtMs &&
         entry.membership &&
         entryChangedAtMs < overlay.recordedAtMs + MAX_REPORT_LAG_MS
         ? newer
         : entry;
     case 'stage':
-      return nowMs < overlay.expiresAtMs && !isStaged(overlay.instance, entry) ? newer : entry;
+      return listAtMs < overlay.expiresAtMs && !isStaged(overlay.instance, entry) ? newer : entry;
   }
 }
 
--- a/packages/core/src/serving/loadTracker.ts
+++ b/packages/core/src/serving/loadTracker.ts
@@ -1,11 +1,7 @@
 import type { BatchLoad, RequestSize } from './engineCost.js';
 
-/** Initial lifetime of loads received by gossip, in milliseconds: several gossip intervals. */
-const GOSSIP_TTL_MS = 1_500;
-/** Lifetime of loads that a peer reported directly, in milliseconds; peers repeat the report each second. */
-const DIRECT_TTL_MS = 2_500;
-/** How long a direct report takes precedence over gossip, in milliseconds; the report is repeated each second. */
-const DIRECT_PREFERENCE_MS = 1_500;
+/** Lifetime of the loads that a peer reported, in milliseconds; peers repeat the report each second. */
+const REPORT_TTL_MS = 2_500;
 
 interface LoadTotal {
   requests: number;
@@ -19,21 +15,18 @@
 /** A target that this node assigned to a peer's request and that the peer's reported loads do not include yet. */
 interface Grant {
   readonly target: string;
-  readonly size: RequestSize;
+  readonly load: TargetLoad;
 }
 
 interface PeerLoads {
   readonly receivedAtMs: number;
-  readonly source: 'spread' | 'told';
-  readonly incarnation: string | undefined;
   readonly sequence: number;
   readonly loads: ReadonlyMap<string, TargetLoad>;
   readonly grants: Map<number, Grant>;
 }
 
-/** A peer's report to the coordinator: its requests in progress and the placement asks that it still awaits. */
-export interface DirectLoadReport {
-  readonly incarnation: string;
+/** A peer's report to the owner of the targets: its requests in progress and the asks that it still awaits. */
+export interface LoadReport {
   readonly sequence: number;
   readonly loads: ReadonlyMap<string, TargetLoad>;
   /** Number of its latest ask. */
@@ -42,81 +35,92 @@
   readonly openAsks: readonly number[];
 }
 
+const NO_LOAD: BatchLoad = { requests: 0, contextTokens: 0, pendingPromptTokens: 0 };
+
 /**
  * Tracks the load of this node and its peers at each target.
  *
- * With many nodes of few requests each, nodes that choose by stale loads overfill some groups. A coordinator that knows
- * the loads of all nodes, including its latest grants, fills groups evenly.
+ * With many nodes of few requests each, nodes that choose by what they know themselves overfill some groups. The owner
+ * of a group knows the loads of all nodes, including its latest grants, and fills groups evenly.
  */
 export class LoadTracker {
-  /** Lifetime of loads received by gossip, in milliseconds. */
-  gossipTtlMs = GOSSIP_TTL_MS;
   private readonly _ownLoads = new Map<string, LoadTotal>();
   private readonly _peers = new Map<string, PeerLoads>();
+  /** Sums of the peers' loads and grants, kept up to date with each report. */
+  private readonly _peerTotals = new Map<string, LoadTotal>();
 
-  /** @param _onChange called whenever this node's own loads change. */
-  constructor(private readonly _onChange: () => void = () => undefined) {}
+  /** @param _onChange called with the target whenever this node's own load of it changes. */
+  constructor(private readonly _onChange: (target: string) => void = () => undefined) {}
 
   /** Counts a request at the target; returns callbacks for the end of its prefill and the end of the request. */
   startRequest(
     target: string,
     size: RequestSize,
   ): { readonly endPrefill: () => void; readonly endRequest: () => void } {
-    const load = this._getOwnLoad(target);
-    load.requests++;
-    load.contextTokens += size.promptTokens;
-    load.pendingPromptTokens += size.promptTokens;
-    this._onChange();
+    const load = getOrCreate(this._ownLoads, target);
+    addLoad(load, toLoad(size), 1);
+    this._onChange(target);
     let isPrefillPending = true;
+    let isEnded = false;
     const endPrefill = () => {
       if (!isPrefillPending) return;
       isPrefillPending = false;
       load.pendingPromptTokens -= size.promptTokens;
-      this._onChange();
+      this._onChange(target);
     };
     const endRequest = () => {
+      if (isEnded) return;
+      isEnded = true;
       endPrefill();
       load.requests--;
       load.contextTokens -= size.promptTokens;
       if (load.requests === 0) this._ownLoads.delete(target);
-      this._onChange();
+      this._onChange(target);
     };
     return { endPrefill, endRequest };
   }
 
-  /** Records a peer's loads received by gossip, unless a recent direct report takes precedence. */
-  recordGossip(peer: string, loads: ReadonlyMap<string, TargetLoad>, atMs: number): void {
-    const previous = this._peers.get(peer);
-    if (previous?.source === 'told' && atMs - previous.receivedAtMs < DIRECT_PREFERENCE_MS) return;
-    const { incarnation, sequence = 0 } = previous ?? {};
-    this._peers.set(peer, {
-      receivedAtMs: atMs,
-      source: 'spread',
-      incarnation,
-      sequence,
-      loads,
-      grants: new Map(),
-    });
-  }
-
-  /** Records a peer's direct report, unless a newer one was recorded before. */
-  recordDirectReport(peer: string, report: DirectLoadReport, atMs: number): void {
+  /**
+   * Records a peer's report, unless a newer one was recorded before.
+   * @param peer id of one start of the peer.
+   */
+  recordReport(peer: string, report: LoadReport, atMs: number): void {
     const previous = this._peers.get(peer);
-    const isSameIncarnation = previous?.incarnation === report.incarnation;
-    if (isSameIncarnation && previous.sequence >= report.sequence) return;
+    if (previous && previous.sequence >= report.sequence) return;
+    this._forget(peer);
     const open = new Set(report.openAsks);
-    const grants = isSameIncarnation ? previous.grants : new Map<number, Grant>();
-    for (const ask of grants.keys()) if (ask <= report.lastAsk && !open.has(ask)) grants.delete(ask);
-    const { incarnation, sequence, loads } = report;
-    this._peers.set(peer, { receivedAtMs: atMs, source: 'told', incarnation, sequence, loads, grants });
+    const grants = new Map(
+      [...(previous?.grants ?? [])].filter(([ask]) => ask > report.lastAsk || open.has(ask)),
+    );
+    const { sequence, loads } = report;
+    const current = { receivedAtMs: atMs, sequence, loads, grants };
+    this._peers.set(peer, current);
+    this._addPeer(current, 1);
   }
 
   /** Counts a target assigned to a peer's request until the peer's report includes it. */
   recordGrant(peer: string, ask: number, target: string, size: RequestSize): void {
-    this._peers.get(peer)?.grants.set(ask, { target, size });
+    const grants = this._peers.get(peer)?.grants;
+    if (!grants || grants.has(ask)) return;
+    const load = toLoad(size);
+    grants.set(ask, { target, load });
+    this._addToPeerTotal(target, load, 1);
+  }
+
+  /** Forgets the loads of peers that have not reported lately. */
+  removeExpired(nowMs: number): void {
+    for (const [peer, { receivedAtMs }] of this._peers) {
+      if (nowMs - receivedAtMs > REPORT_TTL_MS) this._forget(peer);
+    }
+  }
+
+  /** Forgets what peers reported, as this node no longer owns the targets. */
+  forgetPeers(): void {
+    this._peers.clear();
+    this._peerTotals.clear();
   }
 
-  /** Returns this node's own loads by target, to be sent to its peers. */
+  /** Returns this node's own loads by target. */
   getOwnLoads(): ReadonlyMap<string, TargetLoad> {
     return new Map(
       [...this._ownLoads].map(([target, load]) => [
@@ -126,33 +130,51 @@
     );
   }
 
-  /** Returns the sum of all nodes' current loads, by target. */
-  computeTotals(nowMs: number): ReadonlyMap<string, BatchLoad> {
-    const totals = new Map<string, LoadTotal>();
-    const add = (target: string, [requests, contextTokens, pendingPromptTokens]: TargetLoad) => {
-      const total = totals.get(target) ?? { requests: 0, contextTokens: 0, pendingPromptTokens: 0 };
-      total.requests += requests;
-      total.contextTokens += contextTokens;
-      total.pendingPromptTokens += pendingPromptTokens;
-      totals.set(target, total);
+  /** Returns the load that this node and the peers that reported to it have at the target. */
+  getLoad(target: string): BatchLoad {
+    const own = this._ownLoads.get(target);
+    const peers = this._peerTotals.get(target);
+    if (!own || !peers) return own ?? peers ?? NO_LOAD;
+    return {
+      requests: own.requests + peers.requests,
+      contextTokens: own.contextTokens + peers.contextTokens,
+      pendingPromptTokens: own.pendingPromptTokens + peers.pendingPromptTokens,
     };
-    for (const [target, figures] of this.getOwnLoads()) add(target, figures);
-    for (const peer of this._peers.values()) {
-      if (nowMs - peer.receivedAtMs > (peer.source === 'told' ? DIRECT_TTL_MS : this.gossipTtlMs)) continue;
-      for (const [target, figures] of peer.loads) add(target, figures);
-      for (const { target, size } of peer.grants.values()) {
-        add(target, [1, size.promptTokens, size.promptTokens]);
-      }
-    }
-    return totals;
   }
 
-  private _getOwnLoad(target: string): LoadTotal {
-    let load = this._ownLoads.get(target);
-    if (!load) {
-      load = { requests: 0, contextTokens: 0, pendingPromptTokens: 0 };
-      this._ownLoads.set(target, load);
-    }
-    return load;
+  private _forget(peer: string): void {
+    const known = this._peers.get(peer);
+    if (known) this._addPeer(known, -1);
+    this._peers.delete(peer);
+  }
+
+  private _addPeer({ loads, grants }: PeerLoads, factor: 1 | -1): void {
+    for (const [target, load] of loads) this._addToPeerTotal(target, load, factor);
+    for (const { target, load } of grants.values()) this._addToPeerTotal(target, load, factor);
+  }
+
+  private _addToPeerTotal(target: string, load: TargetLoad, factor: 1 | -1): void {
+    const total = getOrCreate(this._peerTotals, target);
+    addLoad(total, load, factor);
+    if (total.requests === 0) this._peerTotals.delete(target);
+  }
+}
+
+function toLoad({ promptTokens }: RequestSize): TargetLoad {
+  return [1, promptTokens, promptTokens];
+}
+
+function addLoad(total: LoadTotal, [requests, context, pending]: TargetLoad, factor: 1 | -1): void {
+  total.requests += factor * requests;
+  total.contextTokens += factor * context;
+  total.pendingPromptTokens += factor * pending;
+}
+
+function getOrCreate(totals: Map<string, LoadTotal>, target: string): LoadTotal {
+  let total = totals.get(target);
+  if (!total) {
+    total = { requests: 0, contextTokens: 0, pendingPromptTokens: 0 };
+    totals.set(target, total);
   }
+  return total;
 }
--- a/packages/core/src/serving/memberProbes.ts
+++ b/packages/core/src/serving/memberProbes.ts
@@ -5,6 +5,9 @@
 /** Minimum time between two probe rounds of one group, in milliseconds: a quarter of the engines' detection time. */
 const ROUND_INTERVAL_MS = 1_000;
 
+/** Time for which a node's report that a group is silent counts, in milliseconds. */
+const REPORT_TTL_MS = 4_000;
+
 interface Member {
   misses: number;
   probedAtMs: number;
@@ -16,15 +19,30 @@
  */
 export class MemberProbes {
   private readonly _groups = new Map<string, { readonly atMs: number; isProbed: boolean }>();
+  /** When each node last reported the group as silent, by group and node. */
+  private readonly _reporters = new Map<string, Map<string, number>>();
   private readonly _members = new Map<string, Member>();
 
-  /** Schedules a probe round for a group whose requests make no progress. */
-  suspectGroup(group: string, nowMs: number): void {
+  /** Schedules a probe round for a group whose requests make no progress, as a node reports. */
+  suspectGroup(group: string, reporter: string, nowMs: number): void {
+    const reporters = this._reporters.get(group) ?? new Map<string, number>();
+    this._reporters.set(group, reporters.set(reporter, nowMs));
     const round = this._groups.get(group);
     if (round && nowMs - round.atMs < ROUND_INTERVAL_MS) return;
     this._groups.set(group, { atMs: nowMs, isProbed: false });
   }
 
+  /** Number of nodes that reported the group as silent lately. */
+  countReporters(group: string, nowMs: number): number {
+    const times = [...(this._reporters.get(group)?.values() ?? [])];
+    return times.filter((atMs) => nowMs - atMs < REPORT_TTL_MS).length;
+  }
+
+  /** Whether any member may have to be probed. */
+  get hasDueProbes(): boolean {
+    return this._members.size > 0 || [...this._groups.values()].some(({ isProbed }) => !isProbed);
+  }
+
   /** Returns the ids of members to probe now and marks them as probed: once per round, and again after a missed probe. */
   takeDueProbes(
     members: Iterable<{ readonly id: string; readonly group: string }>,
@@ -43,12 +61,15 @@
     return ids;
   }
 
-  /** Records whether a member answered its probe. */
+  /** Records whether an instance answered a probe or another request for its state. */
   recordResult(id: string, isAnswered: boolean): void {
+    if (isAnswered) {
+      this._members.delete(id);
+      return;
+    }
     const member = this._members.get(id);
-    if (!member) return;
-    if (isAnswered) this._members.delete(id);
-    else member.misses++;
+    if (member) member.misses++;
+    else this._members.set(id, { misses: 1, probedAtMs: -Infinity });
   }
 
   /** Returns the ids of members that count as lost. */
@@ -64,5 +85,9 @@
     for (const [group, { atMs }] of this._groups) {
       if (nowMs - atMs > ROUND_INTERVAL_MS) this._groups.delete(group);
     }
+    for (const [group, reporters] of this._reporters) {
+      if ([...reporters.values()].every((atMs) => nowMs - atMs >= REPORT_TTL_MS))
+        this._reporters.delete(group);
+    }
   }
 }
--- a/packages/core/src/serving/targetHealth.ts
+++ b/packages/core/src/serving/targetHealth.ts
@@ -54,6 +54,13 @@
     return (this._targets.get(target)?.suspectUntilMs ?? 0) > nowMs;
   }
 
+  /** Returns the targets that are suspect. */
+  listSuspects(nowMs: number): readonly string[] {
+    return [...this._targets].flatMap(([target, { suspectUntilMs }]) =>
+      suspectUntilMs > nowMs ? [target] : [],
+    );
+  }
+
   /** Time when the target last sent bytes, in milliseconds; -Infinity if it never did. */
   getProgressAtMs(target: string): number {
     return this._targets.get(target)?.progressAtMs ?? -Infinity;
--- a/packages/core/src/serving/topicReaders.ts
+++ b/packages/core/src/serving/topicReaders.ts
@@ -1,52 +1,79 @@
-import { placeByRendezvous } from '../rendezvous.js';
+import { rankByRendezvous } from '../rendezvous.js';
+import { groupBy } from './groupLayout.js';
 
-/** Nodes per reader in a failure domain; one reader easily serves that many. */
-const NODES_PER_READER = 16;
+/** Nodes of one failure domain for which one reads the store. */
+const NODES_PER_READER = 64;
+/** Largest fleet in which failure domains share their readers; its traffic between domains is small. */
+const MAX_SHARING_NODES = 16;
+/** Readers of such a fleet; with two, the loss of one costs the others only a failed read. */
+const SHARED_READERS = 2;
 
-/** A peer that may read the store for others. */
+/** A node that may read the store for others. */
 export interface ReaderCandidate {
   readonly node: string;
+  readonly address: string;
   readonly failureDomain: string;
-  /** Time since its last contact with the store, in milliseconds. */
-  readonly storeAgeMs: number;
-  /** Whether it reads directly from the store. */
-  readonly isFirstHand: boolean;
 }
 
 /** Input of a node's choice of where to read. */
 export interface ReaderView {
-  readonly node: string;
-  readonly failureDomain: string;
-  /** Other live nodes. */
-  readonly peers: readonly ReaderCandidate[];
-  /** Names of peers that recently did not answer or had nothing new. */
+  readonly self: ReaderCandidate;
+  /** All live nodes including this one, those preferred for duties first. */
+  readonly nodes: readonly ReaderCandidate[];
+  /** Addresses of nodes that read the store anyway, as they plan groups. */
+  readonly owners: ReadonlySet<string>;
+  /** Addresses of peers that recently did not answer or had nothing new. */
   readonly doubted: ReadonlySet<string>;
 }
 
 /**
  * Chooses the peer that this node reads through; undefined if it reads the store directly, or if no reader is usable.
  *
- * The calls of a large fleet would use up the store's rate limit even without any fault, so only a few nodes of each
- * failure domain read the store, and the others ask one of these.
+ * The calls of a large fleet would use up the store's rate limit even without any fault, so only a few nodes read the
+ * store, and the others ask one of these, if possible in their own failure domain.
  */
-export function chooseReader({ node, failureDomain, peers, doubted }: ReaderView): string | undefined {
-  const neighbours = peers.filter((peer) => peer.failureDomain === failureDomain);
-  const count = Math.ceil((neighbours.length + 1) / NODES_PER_READER);
-  const candidates = [node, ...neighbours.map((peer) => peer.node)].map((id) => ({ id, failureDomain }));
-  const readers = placeByRendezvous(`readers/${failureDomain}`, candidates, { count });
-  if (readers.includes(node)) return undefined;
-  const usable = readers.filter((id) => !doubted.has(id)).map((id) => ({ id, failureDomain }));
-  return placeByRendezvous(node, usable, { count: 1 })[0];
+export function chooseReader(view: ReaderView): ReaderCandidate | undefined {
+  const { self, doubted } = view;
+  const readers = listReaders(view);
+  if (readers.some(({ address }) => address === self.address)) return undefined;
+  const usable = readers.filter(({ address }) => !doubted.has(address));
+  const near = usable.filter(({ failureDomain }) => failureDomain === self.failureDomain);
+  const choices = near.length > 0 ? near : usable;
+  const [chosen] = rankByRendezvous(
+    self.node,
+    choices.map(({ address }) => address),
+  );
+  return choices.find(({ address }) => address === chosen);
+}
+
+function listReaders({ nodes, owners }: ReaderView): readonly ReaderCandidate[] {
+  const isOwner = ({ address }: ReaderCandidate) => owners.has(address);
+  const ownersFirst = [...nodes].sort((a, b) => Number(isOwner(b)) - Number(isOwner(a)));
+  if (nodes.length <= MAX_SHARING_NODES) {
+    return ownersFirst.filter((node, index) => index < SHARED_READERS || isOwner(node));
+  }
+  return [...groupBy(ownersFirst, ({ failureDomain }) => failureDomain).values()].flatMap((domain) => {
+    const count = Math.ceil(domain.length / NODES_PER_READER);
+    return domain.filter((node, index) => index < count || isOwner(node));
+  });
+}
+
+/** A peer and how recent its contact with the store is. */
+export interface FallbackCandidate extends ReaderCandidate {
+  /** Time since its last contact with the store, in milliseconds. */
+  readonly storeAgeMs: number;
+  /** Whether it reads directly from the store. */
+  readonly isFirstHand: boolean;
 }
 
 /** Finds the direct reader with the most recent contact with the store, for a node that the store refuses. */
 export function findFreshestPeer(
-  { peers, doubted }: Pick<ReaderView, 'peers' | 'doubted'>,
+  peers: readonly FallbackCandidate[],
+  doubted: ReadonlySet<string>,
   maxAgeMs: number,
-): string | undefined {
+): FallbackCandidate | undefined {
   const usable = peers.filter(
-    ({ node, storeAgeMs, isFirstHand }) => isFirstHand && !doubted.has(node) && storeAgeMs <= maxAgeMs,
+    ({ address, storeAgeMs, isFirstHand }) => isFirstHand && !doubted.has(address) && storeAgeMs <= maxAgeMs,
   );
-  const [freshest] = [...usable].sort((a, b) => a.storeAgeMs - b.storeAgeMs);
-  return freshest?.node;
+  return [...usable].sort((a, b) => a.storeAgeMs - b.storeAgeMs)[0];
 }
--- a/packages/core/src/serving/unlistedHeads.ts
+++ b/packages/core/src/serving/unlistedHeads.ts
@@ -51,6 +51,11 @@
       this._headlessSinceMs.delete(id);
       this._listedHeads.delete(id);
     }
+    this.removeExpired(nowMs);
+  }
+
+  /** Forgets heads that have been probed for long. */
+  removeExpired(nowMs: number): void {
     for (const [id, { sinceMs }] of this._missingHeads) {
       if (nowMs - sinceMs > PROBE_DURATION_MS) this._missingHeads.delete(id);
     }
@@ -93,15 +98,24 @@
       .map(({ head }) => head);
   }
 
-  /** Whether the members of a group without a listed head may join another group. */
-  isReleased(id: string, peers: readonly ReadonlyMap<string, HeadFinding>[], nowMs: number): boolean {
+  /**
+   * Whether the members of a group without a listed head may join another group.
+   * @param peers what other nodes found; one that found nothing may be left out.
+   * @param peerCount number of all other nodes.
+   */
+  isReleased(
+    id: string,
+    peers: readonly ReadonlyMap<string, HeadFinding>[],
+    peerCount: number,
+    nowMs: number,
+  ): boolean {
     const own = this._missingHeads.get(id)?.finding;
     const others = peers.flatMap((findings) => findings.get(id) ?? []);
     const all = own ? [own, ...others] : others;
     if (all.includes('serving')) return false;
     if (all.includes('idle')) return true;
     const confirmingPeers = others.length;
-    if (own === 'silent' && confirmingPeers >= Math.min(MIN_CONFIRMING_PEERS, peers.length)) return true;
+    if (own === 'silent' && confirmingPeers >= Math.min(MIN_CONFIRMING_PEERS, peerCount)) return true;
     if (!own && confirmingPeers >= MIN_CONFIRMING_PEERS) return true;
     const sinceMs = this._headlessSinceMs.get(id);
     return sinceMs !== undefined && nowMs - sinceMs > UNKNOWN_HEAD_WAIT_MS;
--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import { parseDocument } from './document.js';
 import {
   addressField,
--- a/packages/log/src/httpLog.ts
+++ b/packages/log/src/httpLog.ts
@@ -1,6 +1,6 @@
 import { type Log, type LogReadOptions, type LogSlice, LogUnavailableError } from '@monsoonreach/core';
 import { type Dispatcher, Pool } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Time after which the response to an append counts as lost, in milliseconds. */
 const APPEND_TIMEOUT_MS = 3_000;
--- a/packages/log/src/liveList.ts
+++ b/packages/log/src/liveList.ts
@@ -1,6 +1,6 @@
 import { MonsoonreachError } from '@monsoonreach/core';
 import { Pool } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const RESPONSE_TIMEOUT_MS = 2_000;
 
--- a/packages/node/src/instanceList.ts
+++ b/packages/node/src/instanceList.ts
@@ -9,6 +9,14 @@
  */
 export const MISSING_ENTRY_GRACE_MS = 2_300;
 
+/** When this node last had contact with the store, as monotonic times. */
+export interface StoreContact {
+  /** Time at which the store was last reached again after an outage; -Infinity if it always was. */
+  readonly reconnectedAtMs: number;
+  /** Time at which the list was last known to be current. */
+  readonly currentAtMs: number;
+}
+
 /** The instances that the store lists, without entries that cannot be decoded. */
 export class InstanceList {
   private readonly _instances = new Map<string, TargetInstance>();
@@ -22,8 +30,7 @@
     private readonly _clock: Clock,
     private readonly _log: DecisionLog,
     private readonly _counters: Counters,
-    /** Monotonic time at which the store was last reached again after an outage. */
-    private readonly _storeReconnectedAtMs: () => number,
+    private readonly _contact: StoreContact,
   ) {}
 
   get instances(): ReadonlyMap<string, TargetInstance> {
@@ -35,6 +42,11 @@
     return this._version;
   }
 
+  /** Monotonic time at which the list was last known to be current. */
+  get currentAtMs(): number {
+    return this._contact.currentAtMs;
+  }
+
   /** Monotonic time at which an instance was last added; -Infinity before the first. */
   get lastAddedAtMs(): number {
     return this._lastAddedAtMs;
@@ -91,7 +103,7 @@
 
   private _remove(id: string): void {
     if (!this._instances.has(id)) return;
-    const untilMs = this._storeReconnectedAtMs() + MISSING_ENTRY_GRACE_MS;
+    const untilMs = this._contact.reconnectedAtMs + MISSING_ENTRY_GRACE_MS;
     if (this._clock.monotonic() < untilMs) {
       this._missing.set(id, untilMs);
       return;
--- a/packages/node/src/keyedFollower.ts
+++ b/packages/node/src/keyedFollower.ts
@@ -23,6 +23,8 @@
   readonly peerWaitMs: number;
   /** Pause between two reads of the store, in milliseconds. */
   readonly intervalMs: () => number;
+  /** The same for reads through a peer, in milliseconds; 0 by default. */
+  readonly peerIntervalMs?: number;
   /** Called with the newest record of every key; keys that are not among them no longer exist. */
   readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
   /** Called with changes, in order. */
@@ -72,7 +74,7 @@
         ? this._readAll()
         : this._readChanges(this._nextOffset));
       this._recordContact(answer);
-      return answer.isFromPeer ? 0 : this._options.intervalMs();
+      return answer.isFromPeer ? (this._options.peerIntervalMs ?? 0) : this._options.intervalMs();
     } catch (error) {
       if (this._abortController.signal.aborted) return 0;
       if (error instanceof HistoryGoneError) {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -7,8 +7,10 @@
   createRandom,
   DemandMeter,
   hash32,
+  insertByPreference,
   KeyTrust,
   LoadTracker,
+  type Member,
   pause,
   type Random,
   RetryWindowBudget,
@@ -21,23 +23,28 @@
 import {
   CONFIGURATION_KEY,
   decodeConfiguration,
+  DecodeError,
   type KeyedRecord,
   READINESS_PATH,
-  DecodeError,
   StoreClient,
   Topic,
 } from '@monsoonreach/platform';
-import { DecisionLog, describeError } from './decisionLog.js';
+import { DecisionLog } from './decisionLog.js';
+import { FleetReports } from './fleetReports.js';
 import { sendProblem, FrontServer } from './frontServer.js';
 import { HeadMonitor } from './headMonitor.js';
 import { InstanceList, MISSING_ENTRY_GRACE_MS } from './instanceList.js';
 import { KeyedFollower } from './keyedFollower.js';
-import { type Digest, type OwnState, PeerExchange } from './peerExchange.js';
-import { Placement, type PlacementCriteria } from './placement.js';
+import { PeerDiscovery } from './peerDiscovery.js';
+import { type OwnState, PeerExchange } from './peerExchange.js';
+import { createMemberId, type Digest, type PeerMessage, type ReportMessage } from './peerMessages.js';
+import { type LocalPlacementCriteria, Placement } from './placement.js';
 import { Planning } from './planning.js';
 import type { RequestRun } from './requestRun.js';
 import type { ServingContext } from './servingContext.js';
 import type { NodeSettings } from './settings.js';
+import { ShardOwnership } from './shardOwnership.js';
+import { SilentTargets } from './silentTargets.js';
 import { TargetConnections } from './targetConnections.js';
 import { TargetDirectory } from './targetDirectory.js';
 import { TopicServer } from './topicServer.js';
@@ -49,6 +56,8 @@
 const LIST_INTERVAL_MS = 600;
 /** Long-poll wait of a read of the list through a peer, in milliseconds; bounds how late a silent peer is detected. */
 const PEER_LIST_WAIT_MS = 1_000;
+/** Pause between two reads of the list through a peer, in milliseconds. */
+const PEER_LIST_INTERVAL_MS = 300;
 /** Pause between two reads of the list while this node forms or closes groups, in milliseconds; a member joins in 200 ms. */
 const BUSY_LIST_INTERVAL_MS = 150;
 /** Interval of the checks for requests without progress, in milliseconds. */
@@ -60,22 +69,27 @@
 /** Time before the kill at which the remaining requests are abandoned, in milliseconds. */
 const EXIT_MARGIN_MS = 700;
 
-/** A node: forwards callers' requests to targets, follows the store, and plans the groups while it is the planner. */
+/** A node: forwards callers' requests to targets, follows the store, and plans the groups of the shards that it owns. */
 export class Node {
   private readonly _counters = new Counters();
+  private readonly _self: Member;
   private readonly _random: Random;
   private readonly _log: DecisionLog;
   private readonly _store: StoreClient;
   private readonly _sources: TopicSources;
   private readonly _trust: KeyTrust;
   private readonly _list: InstanceList;
-  private readonly _loads = new LoadTracker(() => {
-    this._placement.scheduleReport();
+  private readonly _loads = new LoadTracker((target) => {
+    this._placement.scheduleReport(target);
   });
   private readonly _demand = new DemandMeter();
   private readonly _health = new TargetHealth();
+  private readonly _reports: FleetReports;
+  private readonly _silentTargets: SilentTargets;
   private readonly _connections: TargetConnections;
   private readonly _exchange: PeerExchange;
+  private readonly _ownership: ShardOwnership;
+  private readonly _discovery: PeerDiscovery;
   private readonly _heads: HeadMonitor;
   private readonly _planning: Planning;
   private readonly _placement: Placement;
@@ -85,51 +99,41 @@
   private readonly _runs = new Set<RequestRun>();
   private readonly _configurationFollower: KeyedFollower;
   private readonly _listFollower: KeyedFollower;
-  /** Keys of silent targets, with the monotonic time until which digests report them. */
-  private readonly _silentTargets = new Map<string, number>();
   private _table: RouteTable | undefined;
   private _hasList = false;
   private _hasTraffic: boolean;
+  private _hasPeerTraffic = false;
 
   constructor(
     private readonly _settings: NodeSettings,
     private readonly _clock: Clock,
   ) {
-    const incarnation = randomUUID();
-    this._hasTraffic = !_settings.node['first-start'];
-    this._random = createRandom(hash32(incarnation));
-    this._log = new DecisionLog('monsoonreach-node', _settings.node.log, _clock, this._counters);
+    const { node, peers } = _settings;
+    this._hasTraffic = !node['first-start'];
+    const incarnation = randomUUID().slice(0, INCARNATION_LENGTH);
+    this._self = {
+      node: node.name,
+      id: createMemberId(node.name, incarnation),
+      address: peers.address,
+      failureDomain: node['failure-domain'],
+      capacity: node.cores * node['processor-share'],
+    };
+    this._random = createRandom(hash32(this._self.id));
+    this._log = new DecisionLog('monsoonreach-node', node.log, _clock, this._counters);
     this._store = new StoreClient(_settings.store.address);
     this._sources = this._createSources();
     this._trust = new KeyTrust(_clock, _settings.bounds['key-trust']);
     this._connections = new TargetConnections(_clock);
-    this._list = new InstanceList(
-      _clock,
-      this._log,
-      this._counters,
-      () => this._listFollower.reconnectedAtMs,
-    );
+    this._reports = new FleetReports(_clock);
+    this._silentTargets = new SilentTargets(_clock);
+    this._list = this._createList();
     this._configurationFollower = this._createConfigurationFollower();
     this._listFollower = this._createListFollower();
-    this._exchange = new PeerExchange({
-      node: _settings.node.name,
-      address: _settings.peers.address,
-      incarnation,
-      clock: _clock,
-      random: this._random,
-      counters: this._counters,
-      log: this._log,
-      ownTerm: () => this._planning.term,
-      describeState: () => this._describeState(),
-      onDigest: (digest, receivedAtMs) => {
-        this._applyDigest(digest, receivedAtMs);
-      },
-      onPlacement: (message) => {
-        this._placement.receive(message);
-      },
-    });
-    this._directory = new TargetDirectory(this._list, this._loads, _clock);
-    this._placement = this._createPlacement(incarnation);
+    this._exchange = this._createExchange();
+    this._ownership = this._createOwnership();
+    this._discovery = this._createDiscovery();
+    this._directory = new TargetDirectory(this._list, this._loads, this._ownership);
+    this._placement = this._createPlacement();
     this._context = this._createContext();
     this._front = new FrontServer({
       address: _settings.callers.address,
@@ -137,12 +141,7 @@
       trust: this._trust,
       table: () => this._table,
     });
-    this._heads = new HeadMonitor({
-      list: this._list,
-      clock: _clock,
-      log: this._log,
-      configuration: () => this._table?.configuration,
-    });
+    this._heads = this._createHeadMonitor();
     this._planning = this._createPlanning();
   }
 
@@ -157,9 +156,7 @@
     await this._exchange.start();
     await this._createTopicServer().start();
     await this._front.listen();
-    void this._configurationFollower.run();
-    void this._listFollower.run();
-    void this._discoverPeers();
+    void this._follow();
     void this._planning.run();
     setInterval(() => {
       this._runChecks();
@@ -175,7 +172,8 @@
     this._log.info('stopping', { requests: this._runs.size });
     this._front.drain();
     this._planning.stop();
-    this._exchange.sendDigests();
+    this._ownership.stop();
+    this._exchange.broadcastDigest();
     await pause(BALANCER_DRAIN_MS);
     this._front.close();
     while (this._runs.size > 0 && this._clock.monotonic() < endsAtMs) await pause(CHECK_INTERVAL_MS);
@@ -198,33 +196,121 @@
     return this._table !== undefined && this._hasList && !this._front.isDraining && this._trust.isTrusted();
   }
 
+  /** Finds the other nodes, then follows the store, if possible through one of them. */
+  private async _follow(): Promise<void> {
+    await Promise.race([
+      this._discovery.run(),
+      pause(this._settings.node['first-start'] ? MAX_FIRST_DISCOVERY_WAIT_MS : MAX_DISCOVERY_WAIT_MS),
+    ]);
+    void this._configurationFollower.run();
+    void this._listFollower.run();
+    void this._ownership.run();
+  }
+
   private _createSources(): TopicSources {
-    const { node } = this._settings;
     return new TopicSources({
-      node: node.name,
-      failureDomain: node['failure-domain'],
+      self: this._self,
       store: this._store,
       clock: this._clock,
       counters: this._counters,
       log: this._log,
+      nodes: () => insertByPreference(this._exchange.listLive(), this._self),
       peers: () =>
-        this._exchange.livePeers().map(({ digest, receivedAtMs }) => ({
-          node: digest.node,
-          address: digest.address,
-          failureDomain: digest.failureDomain,
+        this._exchange.listPeers().map(({ digest, member, receivedAtMs }) => ({
+          ...member,
           storeAgeMs: digest.storeAgeMs + this._clock.monotonic() - receivedAtMs,
           isFirstHand: digest.isFirstHand,
         })),
-      isStoreReader: () => this._planning.term !== undefined,
+      owners: () => this._ownership.listAddresses(),
     });
   }
 
   private _createTopicServer(): TopicServer {
-    const mirrors = new Map([
-      [Topic.operator, this._configurationFollower.mirror],
-      [Topic.instances, this._listFollower.mirror],
-    ]);
-    return new TopicServer(this._settings.peers.address, mirrors, this._counters);
+    return new TopicServer({
+      address: this._settings.peers.address,
+      mirrors: new Map([
+        [Topic.operator, this._configurationFollower.mirror],
+        [Topic.instances, this._listFollower.mirror],
+      ]),
+      counters: this._counters,
+      members: () => [this._self, ...this._exchange.listMembers()],
+      onMembers: (members) => {
+        this._exchange.addMembers(members);
+      },
+    });
+  }
+
+  private _createList(): InstanceList {
+    const follower = () => this._listFollower;
+    return new InstanceList(this._clock, this._log, this._counters, {
+      get reconnectedAtMs() {
+        return follower().reconnectedAtMs;
+      },
+      get currentAtMs() {
+        return follower().mirror.contactAtMs;
+      },
+    });
+  }
+
+  private _createExchange(): PeerExchange {
+    return new PeerExchange({
+      self: this._self,
+      clock: this._clock,
+      random: this._random,
+      counters: this._counters,
+      log: this._log,
+      owners: () => this._ownership.listAddresses(),
+      describeState: () => this._describeState(),
+      onDigest: (digest, address, receivedAtMs) => {
+        this._applyDigest(digest, address, receivedAtMs);
+      },
+      onMessage: (message) => {
+        this._handleMessage(message);
+      },
+    });
+  }
+
+  private _createOwnership(): ShardOwnership {
+    return new ShardOwnership({
+      self: this._self,
+      store: this._store,
+      exchange: this._exchange,
+      clock: this._clock,
+      random: this._random,
+      counters: this._counters,
+      log: this._log,
+      countInstances: () => (this._isListSettled() ? this._list.instances.size : undefined),
+      onOwner: () => {
+        void this._discovery.register();
+      },
+    });
+  }
+
+  private _createDiscovery(): PeerDiscovery {
+    return new PeerDiscovery({
+      self: this._self,
+      store: this._store,
+      exchange: this._exchange,
+      random: this._random,
+      log: this._log,
+      isFirstStart: this._settings.node['first-start'],
+    });
+  }
+
+  private _createHeadMonitor(): HeadMonitor {
+    return new HeadMonitor({
+      node: this._self.node,
+      list: this._list,
+      clock: this._clock,
+      log: this._log,
+      configuration: () => this._table?.configuration,
+      peers: () => this._exchange.listLive().map(({ node }) => node),
+      isOwned: (fabricDomain) => this._ownership.findOwnTerm(fabricDomain) !== undefined,
+      onFinding: ({ fabricDomain }) => {
+        const owner = this._ownership.findOwner(fabricDomain);
+        if (owner) this._placement.reportNow(owner.address);
+      },
+    });
   }
 
   private _createContext(): ServingContext {
@@ -240,7 +326,7 @@
       demand: this._demand,
       retries: new RetryWindowBudget(
         { share: bounds['retry-share'], slack: bounds['retry-slack'], windowMs: bounds['retry-window'] },
-        () => this._exchange.livePeers().length + 1,
+        () => this._exchange.size + 1,
       ),
       connections: this._connections,
       directory: this._directory,
@@ -257,57 +343,74 @@
     };
   }
 
-  private _createPlacement(incarnation: string): Placement {
-    const { node, peers } = this._settings;
+  private _createPlacement(): Placement {
     return new Placement({
-      node: node.name,
-      address: peers.address,
-      incarnation,
-      failureDomain: node['failure-domain'],
+      id: this._self.id,
+      address: this._self.address,
+      failureDomain: this._self.failureDomain,
       clock: this._clock,
+      random: this._random,
       counters: this._counters,
       log: this._log,
       loads: this._loads,
-      coordinator: () => (this._planning.term === undefined ? this._exchange.planner()?.address : 'self'),
+      findOwners: ({ service, model }) => {
+        const configuration = this._table?.configuration;
+        return configuration ? this._directory.findOwners(configuration, service, model) : [];
+      },
+      findOwner: (target) => this._directory.findOwner(target),
+      owners: () => this._ownership.listAddresses(),
       send: (address, message) => {
-        this._exchange.sendPlacement(address, message);
+        this._exchange.send(address, message);
       },
-      chooseLocally: (choice) =>
-        chooseTarget(this._findCandidates(choice), {
-          ...choice,
+      chooseLocally: (criteria) =>
+        chooseTarget(this._findCandidates(criteria), {
+          ...criteria,
+          isExact: criteria.isOwner,
           nowMs: this._clock.monotonic(),
           random: this._random,
           health: this._health,
         }),
-      findCandidate: (criteria, key) =>
-        this._findCandidates(criteria).find((candidate) => candidate.key === key),
-      silentTargets: (criteria) =>
-        this._findCandidates(criteria)
-          .filter(({ key }) => this._health.isSuspect(key, this._clock.monotonic()))
-          .map(({ key }) => key),
+      countFree: (criteria) =>
+        countFreePlaces(this._findCandidates({ ...criteria, isOwner: true }), this._health, this._clock),
+      findCandidate: (_criteria, key) =>
+        this._table && this._directory.findCandidate(this._table.configuration, key),
+      silentTargets: () => this._health.listSuspects(this._clock.monotonic()),
+      describe: () => ({
+        demand: Object.fromEntries(this._demand.getNeededGroups(this._clock.monotonic())),
+        silent: [...this._silentTargets.list()],
+        heads: Object.fromEntries(this._heads.findings()),
+      }),
+      onReport: (report) => {
+        this._applyReport(report);
+      },
     });
   }
 
-  private _findCandidates({ service, model }: PlacementCriteria): readonly TargetCandidate[] {
+  private _findCandidates({
+    service,
+    model,
+    isOwner,
+  }: Pick<LocalPlacementCriteria, 'service' | 'model' | 'isOwner'>): readonly TargetCandidate[] {
     const configuration = this._table?.configuration;
-    return configuration ? this._directory.findCandidates(configuration, service, model) : [];
+    if (!configuration) return [];
+    return isOwner
+      ? this._directory.findOwnCandidates(configuration, service, model)
+      : this._directory.findCandidates(configuration, service, model);
   }
 
   private _createPlanning(): Planning {
     return new Planning({
-      node: this._settings.node.name,
-      store: this._store,
       list: this._list,
-      exchange: this._exchange,
+      ownership: this._ownership,
       clock: this._clock,
-      random: this._random,
       counters: this._counters,
       log: this._log,
       configuration: () => (this._hasList ? this._table?.configuration : undefined),
       isListSettled: () => this._isListSettled(),
-      demand: () => this._sumFleetDemand(),
+      demand: () => this._reports.sumDemand(this._demand.getNeededGroups(this._clock.monotonic())),
       hasTraffic: () => this._hasFleetTraffic(),
       heads: this._heads,
+      countNodes: () => this._exchange.size + 1,
     });
   }
 
@@ -342,6 +445,7 @@
       waitMs: 0,
       peerWaitMs: PEER_LIST_WAIT_MS,
       intervalMs: () => (this._planning.isBusy ? BUSY_LIST_INTERVAL_MS : LIST_INTERVAL_MS),
+      peerIntervalMs: PEER_LIST_INTERVAL_MS,
       onSnapshot: (records) => {
         this._list.replaceAll(records);
         this._hasList = true;
@@ -376,82 +480,67 @@
     });
   }
 
-  /** Publishes this node's address in the store and reads the addresses of its peers; retries until that succeeds. */
-  private async _discoverPeers(): Promise<void> {
-    for (;;) {
-      try {
-        await this._store.appendKeyed(Topic.nodes, this._settings.node.name, this._settings.peers.address);
-        const { records } = await this._store.readNewest(Topic.nodes);
-        this._exchange.addAddresses(
-          records.flatMap(({ value }) => (value ? [Buffer.from(value).toString('utf8')] : [])),
-        );
-        return;
-      } catch (error) {
-        this._log.warn('peer discovery failed; retrying', { error: describeError(error) });
-        await pause(PEER_DISCOVERY_RETRY_MS);
-      }
-    }
-  }
-
   private _describeState(): OwnState {
-    const nowMs = this._clock.monotonic();
-    const storeAgeMs = Math.min(MAX_STORE_AGE_MS, this._trust.ageMs());
     return {
-      failureDomain: this._settings.node['failure-domain'],
-      storeAgeMs,
+      storeAgeMs: Math.min(MAX_STORE_AGE_MS, Math.ceil(this._trust.ageMs())),
       isFirstHand: this._configurationFollower.mirror.isFirstHand && this._listFollower.mirror.isFirstHand,
-      version: this._table?.configuration.version ?? -1,
+      configurationVersion: this._table?.configuration.version ?? -1,
       isLeaving: this._front.isDraining,
-      loads: Object.fromEntries([...this._loads.getOwnLoads()].map(([key, load]) => [key, [...load]])),
-      silent: [...this._silentTargets].filter(([, untilMs]) => untilMs > nowMs).map(([key]) => key),
-      heads: Object.fromEntries(this._heads.findings()),
       hasTraffic: this._hasTraffic,
-      demand: Object.fromEntries(this._demand.getNeededGroups(nowMs)),
+      ownershipStamp: this._ownership.stamp,
     };
   }
 
-  private _applyDigest(digest: Digest, receivedAtMs: number): void {
-    this._loads.recordGossip(digest.node, new Map(Object.entries(digest.loads)), receivedAtMs);
-    this._loads.gossipTtlMs = this._exchange.peerTimeoutMs;
-    for (const key of digest.silent) this._applySilenceReport(key, receivedAtMs);
-    if (digest.version === this._table?.configuration.version) {
+  private _applyDigest(digest: Digest, address: string, receivedAtMs: number): void {
+    this._ownership.answerStamp(digest.ownershipStamp, address);
+    if (digest.hasTraffic) this._hasPeerTraffic = true;
+    if (digest.configurationVersion === this._table?.configuration.version) {
       this._trust.confirm(receivedAtMs - digest.storeAgeMs - MAX_DATAGRAM_DELAY_MS);
     }
   }
 
+  private _handleMessage(message: Exclude<PeerMessage, Digest>): void {
+    switch (message.kind) {
+      case 'ownership':
+        this._ownership.receive(message);
+        return;
+      case 'report':
+      case 'ask':
+      case 'grant':
+        this._placement.receive(message);
+    }
+  }
+
+  private _applyReport(report: ReportMessage): void {
+    const nowMs = this._clock.monotonic();
+    this._reports.record(report);
+    this._heads.recordPeer(report.sender, new Map(Object.entries(report.heads)));
+    for (const key of report.silent) this._applySilenceReport(key, report.sender, nowMs);
+  }
+
   private _hasFleetTraffic(): boolean {
-    return this._hasTraffic || this._exchange.livePeers().some(({ digest }) => digest.hasTraffic);
+    return this._hasTraffic || this._hasPeerTraffic;
   }
 
   /** Whether the instance list is complete: after an outage entries reappear, and at the start they appear one by one. */
   private _isListSettled(): boolean {
     const nowMs = this._clock.monotonic();
-    if (this._listFollower.isFailing || nowMs - this._listFollower.reconnectedAtMs < MISSING_ENTRY_GRACE_MS)
-      return false;
+    if (!this._hasList || this._listFollower.isFailing) return false;
+    if (nowMs - this._listFollower.reconnectedAtMs < MISSING_ENTRY_GRACE_MS) return false;
     return this._hasFleetTraffic() || nowMs - this._list.lastAddedAtMs > START_SETTLE_MS;
   }
 
-  /** Number of groups that the requests of all nodes need, by model. */
-  private _sumFleetDemand(): ReadonlyMap<string, number> {
-    const demand = new Map(this._demand.getNeededGroups(this._clock.monotonic()));
-    for (const { digest } of this._exchange.livePeers()) {
-      for (const [model, groups] of Object.entries(digest.demand)) {
-        demand.set(model, (demand.get(model) ?? 0) + groups);
-      }
-    }
-    return demand;
-  }
-
   private _reportSilentTarget({ key }: TargetCandidate): void {
     this._counters.add('monsoonreach_silent_targets_total');
-    this._silentTargets.set(key, this._clock.monotonic() + SILENCE_REPORT_MS);
-    this._planning.suspectGroup(key);
-    this._exchange.sendDigestToPlanner();
+    this._silentTargets.add(key);
+    this._planning.suspectGroup(key, this._self.id);
+    const owner = this._directory.findOwner(key);
+    if (owner) this._placement.reportNow(owner.address);
   }
 
   /** Applies a peer's report that a target is silent, unless this node has just received bytes from the target. */
-  private _applySilenceReport(key: string, nowMs: number): void {
-    this._planning.suspectGroup(key);
+  private _applySilenceReport(key: string, reporter: string, nowMs: number): void {
+    this._planning.suspectGroup(key, reporter);
     if (nowMs - this._health.getProgressAtMs(key) > RECENT_PROGRESS_MS)
       this._health.recordSilence(key, nowMs);
   }
@@ -480,15 +569,25 @@
   }
 }
 
+/** Number of places that responsive targets still have. */
+function countFreePlaces(candidates: readonly TargetCandidate[], health: TargetHealth, clock: Clock): number {
+  const nowMs = clock.monotonic();
+  return candidates
+    .filter(({ key }) => !health.isSuspect(key, nowMs))
+    .reduce((sum, { slots, load }) => sum + Math.max(0, slots - load.requests), 0);
+}
+
+/** Characters that distinguish the starts of a node. */
+const INCARNATION_LENGTH = 8;
+/** Longest time for which a node looks for others before it reads the store itself, in milliseconds. */
+const MAX_DISCOVERY_WAIT_MS = 300;
+/** The same at the first start of the system, before there is traffic. */
+const MAX_FIRST_DISCOVERY_WAIT_MS = 1_500;
 /** Longest age that is sent, in milliseconds; JSON cannot represent infinity. */
 const MAX_STORE_AGE_MS = 1_000_000;
 /** Time without a new instance after which the first groups may be planned, in milliseconds; two reads of the list. */
 const START_SETTLE_MS = 1_000;
-/** Time for which digests report a silent target, in milliseconds; a few gossip intervals. */
-const SILENCE_REPORT_MS = 600;
 /** Age of a target's last bytes up to which a peer's report of silence is ignored, in milliseconds; two steps of a full batch. */
 const RECENT_PROGRESS_MS = 200;
 /** Longest assumed transit time of a datagram, in milliseconds; far above the latency between failure domains. */
 const MAX_DATAGRAM_DELAY_MS = 300;
-/** Pause before peer discovery is retried, in milliseconds. */
-const PEER_DISCOVERY_RETRY_MS = 700;
--- /dev/null
+++ b/packages/node/src/orderSender.ts
@@ -0,0 +1,199 @@
+import {
+  type Clock,
+  type Counters,
+  groupId,
+  InstanceStateOverlay,
+  type InstanceOrder,
+  MAX_REPORT_LAG_MS,
+  pause,
+  type TargetInstance,
+} from '@monsoonreach/core';
+import { type OrderOutcome, readReport, ReportError, sendOrder } from '@monsoonreach/platform';
+import type { DecisionLog } from './decisionLog.js';
+import type { InstanceList } from './instanceList.js';
+
+/** Timeout of an order, after which it may be sent again, in milliseconds; many round trips. */
+const ORDER_TIMEOUT_MS = 400;
+/** Timeout of a request for an instance's own report, in milliseconds. */
+const REPORT_TIMEOUT_MS = 300;
+/** Time until the instance list shows the effect of an order, in milliseconds; one read interval plus the list's lag. */
+const ORDER_EFFECT_MS = 1_500;
+/** Time for which a closing head is polled, in milliseconds; its requests may take that long to finish. */
+const CLOSE_TIMEOUT_MS = 8_000;
+/** Time for which a group is remembered whose head left on an order, in milliseconds; its members are reused long before. */
+const HEADLESS_GROUP_TTL_MS = 60_000;
+
+/** Dependencies of {@link OrderSender}. */
+export interface OrderSenderOptions {
+  readonly list: InstanceList;
+  readonly clock: Clock;
+  readonly counters: Counters;
+  readonly log: DecisionLog;
+  /** Term in which this node may order an instance of the fabric domain; undefined if it may not. */
+  readonly findTerm: (fabricDomain: string) => number | undefined;
+  /** Called when an instance follows an owner with a higher term. */
+  readonly onFenced: (order: InstanceOrder, term: number) => void;
+  /** Called with whether an instance answered a request for its report. */
+  readonly onReportResult: (id: string, isAnswered: boolean) => void;
+}
+
+/** Sends orders to instances and keeps track of their effects until the instance list shows them. */
+export class OrderSender {
+  /** Instances with an order in progress, with the monotonic time until which they get no other. */
+  private readonly _pendingOrders = new Map<string, number>();
+  private readonly _overlay = new InstanceStateOverlay();
+  /** Groups whose head left on an order of this node, with the monotonic time of that order. */
+  private readonly _headlessGroups = new Map<string, number>();
+  /** Groups whose order to open has no known outcome. */
+  private readonly _unconfirmedOpens = new Set<string>();
+  private readonly _abortController = new AbortController();
+
+  constructor(private readonly _options: OrderSenderOptions) {}
+
+  /** Increases whenever the outcome of an order or a report becomes known. */
+  version = 0;
+
+  get hasPendingOrders(): boolean {
+    return this._pendingOrders.size > 0;
+  }
+
+  get unconfirmedOpens(): ReadonlySet<string> {
+    return this._unconfirmedOpens;
+  }
+
+  /** Ids of the instances that get no other order for now. */
+  listPending(): ReadonlySet<string> {
+    const nowMs = this._options.clock.monotonic();
+    for (const [id, untilMs] of this._pendingOrders) if (untilMs <= nowMs) this._pendingOrders.delete(id);
+    return new Set(this._pendingOrders.keys());
+  }
+
+  /** Ids of the groups whose head left on an order of this node. */
+  listHeadlessGroups(): ReadonlySet<string> {
+    const nowMs = this._options.clock.monotonic();
+    for (const [id, atMs] of this._headlessGroups)
+      if (nowMs - atMs > HEADLESS_GROUP_TTL_MS) this._headlessGroups.delete(id);
+    return new Set(this._headlessGroups.keys());
+  }
+
+  /** The listed instances, with newer state where this node knows it. */
+  listInstances(): ReadonlyMap<string, TargetInstance> {
+    return this._overlay.merge(this._options.list);
+  }
+
+  stop(): void {
+    this._abortController.abort();
+  }
+
+  /** Sends an order unless the instance's number of orders has to be asked for first. */
+  async send(order: InstanceOrder): Promise<void> {
+    const { clock, counters, log, findTerm } = this._options;
+    const { id, fabricDomain } = order.instance;
+    const term = findTerm(fabricDomain);
+    if (term === undefined) return;
+    this._pendingOrders.set(id, clock.monotonic() + ORDER_EFFECT_MS);
+    const expectedOrderCount = this._findOrderCount(order.instance);
+    if (expectedOrderCount === undefined) return;
+    const outcome = await sendOrder(order, {
+      fencingToken: term,
+      expectedOrderCount,
+      timeoutMs: ORDER_TIMEOUT_MS,
+    });
+    counters.add('monsoonreach_orders_total', { kind: order.kind, outcome: outcome.kind });
+    log.info('order', {
+      term,
+      target: id,
+      kind: order.kind,
+      model: 'model' in order ? order.model.name : undefined,
+      group: 'group' in order ? order.group : undefined,
+      epoch: 'epoch' in order ? order.epoch : undefined,
+      expectedOrderCount,
+      outcome: outcome.kind,
+    });
+    await this._handleOutcome(order, outcome, { term, expectedOrderCount });
+    this.version++;
+  }
+
+  /** Reads the state from the instance itself, when the effect of an order is not known or the list is out of date. */
+  async refresh(instance: TargetInstance): Promise<void> {
+    const { clock, counters, list, onReportResult } = this._options;
+    const { id } = instance;
+    try {
+      const { state, orderCount } = await readReport(instance, REPORT_TIMEOUT_MS);
+      this._overlay.recordReport({ ...(list.get(id) ?? instance), ...state }, orderCount, clock.monotonic());
+      this._pendingOrders.delete(id);
+      onReportResult(id, true);
+    } catch (error) {
+      if (!(error instanceof ReportError)) throw error;
+      counters.add('monsoonreach_reports_missed_total');
+      this._pendingOrders.set(id, clock.monotonic() + ORDER_TIMEOUT_MS);
+      onReportResult(id, false);
+    }
+    this.version++;
+  }
+
+  /**
+   * Returns how many orders the instance has begun. Returns undefined when that is not known: then the instance is
+   * asked for its report, and no order is sent before it arrives, as another owner may just have sent one.
+   */
+  private _findOrderCount(instance: TargetInstance): number | undefined {
+    const orderCount = this._overlay.getOrderCount(instance);
+    if (orderCount !== undefined) return orderCount;
+    const isUntouched = !instance.membership && instance.stagedModels.length === 0;
+    if (isUntouched) return 0;
+    void this.refresh(instance);
+    return undefined;
+  }
+
+  private async _handleOutcome(
+    order: InstanceOrder,
+    outcome: OrderOutcome,
+    sent: { readonly term: number; readonly expectedOrderCount: number },
+  ): Promise<void> {
+    const { clock, onFenced } = this._options;
+    const { id } = order.instance;
+    switch (outcome.kind) {
+      case 'begun':
+        this._recordBegun(order, sent.expectedOrderCount + 1);
+        return;
+      case 'holds':
+        // A member leaves immediately, so its answer already describes the state after the order.
+        if (order.kind === 'leave') this._recordBegun(order, sent.expectedOrderCount + 1);
+        if (order.kind === 'open') this._recordBegun(order, sent.expectedOrderCount);
+        return;
+      case 'misdirected':
+        return;
+      case 'fenced':
+        onFenced(order, sent.term);
+        return;
+      case 'conflict':
+      case 'unknown':
+        if (order.kind === 'open') this._unconfirmedOpens.add(groupId(order));
+        await pause(MAX_REPORT_LAG_MS, this._abortController.signal);
+        await this.refresh(order.instance);
+        if (order.kind === 'stage') this._pendingOrders.set(id, clock.monotonic() + ORDER_EFFECT_MS);
+    }
+  }
+
+  private _recordBegun(order: InstanceOrder, orderCount: number): void {
+    const { id } = order.instance;
+    const nowMs = this._options.clock.monotonic();
+    this._overlay.recordOrderStart(order, orderCount, nowMs);
+    if (order.kind !== 'open') this._pendingOrders.delete(id);
+    if (order.kind === 'close') void this._pollUntilClosed(order.instance);
+    if (order.kind === 'leave')
+      this._headlessGroups.set(groupId({ group: order.group, epoch: order.epoch }), nowMs);
+  }
+
+  /** Polls a head until it has closed, because the instance list shows that late. */
+  private async _pollUntilClosed(head: TargetInstance): Promise<void> {
+    const { clock, findTerm } = this._options;
+    const endsAtMs = clock.monotonic() + CLOSE_TIMEOUT_MS;
+    while (clock.monotonic() < endsAtMs && findTerm(head.fabricDomain) !== undefined) {
+      await pause(MAX_REPORT_LAG_MS, this._abortController.signal);
+      await this.refresh(head);
+      const state = this._overlay.getMemberState(head.id);
+      if (state !== 'open' && state !== 'closing') return;
+    }
+  }
+}
--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -1,187 +1,195 @@
 import { createSocket, type Socket } from 'node:dgram';
-import { type Clock, type Counters, type Random, splitAddress } from '@monsoonreach/core';
-import { z } from 'zod';
+import {
+  type Clock,
+  type Counters,
+  FleetMembers,
+  type Member,
+  type MemberTimeouts,
+  type Random,
+  splitAddress,
+} from '@monsoonreach/core';
 import { type DecisionLog, describeError } from './decisionLog.js';
-import { type PlacementMessage, placementMessageSchema } from './placementMessages.js';
+import {
+  decodePeerMessage,
+  type Digest,
+  encodePeerMessage,
+  type PeerMessage,
+  PeerMessageError,
+  toMember,
+  toMemberRow,
+  type WithoutVersion,
+} from './peerMessages.js';
 
-/** Interval between two digests, in milliseconds; a fraction of the duration of a request. */
-const GOSSIP_INTERVAL_MS = 200;
-/** Number of peers per interval, so that the traffic of a node does not grow with the fleet. */
-const GOSSIP_FANOUT = 4;
+/** How often and to how many peers a node sends its digest, by the size of the fleet. */
+const GOSSIP_RATES = [
+  { maxPeers: 32, intervalMs: 200, fanout: 4 },
+  { maxPeers: Infinity, intervalMs: 300, fanout: 2 },
+] as const;
+/** Members that a digest names, so that all nodes learn of a new one. */
+const MEMBERS_PER_DIGEST = 2;
 /** Minimum silence after which a peer counts as lost, in milliseconds; several intervals with one or two lost datagrams. */
 const MIN_PEER_TIMEOUT_MS = 1_500;
 /** The same in rounds, for a fleet in which a round takes several intervals; one digest may be lost. */
 const PEER_TIMEOUT_ROUNDS = 2.5;
-/** Silence of the planner after which another node may plan, in milliseconds; gossip reaches all nodes in one second. */
-const PLANNER_TIMEOUT_MS = 1_400;
+/** Silence of a node whose liveness is relayed, after which it counts as lost, beyond the propagation time; in milliseconds. */
+const RELAYED_SLACK_MS = 800;
 /** Time for which digests are still sent to a silent peer, in milliseconds. */
-const PEER_ADDRESS_TTL_MS = 60_000;
+const MIN_PEER_TTL_MS = 60_000;
 
-const digestSchema = z.object({
-  kind: z.literal('digest'),
-  node: z.string(),
-  address: z.string(),
-  failureDomain: z.string(),
-  incarnation: z.string(),
-  sequence: z.number(),
-  /** Milliseconds since the sender's last contact with the store. */
-  storeAgeMs: z.number(),
-  /** Whether the sender reads the store directly, so that peers may read through it. */
-  isFirstHand: z.boolean(),
-  version: z.number(),
-  /** The planner that the sender knows, which may be the sender itself. */
-  planner: z
-    .object({ node: z.string(), address: z.string(), term: z.number(), ageMs: z.number() })
-    .optional(),
-  isLeaving: z.boolean(),
-  loads: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
-  silent: z.array(z.string()),
-  /** State of heads that are missing from the instance list, by group, as the sender found it. */
-  heads: z.record(z.string(), z.enum(['serving', 'idle', 'silent'])),
-  /** Whether the sender has served requests, so that a new node knows that the fleet has traffic. */
-  hasTraffic: z.boolean(),
-  demand: z.record(z.string(), z.number()),
-});
-
-const messageSchema = z.discriminatedUnion('kind', [digestSchema, ...placementMessageSchema.options]);
-
-/** State of a node, as it is gossiped to the other nodes. */
-export type Digest = Readonly<z.infer<typeof digestSchema>>;
 /** The part of a digest that the node supplies; the exchange adds the rest. */
-export type OwnState = Omit<Digest, 'kind' | 'node' | 'address' | 'incarnation' | 'sequence' | 'planner'>;
-
-/** The planner, as far as this node knows. */
-export interface KnownPlanner {
-  readonly node: string;
-  readonly address: string;
-  readonly term: number;
-  /** Monotonic time at which it was last known to plan. */
-  readonly atMs: number;
-}
+export type OwnState = Pick<
+  Digest,
+  'storeAgeMs' | 'isFirstHand' | 'configurationVersion' | 'isLeaving' | 'hasTraffic' | 'ownershipStamp'
+>;
 
 /** The last digest of a peer and the monotonic time at which it arrived. */
 export interface Peer {
   readonly digest: Digest;
+  readonly member: Member;
   readonly receivedAtMs: number;
 }
 
 /** Dependencies of {@link PeerExchange}. */
 export interface PeerExchangeOptions {
-  readonly node: string;
-  readonly address: string;
-  readonly incarnation: string;
+  readonly self: Member;
   readonly clock: Clock;
   readonly random: Random;
   readonly counters: Counters;
   readonly log: DecisionLog;
-  /** The term in which this node plans; undefined while it is not the planner. */
-  readonly ownTerm: () => number | undefined;
+  /** Addresses of the owners of shards. */
+  readonly owners: () => ReadonlySet<string>;
   readonly describeState: () => OwnState;
-  readonly onDigest: (digest: Digest, receivedAtMs: number) => void;
-  readonly onPlacement: (message: PlacementMessage) => void;
+  readonly onDigest: (digest: Digest, address: string, receivedAtMs: number) => void;
+  /** Called with every message that is no digest. */
+  readonly onMessage: (message: Exclude<PeerMessage, Digest>) => void;
 }
 
-/** Gossips the state of this node over UDP: in each interval a digest is sent to a bounded number of peers. */
+/** Sends and receives the messages between nodes, and keeps track of which nodes are live by their digests. */
 export class PeerExchange {
   private readonly _socket: Socket = createSocket('udp4');
   private readonly _peers = new Map<string, Peer>();
-  private readonly _addresses = new Map<string, { receivedAtMs: number }>();
-  private _planner: KnownPlanner | undefined;
+  private readonly _members: FleetMembers;
   private _sequence = 0;
   /** Addresses that have not had their turn in this round. */
   private _remainingAddresses: readonly string[] = [];
   private _timer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly _options: PeerExchangeOptions) {}
+  constructor(private readonly _options: PeerExchangeOptions) {
+    this._members = new FleetMembers(_options.self);
+  }
 
-  /** Address at which peers reach this node. */
-  get address(): string {
-    return this._options.address;
+  /** Number of other nodes that this one knows. */
+  get size(): number {
+    return this._members.size;
   }
 
-  /** Peers whose last digest is recent and does not mark them as leaving. */
-  livePeers(): readonly Peer[] {
-    const nowMs = this._options.clock.monotonic();
-    const timeoutMs = this.peerTimeoutMs;
-    return [...this._peers.values()].filter(
-      ({ receivedAtMs, digest }) => nowMs - receivedAtMs < timeoutMs && !digest.isLeaving,
-    );
+  /** The other nodes that are live and not leaving, those with the most capacity first. */
+  listLive(): readonly Member[] {
+    return this._members.listLive(this._timeouts, this._options.clock.monotonic());
   }
 
-  /** Time for which a digest is valid, in milliseconds; longer in a large fleet, where a round takes longer. */
-  get peerTimeoutMs(): number {
-    const roundMs = (GOSSIP_INTERVAL_MS * this._addresses.size) / GOSSIP_FANOUT;
-    return Math.max(MIN_PEER_TIMEOUT_MS, roundMs * PEER_TIMEOUT_ROUNDS);
+  /** All other nodes that this one knows. */
+  listMembers(): readonly Member[] {
+    return this._members.listMembers();
   }
 
-  /** Estimated time in which a digest's content reaches all nodes, in milliseconds. */
-  get propagationMs(): number {
-    const rounds = Math.ceil(Math.log(this._addresses.size + 1) / Math.log(GOSSIP_FANOUT));
-    return GOSSIP_INTERVAL_MS * (Math.max(1, rounds) + 1);
+  /** The last digest of each peer that is live. */
+  listPeers(): readonly Peer[] {
+    return this.listLive().flatMap(({ address }) => this._peers.get(address) ?? []);
+  }
+
+  findPeer(address: string): Peer | undefined {
+    return this._peers.get(address);
   }
 
-  /** The current planner other than this node; undefined without a recent report of one. */
-  planner(): KnownPlanner | undefined {
-    const ageMs = this._options.clock.monotonic() - (this._planner?.atMs ?? -Infinity);
-    return ageMs < PLANNER_TIMEOUT_MS ? this._planner : undefined;
+  /** Estimated time in which a digest's content reaches all nodes, in milliseconds. */
+  get propagationMs(): number {
+    const { intervalMs, fanout } = this._rate;
+    const rounds = Math.ceil(Math.log(this.size + 1) / Math.log(fanout + 1));
+    return intervalMs * (Math.max(1, rounds) + 1);
   }
 
-  /** Adds addresses at which peers may be reached. */
-  addAddresses(addresses: readonly string[]): void {
-    for (const address of addresses) this._addAddress(address);
+  /** Adds nodes that others know. */
+  addMembers(members: readonly Member[]): void {
+    for (const member of members) this._members.add(member, this._options.clock.monotonic());
   }
 
   start(): Promise<void> {
-    const { host, port } = splitAddress(this._options.address);
+    const { host, port } = splitAddress(this._options.self.address);
     this._socket.on('message', (message) => {
       this._handleMessage(message);
     });
     this._socket.on('error', (error) => {
       this._options.log.warn('peer socket failed', { error: describeError(error) });
     });
-    this._timer = setInterval(() => {
-      this.sendDigests();
-    }, GOSSIP_INTERVAL_MS);
+    this._scheduleDigests();
     return new Promise((resolve) => {
       this._socket.bind(port, host, resolve);
     });
   }
 
   stop(): void {
-    clearInterval(this._timer);
+    clearTimeout(this._timer);
     this._socket.close();
   }
 
   /** Sends a digest to the peers whose turn it is. */
   sendDigests(): void {
-    this._sendDigest(this._takeNextAddresses());
+    this._sendDigestTo(this._takeNextAddresses());
+  }
+
+  /** Sends a digest to all peers. */
+  broadcastDigest(): void {
+    this._sendDigestTo(this._members.listAddresses());
+  }
+
+  /** Sends a message to one node. */
+  send(address: string, message: WithoutVersion<PeerMessage>): void {
+    this._sendBytes(address, encodePeerMessage(message));
+  }
+
+  /** Sends a message to all nodes. */
+  broadcast(message: WithoutVersion<PeerMessage>): void {
+    const bytes = encodePeerMessage(message);
+    for (const address of this._members.listAddresses()) this._sendBytes(address, bytes);
   }
 
-  /** Sends a digest to the planner and to the peers whose turn it is. */
-  sendDigestToPlanner(): void {
-    const planner = this.planner();
-    this._sendDigest(new Set([...(planner ? [planner.address] : []), ...this._takeNextAddresses()]));
+  private get _rate(): (typeof GOSSIP_RATES)[number] {
+    return GOSSIP_RATES.find(({ maxPeers }) => this.size <= maxPeers) ?? GOSSIP_RATES[1];
   }
 
-  private _sendDigest(addresses: Iterable<string>): void {
-    const { node, address, incarnation, describeState: describe } = this._options;
+  private get _roundMs(): number {
+    const { intervalMs, fanout } = this._rate;
+    return (intervalMs * this.size) / fanout;
+  }
+
+  private get _timeouts(): MemberTimeouts {
+    const directMs = Math.max(MIN_PEER_TIMEOUT_MS, this._roundMs * PEER_TIMEOUT_ROUNDS);
+    return { directMs, relayedMs: Math.min(directMs, this.propagationMs + RELAYED_SLACK_MS) };
+  }
+
+  private _scheduleDigests(): void {
+    this._timer = setTimeout(() => {
+      this.sendDigests();
+      this._scheduleDigests();
+    }, this._rate.intervalMs);
+  }
+
+  private _sendDigestTo(addresses: readonly string[]): void {
+    if (addresses.length === 0) return;
+    const { self, describeState, owners, clock } = this._options;
+    const nowMs = clock.monotonic();
+    const heard = this._members.updateRelayed(owners(), this._timeouts, nowMs);
     this._sequence++;
-    const digest: Digest = {
+    const bytes = encodePeerMessage({
       kind: 'digest',
-      node,
-      address,
-      incarnation,
+      member: toMemberRow(self),
       sequence: this._sequence,
-      ...this._describePlanner(),
-      ...describe(),
-    };
-    const bytes = Buffer.from(JSON.stringify(digest));
-    for (const peer of addresses) if (peer !== address) this._sendBytes(peer, bytes);
-  }
-
-  /** Sends a placement message, which is a request, a grant or a load report. */
-  sendPlacement(address: string, message: PlacementMessage): void {
-    this._sendBytes(address, Buffer.from(JSON.stringify(message)));
+      heard: [...heard].map(([address, atMs]) => [address, Math.round(nowMs - atMs)]),
+      members: this._drawMembers(),
+      ...describeState(),
+    });
+    for (const address of addresses) this._sendBytes(address, bytes);
   }
 
   private _sendBytes(address: string, bytes: Buffer): void {
@@ -191,83 +199,64 @@
     });
   }
 
-  private _describePlanner(): Pick<Digest, 'planner'> {
-    const { node, address, clock, ownTerm } = this._options;
-    const term = ownTerm();
-    if (term !== undefined) return { planner: { node, address, term, ageMs: 0 } };
-    const planner = this.planner();
-    if (!planner) return {};
-    const { atMs, ...rest } = planner;
-    return { planner: { ...rest, ageMs: clock.monotonic() - atMs } };
-  }
-
-  /** Forgets the planner when its own digest reports that it is leaving or no longer plans, as after a restart. */
-  private _forgetEndedPlanner(digest: Digest): void {
-    const isPlanning = digest.planner?.node === digest.node && !digest.isLeaving;
-    if (this._planner?.node === digest.node && !isPlanning) this._planner = undefined;
-  }
-
-  private _updatePlanner(planner: Digest['planner'], receivedAtMs: number): void {
-    if (!planner || planner.node === this._options.node) return;
-    const { ageMs, ...rest } = planner;
-    const reported = { ...rest, atMs: receivedAtMs - ageMs };
-    const known = this.planner();
-    const isNewer = !known || reported.term > known.term;
-    if (isNewer || (reported.term === known.term && reported.atMs > known.atMs)) this._planner = reported;
+  private _drawMembers(): Digest['members'] {
+    const members = this._members.listMembers();
+    return Array.from({ length: Math.min(MEMBERS_PER_DIGEST, members.length) }, () => {
+      const member = members[this._options.random.below(members.length)];
+      return member ? [toMemberRow(member)] : [];
+    }).flat();
   }
 
   /** Returns the next addresses of the round; each round visits every address once, in a new random order. */
   private _takeNextAddresses(): readonly string[] {
-    const nowMs = this._options.clock.monotonic();
-    for (const [address, { receivedAtMs }] of this._addresses) {
-      if (nowMs - receivedAtMs > PEER_ADDRESS_TTL_MS) this._addresses.delete(address);
-    }
-    if (this._remainingAddresses.length < GOSSIP_FANOUT)
-      this._remainingAddresses = [...this._remainingAddresses, ...this._shuffleAddresses()];
-    const chosen = new Set(this._remainingAddresses.slice(0, GOSSIP_FANOUT));
-    this._remainingAddresses = this._remainingAddresses.slice(GOSSIP_FANOUT);
-    return [...chosen].filter((address) => this._addresses.has(address));
+    const ttlMs = Math.max(MIN_PEER_TTL_MS, this._roundMs * PEER_TIMEOUT_ROUNDS * 2);
+    this._members.removeExpired(ttlMs, this._options.clock.monotonic());
+    const { fanout } = this._rate;
+    const known = new Set(this._members.listAddresses());
+    for (const address of this._peers.keys()) if (!known.has(address)) this._peers.delete(address);
+    const remaining = this._remainingAddresses.filter((address) => known.has(address));
+    const next = remaining.length < fanout ? [...remaining, ...this._shuffle([...known])] : remaining;
+    const chosen = new Set(next.slice(0, fanout));
+    this._remainingAddresses = next.slice(fanout);
+    return [...chosen];
   }
 
-  private _shuffleAddresses(): readonly string[] {
-    const all = [...this._addresses.keys()];
-    for (let index = all.length - 1; index > 0; index--) {
+  private _shuffle(addresses: string[]): readonly string[] {
+    for (let index = addresses.length - 1; index > 0; index--) {
       const other = this._options.random.below(index + 1);
-      [all[index], all[other]] = [all[other] ?? '', all[index] ?? ''];
+      [addresses[index], addresses[other]] = [addresses[other] ?? '', addresses[index] ?? ''];
     }
-    return all;
+    return addresses;
   }
 
-  private _handleMessage(message: Buffer): void {
-    let parsed: Digest | PlacementMessage;
+  private _handleMessage(bytes: Buffer): void {
+    let message: PeerMessage;
     try {
-      parsed = messageSchema.parse(JSON.parse(message.toString('utf8')));
+      message = decodePeerMessage(bytes);
     } catch (error) {
+      if (!(error instanceof PeerMessageError)) throw error;
       this._options.counters.add('monsoonreach_datagrams_refused_total');
-      this._options.log.warn('invalid datagram dropped', { error: String(error).slice(0, 200) });
+      this._options.log.warn('invalid datagram dropped', { error: error.message });
       return;
     }
-    if (parsed.kind === 'digest') this._handleDigest(parsed);
-    else this._options.onPlacement(parsed);
+    if (message.kind === 'digest') this._handleDigest(message);
+    else this._options.onMessage(message);
   }
 
   private _handleDigest(digest: Digest): void {
-    const known = this._peers.get(digest.node)?.digest;
-    if (known?.incarnation === digest.incarnation && known.sequence >= digest.sequence) return;
-    const receivedAtMs = this._options.clock.monotonic();
-    if (known && known.incarnation !== digest.incarnation) {
-      this._options.log.info('peer restarted', { peer: digest.node, incarnation: digest.incarnation });
+    const { clock, counters, log, onDigest } = this._options;
+    const member = toMember(digest.member);
+    const known = this._peers.get(member.address);
+    if (known?.member.id === member.id && known.digest.sequence >= digest.sequence) return;
+    const receivedAtMs = clock.monotonic();
+    if (known && known.member.id !== member.id) {
+      log.info('peer restarted', { peer: member.node, id: member.id });
     }
-    if (!known) this._options.counters.add('monsoonreach_peers_met_total');
-    this._peers.set(digest.node, { digest, receivedAtMs });
-    this._addAddress(digest.address);
-    this._forgetEndedPlanner(digest);
-    this._updatePlanner(digest.planner, receivedAtMs);
-    this._options.onDigest(digest, receivedAtMs);
-  }
-
-  private _addAddress(address: string): void {
-    if (address === this._options.address) return;
-    this._addresses.set(address, { receivedAtMs: this._options.clock.monotonic() });
+    if (!known) counters.add('monsoonreach_peers_met_total');
+    this._peers.set(member.address, { digest, member, receivedAtMs });
+    this._members.recordDigest(member, digest.isLeaving, receivedAtMs);
+    this.addMembers(digest.members.map(toMember));
+    for (const [address, ageMs] of digest.heard) this._members.recordHeard(address, receivedAtMs - ageMs);
+    onDigest(digest, member.address, receivedAtMs);
   }
 }
--- /dev/null
+++ b/packages/node/src/peerMessages.ts
@@ -0,0 +1,165 @@
+import { type Member, MonsoonreachError } from '@monsoonreach/core';
+import * as z from 'zod/mini';
+
+/** Version of the messages between nodes; messages of another version are dropped. */
+const MESSAGE_VERSION = 2;
+/** Largest message that is sent or read, in bytes; fits into a datagram on every link. */
+const MAX_MESSAGE_BYTES = 60_000;
+
+const version = { version: z.literal(MESSAGE_VERSION) };
+const count = z.number().check(z.minimum(0));
+
+/** Address and age of the last sign of life, in milliseconds. */
+const heardSchema = z.tuple([z.string(), z.number()]);
+/** Node, incarnation, address, failure domain and capacity. */
+export const memberRowSchema = z.tuple([z.string(), z.string(), z.string(), z.string(), z.number()]);
+/** Requests, context tokens and prompt tokens that await prefill. */
+const loadSchema = z.tuple([z.number(), z.number(), z.number()]);
+
+const digestSchema = z.object({
+  ...version,
+  kind: z.literal('digest'),
+  member: memberRowSchema,
+  sequence: count,
+  /** Milliseconds since the sender's last contact with the store. */
+  storeAgeMs: count,
+  /** Whether the sender reads the store directly, so that peers may read through it. */
+  isFirstHand: z.boolean(),
+  configurationVersion: z.number(),
+  isLeaving: z.boolean(),
+  /** Whether the sender has served requests, so that a new node knows that the fleet has traffic. */
+  hasTraffic: z.boolean(),
+  /** Sum of the terms of the shard owners that the sender knows. */
+  ownershipStamp: count,
+  heard: z.array(heardSchema),
+  /** Some of the nodes that the sender knows. */
+  members: z.array(memberRowSchema),
+});
+
+const ownershipSchema = z.object({
+  ...version,
+  kind: z.literal('ownership'),
+  /** Id and address of each owner. */
+  owners: z.array(z.tuple([z.string(), z.string()])),
+  /** Index of the owner and its term, by shard; null where no owner is known. */
+  shards: z.array(z.nullable(z.tuple([z.number(), z.number()]))),
+});
+
+const reportFields = {
+  ...version,
+  /** Id of the sender's start. */
+  sender: z.string(),
+  /** Address to which an answer is sent. */
+  address: z.string(),
+  sequence: count,
+  lastAsk: count,
+  openAsks: z.array(z.number()),
+  /** Load of the sender at the receiver's targets. */
+  loads: z.record(z.string(), loadSchema),
+};
+
+const reportSchema = z.object({
+  kind: z.literal('report'),
+  ...reportFields,
+  /** Number of groups that the sender's requests need, by model. */
+  demand: z.record(z.string(), z.number()),
+  /** Targets that the sender found silent. */
+  silent: z.array(z.string()),
+  /** State of heads that are missing from the instance list, by group, as the sender found it. */
+  heads: z.record(z.string(), z.enum(['serving', 'idle', 'silent'])),
+});
+
+const askSchema = z.object({
+  kind: z.literal('ask'),
+  ...reportFields,
+  failureDomain: z.string(),
+  service: z.string(),
+  model: z.string(),
+  promptTokens: count,
+  answerTokens: count,
+  isContinuing: z.boolean(),
+  /** Keys of the targets to which the request was already sent, or that the sender suspects. */
+  avoided: z.array(z.string()),
+});
+
+const grantSchema = z.object({
+  ...version,
+  kind: z.literal('grant'),
+  ask: count,
+  target: z.optional(z.string()),
+  predictedMs: z.optional(z.number()),
+  /** Reason for which no target is granted. */
+  reason: z.optional(z.enum(['no-target', 'all-full', 'all-silent'])),
+  /** Requests that the owner's other targets of the model can take. */
+  free: count,
+});
+
+const messageSchema = z.discriminatedUnion('kind', [
+  digestSchema,
+  ownershipSchema,
+  reportSchema,
+  askSchema,
+  grantSchema,
+]);
+
+/** A message between two nodes. */
+export type PeerMessage = Readonly<z.infer<typeof messageSchema>>;
+/** State of a node, as it is gossiped to the other nodes. */
+export type Digest = Readonly<z.infer<typeof digestSchema>>;
+/** Owners of the shards. */
+export type OwnershipMessage = Readonly<z.infer<typeof ownershipSchema>>;
+/** State of a node, as it reports it to an owner. */
+export type ReportMessage = Readonly<z.infer<typeof reportSchema>>;
+/** A request to an owner to assign a target. */
+export type AskMessage = Readonly<z.infer<typeof askSchema>>;
+/** An owner's answer. */
+export type GrantMessage = Readonly<z.infer<typeof grantSchema>>;
+
+/** A datagram is no message of this system. */
+export class PeerMessageError extends MonsoonreachError {
+  readonly code = 'peer-message';
+}
+
+/** Encodes a message without its version. */
+export function encodePeerMessage(message: WithoutVersion<PeerMessage>): Buffer {
+  return Buffer.from(JSON.stringify({ version: MESSAGE_VERSION, ...message }));
+}
+
+/** @throws PeerMessageError */
+export function decodePeerMessage(bytes: Buffer): PeerMessage {
+  if (bytes.length > MAX_MESSAGE_BYTES)
+    throw new PeerMessageError(`The datagram has ${bytes.length} bytes; allowed: ${MAX_MESSAGE_BYTES}.`);
+  let value: unknown;
+  try {
+    value = JSON.parse(bytes.toString('utf8'));
+  } catch (error) {
+    throw new PeerMessageError('The datagram is not valid JSON.', { cause: error });
+  }
+  const result = z.safeParse(messageSchema, value);
+  if (result.success) return result.data;
+  const [issue] = result.error.issues;
+  throw new PeerMessageError(
+    `The datagram does not match its schema at "${issue?.path.join('.') ?? ''}": ${issue?.message ?? ''}`,
+  );
+}
+
+/** A message of each kind without the field that encoding adds. */
+export type WithoutVersion<Message> = Message extends unknown ? Omit<Message, 'version'> : never;
+
+export type MemberRow = z.infer<typeof memberRowSchema>;
+
+/** Separates the name of a node from its incarnation in the id of one start. */
+const ID_SEPARATOR = '#';
+
+export function toMemberRow({ node, id, address, failureDomain, capacity }: Member): MemberRow {
+  return [node, id.slice(node.length + ID_SEPARATOR.length), address, failureDomain, capacity];
+}
+
+export function toMember([node, incarnation, address, failureDomain, capacity]: MemberRow): Member {
+  return { node, id: createMemberId(node, incarnation), address, failureDomain, capacity };
+}
+
+/** Identifies one start of a node. */
+export function createMemberId(node: string, incarnation: string): string {
+  return `${node}${ID_SEPARATOR}${incarnation}`;
+}
--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -2,19 +2,25 @@
   Clock,
   Counters,
   LoadTracker,
+  Random,
   RequestSize,
+  ShardOwner,
   TargetCandidate,
   TargetChoice,
+  TargetLoad,
 } from '@monsoonreach/core';
+import { chooseOwner, type OwnerOption } from '@monsoonreach/core';
 import type { DecisionLog } from './decisionLog.js';
-import type { PlacementRequest, PlacementGrant, PlacementMessage } from './placementMessages.js';
+import type { AskMessage, GrantMessage, PeerMessage, ReportMessage, WithoutVersion } from './peerMessages.js';
 
-/** Default time to wait for the coordinator's answer, in milliseconds; ten round trips. */
+/** Default time to wait for an owner's answer, in milliseconds; ten round trips. */
 const ANSWER_TIMEOUT_MS = 40;
-/** Consecutive missed answers after which the coordinator is suspected; one or two datagrams may be lost. */
+/** Consecutive missed answers after which an owner is suspected; one or two datagrams may be lost. */
 const MAX_MISSED_ANSWERS = 3;
-/** Time for which a suspected coordinator is not asked, in milliseconds; a restart takes about as long. */
+/** Time for which a suspected owner is not asked, in milliseconds; a restart takes about as long. */
 const SUSPICION_MS = 500;
+/** Owners that are asked for one request before it is refused. */
+const MAX_ASKED_OWNERS = 2;
 /** Time for which changes of this node's load are collected before they are reported, in milliseconds; one batch step. */
 const REPORT_DELAY_MS = 50;
 /** Interval at which an unchanged load is reported again, in milliseconds. */
@@ -35,120 +41,191 @@
 export interface LocalPlacementCriteria extends PlacementCriteria {
   /** Failure domain of the node that holds the request. */
   readonly failureDomain: string;
-  /** Whether this node knows the current load of all nodes. */
-  readonly isExact: boolean;
+  /** Whether only targets of this node's shards are considered, whose load it knows; otherwise it guesses. */
+  readonly isOwner: boolean;
 }
 
+/** The part of a report that does not concern requests in progress. */
+export type Observations = Pick<ReportMessage, 'demand' | 'silent' | 'heads'>;
+
 /** Dependencies of {@link Placement}. */
 export interface PlacementOptions {
-  readonly node: string;
+  /** Id of this start of the node. */
+  readonly id: string;
   readonly address: string;
-  readonly incarnation: string;
   readonly failureDomain: string;
   readonly clock: Clock;
+  readonly random: Random;
   readonly counters: Counters;
   readonly log: DecisionLog;
   readonly loads: LoadTracker;
-  /** Time to wait for the coordinator's answer before this node chooses locally, in milliseconds; 40 by default. */
+  /** Time to wait for an owner's answer before this node chooses locally, in milliseconds; 40 by default. */
   readonly answerTimeoutMs?: number;
-  /** Address of the node that assigns targets; `self` if that is this node, undefined if there is none. */
-  readonly coordinator: () => 'self' | string | undefined;
-  readonly send: (address: string, message: PlacementMessage) => void;
-  readonly chooseLocally: (choice: LocalPlacementCriteria) => TargetChoice;
+  /** Owners of shards with targets for these criteria, and the number of those targets. */
+  readonly findOwners: (criteria: PlacementCriteria) => readonly OwnerOption[];
+  /** Owner of a target; undefined if the target or its owner is unknown. */
+  readonly findOwner: (target: string) => ShardOwner | undefined;
+  /** Addresses of all owners. */
+  readonly owners: () => ReadonlySet<string>;
+  readonly send: (address: string, message: WithoutVersion<PeerMessage>) => void;
+  readonly chooseLocally: (criteria: LocalPlacementCriteria) => TargetChoice;
+  /** Requests that the targets of this node's shards can still take. */
+  readonly countFree: (criteria: PlacementCriteria) => number;
   readonly findCandidate: (criteria: PlacementCriteria, key: string) => TargetCandidate | undefined;
   /** Keys of the targets that this node suspects because they are silent. */
-  readonly silentTargets: (criteria: PlacementCriteria) => readonly string[];
+  readonly silentTargets: () => readonly string[];
+  readonly describe: () => Observations;
+  readonly onReport: (report: ReportMessage) => void;
 }
 
 interface PendingRequest {
   readonly criteria: PlacementCriteria;
-  readonly coordinator: string;
+  readonly owner: string;
+  readonly asked: ReadonlySet<string>;
   readonly onChoice: (choice: TargetChoice) => void;
   readonly timer: NodeJS.Timeout;
 }
 
+/** What this node knows of an owner from its answers. */
+interface KnownOwner {
+  missedAnswers: number;
+  suspectedUntilMs: number;
+  /** Requests that its targets could take, by service and model, and when it said so. */
+  readonly free: Map<string, { readonly count: number; readonly atMs: number }>;
+}
+
 /**
- * Assigns requests for engine groups to targets. One node, the planner, is the coordinator: it knows the load of all
- * nodes and answers their requests. A node that gets no answer chooses locally, by the load that its peers gossip.
+ * Assigns requests for engine groups to targets. The owner of a shard knows the load of all nodes at its targets and
+ * answers their requests. A node that gets no answer chooses locally.
  */
 export class Placement {
   private readonly _pending = new Map<number, PendingRequest>();
+  private readonly _knownOwners = new Map<string, KnownOwner>();
   private _lastRequestNumber = 0;
   private _sequence = 0;
-  private _missedAnswers = 0;
-  private _suspected: { readonly address: string; readonly untilMs: number } | undefined;
+  /** Owners to which a change has to be reported. */
+  private readonly _dueReports = new Set<string>();
   private _reportTimer: NodeJS.Timeout | undefined;
-  private _reportedAtMs = -Infinity;
+  private _reportedAllAtMs = -Infinity;
 
   constructor(private readonly _options: PlacementOptions) {}
 
-  /** Chooses a target and calls `onChoice` exactly once, synchronously or at the latest after the answer timeout. */
+  /** Chooses a target and calls `onChoice` exactly once, synchronously or after at most two answer timeouts. */
   place(criteria: PlacementCriteria, onChoice: (choice: TargetChoice) => void): void {
-    const coordinator = this._findCoordinator();
-    if (coordinator === undefined || coordinator === 'self') {
-      onChoice(this._chooseLocally(criteria, coordinator === 'self'));
+    this._place(criteria, new Set(), onChoice);
+  }
+
+  /** Handles a message of another node. */
+  receive(message: ReportMessage | AskMessage | GrantMessage): void {
+    switch (message.kind) {
+      case 'report':
+        this._recordLoad(message);
+        this._options.onReport(message);
+        return;
+      case 'ask':
+        this._answerRequest(message);
+        return;
+      case 'grant':
+        this._handleGrant(message);
+    }
+  }
+
+  /** Schedules a report to the target's owner because this node's load of the target has changed. */
+  scheduleReport(target: string): void {
+    const owner = this._options.findOwner(target);
+    if (!owner || owner.address === this._options.address) return;
+    this._dueReports.add(owner.address);
+    this._reportTimer ??= setTimeout(() => {
+      this._sendDueReports();
+    }, REPORT_DELAY_MS);
+  }
+
+  /** Reports to an owner without delay. */
+  reportNow(owner: string): void {
+    if (owner !== this._options.address) this._sendReports([owner]);
+  }
+
+  /** Repeats the reports to all owners when they are due; to be called periodically. */
+  tick(nowMs: number): void {
+    if (nowMs - this._reportedAllAtMs < REPORT_INTERVAL_MS) return;
+    this._reportedAllAtMs = nowMs;
+    this._options.loads.removeExpired(nowMs);
+    const owners = this._options.owners();
+    for (const address of this._knownOwners.keys()) {
+      if (!owners.has(address)) this._knownOwners.delete(address);
+    }
+    this._sendReports([...owners].filter((owner) => owner !== this._options.address));
+  }
+
+  private _place(
+    criteria: PlacementCriteria,
+    asked: ReadonlySet<string>,
+    onChoice: (choice: TargetChoice) => void,
+  ): void {
+    const owner = this._chooseOwner(criteria, asked);
+    if (owner === undefined || owner === this._options.address) {
+      const choice = this._chooseLocally(criteria, owner !== undefined);
+      this._finishOrAskAnother(criteria, asked, choice, onChoice);
       return;
     }
     const requestNumber = ++this._lastRequestNumber;
     const timer = setTimeout(() => {
       this._handleTimeout(requestNumber);
     }, this._options.answerTimeoutMs ?? ANSWER_TIMEOUT_MS);
-    this._pending.set(requestNumber, { criteria, coordinator, onChoice, timer });
-    this._options.send(coordinator, {
+    this._pending.set(requestNumber, { criteria, owner, asked, onChoice, timer });
+    this._options.send(owner, {
       kind: 'ask',
-      ...this._createReport(),
-      address: this._options.address,
+      ...this._createLoadFields(owner, this._options.loads.getOwnLoads()),
       failureDomain: this._options.failureDomain,
       service: criteria.service,
       model: criteria.model,
       promptTokens: criteria.size.promptTokens,
       answerTokens: criteria.size.answerTokens,
       isContinuing: criteria.isContinuing,
-      avoided: [...criteria.tried, ...this._options.silentTargets(criteria)],
+      avoided: [...criteria.tried, ...this._options.silentTargets()],
     });
   }
 
-  /** Handles a message of another node. */
-  receive(message: PlacementMessage): void {
-    switch (message.kind) {
-      case 'load':
-        this._recordLoad(message);
-        return;
-      case 'ask':
-        this._answerRequest(message);
-        return;
-      case 'grant':
-        this._handleGrant(message);
-    }
+  private _chooseOwner(criteria: PlacementCriteria, asked: ReadonlySet<string>): string | undefined {
+    const nowMs = this._options.clock.monotonic();
+    const options = this._options
+      .findOwners(criteria)
+      .filter(({ address }) => !asked.has(address) && !this._isSuspected(address, nowMs))
+      .map((option) => ({ ...option, free: this._findFree(option.address, criteria, nowMs) }));
+    return chooseOwner(options, this._options.random);
   }
 
-  /** Schedules a report because this node's own load has changed. */
-  scheduleReport(): void {
-    this._reportTimer ??= setTimeout(() => {
-      this._reportTimer = undefined;
-      this._sendReport();
-    }, REPORT_DELAY_MS);
+  private _findFree(owner: string, criteria: PlacementCriteria, nowMs: number) {
+    if (owner === this._options.address) return { count: this._options.countFree(criteria), ageMs: 0 };
+    const free = this._knownOwners.get(owner)?.free.get(toFreeKey(criteria));
+    return free && { count: free.count, ageMs: nowMs - free.atMs };
   }
 
-  /** Repeats the load report when it is due; to be called periodically. */
-  tick(nowMs: number): void {
-    if (nowMs - this._reportedAtMs >= REPORT_INTERVAL_MS && this._options.loads.getOwnLoads().size > 0)
-      this._sendReport();
+  private _isSuspected(owner: string, nowMs: number): boolean {
+    return nowMs < (this._knownOwners.get(owner)?.suspectedUntilMs ?? 0);
   }
 
-  private _findCoordinator(): string | undefined {
-    const coordinator = this._options.coordinator();
-    const isSuspect =
-      coordinator !== undefined &&
-      coordinator === this._suspected?.address &&
-      this._options.clock.monotonic() < this._suspected.untilMs;
-    return isSuspect ? undefined : coordinator;
+  /** Passes the choice on, or asks another owner if all targets of this one are full. */
+  private _finishOrAskAnother(
+    criteria: PlacementCriteria,
+    asked: ReadonlySet<string>,
+    choice: TargetChoice,
+    onChoice: (choice: TargetChoice) => void,
+    owner = this._options.address,
+  ): void {
+    const askedNow = new Set([...asked, owner]);
+    const isAnotherOwner =
+      choice.kind === 'none' &&
+      askedNow.size < MAX_ASKED_OWNERS &&
+      this._options.findOwners(criteria).some(({ address }) => !askedNow.has(address));
+    if (isAnotherOwner) this._place(criteria, askedNow, onChoice);
+    else onChoice(choice);
   }
 
-  private _chooseLocally(criteria: PlacementCriteria, isExact: boolean): TargetChoice {
+  private _chooseLocally(criteria: PlacementCriteria, isOwner: boolean): TargetChoice {
     const { failureDomain, counters } = this._options;
-    counters.add('monsoonreach_placements_total', { by: isExact ? 'coordinator' : 'alone' });
-    return this._options.chooseLocally({ ...criteria, failureDomain, isExact });
+    counters.add('monsoonreach_placements_total', { by: isOwner ? 'owner' : 'alone' });
+    return this._options.chooseLocally({ ...criteria, failureDomain, isOwner });
   }
 
   private _handleTimeout(requestNumber: number): void {
@@ -157,102 +234,120 @@
     this._pending.delete(requestNumber);
     const { clock, counters, log } = this._options;
     counters.add('monsoonreach_placements_unanswered_total');
-    this._missedAnswers++;
-    if (this._missedAnswers >= MAX_MISSED_ANSWERS) {
-      this._missedAnswers = 0;
-      this._suspected = { address: pending.coordinator, untilMs: clock.monotonic() + SUSPICION_MS };
-      log.info('coordinator does not answer; targets are chosen locally', {
-        coordinator: pending.coordinator,
+    const known = this._getKnownOwner(pending.owner);
+    known.missedAnswers++;
+    if (known.missedAnswers >= MAX_MISSED_ANSWERS) {
+      known.missedAnswers = 0;
+      known.suspectedUntilMs = clock.monotonic() + SUSPICION_MS;
+      log.info('owner does not answer; others are asked, or targets are chosen locally', {
+        owner: pending.owner,
         forMs: SUSPICION_MS,
       });
     }
     pending.onChoice(this._chooseLocally(pending.criteria, false));
   }
 
-  private _recordLoad(message: Exclude<PlacementMessage, PlacementGrant>): void {
-    const { node, incarnation, sequence, lastAsk, openAsks } = message;
+  private _recordLoad(message: ReportMessage | AskMessage): void {
+    const { sender, sequence, lastAsk, openAsks } = message;
     const loads = new Map(Object.entries(message.loads));
-    const reported = { incarnation, sequence, lastAsk, openAsks, loads };
-    this._options.loads.recordDirectReport(node, reported, this._options.clock.monotonic());
+    const report = { sequence, lastAsk, openAsks, loads };
+    this._options.loads.recordReport(sender, report, this._options.clock.monotonic());
   }
 
-  private _answerRequest(request: PlacementRequest): void {
-    const { loads, chooseLocally, counters, send } = this._options;
+  private _answerRequest(request: AskMessage): void {
+    const { loads, chooseLocally, counters, send, countFree, owners, address } = this._options;
+    if (!owners().has(address)) return;
     this._recordLoad(request);
-    if (this._options.coordinator() !== 'self') return;
     const { service, model, failureDomain, isContinuing } = request;
     const size = { promptTokens: request.promptTokens, answerTokens: request.answerTokens };
-    const tried = new Set(request.avoided);
-    const choice = chooseLocally({
-      service,
-      model,
-      size,
-      tried,
-      isContinuing,
-      failureDomain,
-      isExact: true,
-    });
+    const criteria = { service, model, size, tried: new Set(request.avoided), isContinuing };
+    const choice = chooseLocally({ ...criteria, failureDomain, isOwner: true });
     counters.add('monsoonreach_placements_total', { by: 'peer' });
+    const grant = { kind: 'grant' as const, ask: request.lastAsk };
     switch (choice.kind) {
       case 'chosen': {
         const target = choice.candidate.key;
-        loads.recordGrant(request.node, request.lastAsk, target, size);
-        send(request.address, {
-          kind: 'grant',
-          ask: request.lastAsk,
-          target,
-          predictedMs: choice.predictedMs,
-        });
+        loads.recordGrant(request.sender, request.lastAsk, target, size);
+        const predictedMs = Math.round(choice.predictedMs);
+        send(request.address, { ...grant, target, predictedMs, free: countFree(criteria) });
         return;
       }
       case 'none':
-        send(request.address, { kind: 'grant', ask: request.lastAsk, reason: choice.reason });
+        send(request.address, { ...grant, reason: choice.reason, free: 0 });
     }
   }
 
-  private _handleGrant(grant: PlacementGrant): void {
+  private _handleGrant(grant: GrantMessage): void {
     const pending = this._pending.get(grant.ask);
     if (!pending) return;
     this._pending.delete(grant.ask);
     clearTimeout(pending.timer);
-    this._missedAnswers = 0;
+    const { criteria, owner, asked, onChoice } = pending;
+    const known = this._getKnownOwner(owner);
+    known.missedAnswers = 0;
+    known.free.set(toFreeKey(criteria), { count: grant.free, atMs: this._options.clock.monotonic() });
     this._options.counters.add('monsoonreach_placements_total', { by: 'answer' });
-    pending.onChoice(this._toChoice(pending.criteria, grant));
+    this._finishOrAskAnother(criteria, asked, this._toChoice(criteria, grant), onChoice, owner);
   }
 
-  /**
-   * Converts a grant to a choice. `all-full` holds for every node; for any other grant without a target, and for a
-   * target that this node does not know yet, a local choice may still find one.
-   */
+  /** Converts a grant to a choice; a target that this node does not know yet counts as none. */
   private _toChoice(
     criteria: PlacementCriteria,
-    { target, predictedMs, reason }: PlacementGrant,
+    { target, predictedMs, reason }: GrantMessage,
   ): TargetChoice {
-    if (reason === 'all-full') return { kind: 'none', reason };
-    const candidate = target === undefined ? undefined : this._options.findCandidate(criteria, target);
+    if (target === undefined) return { kind: 'none', reason: reason ?? 'no-target' };
+    const candidate = this._options.findCandidate(criteria, target);
     if (!candidate) return this._chooseLocally(criteria, false);
     return { kind: 'chosen', candidate, predictedMs: predictedMs ?? 0 };
   }
 
-  private _sendReport(): void {
-    const coordinator = this._findCoordinator();
-    if (coordinator === undefined || coordinator === 'self') return;
-    this._options.send(coordinator, { kind: 'load', ...this._createReport() });
+  private _sendDueReports(): void {
+    this._reportTimer = undefined;
+    const owners = [...this._dueReports];
+    this._dueReports.clear();
+    this._sendReports(owners);
   }
 
-  private _createReport() {
-    const { node, incarnation, loads, clock } = this._options;
+  private _sendReports(owners: readonly string[]): void {
+    if (owners.length === 0) return;
+    const loads = this._options.loads.getOwnLoads();
+    const observations = this._options.describe();
+    for (const owner of owners) {
+      this._options.send(owner, {
+        kind: 'report',
+        ...this._createLoadFields(owner, loads),
+        ...observations,
+      });
+    }
+  }
+
+  private _createLoadFields(owner: string, loads: ReadonlyMap<string, TargetLoad>) {
+    const { id, address, findOwner } = this._options;
     this._sequence++;
-    this._reportedAtMs = clock.monotonic();
     return {
-      node,
-      incarnation,
+      sender: id,
+      address,
       sequence: this._sequence,
       lastAsk: this._lastRequestNumber,
-      openAsks: [...this._pending.keys()],
+      openAsks: [...this._pending].flatMap(([number, pending]) => (pending.owner === owner ? [number] : [])),
       loads: Object.fromEntries(
-        [...loads.getOwnLoads()].map(([key, load]) => [key, [...load] as [number, number, number]]),
+        [...loads].flatMap(([target, load]) =>
+          findOwner(target)?.address === owner ? [[target, [...load] as [number, number, number]]] : [],
+        ),
       ),
     };
   }
+
+  private _getKnownOwner(address: string): KnownOwner {
+    let known = this._knownOwners.get(address);
+    if (!known) {
+      known = { missedAnswers: 0, suspectedUntilMs: 0, free: new Map() };
+      this._knownOwners.set(address, known);
+    }
+    return known;
+  }
+}
+
+function toFreeKey({ service, model }: PlacementCriteria): string {
+  return `${service}/${model}`;
 }
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -388,7 +388,8 @@
     if (reason === 'unsent') this._attempts--;
     const isGroup = attempt.candidate.engine !== undefined;
     if (isGroup && (reason === 'unsent' || reason === 'target-lost')) {
-      context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
+      const isNew = context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
+      if (isNew) context.onSilentTarget(attempt.candidate);
     }
     if ((!mayHaveRun || this._isRepeatable()) && this._canRetry()) {
       this._retry(attempt, reason);
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -6,12 +6,15 @@
   switchField,
   textField,
 } from '@monsoonreach/core';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const settingsSchema = z.strictObject({
   node: z.strictObject({
     name: textField,
     'failure-domain': textField,
+    /** Processor cores of the instance, and the share of them that the node may use. */
+    cores: numberField({ min: 0.01, max: 1_024, isWhole: false }).default(1),
+    'processor-share': numberField({ min: 0.001, max: 1_024, isWhole: false }).default(1),
     /** Whether the whole system starts for the first time, so that there has been no traffic yet. */
     'first-start': switchField.default(false),
     log: z.enum(['json', 'pretty', 'hidden']).default('json'),
--- /dev/null
+++ b/packages/node/src/shardOwnership.ts
@@ -0,0 +1,212 @@
+import {
+  assignVacantShards,
+  type Clock,
+  type Counters,
+  countOwners,
+  findShard,
+  handOverShards,
+  insertByPreference,
+  listOwners,
+  type Member,
+  mergeOwnership,
+  NO_OWNERS,
+  type Ownership,
+  pause,
+  type Random,
+  type ShardOwner,
+  sumTerms,
+  toTerm,
+} from '@monsoonreach/core';
+import {
+  AppendConditionError,
+  DecodeError,
+  decodeJson,
+  HistoryGoneError,
+  type StoreClient,
+  StoreUnavailableError,
+  Topic,
+} from '@monsoonreach/platform';
+import * as z from 'zod/mini';
+import type { DecisionLog } from './decisionLog.js';
+import { createOwnershipMessage, decodeOwnership, encodeOwnership } from './ownershipMessages.js';
+import type { PeerExchange } from './peerExchange.js';
+import type { OwnershipMessage } from './peerMessages.js';
+
+/** Interval between two checks for shards without an owner, in milliseconds. */
+const CHECK_INTERVAL_MS = 200;
+/** Delay of a claim for each live node that is preferred to this one, in milliseconds. */
+const RANK_DELAY_MS = 200;
+/** Largest number of preferred nodes that are waited for. */
+const MAX_RANK = 3;
+/** Largest random delay of a claim, in milliseconds. */
+const MAX_JITTER_MS = 100;
+/** Copies of a message that hands shards over while the store may be out; a datagram may be lost. */
+const HANDOVER_COPIES = 2;
+
+const recordSchema = z.object({
+  owners: z.array(z.tuple([z.string(), z.string()])),
+  shards: z.array(z.nullable(z.tuple([z.number(), z.number()]))),
+});
+
+/** Dependencies of {@link ShardOwnership}. */
+export interface ShardOwnershipOptions {
+  readonly self: Member;
+  readonly store: StoreClient;
+  readonly exchange: PeerExchange;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly counters: Counters;
+  readonly log: DecisionLog;
+  /** Number of engine instances; undefined while it is not known, as at the start. */
+  readonly countInstances: () => number | undefined;
+  /** Called when this node becomes an owner. */
+  readonly onOwner: () => void;
+}
+
+/**
+ * Knows which node owns which shard, and assigns the shards of nodes that are gone.
+ *
+ * Assignments are records of one topic of the store. Each is appended on condition that the writer has read all before
+ * it, and its offset gives the term of the owners that it names. Nodes tell each other the owners that they know; the
+ * higher term of a shard wins.
+ */
+export class ShardOwnership {
+  private _ownership: Ownership = NO_OWNERS;
+  private readonly _abortController = new AbortController();
+
+  constructor(private readonly _options: ShardOwnershipOptions) {}
+
+  /** Sum of the known terms; nodes with different sums tell each other the owners. */
+  get stamp(): number {
+    return sumTerms(this._ownership);
+  }
+
+  /** Whether this node owns any shard. */
+  get isOwner(): boolean {
+    return this._ownership.some((owner) => this._isSelf(owner));
+  }
+
+  /** Addresses of all owners. */
+  listAddresses(): ReadonlySet<string> {
+    return new Set(listOwners(this._ownership).map(({ address }) => address));
+  }
+
+  /** Owner of a fabric domain. */
+  findOwner(fabricDomain: string): ShardOwner | undefined {
+    return this._ownership[findShard(fabricDomain)];
+  }
+
+  /** Term in which this node owns the fabric domain; undefined if it doesn't. */
+  findOwnTerm(fabricDomain: string): number | undefined {
+    const owner = this.findOwner(fabricDomain);
+    return this._isSelf(owner) ? owner?.term : undefined;
+  }
+
+  /** Applies the owners that a peer knows. */
+  receive(message: OwnershipMessage): void {
+    this._apply(decodeOwnership(message), 'peer');
+  }
+
+  /** Sends the known owners to a peer that knows older ones. */
+  answerStamp(stamp: number, address: string): void {
+    if (stamp < this.stamp) this._options.exchange.send(address, createOwnershipMessage(this._ownership));
+  }
+
+  async run(): Promise<void> {
+    const { signal } = this._abortController;
+    while (!signal.aborted) {
+      if (this._findAssignment(0)) await this._tryAssign();
+      await pause(CHECK_INTERVAL_MS, signal);
+    }
+  }
+
+  /** Stops acting as owner and hands this node's shards over to another one. */
+  stop(): void {
+    this._abortController.abort();
+    const { self, exchange, log } = this._options;
+    const handedOver = handOverShards(this._ownership, self.id, exchange.listLive());
+    if (!handedOver) return;
+    this._ownership = handedOver;
+    log.info('shards handed over', { to: listOwners(handedOver).map(({ id }) => id) });
+    for (let copy = 0; copy < HANDOVER_COPIES; copy++) {
+      exchange.broadcast(createOwnershipMessage(this._ownership));
+    }
+  }
+
+  /** Returns the owners after the vacant shards are assigned; undefined if there is nothing to assign yet. */
+  private _findAssignment(term: number): Ownership | undefined {
+    const { self, exchange, countInstances } = this._options;
+    const instances = countInstances();
+    if (instances === undefined) return undefined;
+    return assignVacantShards({
+      ownership: this._ownership,
+      candidates: insertByPreference(exchange.listLive(), self),
+      ownerCount: countOwners(instances),
+      term,
+    });
+  }
+
+  private async _tryAssign(): Promise<void> {
+    const { self, exchange, random, counters, log } = this._options;
+    const { signal } = this._abortController;
+    const rank = insertByPreference(exchange.listLive(), self).findIndex(({ id }) => id === self.id);
+    await pause(Math.min(rank, MAX_RANK) * RANK_DELAY_MS + random.next() * MAX_JITTER_MS, signal);
+    if (signal.aborted || !this._findAssignment(0)) return;
+    try {
+      await this._assign();
+    } catch (error) {
+      counters.add('monsoonreach_shard_claims_failed_total');
+      if (error instanceof AppendConditionError) return;
+      if (!(error instanceof StoreUnavailableError || error instanceof HistoryGoneError)) throw error;
+      log.warn('shards cannot be assigned', { error: error.message });
+    }
+  }
+
+  private async _assign(): Promise<void> {
+    const { store } = this._options;
+    const { end, last } = await this._readRecords();
+    if (last) this._apply(last, 'store');
+    const assigned = this._findAssignment(toTerm(end));
+    if (!assigned || this._abortController.signal.aborted) return;
+    await store.append(Topic.shards, Buffer.from(JSON.stringify(encodeOwnership(assigned))), end);
+    this._apply(assigned, 'own record');
+    this._options.exchange.broadcast(createOwnershipMessage(this._ownership));
+  }
+
+  private async _readRecords(): Promise<{ readonly end: number; readonly last: Ownership | undefined }> {
+    const { store } = this._options;
+    try {
+      return toLastRecord(await store.read({ topic: Topic.shards, from: 0, waitMs: 0 }));
+    } catch (error) {
+      if (!(error instanceof HistoryGoneError)) throw error;
+      return toLastRecord(await store.read({ topic: Topic.shards, from: error.first, waitMs: 0 }));
+    }
+  }
+
+  private _apply(reported: Ownership, source: string): void {
+    const merged = mergeOwnership(this._ownership, reported);
+    if (merged === this._ownership) return;
+    const ownedBefore = this._ownership.filter((owner) => this._isSelf(owner)).length;
+    this._ownership = merged;
+    const owned = merged.filter((owner) => this._isSelf(owner)).length;
+    if (owned === ownedBefore) return;
+    this._options.log.info('owned shards changed', { shards: owned, before: ownedBefore, source });
+    if (ownedBefore === 0) this._options.onOwner();
+  }
+
+  private _isSelf(owner: ShardOwner | undefined): boolean {
+    return owner?.id === this._options.self.id && !this._abortController.signal.aborted;
+  }
+}
+
+function toLastRecord({ records, end }: { readonly records: readonly Uint8Array[]; readonly end: number }) {
+  for (const record of [...records].reverse()) {
+    try {
+      return { end, last: decodeOwnership(decodeJson(record, recordSchema, 'record of the owners')) };
+    } catch (error) {
+      // A record that cannot be read names no owners; the one before it does.
+      if (!(error instanceof DecodeError)) throw error;
+    }
+  }
+  return { end, last: undefined };
+}
--- a/packages/node/src/targetDirectory.ts
+++ b/packages/node/src/targetDirectory.ts
@@ -1,14 +1,16 @@
 import {
-  type BatchLoad,
-  type Clock,
+  groupBy,
   type LoadTracker,
   observeGroups,
+  type OwnerOption,
   type ServingConfiguration,
   type ServingService,
+  type ShardOwner,
   type TargetCandidate,
   type TargetInstance,
 } from '@monsoonreach/core';
 import type { InstanceList } from './instanceList.js';
+import type { ShardOwnership } from './shardOwnership.js';
 
 interface KnownTarget {
   readonly key: string;
@@ -17,36 +19,78 @@
   readonly engine: TargetCandidate['engine'];
 }
 
-const NO_LOAD: BatchLoad = { requests: 0, contextTokens: 0, pendingPromptTokens: 0 };
-
 /** Looks up the targets that accept requests for a service and a model, according to the instance list. */
 export class TargetDirectory {
   private _listVersion = -1;
   private _configuration: ServingConfiguration | undefined;
   private _targetsById = new Map<string, readonly KnownTarget[]>();
+  private _targetsByKey = new Map<string, KnownTarget>();
+  private _ownersById = new Map<string, readonly OwnerOption[]>();
+  private _ownershipStamp = -1;
 
   constructor(
     private readonly _list: InstanceList,
     private readonly _loads: LoadTracker,
-    private readonly _clock: Clock,
+    private readonly _ownership: ShardOwnership,
   ) {}
 
-  /** Returns the targets with their estimated current load. */
+  /** Returns the targets with the load that this node knows. */
   findCandidates(
     configuration: ServingConfiguration,
     service: string,
     model: string | undefined,
   ): readonly TargetCandidate[] {
     this._refresh(configuration);
-    const totals = this._loads.computeTotals(this._clock.monotonic());
-    const targets = this._targetsById.get(toTargetsId(service, model)) ?? [];
-    return targets.map((target) => ({ ...target, load: totals.get(target.key) ?? NO_LOAD }));
+    return (this._targetsById.get(toTargetsId(service, model)) ?? []).map((target) =>
+      this._toCandidate(target),
+    );
+  }
+
+  /** Returns those of the targets for which this node assigns requests. */
+  findOwnCandidates(
+    configuration: ServingConfiguration,
+    service: string,
+    model: string,
+  ): readonly TargetCandidate[] {
+    this._refresh(configuration);
+    return (this._targetsById.get(toTargetsId(service, model)) ?? [])
+      .filter(({ instance }) => this._ownership.findOwnTerm(instance.fabricDomain) !== undefined)
+      .map((target) => this._toCandidate(target));
+  }
+
+  /** Returns the target with this key; undefined if it does not accept requests. */
+  findCandidate(configuration: ServingConfiguration, key: string): TargetCandidate | undefined {
+    this._refresh(configuration);
+    const target = this._targetsByKey.get(key);
+    return target && this._toCandidate(target);
+  }
+
+  /** Returns the owners of the shards that have targets for the model. */
+  findOwners(configuration: ServingConfiguration, service: string, model: string): readonly OwnerOption[] {
+    this._refresh(configuration);
+    if (this._ownershipStamp !== this._ownership.stamp) {
+      this._ownershipStamp = this._ownership.stamp;
+      this._ownersById = new Map();
+    }
+    const id = toTargetsId(service, model);
+    let owners = this._ownersById.get(id);
+    if (!owners) {
+      owners = this._listOwners(this._targetsById.get(id) ?? []);
+      this._ownersById.set(id, owners);
+    }
+    return owners;
+  }
+
+  /** Returns the owner of the target with this key. */
+  findOwner(key: string): ShardOwner | undefined {
+    const target = this._targetsByKey.get(key);
+    return target && this._ownership.findOwner(target.instance.fabricDomain);
   }
 
   /** Returns the keys of all targets that accept requests. */
   listKeys(configuration: ServingConfiguration): ReadonlySet<string> {
     this._refresh(configuration);
-    return new Set([...this._targetsById.values()].flatMap((targets) => targets.map(({ key }) => key)));
+    return new Set(this._targetsByKey.keys());
   }
 
   private _refresh(configuration: ServingConfiguration): void {
@@ -54,9 +98,27 @@
     this._listVersion = this._list.version;
     this._configuration = configuration;
     this._targetsById = new Map();
+    this._ownersById = new Map();
     for (const service of configuration.services.values()) {
       for (const [id, targets] of this._findTargets(service)) this._targetsById.set(id, targets);
     }
+    this._targetsByKey = new Map(
+      [...this._targetsById.values()].flatMap((targets) => targets.map((target) => [target.key, target])),
+    );
+  }
+
+  private _toCandidate(target: KnownTarget): TargetCandidate {
+    return { ...target, load: this._loads.getLoad(target.key) };
+  }
+
+  private _listOwners(targets: readonly KnownTarget[]): readonly OwnerOption[] {
+    const byOwner = groupBy(
+      targets,
+      ({ instance }) => this._ownership.findOwner(instance.fabricDomain)?.address ?? '',
+    );
+    return [...byOwner].flatMap(([address, owned]) =>
+      address === '' ? [] : [{ address, capacity: owned.reduce((sum, { slots }) => sum + slots, 0) }],
+    );
   }
 
   private _findTargets(service: ServingService): ReadonlyMap<string, readonly KnownTarget[]> {
--- a/packages/node/src/topicMessages.ts
+++ b/packages/node/src/topicMessages.ts
@@ -1,34 +1,55 @@
+import { gunzipSync, gzipSync } from 'node:zlib';
 import type { KeyedRecord } from '@monsoonreach/platform';
-import { z } from 'zod';
+import * as z from 'zod/mini';
 import type { TopicSlice } from './topicMirror.js';
 
-/** Longest age that is sent, in milliseconds; JSON cannot represent infinity. */
-const MAX_AGE_MS = 1_000_000;
+/** Header with the milliseconds since the sender's last contact with the store. */
+const AGE_HEADER = 'slice-age-ms';
+/** Header with the milliseconds since the sender reached the store again after an outage. */
+const REGAINED_HEADER = 'slice-regained-ms';
+/** Compression level of answers; higher levels save little and take longer. */
+const COMPRESSION_LEVEL = 1;
 
 const sliceSchema = z.object({
-  /** Keys with their values in base64; null means that the key was removed. */
-  records: z.array(z.tuple([z.string(), z.string().nullable()])),
+  /** Keys with the bytes of their values, one character each; null means that the key was removed. */
+  records: z.array(z.tuple([z.string(), z.nullable(z.string())])),
   end: z.number(),
-  ageMs: z.number(),
-  regainedMs: z.number().optional(),
 });
 
-/** Encodes a slice as the JSON text that peers exchange. */
-export function encodeSlice({ records, end, ageMs, regainedMs }: TopicSlice): string {
-  return JSON.stringify({
-    records: records.map(({ key, value }) => [key, value ? Buffer.from(value).toString('base64') : null]),
+/** Encodes the records of a slice as compressed JSON, which many peers may get. */
+export function encodeSlice({ records, end }: TopicSlice): Buffer {
+  const text = JSON.stringify({
+    records: records.map(({ key, value }) => [key, value ? Buffer.from(value).toString('latin1') : null]),
     end,
-    ageMs: Math.min(MAX_AGE_MS, ageMs),
-    regainedMs,
   });
+  return gzipSync(text, { level: COMPRESSION_LEVEL });
 }
 
-/** @throws Error when the text is not a valid slice. */
-export function decodeSlice(text: string): TopicSlice {
-  const { records, regainedMs, ...rest } = sliceSchema.parse(JSON.parse(text));
-  return { ...rest, records: records.map(toRecord), regainedMs };
+/** Encodes what else a slice tells, which depends on the time of the answer. */
+export function encodeSliceHeaders({ ageMs, regainedMs }: TopicSlice): Readonly<Record<string, string>> {
+  return {
+    [AGE_HEADER]: String(Math.ceil(ageMs)),
+    ...(regainedMs === undefined ? {} : { [REGAINED_HEADER]: String(Math.floor(regainedMs)) }),
+  };
+}
+
+/** @throws Error when the answer is not a valid slice. */
+export function decodeSlice(
+  body: Uint8Array,
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): TopicSlice {
+  const { records, end } = z.parse(sliceSchema, JSON.parse(gunzipSync(body).toString('utf8')));
+  const ageMs = Number(headers[AGE_HEADER] ?? NaN);
+  if (!Number.isFinite(ageMs)) throw new Error('The slice does not tell its age.');
+  const regained = headers[REGAINED_HEADER];
+  return {
+    records: records.map(toRecord),
+    end,
+    ageMs,
+    regainedMs: regained === undefined ? undefined : Number(regained),
+  };
 }
 
 function toRecord([key, value]: readonly [string, string | null]): KeyedRecord {
-  return { key, value: value === null ? undefined : Buffer.from(value, 'base64') };
+  return { key, value: value === null ? undefined : Buffer.from(value, 'latin1') };
 }
--- a/packages/node/src/topicSources.ts
+++ b/packages/node/src/topicSources.ts
@@ -4,6 +4,7 @@
   type Counters,
   findFreshestPeer,
   MonsoonreachError,
+  type FallbackCandidate,
   type ReaderCandidate,
 } from '@monsoonreach/core';
 import {
@@ -17,6 +18,7 @@
 import { Agent, request } from 'undici';
 import { type DecisionLog, describeError } from './decisionLog.js';
 import { decodeSlice } from './topicMessages.js';
+import type { TopicSlice } from './topicMirror.js';
 import { GONE_STATUS, TOO_LARGE_STATUS } from './topicServer.js';
 
 /** Timeout for connecting to a peer, in milliseconds; many times the latency between failure domains. */
@@ -40,9 +42,10 @@
 /** A peer refused a read because its answer would be too large; the store has to be read instead. */
 class LargeAnswerError extends PeerReadError {}
 
-/** A peer through which topics can be read. */
-export interface ReadablePeer extends ReaderCandidate {
-  readonly address: string;
+interface PeerAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: Uint8Array;
 }
 
 /** A read of a topic's changes. */
@@ -70,15 +73,17 @@
 
 /** Dependencies of {@link TopicSources}. */
 export interface TopicSourcesOptions {
-  readonly node: string;
-  readonly failureDomain: string;
+  readonly self: ReaderCandidate;
   readonly store: StoreClient;
   readonly clock: Clock;
   readonly counters: Counters;
   readonly log: DecisionLog;
-  readonly peers: () => readonly ReadablePeer[];
-  /** Whether this node must read the store directly, because it is the planner. */
-  readonly isStoreReader: () => boolean;
+  /** All live nodes including this one, those preferred for duties first. */
+  readonly nodes: () => readonly ReaderCandidate[];
+  /** Live peers with their contact with the store. */
+  readonly peers: () => readonly FallbackCandidate[];
+  /** Addresses of the nodes that plan groups, which read the store directly. */
+  readonly owners: () => ReadonlySet<string>;
 }
 
 /**
@@ -95,6 +100,15 @@
 
   /** Reads the newest record of each key. @throws StoreUnavailableError when neither the store nor a peer answers. */
   async readNewest(topic: string): Promise<TopicReadResult> {
+    const reader = this._chooseReader();
+    if (reader) {
+      try {
+        return await this._askPeer(reader, `/topics/${topic}`, 0);
+      } catch (error) {
+        if (!(error instanceof PeerReadError)) throw error;
+        if (!(error instanceof LargeAnswerError)) this._skipPeer(reader, error);
+      }
+    }
     try {
       const contactAtMs = this._options.clock.monotonic();
       const { records, end } = await this._options.store.readNewest(topic);
@@ -110,9 +124,7 @@
    * @throws HistoryGoneError when the offset is older than the history that the source keeps.
    */
   async read(options: TopicReadOptions): Promise<TopicReadResult> {
-    const reader = this._options.isStoreReader()
-      ? undefined
-      : this._findPeer(chooseReader(this._createView()));
+    const reader = this._chooseReader();
     if (reader) {
       try {
         const { peerWaitMs } = options;
@@ -129,7 +141,7 @@
     const { store, clock } = this._options;
     const path = `${toPath({ ...options, waitMs: FALLBACK_WAIT_MS })}&whole`;
     if (clock.monotonic() < this._storeSkippedUntilMs) {
-      const peer = this._findPeer(findFreshestPeer(this._createView(), MAX_PEER_AGE_MS));
+      const peer = this._findFreshestPeer();
       if (peer) return this._askFallbackPeer(peer, path, FALLBACK_WAIT_MS);
     }
     try {
@@ -148,7 +160,7 @@
   /** Reads through a peer after the store has failed; rethrows the error when no peer is fresh enough. */
   private async _readFallback(error: unknown, path: string, waitMs: number): Promise<TopicReadResult> {
     if (!(error instanceof StoreUnavailableError)) throw error;
-    const peer = this._findPeer(findFreshestPeer(this._createView(), MAX_PEER_AGE_MS));
+    const peer = this._findFreshestPeer();
     if (!peer) throw error;
     const answer = await this._askFallbackPeer(peer, path, waitMs);
     this._storeSkippedUntilMs = this._options.clock.monotonic() + STORE_BACKOFF_MS;
@@ -156,7 +168,11 @@
     return answer;
   }
 
-  private async _askFallbackPeer(peer: ReadablePeer, path: string, waitMs: number): Promise<TopicReadResult> {
+  private async _askFallbackPeer(
+    peer: ReaderCandidate,
+    path: string,
+    waitMs: number,
+  ): Promise<TopicReadResult> {
     try {
       return await this._askPeer(peer, path, waitMs);
     } catch (error) {
@@ -166,7 +182,7 @@
     }
   }
 
-  private async _askPeer(peer: ReadablePeer, path: string, waitMs: number): Promise<TopicReadResult> {
+  private async _askPeer(peer: ReaderCandidate, path: string, waitMs: number): Promise<TopicReadResult> {
     this._options.counters.add('monsoonreach_topic_reads_total', { from: 'peer' });
     const sentAtMs = this._options.clock.monotonic();
     const answer = await this._fetch(peer, path, waitMs);
@@ -177,17 +193,13 @@
       );
     if (answer.status !== 200)
       throw new PeerReadError(`Peer ${peer.node} answered with status ${answer.status}; expected 200.`);
-    const { records, end, ageMs, regainedMs } = decodeSlice(answer.text);
+    const { records, end, ageMs, regainedMs } = this._decode(peer, answer);
     const contactAtMs = sentAtMs - ageMs;
     if (ageMs <= MAX_PEER_AGE_MS) return { records, end, contactAtMs, regainedMs, isFromPeer: true };
     throw new PeerReadError(`Peer ${peer.node} had no contact with the store for ${Math.round(ageMs)} ms.`);
   }
 
-  private async _fetch(
-    peer: ReadablePeer,
-    path: string,
-    waitMs: number,
-  ): Promise<{ readonly status: number; readonly text: string }> {
+  private async _fetch(peer: ReaderCandidate, path: string, waitMs: number): Promise<PeerAnswer> {
     try {
       const response = await request(`http://${peer.address}${path}`, {
         dispatcher: this._dispatcher,
@@ -195,7 +207,8 @@
         bodyTimeout: 0,
         signal: AbortSignal.timeout(waitMs + ANSWER_TIMEOUT_MS),
       });
-      return { status: response.statusCode, text: await response.body.text() };
+      const { statusCode: status, headers } = response;
+      return { status, headers, body: await response.body.bytes() };
     } catch (error) {
       throw new PeerReadError(`Peer ${peer.node} did not answer in time or cannot be reached.`, {
         cause: error,
@@ -203,9 +216,17 @@
     }
   }
 
-  private _skipPeer(peer: ReadablePeer, error: PeerReadError): void {
+  private _decode(peer: ReaderCandidate, { body, headers }: PeerAnswer): TopicSlice {
+    try {
+      return decodeSlice(body, headers);
+    } catch (error) {
+      throw new PeerReadError(`The answer of peer ${peer.node} cannot be decoded.`, { cause: error });
+    }
+  }
+
+  private _skipPeer(peer: ReaderCandidate, error: PeerReadError): void {
     const { clock, counters, log } = this._options;
-    this._skippedPeers.set(peer.node, clock.monotonic() + PEER_BACKOFF_MS);
+    this._skippedPeers.set(peer.address, clock.monotonic() + PEER_BACKOFF_MS);
     counters.add('monsoonreach_topic_reads_failed_total');
     log.info('read through a peer failed; peer is skipped', {
       peer: peer.node,
@@ -214,15 +235,21 @@
     });
   }
 
-  private _createView() {
-    const { node, failureDomain, peers, clock } = this._options;
-    const nowMs = clock.monotonic();
-    for (const [id, untilMs] of this._skippedPeers) if (untilMs <= nowMs) this._skippedPeers.delete(id);
-    return { node, failureDomain, peers: peers(), doubted: new Set(this._skippedPeers.keys()) };
+  private _chooseReader(): ReaderCandidate | undefined {
+    const { self, nodes, owners } = this._options;
+    return chooseReader({ self, nodes: nodes(), owners: owners(), doubted: this._listDoubted() });
+  }
+
+  private _findFreshestPeer(): ReaderCandidate | undefined {
+    return findFreshestPeer(this._options.peers(), this._listDoubted(), MAX_PEER_AGE_MS);
   }
 
-  private _findPeer(node: string | undefined): ReadablePeer | undefined {
-    return node === undefined ? undefined : this._options.peers().find((peer) => peer.node === node);
+  /** Addresses of the peers that are not asked for now. */
+  private _listDoubted(): ReadonlySet<string> {
+    const nowMs = this._options.clock.monotonic();
+    for (const [address, untilMs] of this._skippedPeers)
+      if (untilMs <= nowMs) this._skippedPeers.delete(address);
+    return new Set(this._skippedPeers.keys());
   }
 }
 
--- a/packages/operators/src/nodeClient.ts
+++ b/packages/operators/src/nodeClient.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const REQUEST_TIMEOUT_MS = 2_000;
 
--- a/packages/operators/src/operatorSettings.ts
+++ b/packages/operators/src/operatorSettings.ts
@@ -1,5 +1,5 @@
 import { addressField, addressListField, parseDocument, textField } from '@monsoonreach/core';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const settingsSchema = z.strictObject({
   operator: z.strictObject({ name: textField }),
--- a/packages/operators/src/questionnaire.ts
+++ b/packages/operators/src/questionnaire.ts
@@ -7,7 +7,7 @@
   textField,
 } from '@monsoonreach/core';
 import { randomBytes } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** A question, the key of its answer and the default answer. */
 export interface Question {
--- a/packages/targets/src/engineClient.ts
+++ b/packages/targets/src/engineClient.ts
@@ -1,6 +1,6 @@
 import { MonsoonreachError, splitAddress, type OrderKind } from '@monsoonreach/core';
 import { Pool } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const CONNECT_TIMEOUT_MS = 500;
 
--- a/tests/serving/fixtures.ts
+++ b/tests/serving/fixtures.ts
@@ -78,6 +78,9 @@
   );
 }
 
+/** Term in which the planner plans all fabric domains. */
+export const TERM = 3;
+
 /** Creates a planner's view without faults, demand or orders in progress. */
 export function createView(
   instances: readonly TargetInstance[],
@@ -87,11 +90,13 @@
     nowMs: 1_000,
     services: [SERVICE],
     instances: new Map(instances.map((instance) => [instance.id, instance])),
+    findTerm: () => TERM,
     instancesWithPendingOrder: new Set(),
     silentInstances: new Set(),
     headlessGroups: new Set(),
     unconfirmedOpens: new Set(),
     isHeadGone: () => false,
+    isGroupStalled: () => false,
     unlistedServingHeads: [],
     isListSettled: true,
     demand: new Map(),
