Node: owners are asked before they lose their shards; idle connections are preferred

With 71 nodes some node always had not heard of the owner for 2.3 s, and one such node was enough to assign its shards anew. Nodes also took a restarted owner for the one before, as only its address was passed on.

Change: a node asks a silent owner directly before it assigns its shards; signs of life carry the incarnation; an owner that does not answer requests is asked at once. A request prefers targets to which its node has an idle connection; a repeatable one whose idle connection was closed is sent again on a new one, from the retry budget and without blaming the target.

--- a/packages/core/src/serving/fleetMembers.ts
+++ b/packages/core/src/serving/fleetMembers.ts
@@ -15,6 +15,18 @@
   readonly capacity: number;
 }
 
+/** Separates the name of a node from its incarnation in the id of one start. */
+const ID_SEPARATOR = '#';
+
+/** Identifies one start of a node. */
+export function createMemberId(node: string, incarnation: string): string {
+  return `${node}${ID_SEPARATOR}${incarnation}`;
+}
+
+export function getIncarnation({ node, id }: Pick<Member, 'node' | 'id'>): string {
+  return id.slice(node.length + ID_SEPARATOR.length);
+}
+
 /** How long after it was last heard of a node counts as live. */
 export interface MemberTimeouts {
   /** For nodes whose liveness is relayed, in milliseconds. */
@@ -23,10 +35,18 @@
   readonly directMs: number;
 }
 
+/** A node and the monotonic time at which it was last heard of. */
+export interface HeardMember {
+  readonly member: Member;
+  readonly atMs: number;
+}
+
 interface Entry {
   member: Member;
   readonly hash: number;
   heardAtMs: number;
+  /** When this node last asked it in vain; what others heard before does not count. */
+  lostAtMs: number;
   isLeaving: boolean;
   /** Monotonic time since which other nodes relay when they heard of it; undefined while they don't. */
   relayedSinceMs: number | undefined;
@@ -57,6 +77,7 @@
       member,
       hash: hash32(member.node),
       heardAtMs: nowMs,
+      lostAtMs: -Infinity,
       isLeaving: false,
       relayedSinceMs: undefined,
     });
@@ -74,16 +95,30 @@
     entry.isLeaving = isLeaving;
   }
 
-  /** Records that some node heard of this one at the monotonic time `atMs`. */
-  recordHeard(address: string, atMs: number): void {
+  /**
+   * Records that some node heard of this incarnation of a node at the monotonic time `atMs`. Of two incarnations, the
+   * one that was heard of later is the current one.
+   */
+  recordHeard(address: string, incarnation: string, atMs: number): void {
     const entry = this._entries.get(address);
-    if (entry) entry.heardAtMs = Math.max(entry.heardAtMs, atMs);
+    if (!entry || atMs <= entry.heardAtMs || atMs <= entry.lostAtMs) return;
+    entry.heardAtMs = atMs;
+    const id = createMemberId(entry.member.node, incarnation);
+    if (entry.member.id !== id) entry.member = { ...entry.member, id };
+  }
+
+  /** Records that a node did not answer this one. */
+  recordLost(address: string, nowMs: number): void {
+    const entry = this._entries.get(address);
+    if (!entry) return;
+    entry.lostAtMs = nowMs;
+    entry.heardAtMs = -Infinity;
   }
 
   /** Removes nodes that were not heard of for `ttlMs`. */
   removeExpired(ttlMs: number, nowMs: number): void {
-    for (const [address, { heardAtMs }] of this._entries) {
-      if (nowMs - heardAtMs <= ttlMs) continue;
+    for (const [address, { heardAtMs, lostAtMs }] of this._entries) {
+      if (nowMs - Math.max(heardAtMs, lostAtMs) <= ttlMs) continue;
       this._entries.delete(address);
       this._sorted = undefined;
     }
@@ -102,14 +137,15 @@
     owners: ReadonlySet<string>,
     timeouts: MemberTimeouts,
     nowMs: number,
-  ): ReadonlyMap<string, number> {
+  ): readonly HeardMember[] {
     const hubs = this.listLive(timeouts, nowMs).slice(0, HUB_COUNT);
     const relayed = new Set([...hubs.map(({ address }) => address), ...owners]);
-    const heard = new Map<string, number>();
+    const heard: HeardMember[] = [];
     for (const [address, entry] of this._entries) {
       if (relayed.has(address)) {
         entry.relayedSinceMs ??= nowMs;
-        heard.set(address, entry.heardAtMs);
+        const { member, heardAtMs: atMs } = entry;
+        if (atMs > -Infinity) heard.push({ member, atMs });
       } else entry.relayedSinceMs = undefined;
     }
     return heard;
@@ -139,10 +175,11 @@
 }
 
 function isLive(
-  { heardAtMs, relayedSinceMs }: Entry,
+  { heardAtMs, lostAtMs, relayedSinceMs }: Entry,
   { relayedMs, directMs }: MemberTimeouts,
   nowMs: number,
 ): boolean {
+  if (heardAtMs < lostAtMs) return false;
   if (relayedSinceMs === undefined) return nowMs - heardAtMs < directMs;
   // A node that is relayed only now may not have been heard of for long, although it is live.
   return nowMs - heardAtMs < relayedMs || nowMs - relayedSinceMs < relayedMs;
--- a/packages/core/src/serving/targetChoice.ts
+++ b/packages/core/src/serving/targetChoice.ts
@@ -6,6 +6,8 @@
 
 /** Added to the predicted time of a target in another failure domain, in milliseconds: one hop each way. */
 const REMOTE_PENALTY_MS = 4;
+/** Added for a target to which a connection has to be opened, in milliseconds: a round trip and the processor time of both ends. */
+const CONNECT_COST_MS = 8;
 /** Predicted cost of one failure, in milliseconds: a second attempt that repeats the prefill. */
 const FAILURE_COST_MS = 400;
 /** Added for a suspect ungrouped instance, in milliseconds, so that it is used only when no other is available. */
@@ -40,6 +42,8 @@
   readonly tried: ReadonlySet<string>;
   /** Whether the loads are current; false by default, when peers may have sent more requests since. */
   readonly isExact?: boolean;
+  /** Keys of targets to which the node that holds the request has an idle connection; none by default. */
+  readonly connected?: ReadonlySet<string>;
   /** Whether the request resumes a partially delivered answer; it then queues at a full target instead of failing. */
   readonly isContinuing?: boolean;
 }
@@ -96,6 +100,9 @@
   const failureRate = context.health.getFailureRate(candidate.key, context.nowMs);
   const isSuspect = context.health.isSuspect(candidate.key, context.nowMs);
   return (
-    (isRemote ? REMOTE_PENALTY_MS : 0) + (isSuspect ? SUSPECT_PENALTY_MS : 0) + failureRate * FAILURE_COST_MS
+    (isRemote ? REMOTE_PENALTY_MS : 0) +
+    (context.connected?.has(candidate.key) === true ? 0 : CONNECT_COST_MS) +
+    (isSuspect ? SUSPECT_PENALTY_MS : 0) +
+    failureRate * FAILURE_COST_MS
   );
 }
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -3,6 +3,7 @@
 import { type CallerRequest, decodeCallerRequest, encodeRetryAfter } from '@monsoonreach/platform';
 import { RequestRun } from './requestRun.js';
 import type { ServingContext } from './servingContext.js';
+import type { StartGate } from './startGate.js';
 
 /** Largest header block that is read, in bytes; the limit of the configuration is lower. */
 const MAX_HEADER_BYTES = 65_536;
@@ -19,6 +20,7 @@
   readonly context: ServingContext;
   readonly trust: KeyTrust;
   readonly table: () => RouteTable | undefined;
+  readonly gate: StartGate;
 }
 
 /** HTTP server for callers: finds the route and workspace of each request, and starts forwarding it. */
@@ -80,6 +82,7 @@
     response.on('error', () => {
       this._options.context.counters.add('monsoonreach_caller_errors_total');
     });
+    await this._options.gate.pass();
     const table = this._options.table();
     const caller = decodeCallerRequest(request.headers);
     if (!table) {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -12,6 +12,7 @@
 export * from './planning.js';
 export * from './settings.js';
 export * from './shardOwnership.js';
+export * from './startGate.js';
 export * from './targetConnections.js';
 export * from './topicMirror.js';
 export * from './topicServer.js';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -4,6 +4,7 @@
   chooseTarget,
   type Clock,
   Counters,
+  createMemberId,
   createRandom,
   DemandMeter,
   hash32,
@@ -36,8 +37,8 @@
 import { InstanceList, MISSING_ENTRY_GRACE_MS } from './instanceList.js';
 import { KeyedFollower } from './keyedFollower.js';
 import { PeerDiscovery } from './peerDiscovery.js';
-import { type OwnState, PeerExchange } from './peerExchange.js';
-import { createMemberId, type Digest, type PeerMessage, type ReportMessage } from './peerMessages.js';
+import { type MembershipMessage, type OwnState, PeerExchange } from './peerExchange.js';
+import { type Digest, type PeerMessage, type ReportMessage } from './peerMessages.js';
 import { type LocalPlacementCriteria, Placement } from './placement.js';
 import { Planning } from './planning.js';
 import type { RequestRun } from './requestRun.js';
@@ -45,6 +46,7 @@
 import type { NodeSettings } from './settings.js';
 import { ShardOwnership } from './shardOwnership.js';
 import { SilentTargets } from './silentTargets.js';
+import { StartGate } from './startGate.js';
 import { TargetConnections } from './targetConnections.js';
 import { TargetDirectory } from './targetDirectory.js';
 import { TopicServer } from './topicServer.js';
@@ -93,6 +95,7 @@
   private readonly _heads: HeadMonitor;
   private readonly _planning: Planning;
   private readonly _placement: Placement;
+  private readonly _gate: StartGate;
   private readonly _front: FrontServer;
   private readonly _directory: TargetDirectory;
   private readonly _context: ServingContext;
@@ -135,11 +138,13 @@
     this._directory = new TargetDirectory(this._list, this._loads, this._ownership);
     this._placement = this._createPlacement();
     this._context = this._createContext();
+    this._gate = new StartGate(_clock);
     this._front = new FrontServer({
       address: _settings.callers.address,
       context: this._context,
       trust: this._trust,
       table: () => this._table,
+      gate: this._gate,
     });
     this._heads = this._createHeadMonitor();
     this._planning = this._createPlanning();
@@ -375,6 +380,7 @@
       findCandidate: (_criteria, key) =>
         this._table && this._directory.findCandidate(this._table.configuration, key),
       silentTargets: () => this._health.listSuspects(this._clock.monotonic()),
+      connectedTargets: () => this._directory.findKeys(this._connections.listConnected()),
       describe: () => ({
         demand: Object.fromEntries(this._demand.getNeededGroups(this._clock.monotonic())),
         silent: [...this._silentTargets.list()],
@@ -383,6 +389,9 @@
       onReport: (report) => {
         this._applyReport(report);
       },
+      onSuspectedOwner: (address) => {
+        this._ownership.checkOwner(address);
+      },
     });
   }
 
@@ -449,6 +458,7 @@
       onSnapshot: (records) => {
         this._list.replaceAll(records);
         this._hasList = true;
+        this._openGateIfReady();
       },
       onChanges: (records) => {
         this._list.applyChanges(records);
@@ -473,6 +483,7 @@
     if (configuration.version <= current) return;
     this._table = new RouteTable(configuration);
     this._front.configure(configuration.limits);
+    this._openGateIfReady();
     this._log.info('configuration in force', {
       version: configuration.version,
       before: current,
@@ -480,6 +491,10 @@
     });
   }
 
+  private _openGateIfReady(): void {
+    if (this._table && this._hasList) this._gate.open();
+  }
+
   private _describeState(): OwnState {
     return {
       storeAgeMs: Math.min(MAX_STORE_AGE_MS, Math.ceil(this._trust.ageMs())),
@@ -499,7 +514,7 @@
     }
   }
 
-  private _handleMessage(message: Exclude<PeerMessage, Digest>): void {
+  private _handleMessage(message: Exclude<PeerMessage, MembershipMessage>): void {
     switch (message.kind) {
       case 'ownership':
         this._ownership.receive(message);
--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -3,8 +3,10 @@
   type Clock,
   type Counters,
   FleetMembers,
+  getIncarnation,
   type Member,
   type MemberTimeouts,
+  pause,
   type Random,
   splitAddress,
 } from '@monsoonreach/core';
@@ -15,6 +17,8 @@
   encodePeerMessage,
   type PeerMessage,
   PeerMessageError,
+  type PingMessage,
+  type PongMessage,
   toMember,
   toMemberRow,
   type WithoutVersion,
@@ -33,6 +37,10 @@
 const PEER_TIMEOUT_ROUNDS = 2.5;
 /** Silence of a node whose liveness is relayed, after which it counts as lost, beyond the propagation time; in milliseconds. */
 const RELAYED_SLACK_MS = 800;
+/** Time to wait for the answer of a node that is asked directly, in milliseconds; many round trips. */
+const PROBE_TIMEOUT_MS = 80;
+/** Questions to a node before it counts as lost; a datagram may be lost. */
+const PROBE_ATTEMPTS = 3;
 /** Time for which digests are still sent to a silent peer, in milliseconds. */
 const MIN_PEER_TTL_MS = 60_000;
 
@@ -49,6 +57,9 @@
   readonly receivedAtMs: number;
 }
 
+/** Messages by which nodes learn of each other. */
+export type MembershipMessage = Digest | PingMessage | PongMessage;
+
 /** Dependencies of {@link PeerExchange}. */
 export interface PeerExchangeOptions {
   readonly self: Member;
@@ -60,15 +71,23 @@
   readonly owners: () => ReadonlySet<string>;
   readonly describeState: () => OwnState;
   readonly onDigest: (digest: Digest, address: string, receivedAtMs: number) => void;
-  /** Called with every message that is no digest. */
-  readonly onMessage: (message: Exclude<PeerMessage, Digest>) => void;
+  /** Called with every message that does not concern membership. */
+  readonly onMessage: (message: Exclude<PeerMessage, MembershipMessage>) => void;
 }
 
 /** Sends and receives the messages between nodes, and keeps track of which nodes are live by their digests. */
 export class PeerExchange {
-  private readonly _socket: Socket = createSocket('udp4');
+  /** Addresses are numeric, so that no look-up is needed. */
+  private readonly _socket: Socket = createSocket({
+    type: 'udp4',
+    lookup: (address, _options, callback) => {
+      callback(null, address, 4);
+    },
+  });
   private readonly _peers = new Map<string, Peer>();
   private readonly _members: FleetMembers;
+  /** The last answer of each node that was asked directly. */
+  private readonly _answers = new Map<string, { readonly id: string; readonly atMs: number }>();
   private _sequence = 0;
   /** Addresses that have not had their turn in this round. */
   private _remainingAddresses: readonly string[] = [];
@@ -143,6 +162,19 @@
     this._sendDigestTo(this._members.listAddresses());
   }
 
+  /** Asks a node directly; returns whether it answers as the same start of that node. */
+  async probe({ id, address }: Pick<Member, 'id' | 'address'>): Promise<boolean> {
+    const startedAtMs = this._options.clock.monotonic();
+    for (let attempt = 0; attempt < PROBE_ATTEMPTS; attempt++) {
+      this.send(address, { kind: 'ping', address: this._options.self.address });
+      await pause(PROBE_TIMEOUT_MS);
+      const answer = this._answers.get(address);
+      if (answer && answer.atMs >= startedAtMs) return answer.id === id;
+    }
+    this._members.recordLost(address, this._options.clock.monotonic());
+    return false;
+  }
+
   /** Sends a message to one node. */
   send(address: string, message: WithoutVersion<PeerMessage>): void {
     this._sendBytes(address, encodePeerMessage(message));
@@ -185,7 +217,11 @@
       kind: 'digest',
       member: toMemberRow(self),
       sequence: this._sequence,
-      heard: [...heard].map(([address, atMs]) => [address, Math.round(nowMs - atMs)]),
+      heard: heard.map(({ member, atMs }) => [
+        member.address,
+        getIncarnation(member),
+        Math.round(nowMs - atMs),
+      ]),
       members: this._drawMembers(),
       ...describeState(),
     });
@@ -239,8 +275,35 @@
       this._options.log.warn('invalid datagram dropped', { error: error.message });
       return;
     }
-    if (message.kind === 'digest') this._handleDigest(message);
-    else this._options.onMessage(message);
+    switch (message.kind) {
+      case 'digest':
+        this._handleDigest(message);
+        return;
+      case 'ping':
+        this._handlePing(message);
+        return;
+      case 'pong':
+        this._handlePong(message);
+        return;
+      case 'ownership':
+      case 'report':
+      case 'ask':
+      case 'grant':
+        this._options.onMessage(message);
+    }
+  }
+
+  private _handlePing({ address }: PingMessage): void {
+    const { self, describeState } = this._options;
+    const { isLeaving } = describeState();
+    this.send(address, { kind: 'pong', member: toMemberRow(self), isLeaving });
+  }
+
+  private _handlePong({ member: row, isLeaving }: PongMessage): void {
+    const member = toMember(row);
+    const atMs = this._options.clock.monotonic();
+    this._answers.set(member.address, { id: member.id, atMs });
+    this._members.recordDigest(member, isLeaving, atMs);
   }
 
   private _handleDigest(digest: Digest): void {
@@ -256,7 +319,9 @@
     this._peers.set(member.address, { digest, member, receivedAtMs });
     this._members.recordDigest(member, digest.isLeaving, receivedAtMs);
     this.addMembers(digest.members.map(toMember));
-    for (const [address, ageMs] of digest.heard) this._members.recordHeard(address, receivedAtMs - ageMs);
+    for (const [address, incarnation, ageMs] of digest.heard) {
+      this._members.recordHeard(address, incarnation, receivedAtMs - ageMs);
+    }
     onDigest(digest, member.address, receivedAtMs);
   }
 }
--- a/packages/node/src/peerMessages.ts
+++ b/packages/node/src/peerMessages.ts
@@ -1,4 +1,4 @@
-import { type Member, MonsoonreachError } from '@monsoonreach/core';
+import { createMemberId, getIncarnation, type Member, MonsoonreachError } from '@monsoonreach/core';
 import * as z from 'zod/mini';
 
 /** Version of the messages between nodes; messages of another version are dropped. */
@@ -9,8 +9,8 @@
 const version = { version: z.literal(MESSAGE_VERSION) };
 const count = z.number().check(z.minimum(0));
 
-/** Address and age of the last sign of life, in milliseconds. */
-const heardSchema = z.tuple([z.string(), z.number()]);
+/** Address, incarnation, and age of the last sign of life, in milliseconds. */
+const heardSchema = z.tuple([z.string(), z.string(), z.number()]);
 /** Node, incarnation, address, failure domain and capacity. */
 export const memberRowSchema = z.tuple([z.string(), z.string(), z.string(), z.string(), z.number()]);
 /** Requests, context tokens and prompt tokens that await prefill. */
@@ -45,6 +45,20 @@
   shards: z.array(z.nullable(z.tuple([z.number(), z.number()]))),
 });
 
+const pingSchema = z.object({
+  ...version,
+  kind: z.literal('ping'),
+  /** Address to which the answer is sent. */
+  address: z.string(),
+});
+
+const pongSchema = z.object({
+  ...version,
+  kind: z.literal('pong'),
+  member: memberRowSchema,
+  isLeaving: z.boolean(),
+});
+
 const reportFields = {
   ...version,
   /** Id of the sender's start. */
@@ -80,6 +94,8 @@
   isContinuing: z.boolean(),
   /** Keys of the targets to which the request was already sent, or that the sender suspects. */
   avoided: z.array(z.string()),
+  /** Keys of targets to which the sender has an idle connection. */
+  connected: z.array(z.string()),
 });
 
 const grantSchema = z.object({
@@ -97,6 +113,8 @@
 const messageSchema = z.discriminatedUnion('kind', [
   digestSchema,
   ownershipSchema,
+  pingSchema,
+  pongSchema,
   reportSchema,
   askSchema,
   grantSchema,
@@ -108,6 +126,9 @@
 export type Digest = Readonly<z.infer<typeof digestSchema>>;
 /** Owners of the shards. */
 export type OwnershipMessage = Readonly<z.infer<typeof ownershipSchema>>;
+/** A question to a node whether it is there. */
+export type PingMessage = Readonly<z.infer<typeof pingSchema>>;
+export type PongMessage = Readonly<z.infer<typeof pongSchema>>;
 /** State of a node, as it reports it to an owner. */
 export type ReportMessage = Readonly<z.infer<typeof reportSchema>>;
 /** A request to an owner to assign a target. */
@@ -148,18 +169,11 @@
 
 export type MemberRow = z.infer<typeof memberRowSchema>;
 
-/** Separates the name of a node from its incarnation in the id of one start. */
-const ID_SEPARATOR = '#';
-
-export function toMemberRow({ node, id, address, failureDomain, capacity }: Member): MemberRow {
-  return [node, id.slice(node.length + ID_SEPARATOR.length), address, failureDomain, capacity];
+export function toMemberRow(member: Member): MemberRow {
+  const { node, address, failureDomain, capacity } = member;
+  return [node, getIncarnation(member), address, failureDomain, capacity];
 }
 
 export function toMember([node, incarnation, address, failureDomain, capacity]: MemberRow): Member {
   return { node, id: createMemberId(node, incarnation), address, failureDomain, capacity };
 }
-
-/** Identifies one start of a node. */
-export function createMemberId(node: string, incarnation: string): string {
-  return `${node}${ID_SEPARATOR}${incarnation}`;
-}
--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -21,6 +21,8 @@
 const SUSPICION_MS = 500;
 /** Owners that are asked for one request before it is refused. */
 const MAX_ASKED_OWNERS = 2;
+/** Targets with an idle connection that an ask names. */
+const MAX_CONNECTED_TARGETS = 8;
 /** Time for which changes of this node's load are collected before they are reported, in milliseconds; one batch step. */
 const REPORT_DELAY_MS = 50;
 /** Interval at which an unchanged load is reported again, in milliseconds. */
@@ -41,6 +43,8 @@
 export interface LocalPlacementCriteria extends PlacementCriteria {
   /** Failure domain of the node that holds the request. */
   readonly failureDomain: string;
+  /** Keys of targets to which that node has an idle connection. */
+  readonly connected: ReadonlySet<string>;
   /** Whether only targets of this node's shards are considered, whose load it knows; otherwise it guesses. */
   readonly isOwner: boolean;
 }
@@ -74,8 +78,12 @@
   readonly findCandidate: (criteria: PlacementCriteria, key: string) => TargetCandidate | undefined;
   /** Keys of the targets that this node suspects because they are silent. */
   readonly silentTargets: () => readonly string[];
+  /** Keys of the targets to which this node has an idle connection, the latest used first. */
+  readonly connectedTargets: () => readonly string[];
   readonly describe: () => Observations;
   readonly onReport: (report: ReportMessage) => void;
+  /** Called when an owner has not answered several times. */
+  readonly onSuspectedOwner: (address: string) => void;
 }
 
 interface PendingRequest {
@@ -183,6 +191,7 @@
       answerTokens: criteria.size.answerTokens,
       isContinuing: criteria.isContinuing,
       avoided: [...criteria.tried, ...this._options.silentTargets()],
+      connected: this._options.connectedTargets().slice(0, MAX_CONNECTED_TARGETS),
     });
   }
 
@@ -225,7 +234,8 @@
   private _chooseLocally(criteria: PlacementCriteria, isOwner: boolean): TargetChoice {
     const { failureDomain, counters } = this._options;
     counters.add('monsoonreach_placements_total', { by: isOwner ? 'owner' : 'alone' });
-    return this._options.chooseLocally({ ...criteria, failureDomain, isOwner });
+    const connected = new Set(this._options.connectedTargets());
+    return this._options.chooseLocally({ ...criteria, failureDomain, connected, isOwner });
   }
 
   private _handleTimeout(requestNumber: number): void {
@@ -243,6 +253,7 @@
         owner: pending.owner,
         forMs: SUSPICION_MS,
       });
+      this._options.onSuspectedOwner(pending.owner);
     }
     pending.onChoice(this._chooseLocally(pending.criteria, false));
   }
@@ -261,7 +272,8 @@
     const { service, model, failureDomain, isContinuing } = request;
     const size = { promptTokens: request.promptTokens, answerTokens: request.answerTokens };
     const criteria = { service, model, size, tried: new Set(request.avoided), isContinuing };
-    const choice = chooseLocally({ ...criteria, failureDomain, isOwner: true });
+    const connected = new Set(request.connected);
+    const choice = chooseLocally({ ...criteria, failureDomain, connected, isOwner: true });
     counters.add('monsoonreach_placements_total', { by: 'peer' });
     const grant = { kind: 'grant' as const, ask: request.lastAsk };
     switch (choice.kind) {
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -198,7 +198,7 @@
     });
   }
 
-  private _send(candidate: TargetCandidate, predictedMs: number, nowMs: number): void {
+  private _send(candidate: TargetCandidate, predictedMs: number, nowMs: number, isFresh = false): void {
     const { context, request, caller, workspace, urgency, body } = this._options;
     const size: RequestSize = caller.size;
     const attempt: Attempt = {
@@ -235,7 +235,7 @@
           urgency: this._isStream ? urgency : undefined,
         }),
         body,
-        isFresh: !this._isRepeatable(),
+        isFresh: isFresh || !this._isRepeatable(),
       },
       {
         onHead: (head) => {
@@ -378,9 +378,22 @@
   }
 
   private _handleError(attempt: Attempt, error: CallError): void {
+    if (error.isStale && this._isRepeatable() && this._tryTakeRetry('stale')) {
+      this._sendAgain(attempt);
+      return;
+    }
     this._handleFailure(attempt, error.isUnsent ? 'unsent' : 'target-lost', !error.isUnsent);
   }
 
+  /** Sends the request to the same target on a new connection; the attempt on the closed one does not count. */
+  private _sendAgain(attempt: Attempt): void {
+    const { candidate, predictedMs } = attempt;
+    this._trail.push(`${candidate.key} stale ${this._elapsedMs(attempt.startedAtMs)}ms`);
+    attempt.load.endRequest();
+    this._attempts--;
+    this._send(candidate, predictedMs, this._options.context.clock.monotonic(), true);
+  }
+
   /** Handles an attempt without an answer that can be forwarded: retries, or ends the request. */
   private _handleFailure(attempt: Attempt, reason: CallOutcomeReason, mayHaveRun: boolean): void {
     if (mayHaveRun) this._mayHaveRun = true;
@@ -410,14 +423,21 @@
     return this._attempts < route.maxAttempts && nowMs < this._deadlineMs && this._choose().kind === 'chosen';
   }
 
-  private _retry(attempt: Attempt, reason: CallOutcomeReason): void {
+  /** Takes a retry from the budget that all nodes share. */
+  private _tryTakeRetry(reason: string): boolean {
     const { context } = this._options;
-    if (!context.retries.tryTakeRetry(this._service ?? '', context.clock.monotonic())) {
-      context.counters.add('monsoonreach_retries_denied_total', { reason });
+    const isTaken = context.retries.tryTakeRetry(this._service ?? '', context.clock.monotonic());
+    context.counters.add(isTaken ? 'monsoonreach_retries_total' : 'monsoonreach_retries_denied_total', {
+      reason,
+    });
+    return isTaken;
+  }
+
+  private _retry(attempt: Attempt, reason: CallOutcomeReason): void {
+    if (!this._tryTakeRetry(reason)) {
       if (reason !== 'silent') this._abandonAndGiveUp(attempt, reason);
       return;
     }
-    context.counters.add('monsoonreach_retries_total', { reason });
     if (reason === 'silent') this._mayHaveRun = true;
     this._abandonAttempt(attempt, reason);
     this._dispatch();
--- a/packages/node/src/shardOwnership.ts
+++ b/packages/node/src/shardOwnership.ts
@@ -112,6 +112,12 @@
     if (stamp < this.stamp) this._options.exchange.send(address, createOwnershipMessage(this._ownership));
   }
 
+  /** Asks an owner that does not answer requests whether it is there; it loses its shards if it is not. */
+  checkOwner(address: string): void {
+    const owner = listOwners(this._ownership).find((other) => other.address === address);
+    if (owner) void this._options.exchange.probe(owner);
+  }
+
   async run(): Promise<void> {
     const { signal } = this._abortController;
     while (!signal.aborted) {
@@ -151,7 +157,7 @@
     const { signal } = this._abortController;
     const rank = insertByPreference(exchange.listLive(), self).findIndex(({ id }) => id === self.id);
     await pause(Math.min(rank, MAX_RANK) * RANK_DELAY_MS + random.next() * MAX_JITTER_MS, signal);
-    if (signal.aborted || !this._findAssignment(0)) return;
+    if (signal.aborted || !(await this._isVacant())) return;
     try {
       await this._assign();
     } catch (error) {
@@ -162,6 +168,16 @@
     }
   }
 
+  /** Whether shards have no owner: one that was not heard of lately is asked directly before it loses its shards. */
+  private async _isVacant(): Promise<boolean> {
+    const { self, exchange } = this._options;
+    if (!this._findAssignment(0)) return false;
+    const live = new Set([self.id, ...exchange.listLive().map(({ id }) => id)]);
+    const silent = listOwners(this._ownership).filter(({ id }) => !live.has(id));
+    await Promise.all(silent.map((owner) => exchange.probe(owner)));
+    return this._findAssignment(0) !== undefined;
+  }
+
   private async _assign(): Promise<void> {
     const { store } = this._options;
     const { end, last } = await this._readRecords();
--- a/packages/node/src/targetConnections.ts
+++ b/packages/node/src/targetConnections.ts
@@ -7,6 +7,9 @@
 /** Time for which an idle connection is reused, in milliseconds; short, as idle connections may be lost unnoticed. */
 const IDLE_TIMEOUT_MS = 2_500;
 
+/** Time within which a closed connection answers a request with a reset, in milliseconds; a few round trips. */
+const STALE_RESET_MS = 15;
+
 /** A call to a target ended without a complete answer. */
 export class CallError extends MonsoonreachError {
   readonly code = 'call';
@@ -15,6 +18,8 @@
     message: string,
     /** Whether it is certain that no byte of the request was sent. */
     readonly isUnsent: boolean,
+    /** Whether an idle connection was used that turned out to be closed; the target may be well. */
+    readonly isStale: boolean,
     options?: ErrorOptions,
   ) {
     super(message, options);
@@ -57,8 +62,14 @@
   constructor(private readonly _clock: Clock) {}
 
   open(call: TargetCall, listener: CallListener): OpenCall {
-    const { dispatcher, release } = this._getDispatcher(call);
-    const handler = new CallHandler(listener, release, this._resets);
+    const { dispatcher, isReused, release } = this._getDispatcher(call);
+    const handler = new CallHandler({
+      listener,
+      release,
+      resets: this._resets,
+      isReused,
+      clock: this._clock,
+    });
     try {
       dispatcher.dispatch(
         {
@@ -78,6 +89,15 @@
     return handler;
   }
 
+  /** Addresses of targets to which a connection is idle, the latest used first. */
+  listConnected(): readonly string[] {
+    const nowMs = this._clock.monotonic();
+    return [...this._pools]
+      .filter(([, { pool, usedAtMs }]) => nowMs - usedAtMs < IDLE_TIMEOUT_MS && pool.stats.free > 0)
+      .sort(([, a], [, b]) => b.usedAtMs - a.usedAtMs)
+      .map(([address]) => address);
+  }
+
   /** Closes the pools of targets that were not called for `unusedMs`. */
   closeUnused(unusedMs: number): void {
     const nowMs = this._clock.monotonic();
@@ -90,13 +110,15 @@
 
   private _getDispatcher(call: TargetCall): {
     readonly dispatcher: Dispatcher;
+    /** Whether the call uses an idle connection. */
+    readonly isReused: boolean;
     readonly release: () => void;
   } {
     const origin = `http://${call.address}`;
     const connect = this._resets.connect;
     if (call.isFresh) {
       const client = new Client(origin, { pipelining: 1, connect });
-      return { dispatcher: client, release: () => void client.destroy() };
+      return { dispatcher: client, isReused: false, release: () => void client.destroy() };
     }
     let entry = this._pools.get(call.address);
     if (!entry) {
@@ -110,7 +132,8 @@
       this._pools.set(call.address, entry);
     }
     entry.usedAtMs = this._clock.monotonic();
-    return { dispatcher: entry.pool, release: () => undefined };
+    const isReused = entry.pool.stats.free > 0;
+    return { dispatcher: entry.pool, isReused, release: () => undefined };
   }
 }
 
@@ -149,22 +172,28 @@
   }
 }
 
+interface CallHandlerOptions {
+  readonly listener: CallListener;
+  readonly release: () => void;
+  readonly resets: ResetDetector;
+  readonly isReused: boolean;
+  readonly clock: Clock;
+}
+
 class CallHandler implements Dispatcher.DispatchHandler, OpenCall {
   private _controller: Dispatcher.DispatchController | undefined;
   private _isFinished = false;
-  private _isSent = false;
+  private _isAnswered = false;
+  /** Monotonic time at which sending began; undefined before. */
+  private _sentAtMs: number | undefined;
 
-  constructor(
-    private readonly _listener: CallListener,
-    private readonly _release: () => void,
-    private readonly _resets: ResetDetector,
-  ) {}
+  constructor(private readonly _options: CallHandlerOptions) {}
 
   cancel(): void {
     if (this._isFinished) return;
     this._isFinished = true;
-    this._controller?.abort(new CallError('The call was cancelled.', false));
-    this._release();
+    this._controller?.abort(new CallError('The call was cancelled.', false, false));
+    this._options.release();
   }
 
   pause(): void {
@@ -177,8 +206,8 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this._controller = controller;
-    if (this._isFinished) controller.abort(new CallError('The call was cancelled.', true));
-    else this._isSent = true;
+    if (this._isFinished) controller.abort(new CallError('The call was cancelled.', true, false));
+    else this._sentAtMs = this._options.clock.monotonic();
   }
 
   onResponseStart(
@@ -186,29 +215,34 @@
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): void {
-    if (!this._isFinished && status >= 200) this._listener.onHead(decodeResponseHead(status, headers));
+    this._isAnswered = true;
+    if (!this._isFinished && status >= 200)
+      this._options.listener.onHead(decodeResponseHead(status, headers));
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this._isFinished) this._listener.onData(chunk);
+    if (!this._isFinished) this._options.listener.onData(chunk);
   }
 
   onResponseEnd(): void {
     if (this._isFinished) return;
-    if (this._resets.isResetting) {
+    if (this._options.resets.isResetting) {
       this.onResponseError(undefined, new Error('The connection was reset before the answer was complete.'));
       return;
     }
     this._isFinished = true;
-    this._release();
-    this._listener.onEnd();
+    this._options.release();
+    this._options.listener.onEnd();
   }
 
   onResponseError(_controller: unknown, error: Error): void {
     if (this._isFinished) return;
     this._isFinished = true;
-    this._release();
+    this._options.release();
     const message = `The call to the target ended without a complete answer: ${error.message}`;
-    this._listener.onError(new CallError(message, !this._isSent, { cause: error }));
+    const { listener, isReused, clock } = this._options;
+    const sentAtMs = this._sentAtMs ?? Infinity;
+    const isStale = isReused && !this._isAnswered && clock.monotonic() - sentAtMs < STALE_RESET_MS;
+    listener.onError(new CallError(message, sentAtMs === Infinity, isStale, { cause: error }));
   }
 }
--- a/packages/node/src/targetDirectory.ts
+++ b/packages/node/src/targetDirectory.ts
@@ -25,6 +25,7 @@
   private _configuration: ServingConfiguration | undefined;
   private _targetsById = new Map<string, readonly KnownTarget[]>();
   private _targetsByKey = new Map<string, KnownTarget>();
+  private _keysByAddress = new Map<string, string>();
   private _ownersById = new Map<string, readonly OwnerOption[]>();
   private _ownershipStamp = -1;
 
@@ -87,6 +88,11 @@
     return target && this._ownership.findOwner(target.instance.fabricDomain);
   }
 
+  /** Returns the keys of the targets at these addresses. */
+  findKeys(addresses: readonly string[]): readonly string[] {
+    return addresses.flatMap((address) => this._keysByAddress.get(address) ?? []);
+  }
+
   /** Returns the keys of all targets that accept requests. */
   listKeys(configuration: ServingConfiguration): ReadonlySet<string> {
     this._refresh(configuration);
@@ -105,6 +111,9 @@
     this._targetsByKey = new Map(
       [...this._targetsById.values()].flatMap((targets) => targets.map((target) => [target.key, target])),
     );
+    this._keysByAddress = new Map(
+      [...this._targetsByKey.values()].map(({ key, instance }) => [instance.address, key]),
+    );
   }
 
   private _toCandidate(target: KnownTarget): TargetCandidate {
--- a/tests/node/placement.test.ts
+++ b/tests/node/placement.test.ts
@@ -98,8 +98,10 @@
         candidates(true).reduce((sum, { slots, load }) => sum + Math.max(0, slots - load.requests), 0),
       findCandidate: (_need, key) => candidates(false).find((candidate) => candidate.key === key),
       silentTargets: () => [],
+      connectedTargets: () => [],
       describe: () => ({ demand: {}, silent: [], heads: {} }),
       onReport: () => undefined,
+      onSuspectedOwner: () => undefined,
     });
     this.nodes.set(name, { placement, loads });
   }
@@ -107,7 +109,7 @@
   private _deliver(address: string, message: WithoutVersion<PeerMessage>): void {
     this.messages.set(message.kind, (this.messages.get(message.kind) ?? 0) + 1);
     if (this.unreachable.has(address)) return;
-    if (message.kind === 'digest' || message.kind === 'ownership') return;
+    if (message.kind !== 'report' && message.kind !== 'ask' && message.kind !== 'grant') return;
     const copy = { version: 2 as const, ...message };
     setImmediate(() => this.nodes.get(address)?.placement.receive(copy));
   }
--- a/tests/node/planning.test.ts
+++ b/tests/node/planning.test.ts
@@ -1,6 +1,5 @@
-import { Counters, createRandom, systemClock, type TargetInstance } from '@monsoonreach/core';
+import { Counters, createMemberId, createRandom, systemClock, type TargetInstance } from '@monsoonreach/core';
 import {
-  createMemberId,
   DecisionLog,
   HeadMonitor,
   InstanceList,
@@ -188,6 +187,29 @@
   store.stop();
 });
 
+void t.test(
+  'a node that is asked directly answers as long as it runs, and as the start that it is',
+  async (t) => {
+    const { store, nodes } = await createFleet(3);
+    const [first, second, third] = nodes;
+    if (!first || !second || !third) throw new Error('Expected three nodes.');
+    third.exchange.stop();
+    const cases = [
+      { name: 'a running node', asked: second.self, isAnswered: true },
+      { name: 'an earlier start of it', asked: { ...second.self, id: 'node-1#0' }, isAnswered: false },
+      { name: 'a node that is lost', asked: third.self, isAnswered: false },
+    ];
+    for (const { name, asked, isAnswered } of cases) {
+      t.equal(await first.exchange.probe(asked), isAnswered, name);
+    }
+    third.planning.stop();
+    third.ownership.stop();
+    first.stop();
+    second.stop();
+    store.stop();
+  },
+);
+
 void t.test('the shards of a node that is lost get another owner', async (t) => {
   const { store, nodes } = await createFleet(3);
   await sleep(2_500);
--- a/tests/node/targetConnections.test.ts
+++ b/tests/node/targetConnections.test.ts
@@ -125,3 +125,76 @@
   await new Promise((resolve) => server.close(resolve));
   t.same(await callTarget(`127.0.0.1:${port}`, true), { kind: 'error', isUnsent: true });
 });
+
+/** Serves one request on each connection and then does this to the connection when it gets another. */
+async function callTwice(handleSecond: (socket: Socket) => void): Promise<CallError | 'answered'> {
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write(`${HEAD}Content-Length: 3\r\n\r\nabc`);
+      socket.once('data', () => {
+        handleSecond(socket);
+      });
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const connections = new TargetConnections(systemClock);
+  const call = () =>
+    new Promise<CallError | 'answered'>((resolve) => {
+      connections.open(
+        {
+          address: `127.0.0.1:${port}`,
+          method: 'GET',
+          path: '/',
+          headers: ['Attempt-Id', 'a'],
+          body: undefined,
+          isFresh: false,
+        },
+        {
+          onHead: () => undefined,
+          onData: () => undefined,
+          onEnd: () => {
+            resolve('answered');
+          },
+          onError: resolve,
+        },
+      );
+    });
+  await call();
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  const result = await call();
+  connections.closeUnused(0);
+  server.close();
+  return result;
+}
+
+const secondCalls = [
+  {
+    name: 'a target that has closed an idle connection is not to blame',
+    handle: (socket: Socket) => socket.resetAndDestroy(),
+    isStale: true,
+  },
+  {
+    name: 'a target that resets a connection after some time may have run the request',
+    handle: (socket: Socket) => setTimeout(() => socket.resetAndDestroy(), 60),
+    isStale: false,
+  },
+  {
+    name: 'a target that begins to answer is to blame for the rest',
+    handle: (socket: Socket) => {
+      socket.write(`${HEAD}Content-Length: 9\r\n\r\nabc`);
+      setTimeout(() => socket.resetAndDestroy(), 5);
+    },
+    isStale: false,
+  },
+];
+
+for (const { name, handle, isStale } of secondCalls) {
+  void t.test(name, async (t) => {
+    const result = await callTwice(handle);
+    if (result === 'answered') throw new Error('Expected the second call to fail.');
+    t.equal(result.isStale, isStale);
+    t.equal(result.isUnsent, false);
+  });
+}
--- a/tests/serving/shards.test.ts
+++ b/tests/serving/shards.test.ts
@@ -169,7 +169,7 @@
     const isLive = (node: string, nowMs: number) =>
       members.listLive(TIMEOUTS, nowMs).some((member) => member.node === node);
     t.ok(isLive('owner', 11_000), 'it is relayed only since one second');
-    members.recordHeard('owner:1', 13_000);
+    members.recordHeard('owner:1', '1', 13_000);
     members.updateRelayed(owners, TIMEOUTS, 14_000);
     t.ok(isLive('owner', 14_000), 'another node heard of it');
     t.notOk(isLive('owner', 16_000), 'no node heard of it for three seconds');
@@ -198,3 +198,27 @@
     t.end();
   },
 );
+
+void t.test('load pattern, a node restarts at once: all notice that it is another start of it', (t) => {
+  const members = new FleetMembers(createMember('self', 1));
+  members.recordDigest(createMember('owner', 1.4), false, 1_000);
+  const findId = () => members.listLive(TIMEOUTS, 3_000)[0]?.id;
+  members.recordHeard('owner:1', '2', 900);
+  t.equal(findId(), 'owner#1', 'what was heard earlier is not newer');
+  members.recordHeard('owner:1', '2', 2_000);
+  t.equal(findId(), 'owner#2');
+  members.recordHeard('owner:1', '1', 1_500);
+  t.equal(findId(), 'owner#2');
+  t.end();
+});
+
+void t.test('a node that does not answer is lost until it is heard of again', (t) => {
+  const members = new FleetMembers(createMember('self', 1));
+  members.recordDigest(createMember('owner', 1.4), false, 1_000);
+  members.recordLost('owner:1', 2_000);
+  members.recordHeard('owner:1', '1', 1_800);
+  t.equal(members.listLive(TIMEOUTS, 2_100).length, 0, 'others heard of it before it was asked');
+  members.recordHeard('owner:1', '1', 2_200);
+  t.equal(members.listLive(TIMEOUTS, 2_300).length, 1);
+  t.end();
+});
