Node: a node that was turned away alone does not wait for entries to come back

It read through peers, but took each return for that of a store that had been out, and formed no group while entries might come back, until 13.6 s; five groups lost a member meanwhile.

Change: the store counts as out only if no peer had contact with it either. tests/node/topicSources fails without it.

--- a/packages/node/src/keyedFollower.ts
+++ b/packages/node/src/keyedFollower.ts
@@ -37,6 +37,8 @@
 export class KeyedFollower {
   private _nextOffset: number | undefined;
   private _failures = 0;
+  /** Whether no peer had contact with the store either while reads failed. */
+  private _isStoreOut = false;
   private _reconnectedAtMs = -Infinity;
   private readonly _abortController = new AbortController();
   /** Copy of what was read, which is served to peers. */
@@ -46,7 +48,7 @@
     this.mirror = new TopicMirror(_options.clock);
   }
 
-  /** Monotonic time at which the store was last reached again after failed reads; -Infinity if it always was. */
+  /** Monotonic time at which the store was last reached again after it was out for all nodes; -Infinity if it never was. */
   get reconnectedAtMs(): number {
     return this._reconnectedAtMs;
   }
@@ -121,10 +123,16 @@
       this._reconnectedAtMs = Math.max(this._reconnectedAtMs, clock.monotonic() - regainedMs);
     }
     if (this._failures > 0) {
-      this._reconnectedAtMs = clock.monotonic();
-      log.info('store reachable again', { topic, failures: this._failures });
+      if (this._isStoreOut && !isFromPeer) this._reconnectedAtMs = clock.monotonic();
+      log.info('store reachable again', {
+        topic,
+        failures: this._failures,
+        wasOutForAll: this._isStoreOut,
+        isFromPeer,
+      });
     }
     this._failures = 0;
+    this._isStoreOut = false;
     const reconnectedAtMs = Number.isFinite(this._reconnectedAtMs) ? this._reconnectedAtMs : undefined;
     this.mirror.confirm(contactAtMs, reconnectedAtMs, !isFromPeer);
     onContact?.(contactAtMs);
@@ -132,6 +140,7 @@
 
   private _recordFailure(error: unknown): void {
     this._failures++;
+    this._isStoreOut ||= !this._options.sources.hasFreshPeer();
     if (!(error instanceof StoreUnavailableError) || this._failures === 1) {
       this._options.log.warn('store read failed', {
         topic: this._options.topic,
--- a/packages/node/src/topicSources.ts
+++ b/packages/node/src/topicSources.ts
@@ -118,6 +118,11 @@
     }
   }
 
+  /** Whether any peer had contact with the store lately. */
+  hasFreshPeer(): boolean {
+    return this._findFreshestPeer() !== undefined;
+  }
+
   /**
    * Reads changes from an offset on.
    * @throws StoreUnavailableError when neither the store nor a peer answers.
--- a/tests/node/topicSources.test.ts
+++ b/tests/node/topicSources.test.ts
@@ -70,6 +70,11 @@
     void this._follower.run();
   }
 
+  /** Whether the node takes the store for having been out, so that entries may come back. */
+  get hasSeenOutage(): boolean {
+    return Number.isFinite(this._follower.reconnectedAtMs);
+  }
+
   stop(): void {
     this._follower.stop();
   }
@@ -152,6 +157,25 @@
   );
 }
 
+const outages = [
+  { name: 'turned away alone', isForAll: false },
+  { name: 'turned away with all others', isForAll: true },
+];
+
+for (const { name, isForAll } of outages) {
+  void t.test(`a reader that was ${name} knows whether the store was out`, async (t) => {
+    const { nodes, stop } = await createFleet(4);
+    t.teardown(stop);
+    const reader = [...nodes].sort((a, b) => b.store.callCount - a.store.callCount)[0];
+    const affected = isForAll ? nodes : nodes.filter((node) => node === reader);
+    for (const { store } of affected) store.mode = 'busy';
+    await sleep(3_500);
+    for (const { store } of affected) store.mode = 'well';
+    await sleep(3_000);
+    t.equal(reader?.hasSeenOutage, isForAll);
+  });
+}
+
 void t.test('a node reads the store itself when the node that reads for it is unreachable', async (t) => {
   const { nodes, put, stop } = await createFleet(2);
   t.teardown(stop);
