Node: a line for each request that a stop cuts, with its connection

The incident on requests lost in a stop could not be traced: `stopped` said how many requests were cut, and no line said which, when they had come, or over which connection; requests that were held or still being read were not counted at all.

Change: the node tracks callers' connections, and requests from their head to the last byte of the answer. At the end of a stop it logs each open one: stage, arrival after SIGTERM, connection, its age, position on the connection. `stopped` says how many were open and how long the stop took. No behaviour changes.

--- /dev/null
+++ b/packages/node/src/callerConnections.ts
@@ -0,0 +1,75 @@
+import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import type { Clock } from '@monsoonreach/core';
+
+/** How far a request has come: held until the node knows its targets, its body being read, or being served. */
+export type RequestStage = 'held' | 'reading' | 'serving';
+
+/** A request whose answer has not been sent completely. */
+export interface OpenRequest {
+  readonly requestId: string;
+  readonly stage: RequestStage;
+  /** Monotonic time at which its head was read, in milliseconds. */
+  readonly startedAtMs: number;
+  /** Number of its connection, counted from the start of the process. */
+  readonly connection: number;
+  /** Monotonic time at which its connection was opened, in milliseconds. */
+  readonly connectionOpenedAtMs: number;
+  /** Position among the requests of its connection, from 1. */
+  readonly position: number;
+}
+
+interface Connection {
+  readonly number: number;
+  readonly openedAtMs: number;
+  requestCount: number;
+}
+
+/** The connections of callers, and their requests from the head until the last byte of the answer has left. */
+export class CallerConnections {
+  private readonly _connections = new Map<Socket, Connection>();
+  private readonly _requests = new Map<ServerResponse, OpenRequest>();
+  private _lastNumber = 0;
+
+  constructor(private readonly _clock: Clock) {}
+
+  /** Number of open connections. */
+  get size(): number {
+    return this._connections.size;
+  }
+
+  /** Tracks a connection until it is closed. */
+  add(socket: Socket): void {
+    this._connections.set(socket, {
+      number: ++this._lastNumber,
+      openedAtMs: this._clock.monotonic(),
+      requestCount: 0,
+    });
+    socket.once('close', () => this._connections.delete(socket));
+  }
+
+  /** Tracks a request until its answer has been sent or its connection is closed. */
+  startRequest(response: ServerResponse, requestId: string): void {
+    const connection = response.socket ? this._connections.get(response.socket) : undefined;
+    if (!connection) return;
+    connection.requestCount++;
+    this._requests.set(response, {
+      requestId,
+      stage: 'held',
+      startedAtMs: this._clock.monotonic(),
+      connection: connection.number,
+      connectionOpenedAtMs: connection.openedAtMs,
+      position: connection.requestCount,
+    });
+    response.once('close', () => this._requests.delete(response));
+  }
+
+  setStage(response: ServerResponse, stage: RequestStage): void {
+    const request = this._requests.get(response);
+    if (request) this._requests.set(response, { ...request, stage });
+  }
+
+  listOpenRequests(): readonly OpenRequest[] {
+    return [...this._requests.values()];
+  }
+}
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type KeyTrust, type RouteTable, type ServingRoute, splitAddress } from '@monsoonreach/core';
 import { type CallerRequest, decodeCallerRequest, encodeRetryAfter } from '@monsoonreach/platform';
+import { CallerConnections } from './callerConnections.js';
 import { RequestRun } from './requestRun.js';
 import type { ServingContext } from './servingContext.js';
 import type { StartGate } from './startGate.js';
@@ -25,10 +26,12 @@
 
 /** HTTP server for callers: finds the route and workspace of each request, and starts forwarding it. */
 export class FrontServer {
+  readonly connections: CallerConnections;
   private readonly _server: Server;
   private _isDraining = false;
 
   constructor(private readonly _options: FrontServerOptions) {
+    this.connections = new CallerConnections(_options.context.clock);
     // Plain node:http, as requests are forwarded byte for byte and connections are closed individually.
     this._server = createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
@@ -36,6 +39,9 @@
         void this._handleRequest(request, response);
       },
     );
+    this._server.on('connection', (socket) => {
+      this.connections.add(socket);
+    });
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       const status =
         error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
@@ -82,15 +88,18 @@
     response.on('error', () => {
       this._options.context.counters.add('monsoonreach_caller_errors_total');
     });
+    const caller = decodeCallerRequest(request.headers);
+    this.connections.startRequest(response, caller.requestId);
     await this._options.gate.pass();
+    this.connections.setStage(response, 'reading');
     const table = this._options.table();
-    const caller = decodeCallerRequest(request.headers);
     if (!table) {
       this._refuse(response, caller, 503, 'no-configuration', encodeRetryAfter(STALE_RETRY_AFTER_MS));
       return;
     }
     const body = await this._readBody(request, response, caller, table.configuration.limits.maxBodyBytes);
     if (body === 'ended') return;
+    this.connections.setStage(response, 'serving');
     const route = table.findRoute(request.headers.host ?? '', request.url ?? '/');
     if (!route) {
       this._refuse(response, caller, 404, 'no-route');
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,3 +1,4 @@
+export * from './callerConnections.js';
 export * from './decisionLog.js';
 export * from './headMonitor.js';
 export * from './instanceList.js';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -173,7 +173,8 @@
 
   /** Finishes the requests in progress, as far as `drain-timeout` allows; returns how many remain. */
   async drain(): Promise<number> {
-    const endsAtMs = this._clock.monotonic() + this._settings.callers['drain-timeout'] - EXIT_MARGIN_MS;
+    const startedAtMs = this._clock.monotonic();
+    const endsAtMs = startedAtMs + this._settings.callers['drain-timeout'] - EXIT_MARGIN_MS;
     this._log.info('stopping', { requests: this._runs.size });
     this._front.drain();
     this._planning.stop();
@@ -182,10 +183,34 @@
     await pause(BALANCER_DRAIN_MS);
     this._front.close();
     while (this._runs.size > 0 && this._clock.monotonic() < endsAtMs) await pause(CHECK_INTERVAL_MS);
-    this._log.info('stopped', { cut: this._runs.size });
+    this._logStop(startedAtMs);
     return this._runs.size;
   }
 
+  /** Logs how the stop ended, and each request whose answer has not been sent completely. */
+  private _logStop(stoppingSinceMs: number): void {
+    const nowMs = this._clock.monotonic();
+    const { connections } = this._front;
+    const openRequests = connections.listOpenRequests();
+    for (const request of openRequests) {
+      this._log.warn('request cut by the stop', {
+        request: request.requestId,
+        stage: request.stage,
+        ms: Math.round(nowMs - request.startedAtMs),
+        msAfterStop: Math.round(request.startedAtMs - stoppingSinceMs),
+        connection: request.connection,
+        connectionMs: Math.round(nowMs - request.connectionOpenedAtMs),
+        position: request.position,
+      });
+    }
+    this._log.info('stopped', {
+      cut: this._runs.size,
+      openRequests: openRequests.length,
+      connections: connections.size,
+      ms: Math.round(nowMs - stoppingSinceMs),
+    });
+  }
+
   /** Handles SIGHUP. Only logs, because settings are read only at startup. */
   reload(): void {
     this._log.info('SIGHUP ignored; settings are read only at startup', { node: this._settings.node.name });
