Node: a stop finishes or refuses every request that callers send on open connections

The answer in progress at SIGTERM had not said `Connection: close`; when it ended later than 2.6 s, its connection was never closed, and every request on it was taken, whatever time was left. Class of fault: the end of a stop was decided by what was in progress, while work could still come in.

Ruled out: the start gate and bytes that had not left (no cut request was in either stage); the second signal (a stop was started twice, but the first ended it).

Change: from SIGTERM on each connection is closed after its current answer; those idle or unused are closed with the listening socket. A request is taken only if it can be finished: its time limit, or for a stream its predicted duration in full batches, is shorter than what is left; else it is refused at once as not run, with Retry-After 0, as another node can serve it. The stop waits until all connections are closed, so until the last byte has left. What remains at the end is answered truthfully: 503 if nothing was sent to a target, 502 if it may have run. A second SIGTERM changes nothing.

--- a/packages/core/src/serving/engineCost.ts
+++ b/packages/core/src/serving/engineCost.ts
@@ -67,11 +67,28 @@
 
 /** Predicts the mean time until a slot of a full batch becomes free, in milliseconds. */
 export function predictSlotWaitMs(engine: EngineProfile, model: ModelProfile): number {
-  const size = { promptTokens: engine.usualPromptTokens, answerTokens: engine.usualAnswerTokens };
-  const full = {
+  return predictServiceMs(engine, model, createFullLoad(engine), getUsualSize(engine)) / engine.slots;
+}
+
+/** Predicts how long a request takes if its batch stays full, in milliseconds. */
+export function predictBusyServiceMs(engine: EngineProfile, model: ModelProfile, size: RequestSize): number {
+  const usual = getUsualSize(engine);
+  const decodeMs = usual.answerTokens * predictStepMs(engine, model, createFullLoad(engine));
+  // While one request decodes, each slot is filled once more, and every prefill delays the whole batch.
+  const prefillMs = engine.slots * predictPrefillMs(engine, model, usual.promptTokens);
+  const serviceMs = predictServiceMs(engine, model, createFullLoad(engine), size);
+  return serviceMs * (1 + prefillMs / Math.max(1, decodeMs));
+}
+
+function getUsualSize(engine: EngineProfile): RequestSize {
+  return { promptTokens: engine.usualPromptTokens, answerTokens: engine.usualAnswerTokens };
+}
+
+function createFullLoad(engine: EngineProfile): BatchLoad {
+  const { promptTokens, answerTokens } = getUsualSize(engine);
+  return {
     requests: engine.slots,
-    contextTokens: engine.slots * (size.promptTokens + size.answerTokens / 2),
+    contextTokens: engine.slots * (promptTokens + answerTokens / 2),
     pendingPromptTokens: 0,
   };
-  return predictServiceMs(engine, model, full, size) / engine.slots;
 }
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -19,6 +19,7 @@
 export * from './servingConfiguration.js';
 export * from './shards.js';
 export * from './silence.js';
+export * from './stopAdmission.js';
 export * from './survivingGroups.js';
 export * from './targetHealth.js';
 export * from './targetInstance.js';
--- /dev/null
+++ b/packages/core/src/serving/stopAdmission.ts
@@ -0,0 +1,54 @@
+import { predictBusyServiceMs, type RequestSize } from './engineCost.js';
+import type { ServingConfiguration, ServingRoute } from './servingConfiguration.js';
+
+/** Factor on the predicted duration of a stream; the batch may be slower than predicted. */
+const DURATION_MARGIN = 1.25;
+/** The same while the balancer still sends callers here: one that is refused may come back to this node. */
+const ROTATION_DURATION_MARGIN = 1;
+
+/** What decides how long a request may take. */
+export interface StopAdmissionRequest {
+  readonly route: ServingRoute;
+  readonly model: string | undefined;
+  readonly size: RequestSize;
+  /** Time that the caller allows, in milliseconds; undefined if it names none. */
+  readonly timeoutMs: number | undefined;
+}
+
+/** How far a stop has come. */
+export interface StopProgress {
+  /** Time until the process ends, in milliseconds. */
+  readonly remainingMs: number;
+  /** Whether the balancer may still send new connections. */
+  readonly isInRotation: boolean;
+}
+
+/**
+ * Whether a node that is stopping can finish a request that arrives now.
+ *
+ * A request that is refused at once is served by another node a moment later; one that is cut has to start again.
+ */
+export function canFinishBeforeStop(
+  request: StopAdmissionRequest,
+  configuration: ServingConfiguration,
+  { remainingMs, isInRotation }: StopProgress,
+): boolean {
+  const { route, timeoutMs } = request;
+  const limitMs = Math.min(timeoutMs ?? Infinity, route.timeoutMs);
+  const margin = isInRotation ? ROTATION_DURATION_MARGIN : DURATION_MARGIN;
+  return Math.min(limitMs, margin * predictStreamMs(request, configuration)) <= remainingMs;
+}
+
+/** Time that a stream takes in full batches, in milliseconds; unknown for other requests. */
+function predictStreamMs(
+  { route, model: modelName, size }: StopAdmissionRequest,
+  configuration: ServingConfiguration,
+): number {
+  if (route.kind !== 'stream') return Infinity;
+  const durationsMs = route.services.map(({ service }) => {
+    const engine = configuration.services.get(service)?.engine;
+    const model = engine?.models.find(({ name }) => name === modelName);
+    return engine && model ? predictBusyServiceMs(engine, model, size) : Infinity;
+  });
+  return Math.max(...durationsMs);
+}
--- a/packages/node/src/callerConnections.ts
+++ b/packages/node/src/callerConnections.ts
@@ -7,6 +7,7 @@
 
 /** A request whose answer has not been sent completely. */
 export interface OpenRequest {
+  readonly response: ServerResponse;
   readonly requestId: string;
   readonly stage: RequestStage;
   /** Monotonic time at which its head was read, in milliseconds. */
@@ -23,13 +24,21 @@
   readonly number: number;
   readonly openedAtMs: number;
   requestCount: number;
+  openRequests: number;
 }
 
-/** The connections of callers, and their requests from the head until the last byte of the answer has left. */
+/**
+ * The connections of callers, and their requests from the head until the last byte of the answer has left.
+ *
+ * A stopping node closes each connection after its current answer. The head of that answer may have been sent before
+ * the stop and then does not announce it.
+ */
 export class CallerConnections {
   private readonly _connections = new Map<Socket, Connection>();
   private readonly _requests = new Map<ServerResponse, OpenRequest>();
   private _lastNumber = 0;
+  private _isClosingAfterAnswers = false;
+  private _isClosingIdle = false;
 
   constructor(private readonly _clock: Clock) {}
 
@@ -44,16 +53,21 @@
       number: ++this._lastNumber,
       openedAtMs: this._clock.monotonic(),
       requestCount: 0,
+      openRequests: 0,
     });
     socket.once('close', () => this._connections.delete(socket));
+    if (this._isClosingIdle) socket.destroySoon();
   }
 
   /** Tracks a request until its answer has been sent or its connection is closed. */
   startRequest(response: ServerResponse, requestId: string): void {
-    const connection = response.socket ? this._connections.get(response.socket) : undefined;
-    if (!connection) return;
+    const { socket } = response;
+    const connection = socket ? this._connections.get(socket) : undefined;
+    if (!socket || !connection) return;
     connection.requestCount++;
+    connection.openRequests++;
     this._requests.set(response, {
+      response,
       requestId,
       stage: 'held',
       startedAtMs: this._clock.monotonic(),
@@ -61,7 +75,11 @@
       connectionOpenedAtMs: connection.openedAtMs,
       position: connection.requestCount,
     });
-    response.once('close', () => this._requests.delete(response));
+    response.once('close', () => {
+      this._requests.delete(response);
+      connection.openRequests--;
+      if (this._isClosingAfterAnswers && connection.openRequests === 0) socket.destroySoon();
+    });
   }
 
   setStage(response: ServerResponse, stage: RequestStage): void {
@@ -72,4 +90,17 @@
   listOpenRequests(): readonly OpenRequest[] {
     return [...this._requests.values()];
   }
+
+  /** From now on, closes each connection when its current answer has been sent. */
+  closeAfterAnswers(): void {
+    this._isClosingAfterAnswers = true;
+  }
+
+  /** Closes the connections without a request in progress, also those that never had one, now and when opened. */
+  closeIdle(): void {
+    this._isClosingIdle = true;
+    for (const [socket, { openRequests }] of this._connections) {
+      if (openRequests === 0) socket.destroySoon();
+    }
+  }
 }
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -1,5 +1,11 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { type KeyTrust, type RouteTable, type ServingRoute, splitAddress } from '@monsoonreach/core';
+import {
+  canFinishBeforeStop,
+  type KeyTrust,
+  type RouteTable,
+  type ServingRoute,
+  splitAddress,
+} from '@monsoonreach/core';
 import { type CallerRequest, decodeCallerRequest, encodeRetryAfter } from '@monsoonreach/platform';
 import { CallerConnections } from './callerConnections.js';
 import { RequestRun } from './requestRun.js';
@@ -28,7 +34,10 @@
 export class FrontServer {
   readonly connections: CallerConnections;
   private readonly _server: Server;
-  private _isDraining = false;
+  /** Monotonic time at which the process ends, in milliseconds; undefined until it is told to stop. */
+  private _endsAtMs: number | undefined;
+  /** Whether no new connections are accepted any more. */
+  private _isClosed = false;
 
   constructor(private readonly _options: FrontServerOptions) {
     this.connections = new CallerConnections(_options.context.clock);
@@ -50,10 +59,12 @@
   }
 
   get isDraining(): boolean {
-    return this._isDraining;
+    return this._endsAtMs !== undefined;
   }
 
+  /** Starts accepting connections, unless the node was told to stop before it had started. */
   listen(): Promise<void> {
+    if (this.isDraining) return Promise.resolve();
     const { host, port } = splitAddress(this._options.address);
     return new Promise((resolve, reject) => {
       this._server.once('error', reject);
@@ -67,20 +78,33 @@
     this._server.keepAliveTimeout = limits.idleTimeoutMs + CALLER_TIMEOUT_SLACK_MS;
   }
 
-  /** Makes every answer from now on ask the caller to close the connection. */
-  drain(): void {
-    this._isDraining = true;
+  /**
+   * Prepares for the end of the process: from now on, a connection is closed after its current answer, and a request
+   * is refused if it may take longer than the process lives.
+   * @param endsAtMs monotonic time, in milliseconds.
+   */
+  drain(endsAtMs: number): void {
+    this._endsAtMs = endsAtMs;
+    this.connections.closeAfterAnswers();
   }
 
   /** Stops accepting connections and closes the idle ones. */
   close(): void {
+    this._isClosed = true;
     this._server.close();
-    this._server.closeIdleConnections();
+    this.connections.closeIdle();
+  }
+
+  /** Answers the requests that have not been forwarded to a target as not run. */
+  refuseUnserved(): void {
+    for (const { response, requestId, stage } of this.connections.listOpenRequests()) {
+      if (stage !== 'serving') this._refuseStopping(response, requestId);
+    }
   }
 
   /** Headers about the connection that every answer carries: names and values, alternating. */
   connectionHeaders(): readonly string[] {
-    return this._isDraining ? ['Connection', 'close'] : [];
+    return this.isDraining ? ['Connection', 'close'] : [];
   }
 
   private async _handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -94,15 +118,20 @@
     this.connections.setStage(response, 'reading');
     const table = this._options.table();
     if (!table) {
-      this._refuse(response, caller, 503, 'no-configuration', encodeRetryAfter(STALE_RETRY_AFTER_MS));
+      this._refuse(
+        response,
+        caller.requestId,
+        503,
+        'no-configuration',
+        encodeRetryAfter(STALE_RETRY_AFTER_MS),
+      );
       return;
     }
     const body = await this._readBody(request, response, caller, table.configuration.limits.maxBodyBytes);
     if (body === 'ended') return;
-    this.connections.setStage(response, 'serving');
     const route = table.findRoute(request.headers.host ?? '', request.url ?? '/');
     if (!route) {
-      this._refuse(response, caller, 404, 'no-route');
+      this._refuse(response, caller.requestId, 404, 'no-route');
       return;
     }
     const access = this._checkAccess(table, route, caller);
@@ -111,10 +140,10 @@
         this._run({ request, response, caller, route, body, startedAtMs, ...access });
         return;
       case 'unknown-key':
-        this._refuse(response, caller, 401, 'unknown-key');
+        this._refuse(response, caller.requestId, 401, 'unknown-key');
         return;
       case 'stale':
-        this._refuse(response, caller, 503, 'keys-stale', encodeRetryAfter(STALE_RETRY_AFTER_MS));
+        this._refuse(response, caller.requestId, 503, 'keys-stale', encodeRetryAfter(STALE_RETRY_AFTER_MS));
     }
   }
 
@@ -129,11 +158,31 @@
     readonly priority: number | undefined;
   }): void {
     const { priority, ...rest } = options;
-    if (rest.response.destroyed) return;
+    const { caller, route, response } = rest;
+    if (response.writableEnded || response.destroyed) return;
+    if (!this._canFinish(caller, route)) {
+      this._refuseStopping(response, caller.requestId);
+      return;
+    }
+    this.connections.setStage(response, 'serving');
     const urgency = Math.min(9, Math.max(0, priority ?? DEFAULT_URGENCY));
     new RequestRun({ context: this._options.context, urgency, ...rest }).start();
   }
 
+  /** Whether a request that is served now ends before the process; true while the node is not stopping. */
+  private _canFinish(caller: CallerRequest, route: ServingRoute): boolean {
+    const { clock, configuration } = this._options.context;
+    const current = configuration();
+    if (this._endsAtMs === undefined || !current) return true;
+    const remainingMs = this._endsAtMs - clock.monotonic();
+    return canFinishBeforeStop({ route, ...caller }, current, { remainingMs, isInRotation: !this._isClosed });
+  }
+
+  /** Refuses a request for which this process has no time left; another node can serve it at once. */
+  private _refuseStopping(response: ServerResponse, requestId: string): void {
+    this._refuse(response, requestId, 503, 'stopping', encodeRetryAfter(0));
+  }
+
   private _checkAccess(table: RouteTable, route: ServingRoute, caller: CallerRequest): Access {
     const { trust } = this._options;
     const priority = route.priority;
@@ -165,7 +214,7 @@
       for await (const chunk of request as AsyncIterable<Buffer>) {
         length += chunk.length;
         if (length > maxBytes) {
-          this._refuse(response, caller, 413, 'body-too-large', { Connection: 'close' });
+          this._refuse(response, caller.requestId, 413, 'body-too-large', { Connection: 'close' });
           return 'ended';
         }
         chunks.push(chunk);
@@ -183,7 +232,7 @@
 
   private _refuse(
     response: ServerResponse,
-    caller: CallerRequest,
+    requestId: string,
     status: number,
     reason: string,
     headers: Readonly<Record<string, string>> = {},
@@ -191,7 +240,7 @@
     const { context, trust } = this._options;
     context.counters.add('monsoonreach_refusals_total', { reason });
     context.log.info('request refused', {
-      request: caller.requestId,
+      request: requestId,
       status,
       reason,
       version: context.configuration()?.version,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -69,7 +69,9 @@
 /** Time after SIGTERM in which the balancer still connects, in milliseconds: two failed readiness checks, a second apart. */
 const BALANCER_DRAIN_MS = 2_600;
 /** Time before the kill at which the remaining requests are abandoned, in milliseconds. */
-const EXIT_MARGIN_MS = 700;
+const EXIT_MARGIN_MS = 500;
+/** Time for the last answers to leave after that, in milliseconds. */
+const FLUSH_TIMEOUT_MS = 200;
 
 /** A node: forwards callers' requests to targets, follows the store, and plans the groups of the shards that it owns. */
 export class Node {
@@ -106,6 +108,7 @@
   private _hasList = false;
   private _hasTraffic: boolean;
   private _hasPeerTraffic = false;
+  private _draining: Promise<number> | undefined;
 
   constructor(
     private readonly _settings: NodeSettings,
@@ -171,24 +174,41 @@
     }, UNUSED_POOL_TIMEOUT_MS);
   }
 
-  /** Finishes the requests in progress, as far as `drain-timeout` allows; returns how many remain. */
-  async drain(): Promise<number> {
+  /**
+   * Stops the node: finishes the requests in progress, as far as `drain-timeout` allows. A repeated call changes
+   * nothing. @returns the number of requests that were cut.
+   */
+  drain(): Promise<number> {
+    this._draining ??= this._drain();
+    return this._draining;
+  }
+
+  private async _drain(): Promise<number> {
     const startedAtMs = this._clock.monotonic();
     const endsAtMs = startedAtMs + this._settings.callers['drain-timeout'] - EXIT_MARGIN_MS;
     this._log.info('stopping', { requests: this._runs.size });
-    this._front.drain();
+    this._front.drain(endsAtMs);
     this._planning.stop();
     this._ownership.stop();
     this._exchange.broadcastDigest();
     await pause(BALANCER_DRAIN_MS);
     this._front.close();
-    while (this._runs.size > 0 && this._clock.monotonic() < endsAtMs) await pause(CHECK_INTERVAL_MS);
-    this._logStop(startedAtMs);
-    return this._runs.size;
+    await this._waitUntilClosed(endsAtMs);
+    const cut = this._logStop(startedAtMs);
+    this._front.refuseUnserved();
+    for (const run of this._runs) run.abandon();
+    await this._waitUntilClosed(endsAtMs + FLUSH_TIMEOUT_MS);
+    return cut;
+  }
+
+  /** Waits until the last answer has left and all connections of callers are closed. */
+  private async _waitUntilClosed(untilMs: number): Promise<void> {
+    const { connections } = this._front;
+    while (connections.size > 0 && this._clock.monotonic() < untilMs) await pause(CHECK_INTERVAL_MS);
   }
 
-  /** Logs how the stop ended, and each request whose answer has not been sent completely. */
-  private _logStop(stoppingSinceMs: number): void {
+  /** Logs how the stop ended, and each request whose answer has not been sent completely; returns their number. */
+  private _logStop(stoppingSinceMs: number): number {
     const nowMs = this._clock.monotonic();
     const { connections } = this._front;
     const openRequests = connections.listOpenRequests();
@@ -204,11 +224,11 @@
       });
     }
     this._log.info('stopped', {
-      cut: this._runs.size,
-      openRequests: openRequests.length,
+      cut: openRequests.length,
       connections: connections.size,
       ms: Math.round(nowMs - stoppingSinceMs),
     });
+    return openRequests.length;
   }
 
   /** Handles SIGHUP. Only logs, because settings are read only at startup. */
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -29,7 +29,7 @@
 export type RefusalReason = Extract<TargetChoice, { readonly kind: 'none' }>['reason'] | 'not-run-by-target';
 
 /** Reason for the failure of a request that may have been run. */
-export type FailureReason = RefusalReason | 'no-answer' | 'timeout';
+export type FailureReason = RefusalReason | 'no-answer' | 'timeout' | 'stopping';
 
 interface Attempt {
   readonly candidate: TargetCandidate;
@@ -137,6 +137,16 @@
     if (this._canRetry()) this._retry(attempt, 'silent');
   }
 
+  /** Ends the request because the process ends. */
+  abandon(): void {
+    if (this._isFinished) return;
+    if (this._attempt) {
+      this._mayHaveRun = true;
+      this._abandonAttempt(this._attempt, 'stopping');
+    }
+    this._giveUp('stopping', 0);
+  }
+
   private _isRepeatable(): boolean {
     const { kind, isResumable } = this._options.route;
     return kind === 'idempotent' || (kind === 'stream' && isResumable);
--- /dev/null
+++ b/tests/serving/stopAdmission.test.ts
@@ -0,0 +1,105 @@
+import { canFinishBeforeStop, type ServingConfiguration, type ServingRoute } from '@monsoonreach/core';
+import t from 'tap';
+import { LARGE_MODEL, SERVICE, SMALL_MODEL } from './fixtures.js';
+
+const ROUTE: ServingRoute = {
+  name: 'route',
+  host: 'host',
+  pathPrefix: '/',
+  kind: 'stream',
+  services: [{ service: SERVICE.name, weight: 1 }],
+  timeoutMs: 8_000,
+  latencyObjectiveMs: 400,
+  pauseObjectiveMs: 250,
+  maxAttempts: 2,
+  priority: 1,
+  isKeyRequired: false,
+  isResumable: true,
+};
+const CONFIGURATION: ServingConfiguration = {
+  version: 1,
+  routes: [ROUTE],
+  services: new Map([
+    [SERVICE.name, SERVICE],
+    ['plain', { name: 'plain', maxConnections: 10, engine: undefined }],
+  ]),
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  workspaces: undefined,
+};
+const PLAIN = {
+  kind: 'non-idempotent',
+  services: [{ service: 'plain', weight: 1 }],
+  timeoutMs: 1_000,
+} as const;
+
+interface Case {
+  readonly name: string;
+  readonly route?: Partial<ServingRoute>;
+  readonly model?: string;
+  readonly answerTokens?: number;
+  readonly timeoutMs?: number;
+  readonly remainingMs: number;
+  readonly isInRotation?: boolean;
+  readonly canFinish: boolean;
+}
+
+const cases: readonly Case[] = [
+  { name: 'a short stream just before the end', answerTokens: 24, remainingMs: 1_000, canFinish: true },
+  { name: 'a usual stream with 5 s left', answerTokens: 174, remainingMs: 5_000, canFinish: true },
+  { name: 'a usual stream with 2 s left', answerTokens: 174, remainingMs: 2_000, canFinish: false },
+  // Such streams took up to 6.3 s in full batches.
+  { name: 'the longest stream with all time left', answerTokens: 462, remainingMs: 7_500, canFinish: true },
+  { name: 'the longest stream with 5.5 s left', answerTokens: 462, remainingMs: 5_500, canFinish: false },
+  {
+    name: 'the longest stream with 5.5 s left while the balancer may send its caller back',
+    answerTokens: 462,
+    remainingMs: 5_500,
+    isInRotation: true,
+    canFinish: true,
+  },
+  {
+    name: 'the longest stream with 5 s left while the balancer may send its caller back',
+    answerTokens: 462,
+    remainingMs: 5_000,
+    isInRotation: true,
+    canFinish: false,
+  },
+  {
+    name: 'a long stream of a faster model with 5.5 s left',
+    model: SMALL_MODEL.name,
+    answerTokens: 462,
+    remainingMs: 5_500,
+    canFinish: true,
+  },
+  {
+    name: 'a stream whose caller gives up before the end',
+    answerTokens: 462,
+    timeoutMs: 3_000,
+    remainingMs: 3_500,
+    canFinish: true,
+  },
+  {
+    name: 'a stream of an unknown model within its timeout',
+    model: 'x',
+    remainingMs: 8_000,
+    canFinish: true,
+  },
+  { name: 'a stream of an unknown model beyond it', model: 'x', remainingMs: 7_900, canFinish: false },
+  { name: 'a call within its timeout', route: PLAIN, remainingMs: 1_000, canFinish: true },
+  { name: 'a call beyond its timeout', route: PLAIN, remainingMs: 900, canFinish: false },
+];
+
+for (const testCase of cases) {
+  const { name, route, model = LARGE_MODEL.name, answerTokens = 100, timeoutMs } = testCase;
+  void t.test(`load pattern, nodes stop in turn under a burst: ${name}`, (t) => {
+    const request = {
+      route: { ...ROUTE, ...route },
+      model,
+      size: { promptTokens: 1_460, answerTokens },
+      timeoutMs,
+    };
+    const { remainingMs, isInRotation = false, canFinish } = testCase;
+    t.equal(canFinishBeforeStop(request, CONFIGURATION, { remainingMs, isInRotation }), canFinish);
+    t.end();
+  });
+}
