Entry: a closing server closes each connection after its current answer

The same cause as in the node, found by looking for it: an entry that stops closes the connections that are idle at that moment. One whose stream began before and ends later was kept open for five more seconds, and one that was never used until `drain-timeout`; requests on them were taken and cut when that was over.

Change: entry and node share the class that tracks callers' connections, which moves to the package of the callers. The node imports it by a path of its own, so that its bundle holds nothing else of that package.

tests/callers/callerServer before: "not ok 1 - Timed out after 1000 ms waiting for the end of the connection".

--- a/packages/node/src/callerConnections.ts
+++ b/packages/callers/src/callerConnections.ts
@@ -8,6 +8,7 @@
 /** A request whose answer has not been sent completely. */
 export interface OpenRequest {
   readonly response: ServerResponse;
+  /** Empty if it is not known to the server. */
   readonly requestId: string;
   readonly stage: RequestStage;
   /** Monotonic time at which its head was read, in milliseconds. */
@@ -60,7 +61,7 @@
   }
 
   /** Tracks a request until its answer has been sent or its connection is closed. */
-  startRequest(response: ServerResponse, requestId: string): void {
+  startRequest(response: ServerResponse, requestId = ''): void {
     const { socket } = response;
     const connection = socket ? this._connections.get(socket) : undefined;
     if (!socket || !connection) return;
--- a/packages/callers/src/callerServer.ts
+++ b/packages/callers/src/callerServer.ts
@@ -4,6 +4,7 @@
 import { v7 as uuidv7 } from 'uuid';
 import * as z from 'zod';
 import { BodyError, readBody } from './body.js';
+import { CallerConnections } from './callerConnections.js';
 import { toEventStream } from './eventStream.js';
 import { toProblemResponse } from './problem.js';
 import type { CallContext, CallerHandler, CompletionAnswer, ServiceAnswer } from './requests.js';
@@ -31,10 +32,11 @@
 /** HTTP server for callers: chat completions, models and plain services. */
 export class CallerServer {
   private readonly _server: Server;
-  private _inProgress = 0;
+  private readonly _connections: CallerConnections;
   private _isClosing = false;
 
   constructor(private readonly _options: CallerServerOptions) {
+    this._connections = new CallerConnections(_options.clock);
     const handle = toNodeHandler(this._createApp());
     this._server = createServer(
       {
@@ -44,18 +46,20 @@
         maxHeaderSize: MAX_HEADER_BYTES,
       },
       (request, response) => {
-        this._inProgress++;
-        response.once('close', () => this._inProgress--);
+        this._connections.startRequest(response);
         if (this._isClosing) response.setHeader('connection', 'close');
         void handle(request, response);
       },
     );
     this._server.maxConnections = MAX_CONNECTIONS;
+    this._server.on('connection', (socket) => {
+      this._connections.add(socket);
+    });
   }
 
   /** Number of requests whose response is not complete. */
   get inProgress(): number {
-    return this._inProgress;
+    return this._connections.listOpenRequests().length;
   }
 
   listen(): Promise<void> {
@@ -66,26 +70,27 @@
     });
   }
 
-  /** Sends `Connection: close` with every further response, so that callers reconnect elsewhere. */
+  /** Closes each connection after its current response, so that callers reconnect elsewhere. */
   startClosing(): void {
     this._isClosing = true;
+    this._connections.closeAfterAnswers();
   }
 
   /** Stops accepting connections and closes idle ones; resolves when the last request has ended. */
   async close(): Promise<void> {
-    this._isClosing = true;
+    this.startClosing();
     const closed = new Promise<void>((resolve) => {
       this._server.close(() => {
         resolve();
       });
     });
-    this._server.closeIdleConnections();
+    this._connections.closeIdle();
     await closed;
   }
 
   /** Closes all connections and so aborts the requests in progress; returns their number. */
   abortRequests(): number {
-    const abortedRequests = this._inProgress;
+    const abortedRequests = this.inProgress;
     this._server.closeAllConnections();
     return abortedRequests;
   }
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { CallerConnections } from '@monsoonreach/callers/connections';
 import {
   canFinishBeforeStop,
   type KeyTrust,
@@ -7,7 +8,6 @@
   splitAddress,
 } from '@monsoonreach/core';
 import { type CallerRequest, decodeCallerRequest, encodeRetryAfter } from '@monsoonreach/platform';
-import { CallerConnections } from './callerConnections.js';
 import { RequestRun } from './requestRun.js';
 import type { ServingContext } from './servingContext.js';
 import type { StartGate } from './startGate.js';
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,4 +1,3 @@
-export * from './callerConnections.js';
 export * from './decisionLog.js';
 export * from './headMonitor.js';
 export * from './instanceList.js';
--- /dev/null
+++ b/tests/callers/callerServer.test.ts
@@ -0,0 +1,61 @@
+import { type CallerHandler, CallerServer } from '@monsoonreach/callers';
+import { systemClock } from '@monsoonreach/core';
+import t from 'tap';
+import { sleep } from '../standins/http.js';
+import { findFreePorts } from '../support/ports.js';
+import { formatRequest, RawCaller } from '../support/rawCaller.js';
+
+const EVENT_INTERVAL_MS = 20;
+const EVENTS_PER_STREAM = 20;
+/** Time for a connection to be closed, in milliseconds; node:http keeps idle ones for 5 s. */
+const CLOSE_TIMEOUT_MS = 1_000;
+const LAST_BYTES = '[DONE]';
+
+async function* produceEvents() {
+  for (let index = 0; index < EVENTS_PER_STREAM; index++) {
+    await sleep(EVENT_INTERVAL_MS);
+    yield { kind: 'event', data: String(index) } as const;
+  }
+}
+
+const handler: CallerHandler = {
+  authenticate: () => 'workspace-1',
+  isReady: () => true,
+  maxBodyBytes: () => 65_536,
+  listModels: () => ['model-a'],
+  complete: (_request, { undispatched }) =>
+    Promise.resolve(undispatched.dispatch().answered({ kind: 'stream', events: produceEvents() } as const)),
+  callService: (_request, { undispatched }) => Promise.resolve(undispatched.refuse('not-found')),
+  onEnded: () => undefined,
+};
+
+const completion = formatRequest({
+  path: '/v1/chat/completions',
+  headers: { Authorization: 'Bearer key-1', 'Content-Type': 'application/json' },
+  body: JSON.stringify({ model: 'model-a', messages: [{ role: 'user', content: 'hello' }], stream: true }),
+});
+
+// Guards against connections that bring requests to an entry that is about to end, because they turn idle late or were
+// never used.
+void t.test('a closing server closes each connection after its current answer', async (t) => {
+  const [port = 0] = await findFreePorts(1);
+  const address = `127.0.0.1:${port}`;
+  const timeouts = { headerTimeoutMs: 5_000, requestTimeoutMs: 5_000 };
+  const server = new CallerServer({ address, ...timeouts, clock: systemClock, handler });
+  await server.listen();
+  const unused = await RawCaller.connect(address);
+  const streaming = await RawCaller.connect(address);
+  streaming.write(completion);
+  await streaming.waitForText('data: 0');
+
+  server.startClosing();
+  const closing = server.close();
+  await unused.waitForClose(CLOSE_TIMEOUT_MS);
+  t.equal(streaming.closedAtMs, undefined, 'the answer goes on');
+  t.equal(server.inProgress, 1);
+  await streaming.waitForText(LAST_BYTES);
+  await streaming.waitForClose(CLOSE_TIMEOUT_MS);
+  t.notMatch(streaming.received, /connection: close/i, 'its head was sent before');
+  await closing;
+  t.equal(server.inProgress, 0);
+});
