Callers: a closing server sends answers that have ended but not left

Cause: http.Server.close() closes idle connections itself, and counts a connection as idle once its answer was ended by the program, though its bytes wait in the process for a caller that reads slowly. It destroys them.

Ruled out: the exit of the process; it waits for the connections.

Change: the class that tracks connections decides which are idle, by the 'close' of each response, which comes after the last byte has left.

--- a/packages/callers/src/callerConnections.ts
+++ b/packages/callers/src/callerConnections.ts
@@ -1,4 +1,4 @@
-import type { ServerResponse } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Clock } from '@monsoonreach/core';
 
@@ -48,8 +48,18 @@
     return this._connections.size;
   }
 
-  /** Tracks a connection until it is closed. */
-  add(socket: Socket): void {
+  /** Tracks the connections of a server, and decides when it closes them. */
+  attach(server: Server): void {
+    server.on('connection', (socket) => {
+      this._add(socket);
+    });
+    // Otherwise close() also destroys connections with an answer that has ended but not left.
+    server.closeIdleConnections = () => {
+      this.closeIdle();
+    };
+  }
+
+  private _add(socket: Socket): void {
     this._connections.set(socket, {
       number: ++this._lastNumber,
       openedAtMs: this._clock.monotonic(),
--- a/packages/callers/src/callerServer.ts
+++ b/packages/callers/src/callerServer.ts
@@ -52,9 +52,7 @@
       },
     );
     this._server.maxConnections = MAX_CONNECTIONS;
-    this._server.on('connection', (socket) => {
-      this._connections.add(socket);
-    });
+    this._connections.attach(this._server);
   }
 
   /** Number of requests whose response is not complete. */
@@ -84,7 +82,6 @@
         resolve();
       });
     });
-    this._connections.closeIdle();
     await closed;
   }
 
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -48,9 +48,7 @@
         void this._handleRequest(request, response);
       },
     );
-    this._server.on('connection', (socket) => {
-      this.connections.add(socket);
-    });
+    this.connections.attach(this._server);
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       const status =
         error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
@@ -92,7 +90,6 @@
   close(): void {
     this._isClosed = true;
     this._server.close();
-    this.connections.closeIdle();
   }
 
   /** Answers the requests that have not been forwarded to a target as not run. */
--- a/tests/callers/callerServer.test.ts
+++ b/tests/callers/callerServer.test.ts
@@ -35,14 +35,19 @@
   body: JSON.stringify({ model: 'model-a', messages: [{ role: 'user', content: 'hello' }], stream: true }),
 });
 
-// Guards against connections that bring requests to an entry that is about to end, because they turn idle late or were
-// never used.
-void t.test('a closing server closes each connection after its current answer', async (t) => {
+async function startServer(): Promise<{ readonly server: CallerServer; readonly address: string }> {
   const [port = 0] = await findFreePorts(1);
   const address = `127.0.0.1:${port}`;
   const timeouts = { headerTimeoutMs: 5_000, requestTimeoutMs: 5_000 };
   const server = new CallerServer({ address, ...timeouts, clock: systemClock, handler });
   await server.listen();
+  return { server, address };
+}
+
+// Guards against connections that bring requests to an entry that is about to end, because they turn idle late or were
+// never used.
+void t.test('a closing server closes each connection after its current answer', async (t) => {
+  const { server, address } = await startServer();
   const unused = await RawCaller.connect(address);
   const streaming = await RawCaller.connect(address);
   streaming.write(completion);
--- a/tests/support/rawCaller.ts
+++ b/tests/support/rawCaller.ts
@@ -53,6 +53,15 @@
     await this._waitFor(() => this._closedAtMs !== undefined, 'the end of the connection', timeoutMs);
   }
 
+  /** Stops reading, so that the other side's answers queue up. */
+  pause(): void {
+    this._socket.pause();
+  }
+
+  resume(): void {
+    this._socket.resume();
+  }
+
   close(): void {
     this._socket.destroy();
   }
