--- a/packages/callers/src/callerConnections.ts
+++ b/packages/callers/src/callerConnections.ts
@@ -2,6 +2,12 @@
 import type { Socket } from 'node:net';
 import type { Clock } from '@monsoonreach/core';
 
+/**
+ * Time for which a connection stays open after an answer that did not announce its end, in milliseconds. A request that
+ * its caller sends at once would otherwise be reset, and the caller could not tell whether it was run.
+ */
+const LINGER_MS = 250;
+
 /** How far a request has come: held until the node knows its targets, its body being read, or being served. */
 export type RequestStage = 'held' | 'reading' | 'serving';
 
@@ -59,6 +65,13 @@
     };
   }
 
+  private _closeSoon(socket: Socket, connection: Connection): void {
+    const { requestCount } = connection;
+    setTimeout(() => {
+      if (connection.requestCount === requestCount && connection.openRequests === 0) socket.destroySoon();
+    }, LINGER_MS);
+  }
+
   private _add(socket: Socket): void {
     this._connections.set(socket, {
       number: ++this._lastNumber,
@@ -89,7 +102,7 @@
     response.once('close', () => {
       this._requests.delete(response);
       connection.openRequests--;
-      if (this._isClosingAfterAnswers && connection.openRequests === 0) socket.destroySoon();
+      if (this._isClosingAfterAnswers) this._closeSoon(socket, connection);
     });
   }
 
@@ -102,7 +115,7 @@
     return [...this._requests.values()];
   }
 
-  /** From now on, closes each connection when its current answer has been sent. */
+  /** From now on, closes each connection a moment after its current answer. */
   closeAfterAnswers(): void {
     this._isClosingAfterAnswers = true;
   }
