Observability: an uncaught error is one structured line in our own names

Its output held only pieces of the minified bundle, as Node prints the whole source line of an uncaught error, and one line is 62 KB long; the error's name, message and stack were cut off after it. Nothing in the structured log told of it.

Change: FailureReporter (core) handles uncaught errors and unhandled rejections in the node, the entry and the steward. It writes one JSON line with name, message, code, stack and causes, then ends the process with 70; a failed start ends with 4. The line is written synchronously to standard output, past the limit of lines and past what waits for a slow reader, and to standard error if standard output stays full for 500 ms. The build writes a source map beside the bundle, under target/; it is read only when the process fails. Warnings of the runtime are `process warning` lines with their stack.

--- a/packages/daemon/src/fleetNode.ts
+++ b/packages/daemon/src/fleetNode.ts
@@ -11,6 +11,7 @@
   controlDefinition,
   Counters,
   createRandom,
+  createErrorReport,
   createLogger,
   type EntrySettings,
   type Freshness,
@@ -126,6 +127,11 @@
     });
   }
 
+  /** Logs a warning of the runtime. */
+  logWarning(warning: Error): void {
+    this.stateLog.warn('process warning', { warning: createErrorReport(warning) });
+  }
+
   /** Undefined until a valid configuration was read. */
   get configurationInForce(): ConfigurationInForce | undefined {
     return this._configurationInForce;
--- a/packages/daemon/src/process.ts
+++ b/packages/daemon/src/process.ts
@@ -1,8 +1,8 @@
-import { readFileSync } from 'node:fs';
-import { DocumentError } from '@monsoonreach/core';
+import { readFileSync, writeSync } from 'node:fs';
+import { DocumentError, FailureReporter, systemClock } from '@monsoonreach/core';
 
-/** Exit codes: stopped, failed, invalid settings or usage, stopped with requests aborted. */
-export const ExitCode = { done: 0, failed: 1, settings: 2, forced: 3 } as const;
+/** Exit codes: stopped, invalid settings or usage, stopped with requests aborted; others are in `FailureExitCode`. */
+export const ExitCode = { done: 0, settings: 2, forced: 3 } as const;
 
 /** A daemon that can be drained before it stops. */
 export interface Daemon {
@@ -11,16 +11,28 @@
   drain(): Promise<number>;
   /** Aborts the requests in progress at once; returns how many. */
   abortRequests(): number;
+  /** Logs a warning of the runtime. */
+  logWarning(warning: Error): void;
 }
 
 /** Runs a daemon from a settings file. The first SIGTERM or SIGINT drains it; a second one ends the process at once. */
 export async function runDaemon(create: (settingsText: string) => Daemon): Promise<void> {
+  const failures = new FailureReporter({
+    clock: systemClock,
+    readText: (file) => readFileSync(file, 'utf8'),
+    write: writeSync,
+  });
+  failures.install();
   const path = process.argv[2];
   if (path === undefined) {
     process.stderr.write(`Usage: ${process.argv[1] ?? 'monsoonreach'} <settings.ini>\n`);
     process.exit(ExitCode.settings);
   }
   const daemon = createOrExit(create, path);
+  // Replaces the listener that prints warnings as text.
+  process.removeAllListeners('warning').on('warning', (warning) => {
+    daemon.logWarning(warning);
+  });
   let isDraining = false;
   const handleSignal = () => {
     if (isDraining) {
@@ -35,7 +47,11 @@
   };
   process.on('SIGTERM', handleSignal);
   process.on('SIGINT', handleSignal);
-  await daemon.start();
+  try {
+    await daemon.start();
+  } catch (error) {
+    failures.endAfterFailedStart(error);
+  }
 }
 
 function createOrExit(create: (settingsText: string) => Daemon, path: string): Daemon {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -135,6 +135,10 @@
     return this._callers.abortRequests();
   }
 
+  logWarning(warning: Error): void {
+    this._fleet.logWarning(warning);
+  }
+
   authenticate(token: string): string | undefined {
     if (token === '') return undefined;
     const digest = sha256(token);
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -1,10 +1,13 @@
 #!/usr/bin/env node
-import { readFileSync } from 'node:fs';
-import { DocumentError, systemClock } from '@monsoonreach/core';
+import { readFileSync, writeSync } from 'node:fs';
+import { DocumentError, FailureReporter, systemClock } from '@monsoonreach/core';
 import { Node } from './node.js';
 import { type NodeSettings, parseNodeSettings } from './settings.js';
 
-/** Exit codes. `settings`: the settings are missing or invalid; `forced`: requests remained when draining ended. */
+/**
+ * Exit codes. `settings`: the settings are missing or invalid; `forced`: requests remained when draining ended. Those
+ * of a failure are in `FailureExitCode`.
+ */
 const ExitCode = { done: 0, settings: 2, forced: 3 } as const;
 
 function readSettings(): NodeSettings {
@@ -23,11 +26,25 @@
   }
 }
 
+const failures = new FailureReporter({
+  clock: systemClock,
+  readText: (path) => readFileSync(path, 'utf8'),
+  write: writeSync,
+});
+failures.install();
 const node = new Node(readSettings(), systemClock);
+// Replaces the listener that prints warnings as text.
+process.removeAllListeners('warning').on('warning', (warning) => {
+  node.logWarning(warning);
+});
 process.on('SIGTERM', () => {
   void node.drain().then((cut) => process.exit(cut === 0 ? ExitCode.done : ExitCode.forced));
 });
 process.on('SIGHUP', () => {
   node.reload();
 });
-await node.start();
+try {
+  await node.start();
+} catch (error) {
+  failures.endAfterFailedStart(error);
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -4,6 +4,7 @@
   chooseTarget,
   type Clock,
   Counters,
+  createErrorReport,
   createMemberId,
   createRandom,
   DemandMeter,
@@ -191,6 +192,11 @@
     this._log.info('SIGHUP ignored; settings are read only at startup', { node: this._settings.node.name });
   }
 
+  /** Logs a warning of the runtime. */
+  logWarning(warning: Error): void {
+    this._log.warn('process warning', { warning: createErrorReport(warning) });
+  }
+
   /** Closes unused connection pools and drops the health of targets that no longer exist. */
   private _dropUnused(): void {
     this._connections.closeUnused(UNUSED_POOL_TIMEOUT_MS);
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -100,6 +100,10 @@
     return 0;
   }
 
+  logWarning(warning: Error): void {
+    this._fleet.logWarning(warning);
+  }
+
   private _groups() {
     return this._fleet.controlStream.state;
   }
--- a/scripts/bundle/options.js
+++ b/scripts/bundle/options.js
@@ -11,6 +11,9 @@
   minify: true,
   keepNames: true,
   legalComments: 'none',
+  // Written beside the bundle and read only when the process fails.
+  sourcemap: 'external',
+  sourcesContent: false,
   logLevel: 'warning',
   outfile: 'target/monsoonreach-node.mjs',
   banner: { js: "import{createRequire}from'node:module';const require=createRequire(import.meta.url);" },
--- /dev/null
+++ b/tests/node/processFailures.test.ts
@@ -0,0 +1,156 @@
+import { createServer } from 'node:net';
+import t from 'tap';
+import { buildProgram } from '../soak/program.js';
+import { NodeProcess, parseLines, type ProcessEnd, takeNodePorts } from '../support/nodeProcess.js';
+
+interface FatalLine {
+  readonly time: string;
+  readonly level: string;
+  readonly message: string;
+  readonly origin: string;
+  readonly exitCode: number;
+  readonly error: {
+    readonly name: string;
+    readonly message: string;
+    readonly code?: string;
+    readonly stack: readonly string[];
+    readonly causes: readonly { readonly name: string; readonly message: string }[];
+  };
+}
+
+/** Builds the program with code that runs once, shortly after the start. */
+function buildFailingProgram(code: string): Promise<string> {
+  return buildProgram({
+    name: 'fails on purpose',
+    file: 'packages/node/lib/node.js',
+    find: 'setInterval(() => {\n            this._runChecks();',
+    replace: `setTimeout(() => { ${code} }, 100); setInterval(() => {\n            this._runChecks();`,
+    faults: [],
+    foundWithinMs: 0,
+  });
+}
+
+async function run(code: string, isOutputStalled = false): Promise<ProcessEnd> {
+  const program = await buildFailingProgram(code);
+  return new NodeProcess({ program, ports: await takeNodePorts(), isOutputStalled }).end;
+}
+
+function findFatalLines(output: string): readonly FatalLine[] {
+  return parseLines(output).filter(({ level }) => level === 'FATAL') as unknown as readonly FatalLine[];
+}
+
+const failures = [
+  {
+    name: 'an error thrown in a timer',
+    code: `throw new TypeError('thrown on purpose', { cause: new RangeError('its cause') });`,
+    origin: 'uncaughtException',
+    error: { name: 'TypeError', message: 'thrown on purpose' },
+    causes: [{ name: 'RangeError', message: 'its cause' }],
+  },
+  {
+    name: 'a rejection without handler',
+    code: `void (async () => { await pause(1); decodeConfiguration(Buffer.from('{')); })();`,
+    origin: 'unhandledRejection',
+    error: { name: 'DecodeError', message: 'The configuration is not valid JSON.' },
+    causes: [{ name: 'SyntaxError' }],
+  },
+  {
+    name: 'an error event without listener',
+    code: `this._store._pool.emit('error', new Error('emitted on purpose'));`,
+    origin: 'uncaughtException',
+    error: { name: 'Error', message: 'emitted on purpose' },
+    causes: [],
+  },
+  {
+    name: 'a value that is not an error',
+    code: `throw { reason: 'none' };`,
+    origin: 'uncaughtException',
+    error: { name: 'object', message: '[object Object]' },
+    causes: [],
+  },
+  {
+    name: 'an error that is its own cause',
+    code: `const error = new Error('cyclic'); error.cause = error; throw error;`,
+    origin: 'uncaughtException',
+    error: { name: 'Error', message: 'cyclic' },
+    causes: [{}, {}, {}, {}, {}],
+  },
+];
+
+// Guards against a process that ends with exit code 1 and prints only pieces of its minified bundle.
+void t.test('a process ends with one line that tells which error reached no handler', async (t) => {
+  for (const { name, code, origin, error, causes } of failures) {
+    await t.test(name, async (t) => {
+      const end = await run(code);
+      const [line, ...others] = findFatalLines(end.stdout);
+      t.match(line, { message: 'uncaught error; the process ends', origin, exitCode: 70, error });
+      t.match(line?.error.causes, causes);
+      t.equal(line?.error.causes.length, causes.length);
+      t.same(others, []);
+      t.equal(end.code, 70);
+      t.equal(end.stderr, '');
+    });
+  }
+});
+
+// Guards against a stack that names positions in the minified bundle only.
+void t.test('the stack names our source files', async (t) => {
+  const end = await run(`decodeConfiguration(Buffer.from('{'));`);
+  const [line] = findFatalLines(end.stdout);
+  t.match(line?.error.stack[0], /^decodeJson \(.*platform\/src\/decoding\.ts:\d+:\d+\)$/);
+  t.match(line?.error.stack[1], /^decodeConfiguration \(.*platform\/src\/configurationCodec\.ts:\d+:\d+\)$/);
+  t.match(line?.error.stack[2], /^_onTimeout \(.*packages\/node\/(src|lib)\/node\.(ts|js):\d+:\d+\)$/);
+});
+
+const FLOOD = `for (let line = 0; line < 3000; line++) this._log.info('flood', { text: 'x'.repeat(200) });`;
+
+// Guards against a last line that is dropped because too many lines were written before it.
+void t.test('the line is not subject to the limit of lines', async (t) => {
+  const end = await run(`${FLOOD} throw new Error('after many lines');`);
+  t.equal(findFatalLines(end.stdout).length, 1);
+  t.equal(end.code, 70);
+});
+
+// Guards against a last line that is lost, or a process that hangs, because nobody reads its output.
+void t.test('the line goes to standard error when standard output is full', async (t) => {
+  const end = await run(`${FLOOD} setTimeout(() => { throw new Error('nobody reads'); }, 50);`, true);
+  t.equal(findFatalLines(end.stderr).length, 1);
+  t.equal(end.code, 70);
+});
+
+const addresses = ['front', 'peers'] as const;
+
+// Guards against a failed start that leaves no line, or only a text about a line of the bundle.
+void t.test('a process whose address is in use ends with a line', async (t) => {
+  const program = await buildProgram();
+  for (const address of addresses) {
+    await t.test(address, async (t) => {
+      const ports = await takeNodePorts();
+      const server = createServer();
+      await new Promise<void>((resolve) => server.listen(ports[address], '127.0.0.1', resolve));
+      const end = await new NodeProcess({ program, ports }).end;
+      server.close();
+      const [line] = findFatalLines(end.stdout);
+      t.match(line, { message: 'start failed; the process ends', origin: 'start', exitCode: 4 });
+      t.equal(line?.error.code, 'EADDRINUSE');
+      t.equal(end.code, 4);
+    });
+  }
+});
+
+// Guards against warnings of the runtime that appear as text between the structured lines.
+void t.test('a warning of the runtime is a structured line', async (t) => {
+  const program = await buildFailingProgram(
+    `const { signal } = new AbortController(); for (let i = 0; i < 11; i++) signal.addEventListener('abort', () => i);`,
+  );
+  const node = new NodeProcess({ program, ports: await takeNodePorts() });
+  await node.waitForLine('process warning');
+  node.kill();
+  const { stdout, stderr } = await node.end;
+  const line = parseLines(stdout).find(({ message }) => message === 'process warning');
+  t.match(line, {
+    level: 'WARN',
+    warning: { name: 'MaxListenersExceededWarning', message: /abort listeners/ },
+  });
+  t.equal(stderr, '');
+});
--- /dev/null
+++ b/tests/support/nodeProcess.ts
@@ -0,0 +1,105 @@
+import { type ChildProcessByStdio, spawn } from 'node:child_process';
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { Readable } from 'node:stream';
+import { formatSettings } from '../platform/platformFleet.js';
+import { findFreePorts } from './ports.js';
+
+/** Ports of a node. */
+export interface NodePorts {
+  readonly front: number;
+  readonly readiness: number;
+  readonly peers: number;
+  readonly metrics: number;
+}
+
+/** How a process ended and what it wrote. */
+export interface ProcessEnd {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+/** Options of {@link NodeProcess}. */
+export interface NodeProcessOptions {
+  /** Path of the bundled program. */
+  readonly program: string;
+  readonly ports: NodePorts;
+  /** Address of the store; nothing listens at the default one. */
+  readonly store?: string;
+  /** Whether standard output stays unread until the process has ended. */
+  readonly isOutputStalled?: boolean;
+  /** Limit on open files; that of this process by default. */
+  readonly maxFiles?: number;
+}
+
+/** A real node process. */
+export class NodeProcess {
+  private readonly _child: ChildProcessByStdio<null, Readable, Readable>;
+  private _stdout = '';
+  private _stderr = '';
+  readonly end: Promise<ProcessEnd>;
+
+  constructor(options: NodeProcessOptions) {
+    const { program, ports, store = '127.0.0.1:9', isOutputStalled = false, maxFiles } = options;
+    const settings = join(mkdtempSync(join(tmpdir(), 'monsoonreach-node-')), 'node.ini');
+    writeFileSync(
+      settings,
+      formatSettings({ name: 'node-1', domain: 'zone-1', store, log: 'json', ...ports }),
+    );
+    const limit = maxFiles === undefined ? '' : `ulimit -n ${maxFiles}; `;
+    this._child = spawn('/bin/sh', ['-c', `${limit}exec "$0" "$@"`, process.execPath, program, settings], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const readStdout = () =>
+      this._child.stdout.on('data', (chunk: Buffer) => (this._stdout += chunk.toString()));
+    if (!isOutputStalled) readStdout();
+    this._child.stderr.on('data', (chunk: Buffer) => (this._stderr += chunk.toString()));
+    this.end = new Promise((resolve) => {
+      this._child.once('exit', () => {
+        if (isOutputStalled) readStdout();
+      });
+      this._child.once('close', (code, signal) => {
+        resolve({ code, signal, stdout: this._stdout, stderr: this._stderr });
+      });
+    });
+  }
+
+  get stdout(): string {
+    return this._stdout;
+  }
+
+  get isRunning(): boolean {
+    return this._child.exitCode === null && this._child.signalCode === null;
+  }
+
+  /** Waits until a line with this text was written. */
+  async waitForLine(text: string, timeoutMs = 5_000): Promise<void> {
+    const endsAtMs = Date.now() + timeoutMs;
+    while (!this._stdout.includes(text)) {
+      if (Date.now() > endsAtMs || !this.isRunning)
+        throw new Error(`Timed out waiting for "${text}" in the output:\n${this._stdout}${this._stderr}`);
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+  }
+
+  kill(): void {
+    this._child.kill('SIGKILL');
+  }
+}
+
+/** Takes ports for a node. */
+export async function takeNodePorts(): Promise<NodePorts> {
+  const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
+  return { front, readiness, peers, metrics };
+}
+
+/** Parses the lines of a process's output. */
+export function parseLines(output: string): readonly Readonly<Record<string, unknown>>[] {
+  return output
+    .split('\n')
+    .filter((line) => line !== '')
+    .map((line) => JSON.parse(line) as Readonly<Record<string, unknown>>);
+}
