Observability: the fatal line begins with the error

The line's first 200 characters are what an overview of a process's last lines shows; origin, exit code and uptime follow the error.

--- a/packages/core/src/failureReporter.ts
+++ b/packages/core/src/failureReporter.ts
@@ -38,13 +38,13 @@
   /** Reports uncaught errors and unhandled rejections from now on. */
   install(): void {
     process.on('uncaughtException', (error: unknown, origin) => {
-      this._endProcess('uncaught error; the process ends', FailureExitCode.uncaught, origin, error);
+      this._endProcess('process failed', FailureExitCode.uncaught, origin, error);
     });
   }
 
   /** Reports that the process could not start, and ends it. */
   endAfterFailedStart(error: unknown): never {
-    return this._endProcess('start failed; the process ends', FailureExitCode.start, 'start', error);
+    return this._endProcess('start failed', FailureExitCode.start, 'start', error);
   }
 
   private _endProcess(message: string, exitCode: number, origin: string, error: unknown): never {
@@ -53,10 +53,10 @@
         time: new Date(this._options.clock.now()),
         level: 'FATAL',
         message,
+        error: createErrorReport(error, this._lookup),
         origin,
         exitCode,
         uptimeMs: Math.round(process.uptime() * 1_000),
-        error: createErrorReport(error, this._lookup),
       };
       this._writeLine(JSON.stringify(line));
     } finally {
--- a/tests/node/processFailures.test.ts
+++ b/tests/node/processFailures.test.ts
@@ -83,7 +83,7 @@
     await t.test(name, async (t) => {
       const end = await run(code);
       const [line, ...others] = findFatalLines(end.stdout);
-      t.match(line, { message: 'uncaught error; the process ends', origin, exitCode: 70, error });
+      t.match(line, { message: 'process failed', origin, exitCode: 70, error });
       t.match(line?.error.causes, causes);
       t.equal(line?.error.causes.length, causes.length);
       t.same(others, []);
@@ -131,7 +131,7 @@
       const end = await new NodeProcess({ program, ports }).end;
       server.close();
       const [line] = findFatalLines(end.stdout);
-      t.match(line, { message: 'start failed; the process ends', origin: 'start', exitCode: 4 });
+      t.match(line, { message: 'start failed', origin: 'start', exitCode: 4 });
       t.equal(line?.error.code, 'EADDRINUSE');
       t.equal(end.code, 4);
     });
