Placement: a choice made without an owner is final

Cause: a node asks no owner that missed three answers. When none is left to ask, it chooses locally; but when that found no free group, the owners that it may not ask still counted as "another owner", the node itself was added to those asked, which it was already, and the search began anew, for ever. It takes a suspected owner and full or silent groups at the same moment, which is what a restart under load brings.

Ruled out: an answer of the store or a peer that cannot be decoded; an error event without listener; a failed start. Node prints the line on which such an error was created, and these are created on other lines of the bundle.

Change: a choice made without an owner is passed on. Only the choice of an owner that was asked goes on to another one, so that the owners asked grow with each step and their limit ends the search.

--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -171,9 +171,12 @@
     onChoice: (choice: TargetChoice) => void,
   ): void {
     const owner = this._chooseOwner(criteria, asked);
-    if (owner === undefined || owner === this._options.address) {
-      const choice = this._chooseLocally(criteria, owner !== undefined);
-      this._finishOrAskAnother(criteria, asked, choice, onChoice);
+    if (owner === undefined) {
+      onChoice(this._chooseLocally(criteria, false));
+      return;
+    }
+    if (owner === this._options.address) {
+      this._finishOrAskAnother(criteria, asked, owner, this._chooseLocally(criteria, true), onChoice);
       return;
     }
     const requestNumber = ++this._lastRequestNumber;
@@ -214,13 +217,13 @@
     return nowMs < (this._knownOwners.get(owner)?.suspectedUntilMs ?? 0);
   }
 
-  /** Passes the choice on, or asks another owner if all targets of this one are full. */
+  /** Passes an owner's choice on, or asks another owner if all targets of this one are full. */
   private _finishOrAskAnother(
     criteria: PlacementCriteria,
     asked: ReadonlySet<string>,
+    owner: string,
     choice: TargetChoice,
     onChoice: (choice: TargetChoice) => void,
-    owner = this._options.address,
   ): void {
     const askedNow = new Set([...asked, owner]);
     const isAnotherOwner =
@@ -299,7 +302,7 @@
     known.missedAnswers = 0;
     known.free.set(toFreeKey(criteria), { count: grant.free, atMs: this._options.clock.monotonic() });
     this._options.counters.add('monsoonreach_placements_total', { by: 'answer' });
-    this._finishOrAskAnother(criteria, asked, this._toChoice(criteria, grant), onChoice, owner);
+    this._finishOrAskAnother(criteria, asked, owner, this._toChoice(criteria, grant), onChoice);
   }
 
   /** Converts a grant to a choice; a target that this node does not know yet counts as none. */
--- a/tests/node/placement.test.ts
+++ b/tests/node/placement.test.ts
@@ -183,6 +183,32 @@
   });
 }
 
+const ALL_GROUPS = Array.from({ length: GROUPS }, (_, index) => `group-${index}`);
+
+const suspicions = [
+  { name: 'of the only owner', owners: ['node-0'], dead: ['node-0'], node: 'node-1' },
+  { name: 'of all owners', owners: ['node-0', 'node-2'], dead: ['node-0', 'node-2'], node: 'node-1' },
+  { name: 'of the other owner', owners: ['node-0', 'node-1'], dead: ['node-0'], node: 'node-1' },
+  {
+    name: 'of one owner while the other is full',
+    owners: ['node-0', 'node-2'],
+    dead: ['node-0'],
+    node: 'node-1',
+  },
+];
+
+// Guards against endless recursion, which ended the process, when no owner could be asked and no group was left.
+for (const { name, owners, dead, node } of suspicions) {
+  void t.test(`a request without a free group is refused under suspicion ${name}`, async (t) => {
+    const fleet = new PlacementFleet(3, undefined);
+    fleet.owners = owners;
+    for (const address of dead) fleet.unreachable.add(address);
+    // More requests than it takes until each dead owner has missed three answers and is suspected.
+    await Promise.all(Array.from({ length: 30 }, () => fleet.place(node)));
+    t.equal(getKeyOrReason(await fleet.place(node, new Set(ALL_GROUPS))), 'no-target');
+  });
+}
+
 void t.test('a target that a request has tried is not granted to it again', async (t) => {
   const fleet = new PlacementFleet(2, ANSWER_TIMEOUT_MS);
   const tried = new Set(Array.from({ length: GROUPS - 1 }, (_, index) => `group-${index}`));
