Start gate: held requests share one wait

Cause: each request that the gate holds added its own listener to the gate's one signal, and each had its own timer. It ended nothing: the warning is about the number of listeners, and they went when the gate opened.

Change: the first held request starts the wait for the rest of the hold time, the others share it.

The test failed before: "not ok 2 - should be equivalent", one MaxListenersExceededWarning instead of none.

--- a/packages/node/src/startGate.ts
+++ b/packages/node/src/startGate.ts
@@ -10,6 +10,8 @@
 export class StartGate {
   private readonly _startedAtMs: number;
   private readonly _controller = new AbortController();
+  /** The wait that all held requests share. */
+  private _held: Promise<void> | undefined;
 
   constructor(private readonly _clock: Clock) {
     this._startedAtMs = _clock.monotonic();
@@ -23,6 +25,8 @@
   /** Resolves when the gate is open, or when the time for holding requests is over. */
   async pass(): Promise<void> {
     const remainingMs = this._startedAtMs + HOLD_MS - this._clock.monotonic();
-    if (remainingMs > 0) await pause(remainingMs, this._controller.signal);
+    if (remainingMs <= 0) return;
+    this._held ??= pause(remainingMs, this._controller.signal);
+    await this._held;
   }
 }
--- a/tests/node/startGate.test.ts
+++ b/tests/node/startGate.test.ts
@@ -33,3 +33,18 @@
   clock.advance(10_000);
   t.ok((await measureMs(() => gate.pass())) < 30);
 });
+
+// Guards against one listener for each held request, which warned of a leak as soon as eleven requests were held.
+void t.test('load pattern, callers return while a node starts: held requests share one wait', async (t) => {
+  const warnings: Error[] = [];
+  const record = (warning: Error) => warnings.push(warning);
+  process.on('warning', record);
+  const gate = new StartGate(systemClock);
+  const held = Array.from({ length: 50 }, () => gate.pass());
+  setTimeout(() => {
+    gate.open();
+  }, 20);
+  t.ok((await measureMs(async () => void (await Promise.all(held)))) < 400);
+  process.off('warning', record);
+  t.same(warnings, []);
+});
