Node: an address in use fails the start

What was seen (tests, no report): with the address of its peers' datagrams in use, a node logged "peer socket failed" and then waited for ever, without serving; with that of the readiness check or of metrics, it ended by an error event without listener instead of as a failed start.

Cause: the bind of the datagram socket resolved only on success, and two of the servers were started without waiting for them and without a handler of their errors.

Change: start() waits for each of its sockets and rejects with the first error.

The tests failed before: "not ok 3 - of messages of peers" (killed after 10 s), "not ok 4 - of the readiness check", "not ok 5 - of metrics".

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -153,10 +153,10 @@
 
   async start(): Promise<void> {
     this._log.info('started', { node: this._settings.node.name, store: this._settings.store.address });
-    this._listen(this._settings.callers.readiness, (path) =>
+    await this._listen(this._settings.callers.readiness, (path) =>
       path.startsWith(READINESS_PATH) ? { status: this._isReady() ? 200 : 503, text: '' } : undefined,
     );
-    this._listen(this._settings.peers.metrics, (path) =>
+    await this._listen(this._settings.peers.metrics, (path) =>
       path.startsWith('/metrics') ? { status: 200, text: this._counters.expose() } : undefined,
     );
     await this._exchange.start();
@@ -579,14 +579,17 @@
   private _listen(
     address: string,
     answer: (path: string) => { readonly status: number; readonly text: string } | undefined,
-  ): void {
+  ): Promise<void> {
     const { host, port } = splitAddress(address);
     const server = createServer((request, response) => {
       const { status, text } = answer(request.url ?? '/') ?? { status: 404, text: '' };
       response.writeHead(status, { 'Content-Type': 'text/plain', 'Content-Length': Buffer.byteLength(text) });
       response.end(text);
     });
-    server.listen({ host, port });
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen({ host, port }, resolve);
+    });
   }
 }
 
--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -142,7 +142,8 @@
       this._options.log.warn('peer socket failed', { error: describeError(error) });
     });
     this._scheduleDigests();
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
+      this._socket.once('error', reject);
       this._socket.bind(port, host, resolve);
     });
   }
--- a/tests/node/processFailures.test.ts
+++ b/tests/node/processFailures.test.ts
@@ -1,4 +1,5 @@
-import { createServer } from 'node:net';
+import { createSocket } from 'node:dgram';
+import { createServer, Server } from 'node:net';
 import t from 'tap';
 import { buildProgram } from '../soak/program.js';
 import { NodeProcess, parseLines, type ProcessEnd, takeNodePorts } from '../support/nodeProcess.js';
@@ -118,18 +119,41 @@
   t.equal(end.code, 70);
 });
 
-const addresses = ['front', 'peers'] as const;
+/** Listens at a loopback port; returns how to stop. */
+async function occupy(port: number, protocol: 'tcp' | 'udp'): Promise<() => void> {
+  const server = protocol === 'tcp' ? createServer() : createSocket('udp4');
+  await new Promise<void>((resolve) => {
+    if (server instanceof Server) server.listen(port, '127.0.0.1', resolve);
+    else server.bind(port, '127.0.0.1', resolve);
+  });
+  return () => {
+    server.close();
+  };
+}
 
-// Guards against a failed start that leaves no line, or only a text about a line of the bundle.
+const addresses = [
+  { name: 'of callers', port: 'front', protocol: 'tcp' },
+  { name: 'of peers that read topics', port: 'peers', protocol: 'tcp' },
+  { name: 'of messages of peers', port: 'peers', protocol: 'udp' },
+  { name: 'of the readiness check', port: 'readiness', protocol: 'tcp' },
+  { name: 'of metrics', port: 'metrics', protocol: 'tcp' },
+] as const;
+
+// Guards against a failed start that leaves only a text about a line of the bundle, or a process that never starts to
+// serve: it waited for ever for the address of its peers' messages.
 void t.test('a process whose address is in use ends with a line', async (t) => {
   const program = await buildProgram();
-  for (const address of addresses) {
-    await t.test(address, async (t) => {
+  for (const { name, port, protocol } of addresses) {
+    await t.test(name, async (t) => {
       const ports = await takeNodePorts();
-      const server = createServer();
-      await new Promise<void>((resolve) => server.listen(ports[address], '127.0.0.1', resolve));
-      const end = await new NodeProcess({ program, ports }).end;
-      server.close();
+      const release = await occupy(ports[port], protocol);
+      const node = new NodeProcess({ program, ports });
+      const killTimer = setTimeout(() => {
+        node.kill();
+      }, 10_000);
+      const end = await node.end;
+      clearTimeout(killTimer);
+      release();
       const [line] = findFatalLines(end.stdout);
       t.match(line, { message: 'start failed', origin: 'start', exitCode: 4 });
       t.equal(line?.error.code, 'EADDRINUSE');
