Topic server: a path that is no URL does not end the process

What was seen (test, no report): one request "GET //" at the port from which peers read topics ended the process, with "TypeError: Invalid URL", thrown in the request's event, and with it every request in the process.

Change: the path is split at its question mark instead of being parsed as a URL.

The test failed before: "not ok 1 - a request whose path is no URL".

--- a/packages/node/src/topicServer.ts
+++ b/packages/node/src/topicServer.ts
@@ -49,7 +49,7 @@
     const { address } = this._options;
     const { host, port } = splitAddress(address);
     const server = createServer((request, response) => {
-      void this._handleRequest(request, new URL(request.url ?? '/', `http://${address}`), response);
+      void this._handleRequest(request, response);
     });
     return new Promise((resolve, reject) => {
       server.once('error', reject);
@@ -57,15 +57,16 @@
     });
   }
 
-  private async _handleRequest(request: IncomingMessage, url: URL, response: ServerResponse): Promise<void> {
-    if (url.pathname === MEMBERS_PATH) {
+  private async _handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const [path = '', query = ''] = (request.url ?? '').split('?', 2);
+    if (path === MEMBERS_PATH) {
       await this._handleMembers(request, response);
       return;
     }
-    const topic = /^\/topics\/(.+)$/.exec(url.pathname)?.[1];
+    const topic = /^\/topics\/(.+)$/.exec(path)?.[1];
     const mirror = topic === undefined ? undefined : this._options.mirrors.get(topic);
     const { status, body, headers } = mirror
-      ? await this._read(mirror, topic ?? '', url.searchParams)
+      ? await this._read(mirror, topic ?? '', new URLSearchParams(query))
       : { status: 404, body: NO_BODY };
     this._options.counters.add('monsoonreach_topic_answers_total', { status: String(status) });
     response.writeHead(status, {
