Peer messages: an address that cannot be sent to is refused

What was seen (tests, no report): a message with a text that is no address ended the process, with "RangeError [ERR_SOCKET_BAD_PORT]" from the datagram socket: a ping at once, a digest or owners within a second. A record of the owners in the store could do the same to all nodes.

Cause: the address of a member, an owner or a sender was any text; sending to it throws.

Change: isAddress (core) checks addresses in the schemas of the peers' messages and of the owners' record; a message that does not match is dropped, counted and logged, as before.

The tests failed before, each in its own process: "not ok 2 - a ping from no address", "not ok 3 - a digest of a node without an address", "not ok 4 - a digest that names a node without an address", "not ok 5 - owners without an address".

--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -83,3 +83,9 @@
   const host = address.slice(0, at).replace(/^\[|\]$/g, '');
   return { host, port: Number(address.slice(at + 1)) };
 }
+
+/** Whether a text is a host and a port, as in `10.0.0.1:80`. */
+export function isAddress(text: string): boolean {
+  const port = Number(/^(?:\[[\da-f:.]+\]|[\w.-]+):(\d{1,5})$/i.exec(text)?.[1]);
+  return port > 0 && port < 65_536 && URL.canParse(`http://${text}`);
+}
--- a/packages/node/src/peerMessages.ts
+++ b/packages/node/src/peerMessages.ts
@@ -1,4 +1,10 @@
-import { createMemberId, getIncarnation, type Member, MonsoonreachError } from '@monsoonreach/core';
+import {
+  createMemberId,
+  getIncarnation,
+  isAddress,
+  type Member,
+  MonsoonreachError,
+} from '@monsoonreach/core';
 import * as z from 'zod/mini';
 
 /** Version of the messages between nodes; messages of another version are dropped. */
@@ -8,11 +14,13 @@
 
 const version = { version: z.literal(MESSAGE_VERSION) };
 const count = z.number().check(z.minimum(0));
+/** Address to which messages are sent. */
+export const addressSchema = z.string().check(z.refine(isAddress));
 
 /** Address, incarnation, and age of the last sign of life, in milliseconds. */
 const heardSchema = z.tuple([z.string(), z.string(), z.number()]);
 /** Node, incarnation, address, failure domain and capacity. */
-export const memberRowSchema = z.tuple([z.string(), z.string(), z.string(), z.string(), z.number()]);
+export const memberRowSchema = z.tuple([z.string(), z.string(), addressSchema, z.string(), z.number()]);
 /** Requests, context tokens and prompt tokens that await prefill. */
 const loadSchema = z.tuple([z.number(), z.number(), z.number()]);
 
@@ -40,7 +48,7 @@
   ...version,
   kind: z.literal('ownership'),
   /** Id and address of each owner. */
-  owners: z.array(z.tuple([z.string(), z.string()])),
+  owners: z.array(z.tuple([z.string(), addressSchema])),
   /** Index of the owner and its term, by shard; null where no owner is known. */
   shards: z.array(z.nullable(z.tuple([z.number(), z.number()]))),
 });
@@ -49,7 +57,7 @@
   ...version,
   kind: z.literal('ping'),
   /** Address to which the answer is sent. */
-  address: z.string(),
+  address: addressSchema,
 });
 
 const pongSchema = z.object({
@@ -64,7 +72,7 @@
   /** Id of the sender's start. */
   sender: z.string(),
   /** Address to which an answer is sent. */
-  address: z.string(),
+  address: addressSchema,
   sequence: count,
   lastAsk: count,
   openAsks: z.array(z.number()),
--- a/packages/node/src/shardOwnership.ts
+++ b/packages/node/src/shardOwnership.ts
@@ -30,7 +30,7 @@
 import type { DecisionLog } from './decisionLog.js';
 import { createOwnershipMessage, decodeOwnership, encodeOwnership } from './ownershipMessages.js';
 import type { PeerExchange } from './peerExchange.js';
-import type { OwnershipMessage } from './peerMessages.js';
+import { addressSchema, type OwnershipMessage } from './peerMessages.js';
 
 /** Interval between two checks for shards without an owner, in milliseconds. */
 const CHECK_INTERVAL_MS = 200;
@@ -44,7 +44,7 @@
 const HANDOVER_COPIES = 2;
 
 const recordSchema = z.object({
-  owners: z.array(z.tuple([z.string(), z.string()])),
+  owners: z.array(z.tuple([z.string(), addressSchema])),
   shards: z.array(z.nullable(z.tuple([z.number(), z.number()]))),
 });
 
--- a/tests/node/processFailures.test.ts
+++ b/tests/node/processFailures.test.ts
@@ -196,6 +196,23 @@
   }
 }
 
+const FOREIGN_MEMBER = ['node-2', 'boot', 'nowhere', 'zone-1', 1];
+const DIGEST = {
+  kind: 'digest',
+  member: ['node-2', 'boot', '127.0.0.1:9', 'zone-1', 1],
+  sequence: 1,
+  storeAgeMs: 0,
+  isFirstHand: false,
+  configurationVersion: 1,
+  isLeaving: false,
+  hasTraffic: false,
+  ownershipStamp: 0,
+  heard: [],
+  members: [],
+};
+
+const encodeMessage = (message: object) => JSON.stringify({ version: 2, ...message });
+
 const foreignMessages = [
   {
     name: 'a request whose path is no URL',
@@ -203,21 +220,47 @@
     protocol: 'tcp',
     text: 'GET // HTTP/1.1\r\nHost: a\r\n\r\n',
   },
+  {
+    name: 'a ping from no address',
+    port: 'peers',
+    protocol: 'udp',
+    text: encodeMessage({ kind: 'ping', address: 'nowhere' }),
+  },
+  {
+    name: 'a digest of a node without an address',
+    port: 'peers',
+    protocol: 'udp',
+    text: encodeMessage({ ...DIGEST, member: FOREIGN_MEMBER }),
+  },
+  {
+    name: 'a digest that names a node without an address',
+    port: 'peers',
+    protocol: 'udp',
+    text: encodeMessage({ ...DIGEST, members: [FOREIGN_MEMBER] }),
+  },
+  {
+    name: 'owners without an address',
+    port: 'peers',
+    protocol: 'udp',
+    text: encodeMessage({ kind: 'ownership', owners: [['node-2#boot', 'nowhere']], shards: [[0, 1]] }),
+  },
 ] as const;
 
 // Guards against foreign bytes that end the process and every request in it.
 void t.test('a process goes on after a message that it cannot use', async (t) => {
-  const ports = await takeNodePorts();
-  const node = new NodeProcess({ program, ports });
-  await node.waitUntilServing();
   for (const { name, port, protocol, text } of foreignMessages) {
-    await send(ports[port], protocol, text);
-    // A digest is sent to all members that a message names.
-    await new Promise((resolve) => setTimeout(resolve, 500));
-    t.ok(node.isRunning, name);
+    await t.test(name, async (t) => {
+      const ports = await takeNodePorts();
+      const node = new NodeProcess({ program, ports });
+      await node.waitUntilServing();
+      await send(ports[port], protocol, text);
+      // Reports and digests are sent to the nodes that a message names.
+      await new Promise((resolve) => setTimeout(resolve, 1_200));
+      t.ok(node.isRunning);
+      node.kill();
+      t.same(findFatalLines((await node.end).stdout), []);
+    });
   }
-  node.kill();
-  t.same(findFatalLines((await node.end).stdout), []);
 });
 
 // Guards against warnings of the runtime that appear as text between the structured lines.
