Store client: an answer that cannot be decoded counts as none

What was seen (tests, no report): a store, or anything at its address, that answers 200 with an empty, truncated or foreign body ended every node that looked for its peers or assigned shards, with a DecodeError or a RangeError of the decoder: their loops expect StoreUnavailableError and rethrow all else. A read response that ended within a record was taken for a whole one, with its last record shortened.

The tests failed before: 18 of 22 cases of storeClient ("not ok 1 - expected to reject"), and "not ok 7 - a process goes on while the store gives answers that cannot be decoded" (the process had ended).

--- a/tests/node/processFailures.test.ts
+++ b/tests/node/processFailures.test.ts
@@ -1,6 +1,7 @@
 import { createSocket } from 'node:dgram';
 import { once } from 'node:events';
-import { connect, createServer, Server } from 'node:net';
+import { createServer as createHttpServer } from 'node:http';
+import { type AddressInfo, connect, createServer, Server } from 'node:net';
 import t from 'tap';
 import { buildProgram } from '../soak/program.js';
 import { NodeProcess, parseLines, takeNodePorts } from '../support/nodeProcess.js';
@@ -263,6 +264,27 @@
   }
 });
 
+// Guards against a store whose answers end every process that reads them.
+void t.test('a process goes on while the store gives answers that cannot be decoded', async (t) => {
+  const store = createHttpServer((request, response) => {
+    request.resume();
+    response.end('It works!');
+  });
+  await new Promise<void>((resolve) => store.listen(0, '127.0.0.1', resolve));
+  const address = `127.0.0.1:${(store.address() as AddressInfo).port}`;
+  const node = new NodeProcess({ program, ports: await takeNodePorts(), store: address });
+  await node.waitForLine('store read failed');
+  await new Promise((resolve) => setTimeout(resolve, 1_000));
+  t.ok(node.isRunning);
+  node.kill();
+  const { stdout } = await node.end;
+  t.same(findFatalLines(stdout), []);
+  const failed = parseLines(stdout).filter(({ message }) => message === 'store read failed');
+  t.ok(failed.length <= 2, `${failed.length} lines about two topics`);
+  store.close();
+  store.closeAllConnections();
+});
+
 // Guards against warnings of the runtime that appear as text between the structured lines.
 void t.test('a warning of the runtime is a structured line', async (t) => {
   const node = await start('warn');
--- /dev/null
+++ b/tests/platform/storeClient.test.ts
@@ -0,0 +1,65 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { StoreClient, StoreUnavailableError } from '@monsoonreach/platform';
+import t from 'tap';
+
+const TOPIC = 'topic-1';
+
+const calls = {
+  readNewest: (store: StoreClient) => store.readNewest(TOPIC),
+  read: (store: StoreClient) => store.read({ topic: TOPIC, from: 0, waitMs: 0 }),
+  append: (store: StoreClient) => store.append(TOPIC, Buffer.from('record'), 0),
+  appendKeyed: (store: StoreClient) => store.appendKeyed(TOPIC, 'key', 'value'),
+} as const;
+
+type Call = keyof typeof calls;
+
+/** A read response with one record of 4 bytes, of which some bytes at the end are missing. */
+function createTruncatedSlice(missingBytes: number): Buffer {
+  const slice = Buffer.alloc(16 + 4 + 4);
+  slice.writeBigUInt64BE(1n, 0);
+  slice.writeUInt32BE(4, 16);
+  return slice.subarray(0, slice.length - missingBytes);
+}
+
+interface Answer {
+  readonly name: string;
+  readonly calls: readonly Call[];
+  readonly status: number;
+  readonly body: string | Buffer;
+}
+
+const JSON_CALLS = ['readNewest', 'append', 'appendKeyed'] as const;
+const ALL_CALLS = [...JSON_CALLS, 'read'] as const;
+
+const answers: readonly Answer[] = [
+  { name: 'an empty body', calls: ALL_CALLS, status: 200, body: '' },
+  { name: 'a body that is no answer of a store', calls: ALL_CALLS, status: 200, body: 'It works!' },
+  { name: 'truncated JSON', calls: JSON_CALLS, status: 200, body: '{"offset":1,"items":[{"key":"a"' },
+  { name: 'JSON of another kind', calls: JSON_CALLS, status: 200, body: '{"items":7,"offset":"1"}' },
+  { name: 'a record cut within its length', calls: ['read'], status: 200, body: createTruncatedSlice(6) },
+  { name: 'a record cut within its bytes', calls: ['read'], status: 200, body: createTruncatedSlice(1) },
+  { name: 'status 410 with a body that is no JSON', calls: ['read'], status: 410, body: 'gone' },
+  { name: 'status 412 with a body that is no JSON', calls: ['append'], status: 412, body: 'no' },
+  { name: 'a status that is not in the protocol', calls: ALL_CALLS, status: 204, body: '' },
+];
+
+// Guards against a call that fails in a way that its callers do not expect, which ended the process.
+for (const { name, calls: names, status, body } of answers) {
+  for (const call of names) {
+    void t.test(`${call}: ${name} counts as no answer`, async (t) => {
+      const server = createServer((request, response) => {
+        request.resume();
+        response.writeHead(status).end(body);
+      });
+      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+      const store = new StoreClient(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+      await t.rejects(async () => void (await calls[call](store)), {
+        name: StoreUnavailableError.name,
+        hasNoEffect: false,
+      });
+      await store.close();
+      server.close();
+    });
+  }
+}
