--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -63,6 +63,24 @@
   });
 }
 
+// Guards against an entry whose address cannot be connected to: a request for that target ended the process.
+for (const address of [
+  '',
+  'nowhere',
+  ':80',
+  '1.2.3.4',
+  '1.2.3.4:0',
+  '1.2.3.4:70000',
+  'a b:80',
+  '1.2.3.4.5:80',
+  'a/b:80',
+]) {
+  void t.test(`an entry with the address "${address}" is rejected`, (t) => {
+    t.throws(() => decodeInstance('i', encode({ ...ENTRY, address })), { name: DecodeError.name });
+    t.end();
+  });
+}
+
 void t.test('an entry is decoded into an instance', (t) => {
   t.match(decodeInstance('i', encode(ENTRY)), {
     id: 'i',
