Node: a cancelled call does not open another connection

Seen: after every call that the node ends itself (an answer that is too large, a wrong id, a silent target, a caller that is gone) the target has one new connection that nobody asked for. Targets count connections from all nodes and reset those beyond their limit.

Cause: an undici client whose running request is aborted keeps that request in its queue, connects again for it, and drops it only then. A pool of clients hides this; only calls on fresh connections destroyed their client.

Ruled out: the reset of the connection itself, which is in order.

Change: a connection is a client of its own that is destroyed with the call or when its socket closes; TargetConnections keeps the idle ones, the latest used first. A call that waits for its socket when it closes still goes on over a new connection, as nothing of it was sent. resume() after the end of a call does nothing, as the connection may then carry another answer.

--- a/packages/node/src/targetConnections.ts
+++ b/packages/node/src/targetConnections.ts
@@ -1,10 +1,10 @@
 import { type Clock, MonsoonreachError } from '@monsoonreach/core';
 import { createConnector, decodeResponseHead, type ResponseHead } from '@monsoonreach/platform';
-import { type buildConnector, Client, type Dispatcher, Pool } from 'undici';
+import { type buildConnector, Client, type Dispatcher } from 'undici';
 
 /** Timeout for connecting to a target, in milliseconds; many times the latency between failure domains. */
 const CONNECT_TIMEOUT_MS = 120;
-/** Time for which an idle connection is reused, in milliseconds; short, as idle connections may be lost unnoticed. */
+/** Time for which an idle connection is kept, in milliseconds; short, as idle connections may be lost unnoticed. */
 const IDLE_TIMEOUT_MS = 2_500;
 
 /** Time within which a closed connection answers a request with a reset, in milliseconds; a few round trips. */
@@ -57,21 +57,107 @@
 /** Connections to targets, each with at most one request in progress. */
 export class TargetConnections {
   private readonly _resets = new ResetDetector();
-  private readonly _pools = new Map<string, { readonly pool: Pool; usedAtMs: number }>();
+  /** Idle connections by address, the latest used last. */
+  private readonly _idle = new Map<string, TargetConnection[]>();
 
   constructor(private readonly _clock: Clock) {}
 
   open(call: TargetCall, listener: CallListener): OpenCall {
-    const { dispatcher, isReused, release } = this._getDispatcher(call);
+    const idle = call.isFresh ? undefined : this._takeIdle(call.address);
+    const connection = idle ?? new TargetConnection(call.address, this._resets);
     const handler = new CallHandler({
       listener,
-      release,
+      connection,
       resets: this._resets,
-      isReused,
+      isReused: idle !== undefined,
       clock: this._clock,
+      onComplete: () => {
+        if (call.isFresh) connection.destroy();
+        else this._release(connection);
+      },
     });
+    connection.dispatch(call, handler);
+    return handler;
+  }
+
+  /** Addresses of targets to which a connection is idle, the latest used first. */
+  listConnected(): readonly string[] {
+    return [...this._idle]
+      .map(([address, connections]) => ({ address, usedAtMs: connections.at(-1)?.usedAtMs ?? -Infinity }))
+      .sort((a, b) => b.usedAtMs - a.usedAtMs)
+      .map(({ address }) => address);
+  }
+
+  /** Closes the connections that were idle for `unusedMs`. */
+  closeUnused(unusedMs: number): void {
+    const nowMs = this._clock.monotonic();
+    for (const connection of [...this._idle.values()].flat()) {
+      if (nowMs - connection.usedAtMs >= unusedMs) connection.destroy();
+    }
+  }
+
+  private _takeIdle(address: string): TargetConnection | undefined {
+    const connection = this._idle.get(address)?.findLast(({ isConnected }) => isConnected);
+    if (connection) this._removeIdle(connection);
+    return connection;
+  }
+
+  /** Keeps a connection for reuse, once its target had the time to close it. */
+  private _release(connection: TargetConnection): void {
+    setImmediate(() => {
+      if (!connection.isConnected) {
+        connection.destroy();
+        return;
+      }
+      connection.usedAtMs = this._clock.monotonic();
+      connection.onClose = () => {
+        this._removeIdle(connection);
+      };
+      const idle = this._idle.get(connection.address);
+      if (idle) idle.push(connection);
+      else this._idle.set(connection.address, [connection]);
+    });
+  }
+
+  private _removeIdle(connection: TargetConnection): void {
+    connection.onClose = undefined;
+    const others = (this._idle.get(connection.address) ?? []).filter((other) => other !== connection);
+    if (others.length > 0) this._idle.set(connection.address, others);
+    else this._idle.delete(connection.address);
+  }
+}
+
+/** One connection to a target; a pool of undici opens a new connection in place of each that is closed under a call. */
+class TargetConnection {
+  /** Monotonic time of the end of its latest call. */
+  usedAtMs = -Infinity;
+  /** Called once when the connection is closed. */
+  onClose: (() => void) | undefined;
+  private readonly _client: Client;
+
+  constructor(
+    readonly address: string,
+    resets: ResetDetector,
+  ) {
+    this._client = new Client(`http://${address}`, {
+      pipelining: 1,
+      connect: resets.connect,
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
+    });
+    this._client.on('disconnect', () => {
+      // A call that is not sent yet goes on over a new connection.
+      if (this._client.stats.size === 0) this.destroy();
+    });
+  }
+
+  get isConnected(): boolean {
+    return this._client.stats.connected;
+  }
+
+  dispatch(call: TargetCall, handler: CallHandler): void {
     try {
-      dispatcher.dispatch(
+      this._client.dispatch(
         {
           path: call.path,
           method: call.method as Dispatcher.HttpMethod,
@@ -86,54 +172,11 @@
     } catch (error) {
       handler.onResponseError(undefined, error as Error);
     }
-    return handler;
-  }
-
-  /** Addresses of targets to which a connection is idle, the latest used first. */
-  listConnected(): readonly string[] {
-    const nowMs = this._clock.monotonic();
-    return [...this._pools]
-      .filter(([, { pool, usedAtMs }]) => nowMs - usedAtMs < IDLE_TIMEOUT_MS && pool.stats.free > 0)
-      .sort(([, a], [, b]) => b.usedAtMs - a.usedAtMs)
-      .map(([address]) => address);
-  }
-
-  /** Closes the pools of targets that were not called for `unusedMs`. */
-  closeUnused(unusedMs: number): void {
-    const nowMs = this._clock.monotonic();
-    for (const [address, { pool, usedAtMs }] of this._pools) {
-      if (nowMs - usedAtMs < unusedMs) continue;
-      this._pools.delete(address);
-      void pool.close();
-    }
   }
 
-  private _getDispatcher(call: TargetCall): {
-    readonly dispatcher: Dispatcher;
-    /** Whether the call uses an idle connection. */
-    readonly isReused: boolean;
-    readonly release: () => void;
-  } {
-    const origin = `http://${call.address}`;
-    const connect = this._resets.connect;
-    if (call.isFresh) {
-      const client = new Client(origin, { pipelining: 1, connect });
-      return { dispatcher: client, isReused: false, release: () => void client.destroy() };
-    }
-    let entry = this._pools.get(call.address);
-    if (!entry) {
-      const options = {
-        pipelining: 1,
-        connect,
-        keepAliveTimeout: IDLE_TIMEOUT_MS,
-        keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
-      };
-      entry = { pool: new Pool(origin, { connections: null, ...options }), usedAtMs: 0 };
-      this._pools.set(call.address, entry);
-    }
-    entry.usedAtMs = this._clock.monotonic();
-    const isReused = entry.pool.stats.free > 0;
-    return { dispatcher: entry.pool, isReused, release: () => undefined };
+  destroy(): void {
+    this.onClose?.();
+    void this._client.destroy();
   }
 }
 
@@ -174,10 +217,12 @@
 
 interface CallHandlerOptions {
   readonly listener: CallListener;
-  readonly release: () => void;
+  readonly connection: TargetConnection;
   readonly resets: ResetDetector;
   readonly isReused: boolean;
   readonly clock: Clock;
+  /** Called after a complete answer, when the connection may be reused. */
+  readonly onComplete: () => void;
 }
 
 class CallHandler implements Dispatcher.DispatchHandler, OpenCall {
@@ -193,7 +238,7 @@
     if (this._isFinished) return;
     this._isFinished = true;
     this._controller?.abort(new CallError('The call was cancelled.', false, false));
-    this._options.release();
+    this._options.connection.destroy();
   }
 
   pause(): void {
@@ -201,7 +246,7 @@
   }
 
   resume(): void {
-    this._controller?.resume();
+    if (!this._isFinished) this._controller?.resume();
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -231,14 +276,14 @@
       return;
     }
     this._isFinished = true;
-    this._options.release();
+    this._options.onComplete();
     this._options.listener.onEnd();
   }
 
   onResponseError(_controller: unknown, error: Error): void {
     if (this._isFinished) return;
     this._isFinished = true;
-    this._options.release();
+    this._options.connection.destroy();
     const message = `The call to the target ended without a complete answer: ${error.message}`;
     const { listener, isReused, clock } = this._options;
     const sentAtMs = this._sentAtMs ?? Infinity;
--- a/tests/node/targetConnections.test.ts
+++ b/tests/node/targetConnections.test.ts
@@ -198,3 +198,43 @@
     t.equal(result.isUnsent, false);
   });
 }
+
+// Guards against connections that a node opens, and a target counts, for calls that are over.
+for (const isFresh of [true, false]) {
+  void t.test(
+    `a cancelled call leaves no connection${isFresh ? ', on a fresh connection' : ''}`,
+    async (t) => {
+      const sockets = new Set<Socket>();
+      let accepted = 0;
+      const server = createServer((socket) => {
+        accepted++;
+        sockets.add(socket);
+        socket.on('error', () => undefined);
+        socket.on('close', () => sockets.delete(socket));
+        socket.once('data', () => socket.write(`${HEAD}Content-Length: 9\r\n\r\nabc`));
+      });
+      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+      const { port } = server.address() as AddressInfo;
+      const connections = new TargetConnections(systemClock);
+      await new Promise<void>((resolve) => {
+        const call = connections.open(
+          { address: `127.0.0.1:${port}`, method: 'GET', path: '/', headers: [], body: undefined, isFresh },
+          {
+            onHead: () => undefined,
+            onData: () => {
+              call.cancel();
+              resolve();
+            },
+            onEnd: () => undefined,
+            onError: () => undefined,
+          },
+        );
+      });
+      await new Promise((resolve) => setTimeout(resolve, 100));
+      t.equal(accepted, 1);
+      t.equal(sockets.size, 0);
+      connections.closeUnused(0);
+      server.close();
+    },
+  );
+}
