Node: an answer of bytes that belong to no body ends its call

Seen: a target that sends the reason of a status, interim answers or an extension of a chunk without end is read at full speed until the caller's or the route's timeout: 297 and 49 MB from two targets in 1.5 s, 889 MB in 4 s on a stream, in a test on loopback. The caller gets a 504 that late, and the processor serves nobody else meanwhile.

Cause: the parser keeps nothing of these bytes and calls nobody, so neither its limit on headers nor the limit on buffered answers applies.

Ruled out: header lines and trailers (limit of the parser, 502 in 0.3 s) and endless bodies of plain answers (limit of the buffer), which the new test keeps.

Change: a connection compares the bytes that its socket has read during a call with those of the body, and ends the call when the rest is more than 256 KiB plus 8 bytes for each byte of the body. A failure by bytes that are no answer is called `malformed` in the trail of the request, no longer `target-lost` (groups are still left alone for some time after both), and monsoonreach_attempt_failures_total counts failed attempts by reason.

--- a/packages/core/src/serving/silence.ts
+++ b/packages/core/src/serving/silence.ts
@@ -12,6 +12,7 @@
   | 'silent'
   | 'unsent'
   | 'target-lost'
+  | 'malformed'
   | 'truncated'
   | 'wrong-echo'
   | 'not-an-answer'
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -382,7 +382,7 @@
       this._sendAgain(attempt);
       return;
     }
-    this._handleFailure(attempt, error.isUnsent ? 'unsent' : 'target-lost', !error.isUnsent);
+    this._handleFailure(attempt, toFailureReason(error), !error.isUnsent);
   }
 
   /** Sends the request to the same target on a new connection; the attempt on the closed one does not count. */
@@ -400,7 +400,7 @@
     const { context } = this._options;
     if (reason === 'unsent') this._attempts--;
     const isGroup = attempt.candidate.engine !== undefined;
-    if (isGroup && (reason === 'unsent' || reason === 'target-lost')) {
+    if (isGroup && CONNECTION_FAILURES.has(reason)) {
       const isNew = context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
       if (isNew) context.onSilentTarget(attempt.candidate);
     }
@@ -448,7 +448,10 @@
     const { context } = this._options;
     const isFailure = reason !== 'caller-gone' && reason !== 'refused-by-target' && reason !== 'misdirected';
     this._trail.push(`${attempt.candidate.key} ${reason} ${this._elapsedMs(attempt.startedAtMs)}ms`);
-    if (isFailure) context.health.recordOutcome(attempt.candidate.key, true, context.clock.monotonic());
+    if (isFailure) {
+      context.counters.add('monsoonreach_attempt_failures_total', { reason });
+      context.health.recordOutcome(attempt.candidate.key, true, context.clock.monotonic());
+    }
     attempt.load.endRequest();
     attempt.call?.cancel();
     if (this._attempt === attempt) this._attempt = undefined;
@@ -541,6 +544,14 @@
 /** Retry-After by reason, in milliseconds: a group forms in about 2 s; a batch frees a slot in less than 200 ms. */
 const NO_TARGET_RETRY_AFTER_MS = { 'no-target': 1_500, 'all-full': 200, 'all-silent': 700 } as const;
 
+/** Failures after which a group gets no requests for some time. */
+const CONNECTION_FAILURES: ReadonlySet<CallOutcomeReason> = new Set(['unsent', 'target-lost', 'malformed']);
+
+function toFailureReason({ isUnsent, isMalformed }: CallError): CallOutcomeReason {
+  if (isUnsent) return 'unsent';
+  return isMalformed ? 'malformed' : 'target-lost';
+}
+
 /** Headers of an answer whose end is the end of its connection. */
 const CLOSE_HEADERS = ['Connection', 'close'] as const;
 
--- a/packages/node/src/targetConnections.ts
+++ b/packages/node/src/targetConnections.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { type Clock, MonsoonreachError } from '@monsoonreach/core';
 import { createConnector, decodeResponseHead, type ResponseHead } from '@monsoonreach/platform';
 import { type buildConnector, Client, type Dispatcher } from 'undici';
@@ -10,6 +11,11 @@
 /** Time within which a closed connection answers a request with a reset, in milliseconds; a few round trips. */
 const STALE_RESET_MS = 15;
 
+/** Bytes besides its body that an answer may have, as these may be sent without end: heads, chunk sizes, trailers. */
+const MAX_FRAMING_BYTES = 262_144;
+/** The same for each byte of the body; chunks of one byte have five. */
+const MAX_FRAMING_PER_BODY_BYTE = 8;
+
 /** A call to a target ended without a complete answer. */
 export class CallError extends MonsoonreachError {
   readonly code = 'call';
@@ -20,12 +26,23 @@
     readonly isUnsent: boolean,
     /** Whether an idle connection was used that turned out to be closed; the target may be well. */
     readonly isStale: boolean,
+    /** Whether the target sent bytes that are no answer. */
+    readonly isMalformed: boolean,
     options?: ErrorOptions,
   ) {
     super(message, options);
   }
 }
 
+/** A target sends bytes that are neither a head of the usual size nor a body. */
+class EndlessFramingError extends MonsoonreachError {
+  readonly code = 'endless-framing';
+
+  constructor(framingBytes: number, bodyBytes: number) {
+    super(`The target sent ${framingBytes} bytes that belong to no body, and a body of ${bodyBytes} bytes.`);
+  }
+}
+
 /** One call to a target. */
 export interface TargetCall {
   readonly address: string;
@@ -134,6 +151,10 @@
   /** Called once when the connection is closed. */
   onClose: (() => void) | undefined;
   private readonly _client: Client;
+  private _socket: Socket | undefined;
+  private _handler: CallHandler | undefined;
+  /** Bytes that the socket had read before the call in progress. */
+  private _earlierBytes = 0;
 
   constructor(
     readonly address: string,
@@ -141,7 +162,12 @@
   ) {
     this._client = new Client(`http://${address}`, {
       pipelining: 1,
-      connect: resets.connect,
+      connect: (options, callback) => {
+        resets.connect(options, (...result) => {
+          callback(...result);
+          if (result[1]) this._watch(result[1]);
+        });
+      },
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
     });
@@ -156,6 +182,8 @@
   }
 
   dispatch(call: TargetCall, handler: CallHandler): void {
+    this._handler = handler;
+    this._earlierBytes = this._socket?.bytesRead ?? 0;
     try {
       this._client.dispatch(
         {
@@ -178,6 +206,14 @@
     this.onClose?.();
     void this._client.destroy();
   }
+
+  private _watch(socket: Socket): void {
+    this._socket = socket;
+    this._earlierBytes = 0;
+    socket.on('readable', () => {
+      this._handler?.checkFraming(socket.bytesRead - this._earlierBytes);
+    });
+  }
 }
 
 /**
@@ -231,13 +267,14 @@
   private _isAnswered = false;
   /** Monotonic time at which sending began; undefined before. */
   private _sentAtMs: number | undefined;
+  private _bodyBytes = 0;
 
   constructor(private readonly _options: CallHandlerOptions) {}
 
   cancel(): void {
     if (this._isFinished) return;
     this._isFinished = true;
-    this._controller?.abort(new CallError('The call was cancelled.', false, false));
+    this._controller?.abort(new CallError('The call was cancelled.', false, false, false));
     this._options.connection.destroy();
   }
 
@@ -249,9 +286,16 @@
     if (!this._isFinished) this._controller?.resume();
   }
 
+  /** Ends the call if most of the `readBytes` that its connection has read since its start belong to no body. */
+  checkFraming(readBytes: number): void {
+    const framingBytes = readBytes - this._bodyBytes;
+    if (framingBytes <= MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * this._bodyBytes) return;
+    this.onResponseError(undefined, new EndlessFramingError(framingBytes, this._bodyBytes));
+  }
+
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this._controller = controller;
-    if (this._isFinished) controller.abort(new CallError('The call was cancelled.', true, false));
+    if (this._isFinished) controller.abort(new CallError('The call was cancelled.', true, false, false));
     else this._sentAtMs = this._options.clock.monotonic();
   }
 
@@ -266,6 +310,7 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this._bodyBytes += chunk.length;
     if (!this._isFinished) this._options.listener.onData(chunk);
   }
 
@@ -288,6 +333,14 @@
     const { listener, isReused, clock } = this._options;
     const sentAtMs = this._sentAtMs ?? Infinity;
     const isStale = isReused && !this._isAnswered && clock.monotonic() - sentAtMs < STALE_RESET_MS;
-    listener.onError(new CallError(message, sentAtMs === Infinity, isStale, { cause: error }));
+    const isUnsent = sentAtMs === Infinity;
+    listener.onError(new CallError(message, isUnsent, isStale, isMalformed(error), { cause: error }));
   }
 }
+
+/** Whether an error tells of bytes that are no answer, rather than of an answer that is not complete. */
+function isMalformed(error: Error): boolean {
+  if (error instanceof EndlessFramingError) return true;
+  const { code = '' } = error as { readonly code?: string };
+  return code === 'UND_ERR_HEADERS_OVERFLOW' || (code.startsWith('HPE_') && code !== 'HPE_INVALID_EOF_STATE');
+}
--- /dev/null
+++ b/tests/platform/rawFleet.ts
@@ -0,0 +1,110 @@
+import { systemClock } from '@monsoonreach/core';
+import { Node, parseNodeSettings } from '@monsoonreach/node';
+import { sleep } from '../standins/http.js';
+import { findFreePorts } from '../support/ports.js';
+import { type RawAnswer, RawCaller, type RawHandler, RawTarget } from '../support/rawHttp.js';
+import { formatSettings } from './platformFleet.js';
+import { StoreStandin } from './storeStandin.js';
+
+const API_KEY = 'key-1';
+const ROUTES = {
+  '/status/': { routeType: 'safe', timeoutMs: 1_500 },
+  '/order/': { routeType: 'unsafe', timeoutMs: 1_500 },
+  '/stream/': { routeType: 'streaming', timeoutMs: 4_000, gapTargetMs: 250, streamResume: true },
+  '/once/': { routeType: 'streaming', timeoutMs: 2_500, gapTargetMs: 250 },
+} as const;
+
+/** Prefix of the path of a route: idempotent, non-idempotent, a resumable stream, and one that is not. */
+export type RoutePrefix = keyof typeof ROUTES;
+
+/** Limits of callers' requests. */
+export const LIMITS = {
+  maxHeaderBytes: 8_192,
+  maxBodyBytes: 65_536,
+  headerTimeoutMs: 500,
+  idleTimeoutMs: 15_000,
+};
+
+/** One node in this process with a stand-in for the store, and two raw targets of one plain service. */
+export class RawFleet {
+  readonly store = new StoreStandin();
+  readonly targets = [new RawTarget(), new RawTarget()] as const;
+  address = '';
+  private _metrics = '';
+  private _requestCount = 0;
+
+  async start(): Promise<void> {
+    const store = await this.store.start();
+    this.store.put('keyed.op', 'config', createConfiguration());
+    for (const [index, target] of this.targets.entries()) {
+      await target.start();
+      this.store.put('keyed.servers', `plain-${index + 1}`, createEntry(target.address));
+    }
+    const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
+    this.address = `127.0.0.1:${front}`;
+    this._metrics = `http://127.0.0.1:${metrics}/metrics`;
+    const settings = { name: 'node-1', domain: 'zone-1', store, front, readiness, peers, metrics };
+    await new Node(parseNodeSettings(formatSettings({ ...settings, log: 'hidden' })), systemClock).start();
+    while ((await fetch(`http://127.0.0.1:${readiness}/v1/readyz`)).status !== 200) await sleep(50);
+  }
+
+  /** Lets both targets answer with `handle` from now on, and closes their connections. */
+  async setHandler(handle: RawHandler): Promise<void> {
+    for (const target of this.targets) target.reset(handle);
+    await sleep(20);
+  }
+
+  /** Creates the head of a request whose connection the node closes after its answer. */
+  createHead(prefix: RoutePrefix, options: { readonly id?: string; readonly headers?: string } = {}): string {
+    const id = options.id ?? `request-${++this._requestCount}`;
+    const headers = options.headers ?? 'Content-Length: 2\r\nConnection: close\r\n';
+    return (
+      `POST ${prefix}1 HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: ${id}\r\n` +
+      `Deadline-Ms: 5000\r\nAuthorization: Bearer ${API_KEY}\r\n${headers}\r\n`
+    );
+  }
+
+  /** Sends one request on its own connection. */
+  send(prefix: RoutePrefix, timeoutMs?: number): Promise<RawAnswer> {
+    return new RawCaller(this.address).exchange(`${this.createHead(prefix)}{}`, timeoutMs);
+  }
+
+  /** Returns the value of a counter; `labels` as in the exposition, such as `{reason="timeout"}`. */
+  async readCounter(name: string, labels = ''): Promise<number> {
+    const text = await (await fetch(this._metrics)).text();
+    const line = text.split('\n').find((line) => line.startsWith(`${name}${labels} `));
+    return Number(line?.split(' ').at(-1) ?? 0);
+  }
+}
+
+function createEntry(address: string): unknown {
+  return {
+    service: 'plain',
+    address,
+    zone: 'zone-1',
+    version: 'v1',
+    slots: 8,
+    state: 'ready',
+    born: 1,
+    seqNo: 1,
+  };
+}
+
+function createConfiguration(): unknown {
+  return {
+    version: 1,
+    routes: Object.entries(ROUTES).map(([pathPrefix, route]) => ({
+      ...route,
+      name: pathPrefix,
+      host: '127.0.0.1',
+      pathPrefix,
+      service: 'plain',
+      priority: 1,
+      targetLatencyMs: 400,
+      maxAttempts: 2,
+    })),
+    services: [{ name: 'plain', maxConnections: 50 }],
+    limits: LIMITS,
+    tenants: [{ name: 'workspace-1', apiKeys: [API_KEY], priority: 1 }],
+  };
+}
