Node: an event of a stream has a largest size

Seen: a stream whose bytes never make an event is read until the route's timeout, 27 MB in 2.5 s for one stream in a test on loopback; comments count as events and are forwarded without end. While it lasts other requests of the node get no answer: each piece copies all that was received before.

Cause: the framer concatenates the pieces of an event that is not complete, without a bound; and it takes each blank line for the end of an event, also one after comments alone.

Comments are kept until the next event is complete, or until the stream ends; so they do not begin the caller's answer either, which can still be a refusal or come from another target.

Test before: "not ok 31 - one event in chunks: /stream/ # time=4983.599ms", "ended after 4896 ms"; the cases after it got no answer (status 0). Now the slowest of the eight cases ends after 0.16 s.

--- a/packages/core/src/serving/silence.ts
+++ b/packages/core/src/serving/silence.ts
@@ -17,6 +17,7 @@
   | 'wrong-echo'
   | 'not-an-answer'
   | 'answer-too-large'
+  | 'event-too-large'
   | 'failed-by-target'
   | 'refused-by-target'
   | 'misdirected';
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -22,6 +22,8 @@
 
 /** Largest answer that is buffered before it is forwarded, in bytes; the attempt fails if the answer is larger. */
 const MAX_BUFFERED_BYTES = 1_048_576;
+/** Largest event of a stream, with the comments before it, in bytes; the attempt fails if one is larger. */
+const MAX_EVENT_BYTES = 262_144;
 /** Largest share of the remaining time that Retry-After may ask for; callers do not honour a longer wait. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
 
@@ -301,7 +303,11 @@
       return;
     }
     const batch = attempt.framer.push(chunk);
-    if (!batch) return;
+    if (!batch) {
+      if (attempt.framer.pendingBytes > MAX_EVENT_BYTES)
+        this._handleFailure(attempt, 'event-too-large', true);
+      return;
+    }
     attempt.load.endPrefill();
     attempt.events += batch.eventCount;
     this._recordForwarded(batch.eventCount, nowMs);
@@ -367,14 +373,14 @@
 
   private _finishStream(attempt: Attempt, head: ResponseHead): void {
     const isInDoubt = !head.isFramed && this._options.response.headersSent && this._isFramed;
-    if (attempt.framer.pendingBytes > 0 || isInDoubt) {
+    if (attempt.framer.isInsideEvent || isInDoubt) {
       this._handleFailure(attempt, 'truncated', true);
       return;
     }
     this._startStream(head);
     this._completeAttempt(attempt, false);
     this._finish('streamed');
-    this._options.response.end();
+    this._options.response.end(attempt.framer.takePending());
   }
 
   private _handleError(attempt: Attempt, error: CallError): void {
--- a/tests/platform/endlessAnswers.test.ts
+++ b/tests/platform/endlessAnswers.test.ts
@@ -85,6 +85,38 @@
       writeEndlessly(request.socket, 'X-Filler: 0123456789\r\n');
     },
   },
+  {
+    name: 'one event without a length',
+    prefixes: ['/stream/', '/once/'],
+    handle: (request) => {
+      request.socket.write(createAnswerHead(request, 'Connection: close\r\n\r\nid: 1\ndata: '));
+      writeEndlessly(request.socket, '0123456789');
+    },
+  },
+  {
+    name: 'one event in chunks',
+    prefixes: ['/stream/', '/once/'],
+    handle: (request) => {
+      request.socket.write(createAnswerHead(request, CHUNKED));
+      writeEndlessly(request.socket, toChunk('data: 0123456789\n'));
+    },
+  },
+  {
+    name: 'a comment of a stream',
+    prefixes: ['/stream/', '/once/'],
+    handle: (request) => {
+      request.socket.write(createAnswerHead(request, CHUNKED));
+      writeEndlessly(request.socket, toChunk(': comment\n'));
+    },
+  },
+  {
+    name: 'comments that end like events',
+    prefixes: ['/stream/', '/once/'],
+    handle: (request) => {
+      request.socket.write(createAnswerHead(request, CHUNKED));
+      writeEndlessly(request.socket, toChunk(': comment\n\n'));
+    },
+  },
 ];
 
 void t.test('answers without end', async (t) => {
