Node: a head of a request that takes too long is answered 408 in time

Seen: a caller that sends a header line now and then, or only empty lines, keeps its connection for up to 30 s beyond the configured time. It then gets a 400, after which callers do not try again, where a 408 states that nothing was run.

Cause: node:http checks its timeout of heads every 30 s by default, and the listener for errors of callers answered all errors but one with 400.

Change: heads are checked each second, and a timeout is answered 408.

--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -9,6 +9,8 @@
 const MAX_HEADER_BYTES = 65_536;
 /** Added to the timeouts of the configuration, in milliseconds, so that callers close idle connections first. */
 const CALLER_TIMEOUT_SLACK_MS = 2_000;
+/** Interval at which connections are checked for heads that take too long, in milliseconds. */
+const HEAD_CHECK_INTERVAL_MS = 1_000;
 /** Retry-After while this node has no configuration or no trusted keys, in milliseconds; it may reach the store by then. */
 const STALE_RETRY_AFTER_MS = 700;
 /** Urgency that targets assume when a request names none. */
@@ -31,14 +33,17 @@
   constructor(private readonly _options: FrontServerOptions) {
     // Plain node:http, as requests are forwarded byte for byte and connections are closed individually.
     this._server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        requestTimeout: 0,
+        connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
+      },
       (request, response) => {
         void this._handleRequest(request, response);
       },
     );
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      const status =
-        error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
+      const status = CLIENT_ERROR_STATUSES.get(error.code) ?? '400 Bad Request';
       if (socket.writable) socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     });
   }
@@ -192,6 +197,12 @@
   }
 }
 
+/** Statuses of answers to requests that cannot be read, by the code of the error. */
+const CLIENT_ERROR_STATUSES: ReadonlyMap<string | undefined, string> = new Map([
+  ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
+  ['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
+]);
+
 type Access =
   | {
       readonly kind: 'allowed';
