Node: a body of a request that takes too long is answered 408

Seen: a caller that sends its body byte by byte, or stops in it, holds its request and connection for ever; the request is not answered when the caller's or the route's timeout is over.

Cause: timeouts began with the run of a request, after its body.

Change: the route is looked up before the body is read, and reading ends when the time for the whole request is over. Nothing has left for a target then, so the answer is 408.

--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -94,9 +94,14 @@
       this._refuse(response, caller, 503, 'no-configuration', encodeRetryAfter(STALE_RETRY_AFTER_MS));
       return;
     }
-    const body = await this._readBody(request, response, caller, table.configuration.limits.maxBodyBytes);
-    if (body === 'ended') return;
+    const { limits } = table.configuration;
     const route = table.findRoute(request.headers.host ?? '', request.url ?? '/');
+    const timeoutMs = Math.min(caller.timeoutMs ?? Infinity, route?.timeoutMs ?? limits.headerTimeoutMs);
+    const body = await this._readBody(request, response, caller, {
+      maxBytes: limits.maxBodyBytes,
+      remainingMs: startedAtMs + timeoutMs - this._options.context.clock.monotonic(),
+    });
+    if (body === 'ended') return;
     if (!route) {
       this._refuse(response, caller, 404, 'no-route');
       return;
@@ -146,7 +151,7 @@
     request: IncomingMessage,
     response: ServerResponse,
     caller: CallerRequest,
-    maxBytes: number,
+    { maxBytes, remainingMs }: { readonly maxBytes: number; readonly remainingMs: number },
   ): Promise<Buffer | undefined | 'ended'> {
     if (
       request.headers['content-length'] === undefined &&
@@ -157,6 +162,15 @@
     }
     const chunks: Buffer[] = [];
     let length = 0;
+    let isLate = false;
+    const timer = setTimeout(
+      () => {
+        isLate = true;
+        this._refuse(response, caller, 408, 'body-late', { Connection: 'close' });
+        request.destroy();
+      },
+      Math.max(0, remainingMs),
+    );
     try {
       for await (const chunk of request as AsyncIterable<Buffer>) {
         length += chunk.length;
@@ -167,12 +181,15 @@
         chunks.push(chunk);
       }
     } catch (error) {
+      if (isLate) return 'ended';
       this._options.context.counters.add('monsoonreach_callers_gone_total');
       this._options.context.log.info('caller disconnected before its request was read', {
         request: caller.requestId,
         error: String(error),
       });
       return 'ended';
+    } finally {
+      clearTimeout(timer);
     }
     return Buffer.concat(chunks, length);
   }
--- a/tests/platform/endlessRequests.test.ts
+++ b/tests/platform/endlessRequests.test.ts
@@ -75,6 +75,20 @@
     statuses: [408],
     withinMs: LIMITS.headerTimeoutMs + HEAD_SLACK_MS,
   },
+  {
+    name: 'a body with a length, until the timeout of its route',
+    begin: fleet.createHead('/order/', { headers: 'Content-Length: 60000\r\n' }),
+    rest: 'b',
+    statuses: [408],
+    withinMs: 2_000,
+  },
+  {
+    name: 'a body in chunks, until the timeout of its route',
+    begin: fleet.createHead('/status/', { headers: CHUNKED }),
+    rest: '1\r\nb\r\n',
+    statuses: [408],
+    withinMs: 2_000,
+  },
 ];
 
 function writeSlowly(socket: Socket, text: string): void {
