--- a/packages/node/src/peerDiscovery.ts
+++ b/packages/node/src/peerDiscovery.ts
@@ -1,5 +1,11 @@
 import { type Member, pause, type Random } from '@monsoonreach/core';
-import { createConnector, type StoreClient, StoreUnavailableError, Topic } from '@monsoonreach/platform';
+import {
+  createConnector,
+  readBoundedBody,
+  type StoreClient,
+  StoreUnavailableError,
+  Topic,
+} from '@monsoonreach/platform';
 import { Agent, request } from 'undici';
 import * as z from 'zod/mini';
 import { type DecisionLog, describeError } from './decisionLog.js';
@@ -14,6 +20,8 @@
 const RETRY_MS = 500;
 /** Registered nodes that are asked at once. */
 const MAX_ASKED_NODES = 6;
+/** Largest list of members that is read, in bytes. */
+export const MAX_MEMBERS_BYTES = 65_536;
 /** Times after the first answer at which the members are asked for again, in milliseconds: others start later. */
 const REPEATS_MS = [700, 2_500, 10_000] as const;
 
@@ -112,7 +120,8 @@
         bodyTimeout: 0,
         signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
       });
-      exchange.addMembers(decodeMembers(await response.body.text()));
+      const body = await readBoundedBody(response.body, MAX_MEMBERS_BYTES);
+      exchange.addMembers(decodeMembers(body.toString('utf8')));
       return true;
     } catch (error) {
       log.info('node does not tell its members', { address, error: describeError(error) });
--- a/packages/node/src/topicMessages.ts
+++ b/packages/node/src/topicMessages.ts
@@ -9,6 +9,8 @@
 const REGAINED_HEADER = 'slice-regained-ms';
 /** Compression level of answers; higher levels save little and take longer. */
 const COMPRESSION_LEVEL = 1;
+/** Largest slice that is decompressed, in bytes. */
+const MAX_SLICE_BYTES = 67_108_864;
 
 const sliceSchema = z.object({
   /** Keys with the bytes of their values, one character each; null means that the key was removed. */
@@ -38,7 +40,8 @@
   body: Uint8Array,
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): TopicSlice {
-  const { records, end } = z.parse(sliceSchema, JSON.parse(gunzipSync(body).toString('utf8')));
+  const text = gunzipSync(body, { maxOutputLength: MAX_SLICE_BYTES }).toString('utf8');
+  const { records, end } = z.parse(sliceSchema, JSON.parse(text));
   const ageMs = Number(headers[AGE_HEADER] ?? NaN);
   if (!Number.isFinite(ageMs)) throw new Error('The slice does not tell its age.');
   const regained = headers[REGAINED_HEADER];
--- a/packages/node/src/topicServer.ts
+++ b/packages/node/src/topicServer.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { type Counters, type Member, splitAddress } from '@monsoonreach/core';
 import { HistoryGoneError } from '@monsoonreach/platform';
-import { decodeMembers, encodeMembers, MEMBERS_PATH } from './peerDiscovery.js';
+import { decodeMembers, encodeMembers, MAX_MEMBERS_BYTES, MEMBERS_PATH } from './peerDiscovery.js';
 import { encodeSlice, encodeSliceHeaders } from './topicMessages.js';
 import type { TopicMirror, TopicSlice } from './topicMirror.js';
 
@@ -9,8 +9,6 @@
 const MAX_WAIT_MS = 5_000;
 /** Largest answer to a peer that can read the store itself, in bytes; a node's link is narrow, and many peers read. */
 const MAX_ANSWER_BYTES = 131_072;
-/** Largest list of members that is read, in bytes. */
-const MAX_MEMBERS_BYTES = 65_536;
 /** Encoded answers that are kept, as many peers read the same changes. */
 const KEPT_ANSWERS = 8;
 
--- a/packages/node/src/topicSources.ts
+++ b/packages/node/src/topicSources.ts
@@ -12,6 +12,7 @@
   decodeKeyedRecord,
   HistoryGoneError,
   type KeyedRecord,
+  readBoundedBody,
   type StoreClient,
   StoreUnavailableError,
 } from '@monsoonreach/platform';
@@ -33,6 +34,8 @@
 const STORE_BACKOFF_MS = 2_000;
 /** Maximum age of a peer's data, in milliseconds; a node that reads the store receives an answer at least every 1.3 s. */
 const MAX_PEER_AGE_MS = 1_900;
+/** Largest answer of a peer that is read, in bytes. */
+const MAX_ANSWER_BYTES = 16_777_216;
 
 /** A peer gave no usable answer. */
 class PeerReadError extends MonsoonreachError {
@@ -213,7 +216,7 @@
         signal: AbortSignal.timeout(waitMs + ANSWER_TIMEOUT_MS),
       });
       const { statusCode: status, headers } = response;
-      return { status, headers, body: await response.body.bytes() };
+      return { status, headers, body: await readBoundedBody(response.body, MAX_ANSWER_BYTES) };
     } catch (error) {
       throw new PeerReadError(`Peer ${peer.node} did not answer in time or cannot be reached.`, {
         cause: error,
