Node: only events are progress of a stream

Seen: a resumable stream whose target sends a byte of an event, or a comment, now and then stays there until the route's timeout and is then broken off; the caller gets no event for seconds, though another target could go on. Other streams of the target count as silent no earlier either.

Cause: any received bytes were progress of the attempt and of its target.

Change: a stream makes progress by its head and by complete events. Answers that are no streams still make progress by bytes: how many are due is not known.

--- a/packages/core/src/serving/silence.ts
+++ b/packages/core/src/serving/silence.ts
@@ -24,9 +24,9 @@
 
 /** Observations of a waiting attempt; times are in milliseconds. */
 export interface SilenceEvidence {
-  /** Time since the attempt's last bytes, or its start. */
+  /** Time since the attempt's last event, its head or its start; since its last bytes if it is no stream. */
   readonly silentMs: number;
-  /** Time since the last bytes of any request at the target, or since this attempt's start. */
+  /** Time since the last progress of any request at the target, or since this attempt's start. */
   readonly targetSilentMs: number;
   readonly hasBegun: boolean;
   /** Predicted time to the first bytes. */
--- a/packages/core/src/serving/targetHealth.ts
+++ b/packages/core/src/serving/targetHealth.ts
@@ -24,7 +24,7 @@
 export class TargetHealth {
   private readonly _targets = new Map<string, Health>();
 
-  /** Records that the target sent bytes, which ends its suspicion. */
+  /** Records an event of a stream or bytes of another answer, which end the target's suspicion. */
   recordProgress(target: string, nowMs: number): void {
     const health = this._getHealth(target);
     health.progressAtMs = nowMs;
@@ -61,7 +61,7 @@
     );
   }
 
-  /** Time when the target last sent bytes, in milliseconds; -Infinity if it never did. */
+  /** Time of the target's last progress, in milliseconds; -Infinity if it never made any. */
   getProgressAtMs(target: string): number {
     return this._targets.get(target)?.progressAtMs ?? -Infinity;
   }
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -294,9 +294,8 @@
   private _handleData(attempt: Attempt, chunk: Buffer): void {
     const { context } = this._options;
     const nowMs = context.clock.monotonic();
-    attempt.progressAtMs = nowMs;
-    context.health.recordProgress(attempt.candidate.key, nowMs);
     if (!this._isStream || attempt.head?.status !== 200) {
+      this._recordProgress(attempt, nowMs);
       attempt.buffered.push(chunk);
       attempt.bufferedBytes += chunk.length;
       if (attempt.bufferedBytes > MAX_BUFFERED_BYTES) this._handleFailure(attempt, 'answer-too-large', true);
@@ -308,6 +307,7 @@
         this._handleFailure(attempt, 'event-too-large', true);
       return;
     }
+    this._recordProgress(attempt, nowMs);
     attempt.load.endPrefill();
     attempt.events += batch.eventCount;
     this._recordForwarded(batch.eventCount, nowMs);
@@ -321,6 +321,11 @@
     }
   }
 
+  private _recordProgress(attempt: Attempt, nowMs: number): void {
+    attempt.progressAtMs = nowMs;
+    this._options.context.health.recordProgress(attempt.candidate.key, nowMs);
+  }
+
   private _recordForwarded(events: number, nowMs: number): void {
     this._forwardedEvents += events;
     this._firstEventAtMs ??= nowMs;
--- /dev/null
+++ b/tests/platform/slowStreams.test.ts
@@ -0,0 +1,90 @@
+import t from 'tap';
+import { sleep } from '../standins/http.js';
+import { type RawHandler, type RawRequest, readHeader } from '../support/rawHttp.js';
+import { RawFleet } from './rawFleet.js';
+
+const fleet = new RawFleet();
+
+const HEAD_END = 'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n';
+const toChunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+const toEvent = (id: number) => `id: ${id}\ndata: ${id}\n\n`;
+
+function begin({ socket, id }: RawRequest): void {
+  socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\n${HEAD_END}`);
+}
+
+function readLastId({ head }: RawRequest): number {
+  return Number(readHeader(head, 'last-event-id') ?? 0);
+}
+
+/** Sends the events after the last one that the caller has, one each `intervalMs`. */
+async function sendEvents(request: RawRequest, count: number, intervalMs: number): Promise<void> {
+  for (let id = readLastId(request) + 1; id <= count && !request.socket.destroyed; id++) {
+    await sleep(intervalMs);
+    request.socket.write(toChunk(toEvent(id)));
+  }
+  request.socket.write('0\r\n\r\n');
+}
+
+/** Sends `text` in pieces of one byte, one each `intervalMs`, until the connection is closed. */
+function trickle(request: RawRequest, text: string, intervalMs: number): void {
+  let at = 0;
+  const timer = setInterval(() => {
+    if (request.socket.writable) request.socket.write(toChunk(text[at++ % text.length] ?? ''));
+    else clearInterval(timer);
+  }, intervalMs);
+}
+
+const allEvents = (count: number) => Array.from({ length: count }, (_, index) => toEvent(index + 1)).join('');
+
+interface StalledCase {
+  readonly name: string;
+  readonly stall: RawHandler;
+}
+
+const stalledCases: readonly StalledCase[] = [
+  { name: 'sends nothing more', stall: () => undefined },
+  {
+    name: 'sends a byte of an event now and then',
+    stall: (request) => {
+      trickle(request, 'data: 1234567890', 50);
+    },
+  },
+  {
+    name: 'sends comments',
+    stall: (request) => {
+      trickle(request, ': alive\n\n', 10);
+    },
+  },
+];
+
+void t.test('slow and stalled streams', async (t) => {
+  await fleet.start();
+  t.teardown(() => {
+    fleet.store.stop();
+    setTimeout(() => process.exit(), 100);
+  });
+
+  for (const { name, stall } of stalledCases) {
+    for (const beginsWith of [0, 2]) {
+      // Guards against stalled streams that are kept alive by bytes which bring the caller nothing.
+      await t.test(`a target that ${name} after ${beginsWith} events is left for another`, async (t) => {
+        let runs = 0;
+        await fleet.setHandler((request) => {
+          begin(request);
+          if (++runs > 1) {
+            void sendEvents(request, 4, 10);
+            return;
+          }
+          for (let id = 1; id <= beginsWith; id++) request.socket.write(toChunk(toEvent(id)));
+          stall(request);
+        });
+        const answer = await fleet.send('/stream/');
+        t.equal(answer.body, allEvents(4));
+        t.ok(answer.isComplete);
+        t.ok(answer.durationMs < 1_500, `ended after ${Math.round(answer.durationMs)} ms`);
+        t.equal(runs, 2);
+      });
+    }
+  }
+});
