Node: a stream whose caller does not read is not a silent target

Seen: when a caller stops reading for 0.3 s, its resumable stream is moved to another target, which reads the whole prompt again, and the first target is reported as silent to all nodes, gets no requests for a time, and its group is suspected. Two such pauses use up the attempts of the stream.

Cause: the node pauses reading from the target while the caller does not read, and the check for progress takes its own pause for the target's silence.

Ruled out: memory; the node reads no more from the target than the caller takes (the test holds it).

Change: a paused attempt is not checked, and its silence counts from the moment at which reading goes on.

Test before: "not ok 7 - a caller that stops reading keeps its target: /stream/", two requests instead of one, and the counter of silent targets rose.

--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -45,6 +45,8 @@
   bufferedBytes: number;
   progressAtMs: number;
   events: number;
+  /** Whether nothing is read from the target because the caller does not read. */
+  isPaused: boolean;
 }
 
 /** Dependencies and input of a {@link RequestRun}. */
@@ -116,7 +118,7 @@
   /** Retries a repeatable request at another target when its attempt makes no progress. */
   checkProgress(nowMs: number): void {
     const attempt = this._attempt;
-    if (!attempt || !this._isRepeatable()) return;
+    if (!attempt || attempt.isPaused || !this._isRepeatable()) return;
     const { context, route } = this._options;
     const silence = classifySilence({
       silentMs: nowMs - Math.max(attempt.startedAtMs, attempt.progressAtMs),
@@ -215,6 +217,7 @@
       bufferedBytes: 0,
       progressAtMs: -Infinity,
       events: 0,
+      isPaused: false,
     };
     this._attempt = attempt;
     this._attempts++;
@@ -313,12 +316,17 @@
     this._recordForwarded(batch.eventCount, nowMs);
     this._lastEventId = batch.lastId ?? this._lastEventId;
     this._startStream(attempt.head);
-    if (!this._options.response.write(batch.bytes)) {
-      attempt.call?.pause();
-      this._options.response.once('drain', () => {
-        attempt.call?.resume();
-      });
-    }
+    if (!this._options.response.write(batch.bytes)) this._pauseUntilDrained(attempt);
+  }
+
+  private _pauseUntilDrained(attempt: Attempt): void {
+    attempt.isPaused = true;
+    attempt.call?.pause();
+    this._options.response.once('drain', () => {
+      attempt.isPaused = false;
+      attempt.progressAtMs = this._options.context.clock.monotonic();
+      attempt.call?.resume();
+    });
   }
 
   private _recordProgress(attempt: Attempt, nowMs: number): void {
--- a/tests/platform/slowStreams.test.ts
+++ b/tests/platform/slowStreams.test.ts
@@ -1,6 +1,12 @@
 import t from 'tap';
 import { sleep } from '../standins/http.js';
-import { type RawHandler, type RawRequest, readHeader } from '../support/rawHttp.js';
+import {
+  RawCaller,
+  type RawHandler,
+  type RawRequest,
+  readHeader,
+  writeEndlessly,
+} from '../support/rawHttp.js';
 import { RawFleet } from './rawFleet.js';
 
 const fleet = new RawFleet();
@@ -87,4 +93,32 @@
       });
     }
   }
+
+  for (const prefix of ['/stream/', '/once/'] as const) {
+    // Guards against targets that are blamed, and streams that are moved, because their caller reads slowly.
+    await t.test(`a caller that stops reading keeps its target: ${prefix}`, async (t) => {
+      const silences = await fleet.readCounter('monsoonreach_silent_targets_total');
+      const event = `data: ${'x'.repeat(1_000)}\n\n`;
+      await fleet.setHandler((request) => {
+        begin(request);
+        writeEndlessly(request.socket, toChunk(event));
+      });
+      const caller = new RawCaller(fleet.address);
+      const exchange = caller.exchange(`${fleet.createHead(prefix)}{}`, 2_300);
+      await sleep(100);
+      caller.socket.pause();
+      await sleep(1_500);
+      const requests = fleet.targets.flatMap((target) => target.requests);
+      t.equal(requests.length, 1);
+      const [first] = requests;
+      const beforeBytes = first?.socket.bytesWritten ?? 0;
+      await sleep(200);
+      t.equal(first?.socket.bytesWritten, beforeBytes, 'the node reads no more than its caller does');
+      caller.socket.resume();
+      await sleep(200);
+      t.ok((first?.socket.bytesWritten ?? 0) > beforeBytes, 'the node reads on');
+      t.equal(await fleet.readCounter('monsoonreach_silent_targets_total'), silences);
+      t.notOk((await exchange).isComplete);
+    });
+  }
 });
