Node: a stream of a slow target is silent only beyond its usual pace

Seen: at a target whose events come regularly each 0.4 s, with a pause objective of 0.25 s, each resumable stream is moved after its first event to another target, which is as slow: the prompt is read twice, and the target is reported as silent and suspected by all nodes, over and over.

Cause: the bound of silence knew only the objective, not the target's pace.

Change: each target has a moving average of the pauses between events, into which a stream that is left counts with the pause at which it was left, and the bound of a stream that has begun is at least twice the average. At the usual paces (below 150 ms) the bound of 1.2 times the objective stays.

Test before (factor set to 0): "not ok 7 - streams of slow targets stay there once their pace is known", more runs than streams.

--- a/packages/core/src/serving/silence.ts
+++ b/packages/core/src/serving/silence.ts
@@ -1,5 +1,7 @@
 /** Silence of a started stream after which its target is suspect, as a multiple of the pause objective. */
 const PAUSE_FACTOR = 1.2;
+/** The same as a multiple of the usual pause between two events at the target, which may be slow. */
+const USUAL_PAUSE_FACTOR = 2;
 /** Minimum silence before an attempt is suspect, in milliseconds: a few passes of a full batch. */
 const MIN_SILENCE_MS = 250;
 /** Maximum wait for the first event, as a multiple of the predicted time. */
@@ -32,6 +34,8 @@
   /** Predicted time to the first bytes. */
   readonly predictedMs: number;
   readonly pauseObjectiveMs: number;
+  /** Usual pause between two events of a stream at this target; 0 if unknown. */
+  readonly usualPauseMs: number;
   /** A non-streaming call sends nothing until it is done, so its silence does not indicate a silent target. */
   readonly isPlainCall: boolean;
 }
@@ -43,7 +47,11 @@
  */
 export function classifySilence(evidence: SilenceEvidence): 'wait' | 'target-silent' | 'connection-silent' {
   const boundMs = evidence.hasBegun
-    ? Math.max(MIN_SILENCE_MS, evidence.pauseObjectiveMs * PAUSE_FACTOR)
+    ? Math.max(
+        MIN_SILENCE_MS,
+        evidence.pauseObjectiveMs * PAUSE_FACTOR,
+        evidence.usualPauseMs * USUAL_PAUSE_FACTOR,
+      )
     : Math.max(MIN_SILENCE_MS, evidence.predictedMs * FIRST_EVENT_FACTOR);
   if (evidence.silentMs < boundMs) return 'wait';
   if (evidence.isPlainCall) return 'connection-silent';
--- a/packages/core/src/serving/targetHealth.ts
+++ b/packages/core/src/serving/targetHealth.ts
@@ -1,5 +1,7 @@
 /** Weight of the latest outcome in the moving average of a target's failure rate. */
 const FAILURE_SMOOTHING = 0.15;
+/** Weight of the latest pause in the moving average of the pauses between two events. */
+const PAUSE_SMOOTHING = 0.1;
 /** How long a silent target is suspect and gets no new requests, in milliseconds; doubles each time it is silent again. */
 const INITIAL_SUSPICION_MS = 700;
 /** Maximum suspicion time, in milliseconds: the time in which engines declare a member lost. */
@@ -13,6 +15,7 @@
   consecutiveSuspicions: number;
   suspectUntilMs: number;
   progressAtMs: number;
+  usualPauseMs: number | undefined;
 }
 
 /**
@@ -31,6 +34,13 @@
     health.suspectUntilMs = 0;
   }
 
+  /** Records the time between two events of a stream, or since its last event when it was left. */
+  recordPause(target: string, pauseMs: number): void {
+    const health = this._getHealth(target);
+    const usualMs = health.usualPauseMs ?? pauseMs;
+    health.usualPauseMs = usualMs + PAUSE_SMOOTHING * (pauseMs - usualMs);
+  }
+
   /** Records the outcome of a request. */
   recordOutcome(target: string, isFailure: boolean, nowMs: number): void {
     const health = this._getHealth(target);
@@ -66,6 +76,11 @@
     return this._targets.get(target)?.progressAtMs ?? -Infinity;
   }
 
+  /** Usual time between two events of a stream, in milliseconds; 0 if unknown. */
+  getUsualPauseMs(target: string): number {
+    return this._targets.get(target)?.usualPauseMs ?? 0;
+  }
+
   /** Recent share of failed requests, 0 to 1. */
   getFailureRate(target: string, nowMs: number): number {
     const health = this._targets.get(target);
@@ -86,6 +101,7 @@
         consecutiveSuspicions: 0,
         suspectUntilMs: 0,
         progressAtMs: -Infinity,
+        usualPauseMs: undefined,
       };
       this._targets.set(target, health);
     }
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -127,6 +127,7 @@
       hasBegun: attempt.events > 0,
       predictedMs: attempt.predictedMs,
       pauseObjectiveMs: route.pauseObjectiveMs ?? route.latencyObjectiveMs,
+      usualPauseMs: context.health.getUsualPauseMs(attempt.candidate.key),
       isPlainCall: !this._isStream,
     });
     if (silence === 'wait') return;
@@ -310,6 +311,7 @@
         this._handleFailure(attempt, 'event-too-large', true);
       return;
     }
+    if (attempt.events > 0) this._recordPause(attempt, nowMs);
     this._recordProgress(attempt, nowMs);
     attempt.load.endPrefill();
     attempt.events += batch.eventCount;
@@ -334,6 +336,10 @@
     this._options.context.health.recordProgress(attempt.candidate.key, nowMs);
   }
 
+  private _recordPause(attempt: Attempt, nowMs: number): void {
+    this._options.context.health.recordPause(attempt.candidate.key, nowMs - attempt.progressAtMs);
+  }
+
   private _recordForwarded(events: number, nowMs: number): void {
     this._forwardedEvents += events;
     this._firstEventAtMs ??= nowMs;
@@ -457,7 +463,10 @@
       if (reason !== 'silent') this._abandonAndGiveUp(attempt, reason);
       return;
     }
-    if (reason === 'silent') this._mayHaveRun = true;
+    if (reason === 'silent') {
+      this._mayHaveRun = true;
+      if (attempt.events > 0) this._recordPause(attempt, this._options.context.clock.monotonic());
+    }
     this._abandonAttempt(attempt, reason);
     this._dispatch();
   }
--- a/tests/platform/slowStreams.test.ts
+++ b/tests/platform/slowStreams.test.ts
@@ -26,8 +26,8 @@
 /** Sends the events after the last one that the caller has, one each `intervalMs`. */
 async function sendEvents(request: RawRequest, count: number, intervalMs: number): Promise<void> {
   for (let id = readLastId(request) + 1; id <= count && !request.socket.destroyed; id++) {
-    await sleep(intervalMs);
     request.socket.write(toChunk(toEvent(id)));
+    await sleep(intervalMs);
   }
   request.socket.write('0\r\n\r\n');
 }
@@ -43,6 +43,8 @@
 
 const allEvents = (count: number) => Array.from({ length: count }, (_, index) => toEvent(index + 1)).join('');
 
+const countRuns = () => fleet.targets.reduce((sum, { requests }) => sum + requests.length, 0);
+
 interface StalledCase {
   readonly name: string;
   readonly stall: RawHandler;
@@ -94,6 +96,19 @@
     }
   }
 
+  // Guards against streams that are moved from target to target only because all are slow.
+  await t.test('streams of slow targets stay there once their pace is known', async (t) => {
+    await fleet.setHandler((request) => {
+      begin(request);
+      void sendEvents(request, 6, 400);
+    });
+    for (let learning = 0; learning < 4; learning++) await fleet.send('/stream/');
+    const runsBefore = countRuns();
+    const answers = await Promise.all(Array.from({ length: 4 }, () => fleet.send('/stream/')));
+    t.ok(answers.every(({ body, isComplete }) => isComplete && body === allEvents(6)));
+    t.equal(countRuns() - runsBefore, 4);
+  });
+
   for (const prefix of ['/stream/', '/once/'] as const) {
     // Guards against targets that are blamed, and streams that are moved, because their caller reads slowly.
     await t.test(`a caller that stops reading keeps its target: ${prefix}`, async (t) => {
--- a/tests/serving/decisions.test.ts
+++ b/tests/serving/decisions.test.ts
@@ -114,6 +114,7 @@
   hasBegun: true,
   predictedMs: 60,
   pauseObjectiveMs: 250,
+  usualPauseMs: 0,
   isPlainCall: false,
 };
 const silenceCases = [
@@ -123,6 +124,16 @@
     change: {},
     verdict: 'target-silent',
   },
+  {
+    name: 'a target that is known to be slow is not silent at its usual pace',
+    change: { usualPauseMs: 380 },
+    verdict: 'wait',
+  },
+  {
+    name: 'a target that is known to be slow is silent at twice its usual pause',
+    change: { usualPauseMs: 380, silentMs: 800, targetSilentMs: 800 },
+    verdict: 'target-silent',
+  },
   {
     name: 'a pause is tolerated longer while other streams make progress',
     change: { targetSilentMs: 50 },
