Core: one long pause does not make a target slow

Seen in a trial: after one pause of 1.2 s, the first that was recorded, a silent stream of the same target was left only after 2.4 s.

Cause: the moving average of pauses began with its first value.

Change: it begins at 0 and gives the latest pause a fifth, so that one pause of 1.2 s makes the bound 0.48 s.

--- a/packages/core/src/serving/targetHealth.ts
+++ b/packages/core/src/serving/targetHealth.ts
@@ -1,7 +1,7 @@
 /** Weight of the latest outcome in the moving average of a target's failure rate. */
 const FAILURE_SMOOTHING = 0.15;
 /** Weight of the latest pause in the moving average of the pauses between two events. */
-const PAUSE_SMOOTHING = 0.1;
+const PAUSE_SMOOTHING = 0.2;
 /** How long a silent target is suspect and gets no new requests, in milliseconds; doubles each time it is silent again. */
 const INITIAL_SUSPICION_MS = 700;
 /** Maximum suspicion time, in milliseconds: the time in which engines declare a member lost. */
@@ -15,7 +15,7 @@
   consecutiveSuspicions: number;
   suspectUntilMs: number;
   progressAtMs: number;
-  usualPauseMs: number | undefined;
+  usualPauseMs: number;
 }
 
 /**
@@ -37,8 +37,7 @@
   /** Records the time between two events of a stream, or since its last event when it was left. */
   recordPause(target: string, pauseMs: number): void {
     const health = this._getHealth(target);
-    const usualMs = health.usualPauseMs ?? pauseMs;
-    health.usualPauseMs = usualMs + PAUSE_SMOOTHING * (pauseMs - usualMs);
+    health.usualPauseMs += PAUSE_SMOOTHING * (pauseMs - health.usualPauseMs);
   }
 
   /** Records the outcome of a request. */
@@ -101,7 +100,7 @@
         consecutiveSuspicions: 0,
         suspectUntilMs: 0,
         progressAtMs: -Infinity,
-        usualPauseMs: undefined,
+        usualPauseMs: 0,
       };
       this._targets.set(target, health);
     }
