Node: a silent stream keeps its group until another one is assigned

Seen: a slow but sound stream of a group that is silent for the bound is broken off when the owners of the groups have no place for it, though its group goes on a moment later.

Cause: the node cancelled the attempt before it asked for another group, as its own view of the groups had a free one. Owners know the load of all nodes and may say no.

Change: the attempt goes on while another group is asked for, at most each 0.2 s, and is left only when a group is assigned and it has still made no progress. The retry is taken from the budget only then.

Not covered: a group that is assigned and then refuses the request; the first group has been left by then.

Test before: "not ok 1 - a silent stream stays at its group until another one is assigned": the body lacked the second event and was not complete.

--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -24,6 +24,8 @@
 const MAX_BUFFERED_BYTES = 1_048_576;
 /** Largest event of a stream, with the comments before it, in bytes; the attempt fails if one is larger. */
 const MAX_EVENT_BYTES = 262_144;
+/** Interval at which another target is asked for while an attempt is silent, in milliseconds. */
+const MOVE_INTERVAL_MS = 200;
 /** Largest share of the remaining time that Retry-After may ask for; callers do not honour a longer wait. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
 
@@ -47,6 +49,8 @@
   events: number;
   /** Whether nothing is read from the target because the caller does not read. */
   isPaused: boolean;
+  /** Monotonic time before which no other target is asked for because of silence. */
+  movableAtMs: number;
 }
 
 /** Dependencies and input of a {@link RequestRun}. */
@@ -139,7 +143,31 @@
       });
       context.onSilentTarget(attempt.candidate);
     }
-    if (this._canRetry()) this._retry(attempt, 'silent');
+    if (this._canRetry()) this._moveSilent(attempt, nowMs);
+  }
+
+  /** Retries a silent attempt at another target; the attempt goes on until that target is assigned. */
+  private _moveSilent(attempt: Attempt, nowMs: number): void {
+    const criteria = this._createPlacementCriteria();
+    if (!criteria) {
+      this._retry(attempt, 'silent');
+      return;
+    }
+    if (nowMs < attempt.movableAtMs) return;
+    attempt.movableAtMs = nowMs + MOVE_INTERVAL_MS;
+    const { progressAtMs } = attempt;
+    this._options.context.placement.place(criteria, (choice) => {
+      const isSilent = this._attempt === attempt && attempt.progressAtMs === progressAtMs;
+      if (this._isFinished || !isSilent || choice.kind === 'none' || !this._tryTakeRetry('silent')) return;
+      this._leaveSilent(attempt);
+      this._handleChoice(choice);
+    });
+  }
+
+  private _leaveSilent(attempt: Attempt): void {
+    this._mayHaveRun = true;
+    if (attempt.events > 0) this._recordPause(attempt, this._options.context.clock.monotonic());
+    this._abandonAttempt(attempt, 'silent');
   }
 
   private _isRepeatable(): boolean {
@@ -219,6 +247,7 @@
       progressAtMs: -Infinity,
       events: 0,
       isPaused: false,
+      movableAtMs: -Infinity,
     };
     this._attempt = attempt;
     this._attempts++;
@@ -463,11 +492,8 @@
       if (reason !== 'silent') this._abandonAndGiveUp(attempt, reason);
       return;
     }
-    if (reason === 'silent') {
-      this._mayHaveRun = true;
-      if (attempt.events > 0) this._recordPause(attempt, this._options.context.clock.monotonic());
-    }
-    this._abandonAttempt(attempt, reason);
+    if (reason === 'silent') this._leaveSilent(attempt);
+    else this._abandonAttempt(attempt, reason);
     this._dispatch();
   }
 
--- /dev/null
+++ b/tests/node/requestRun.test.ts
@@ -0,0 +1,176 @@
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import {
+  Counters,
+  createRandom,
+  DemandMeter,
+  LoadTracker,
+  RetryWindowBudget,
+  type ServingConfiguration,
+  type ServingRoute,
+  systemClock,
+  type TargetCandidate,
+  type TargetChoice,
+  TargetHealth,
+} from '@monsoonreach/core';
+import {
+  DecisionLog,
+  type Placement,
+  RequestRun,
+  sendProblem,
+  type ServingContext,
+  type TargetDirectory,
+  TargetConnections,
+} from '@monsoonreach/node';
+import { decodeCallerRequest } from '@monsoonreach/platform';
+import t from 'tap';
+import { createInstance, ENGINE_PROFILE, LARGE_MODEL, SERVICE } from '../serving/fixtures.js';
+import { sleep } from '../standins/http.js';
+import { type RawAnswer, RawCaller, type RawHandler, RawTarget } from '../support/rawHttp.js';
+
+const ROUTE: ServingRoute = {
+  name: 'stream',
+  host: '127.0.0.1',
+  pathPrefix: '/',
+  kind: 'stream',
+  isResumable: true,
+  isKeyRequired: false,
+  services: [{ service: SERVICE.name, weight: 1 }],
+  maxAttempts: 2,
+  timeoutMs: 3_000,
+  latencyObjectiveMs: 250,
+  pauseObjectiveMs: 250,
+  priority: 1,
+};
+
+/** One node's requests at two groups, without a store; `place` assigns the groups. */
+class GroupFixture {
+  readonly targets = [new RawTarget(), new RawTarget()] as const;
+  place: Placement['place'] = () => undefined;
+  private readonly _runs = new Set<RequestRun>();
+  private readonly _server = createServer((request, response) => {
+    new RequestRun({
+      context: this._context,
+      request,
+      response,
+      caller: decodeCallerRequest(request.headers),
+      route: ROUTE,
+      workspace: undefined,
+      urgency: 5,
+      body: undefined,
+      startedAtMs: systemClock.monotonic(),
+    }).start();
+  });
+  private readonly _context = this._createContext();
+
+  async start(): Promise<void> {
+    for (const target of this.targets) await target.start();
+    await new Promise<void>((resolve) => this._server.listen(0, '127.0.0.1', resolve));
+    setInterval(() => {
+      for (const run of this._runs) run.checkProgress(systemClock.monotonic());
+    }, 50).unref();
+  }
+
+  choose(index: 0 | 1): TargetChoice {
+    return { kind: 'chosen', candidate: this._createCandidate(this.targets[index], index), predictedMs: 50 };
+  }
+
+  caller(): RawCaller {
+    return new RawCaller(`127.0.0.1:${(this._server.address() as AddressInfo).port}`);
+  }
+
+  reset(handle: RawHandler): void {
+    for (const target of this.targets) target.reset(handle);
+  }
+
+  private _createCandidate({ address }: RawTarget, index: number): TargetCandidate {
+    return {
+      key: `group-${index}`,
+      instance: { ...createInstance(`head-${index}`), address },
+      slots: 8,
+      engine: { profile: ENGINE_PROFILE, model: LARGE_MODEL },
+      load: { requests: 0, contextTokens: 0, pendingPromptTokens: 0 },
+    };
+  }
+
+  private _createContext(): ServingContext {
+    const counters = new Counters();
+    return {
+      clock: systemClock,
+      random: createRandom(1),
+      counters,
+      log: new DecisionLog('node', 'hidden', systemClock, counters),
+      failureDomain: 'zone-1',
+      health: new TargetHealth(),
+      loads: new LoadTracker(),
+      demand: new DemandMeter(),
+      retries: new RetryWindowBudget({ share: 0.2, slack: 130, windowMs: 10_000 }, () => 1),
+      connections: new TargetConnections(systemClock),
+      directory: {
+        findCandidates: () => this.targets.map((target, index) => this._createCandidate(target, index)),
+      } as unknown as TargetDirectory,
+      placement: {
+        place: (...options: Parameters<Placement['place']>) => {
+          this.place(...options);
+        },
+      } as unknown as Placement,
+      runs: this._runs,
+      configuration: () => ({ services: new Map() }) as unknown as ServingConfiguration,
+      connectionHeaders: () => [],
+      onSilentTarget: () => undefined,
+      sendProblem: (response, status, body, headers) => {
+        sendProblem([], response, status, body, headers);
+      },
+    };
+  }
+}
+
+const REQUEST =
+  'GET /a HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: a\r\nModel: m\r\nToken-Count: 100,40\r\nConnection: close\r\n\r\n';
+const CHUNKED = 'Server-Seal: s\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n';
+const toChunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+const toEvent = (id: number) => `id: ${id}\ndata: ${id}\n\n`;
+
+const fixture = new GroupFixture();
+
+void t.test('requests for groups', async (t) => {
+  await fixture.start();
+  t.teardown(() => setTimeout(() => process.exit(), 100));
+
+  // Guards against a slow but sound stream that is broken off because no other group takes it.
+  await t.test('a silent stream stays at its group until another one is assigned', async (t) => {
+    let placements = 0;
+    fixture.place = (_criteria, onChoice) => {
+      onChoice(++placements === 1 ? fixture.choose(0) : { kind: 'none', reason: 'all-full' });
+    };
+    fixture.reset(({ socket }) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}${toChunk(toEvent(1))}`);
+      setTimeout(() => socket.write(`${toChunk(toEvent(2))}0\r\n\r\n`), 1_200);
+    });
+    const answer: RawAnswer = await fixture.caller().exchange(REQUEST);
+    t.equal(answer.body, toEvent(1) + toEvent(2));
+    t.ok(answer.isComplete);
+    t.ok(placements > 1, 'another group was asked for');
+    t.ok(placements < 10, `${placements} groups were asked for`);
+  });
+
+  await t.test(
+    'a silent stream moves once another group is assigned, and its work is cancelled',
+    async (t) => {
+      let placements = 0;
+      fixture.place = (_criteria, onChoice) => {
+        onChoice(fixture.choose(++placements === 1 ? 0 : 1));
+      };
+      fixture.reset(({ socket, head }) => {
+        socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}`);
+        if (/^Last-Event-Id: 1$/im.test(head)) socket.write(`${toChunk(toEvent(2))}0\r\n\r\n`);
+        else socket.write(toChunk(toEvent(1)));
+      });
+      const answer = await fixture.caller().exchange(REQUEST);
+      t.equal(answer.body, toEvent(1) + toEvent(2));
+      t.ok(answer.isComplete);
+      await sleep(50);
+      t.ok(fixture.targets[0].requests.every(({ socket }) => socket.destroyed));
+    },
+  );
+});
