Node: an unframed answer that is broken off ends with a reset

Seen: a stream with neither a length nor chunks whose target resets its connection, ends inside an event or goes silent reaches the caller as a whole one: the events so far, then a regular close. The caller takes it for complete.

Cause: the node forwards whole events only and broke off by closing the caller's connection. For an answer that ends with its connection a regular close is the mark of its end.

Change: an unframed answer is broken off with a reset.

Still so: a process that exits closes its connections regularly, and so marks unframed answers in progress as complete.

--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -546,6 +546,8 @@
   private _breakOff(reason: string): void {
     this._options.context.counters.add('monsoonreach_cuts_total', { reason });
     this._finish(`cut ${reason}`);
+    // The regular close of an unframed answer's connection would mark the answer as complete.
+    if (!this._isFramed) this._options.request.socket.resetAndDestroy();
     this._options.response.destroy();
   }
 
