Node: the answer to HEAD keeps its length

Seen: a HEAD is answered with Content-Length: 0 whatever its target said.

Cause: the length was that of the received body, which a HEAD never has.

Test before: "not ok 42 - the answer to HEAD has no body", length "0".

--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -404,18 +404,16 @@
       return;
     }
     const body = Buffer.concat(attempt.buffered);
-    if (
-      head.contentLength !== undefined &&
-      head.contentLength !== body.length &&
-      this._options.request.method !== 'HEAD'
-    ) {
+    const isHeadRequest = this._options.request.method === 'HEAD';
+    if (head.contentLength !== undefined && head.contentLength !== body.length && !isHeadRequest) {
       this._handleFailure(attempt, 'truncated', true);
       return;
     }
     this._completeAttempt(attempt, head.status >= 500);
     this._finish(`answered ${head.status}`);
     // An answer that ended with its connection may be truncated; a length would make it look complete.
-    this._writeHead(head, ['content-length', String(body.length)]);
+    const length = isHeadRequest ? head.contentLength : body.length;
+    this._writeHead(head, length === undefined ? [] : ['content-length', String(length)]);
     this._options.response.end(body);
   }
 
--- a/tests/platform/brokenOffAnswers.test.ts
+++ b/tests/platform/brokenOffAnswers.test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import type { RawAnswer, RawRequest } from '../support/rawHttp.js';
+import { RawCaller, type RawAnswer, type RawRequest, readHeader } from '../support/rawHttp.js';
 import { RawFleet, type RoutePrefix } from './rawFleet.js';
 
 const fleet = new RawFleet();
@@ -221,4 +221,16 @@
       });
     }
   }
+
+  // Guards against a HEAD that tells another length than its target.
+  await t.test('the answer to HEAD has no body', async (t) => {
+    await fleet.setHandler(({ socket, id }) => {
+      socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nContent-Length: 900\r\n\r\n`);
+    });
+    const head = fleet.createHead('/status/', { headers: 'Connection: close\r\n' }).replace('POST', 'HEAD');
+    const answer = await new RawCaller(fleet.address).exchange(head);
+    t.equal(answer.status, 200);
+    t.equal(answer.body, '');
+    t.equal(readHeader(answer.head, 'content-length'), '900');
+  });
 });
