Node: an answer without an id on a kept connection is not trusted

Seen: a target's late answer that has no id, at the point where the answer to the next request is due, reaches the next caller as its own; a late refusal without an id makes the node say that the request was not run. An idempotent request that meets late answers on the kept connections of two targets fails.

Cause: only an id that differs was taken for the answer to another request, and the retry used another kept connection.

Ruled out (the new test keeps them): a second answer at once or later, bytes after an answer, interim answers, timeouts and refusals on an idle connection; their connections are closed before the next request is written. Non-idempotent requests use connections of their own.

Change: on a kept connection an answer must have the request's id. After the answer to another request, the request is sent on new connections only, as is one that has no id.

Test before: "not ok 19 - after an answer on a kept connection: an answer without an id as the answer to the next request: /status/", body "to nobody".

--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -84,6 +84,8 @@
   private _lastEventAtMs: number | undefined;
   private _longestPauseMs = 0;
   private _isFinished = false;
+  /** Whether a connection brought the answer to another request, so that no other idle one is used. */
+  private _isConnectionDoubted = false;
   /** Whether the answer marks its own end, rather than ending with its connection. */
   private _isFramed = true;
 
@@ -270,7 +272,7 @@
           urgency: this._isStream ? urgency : undefined,
         }),
         body,
-        isFresh: isFresh || !this._isRepeatable(),
+        isFresh: isFresh || this._isConnectionDoubted || caller.requestId === '' || !this._isRepeatable(),
       },
       {
         onHead: (head) => {
@@ -301,7 +303,8 @@
   private _handleHead(attempt: Attempt, head: ResponseHead): void {
     attempt.head = head;
     attempt.progressAtMs = this._options.context.clock.monotonic();
-    if (head.requestId !== undefined && head.requestId !== this._options.caller.requestId) {
+    if (!this._isOwnAnswer(attempt, head)) {
+      this._isConnectionDoubted = true;
       this._handleFailure(attempt, 'wrong-echo', true);
     } else if (head.isNotRun) {
       this._handleRefusal(attempt, head);
@@ -314,6 +317,12 @@
     }
   }
 
+  /** Whether the head answers this request: the id identifies it, and on a new connection nothing else can come. */
+  private _isOwnAnswer(attempt: Attempt, { requestId }: ResponseHead): boolean {
+    if (requestId === undefined) return attempt.call?.isReused === false;
+    return requestId === this._options.caller.requestId;
+  }
+
   /** Handles an answer in which the target states that it has not run the request. */
   private _handleRefusal(attempt: Attempt, head: ResponseHead): void {
     const { context } = this._options;
--- a/packages/node/src/targetConnections.ts
+++ b/packages/node/src/targetConnections.ts
@@ -65,6 +65,8 @@
 
 /** A call in progress. */
 export interface OpenCall {
+  /** Whether an idle connection is used, on which late bytes of an earlier answer may arrive. */
+  readonly isReused: boolean;
   /** Ends the call; its connection is not reused and its listener is not called again. */
   cancel(): void;
   pause(): void;
@@ -271,6 +273,10 @@
 
   constructor(private readonly _options: CallHandlerOptions) {}
 
+  get isReused(): boolean {
+    return this._options.isReused;
+  }
+
   cancel(): void {
     if (this._isFinished) return;
     this._isFinished = true;
--- a/tests/platform/rawFleet.ts
+++ b/tests/platform/rawFleet.ts
@@ -69,6 +69,11 @@
     return new RawCaller(this.address).exchange(`${this.createHead(prefix)}{}`, timeoutMs);
   }
 
+  /** Sends one request with this id on its own connection. */
+  sendAs(prefix: RoutePrefix, id: string): Promise<RawAnswer> {
+    return new RawCaller(this.address).exchange(`${this.createHead(prefix, { id })}{}`);
+  }
+
   /** Returns the value of a counter; `labels` as in the exposition, such as `{reason="timeout"}`. */
   async readCounter(name: string, labels = ''): Promise<number> {
     const text = await (await fetch(this._metrics)).text();
