--- a/packages/core/src/serving/targetHealth.ts
+++ b/packages/core/src/serving/targetHealth.ts
@@ -1,5 +1,7 @@
 /** Weight of the latest outcome in the moving average of a target's failure rate. */
 const FAILURE_SMOOTHING = 0.15;
+/** Weight of the latest pause in the moving average of the pauses between two events. */
+const PAUSE_SMOOTHING = 0.2;
 /** How long a silent target is suspect and gets no new requests, in milliseconds; doubles each time it is silent again. */
 const INITIAL_SUSPICION_MS = 700;
 /** Maximum suspicion time, in milliseconds: the time in which engines declare a member lost. */
@@ -13,6 +15,7 @@
   consecutiveSuspicions: number;
   suspectUntilMs: number;
   progressAtMs: number;
+  usualPauseMs: number;
 }
 
 /**
@@ -24,13 +27,19 @@
 export class TargetHealth {
   private readonly _targets = new Map<string, Health>();
 
-  /** Records that the target sent bytes, which ends its suspicion. */
+  /** Records an event of a stream or bytes of another answer, which end the target's suspicion. */
   recordProgress(target: string, nowMs: number): void {
     const health = this._getHealth(target);
     health.progressAtMs = nowMs;
     health.suspectUntilMs = 0;
   }
 
+  /** Records the time between two events of a stream, or since its last event when it was left. */
+  recordPause(target: string, pauseMs: number): void {
+    const health = this._getHealth(target);
+    health.usualPauseMs += PAUSE_SMOOTHING * (pauseMs - health.usualPauseMs);
+  }
+
   /** Records the outcome of a request. */
   recordOutcome(target: string, isFailure: boolean, nowMs: number): void {
     const health = this._getHealth(target);
@@ -61,11 +70,16 @@
     );
   }
 
-  /** Time when the target last sent bytes, in milliseconds; -Infinity if it never did. */
+  /** Time of the target's last progress, in milliseconds; -Infinity if it never made any. */
   getProgressAtMs(target: string): number {
     return this._targets.get(target)?.progressAtMs ?? -Infinity;
   }
 
+  /** Usual time between two events of a stream, in milliseconds; 0 if unknown. */
+  getUsualPauseMs(target: string): number {
+    return this._targets.get(target)?.usualPauseMs ?? 0;
+  }
+
   /** Recent share of failed requests, 0 to 1. */
   getFailureRate(target: string, nowMs: number): number {
     const health = this._targets.get(target);
@@ -86,6 +100,7 @@
         consecutiveSuspicions: 0,
         suspectUntilMs: 0,
         progressAtMs: -Infinity,
+        usualPauseMs: 0,
       };
       this._targets.set(target, health);
     }
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -16,6 +16,8 @@
 const MAX_HEADER_BYTES = 65_536;
 /** Added to the timeouts of the configuration, in milliseconds, so that callers close idle connections first. */
 const CALLER_TIMEOUT_SLACK_MS = 2_000;
+/** Interval at which connections are checked for heads that take too long, in milliseconds. */
+const HEAD_CHECK_INTERVAL_MS = 1_000;
 /** Retry-After while this node has no configuration or no trusted keys, in milliseconds; it may reach the store by then. */
 const STALE_RETRY_AFTER_MS = 700;
 /** Urgency that targets assume when a request names none. */
@@ -43,15 +45,18 @@
     this.connections = new CallerConnections(_options.context.clock);
     // Plain node:http, as requests are forwarded byte for byte and connections are closed individually.
     this._server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        requestTimeout: 0,
+        connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
+      },
       (request, response) => {
         void this._handleRequest(request, response);
       },
     );
     this.connections.attach(this._server);
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      const status =
-        error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
+      const status = CLIENT_ERROR_STATUSES.get(error.code) ?? '400 Bad Request';
       if (socket.writable) socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     });
   }
@@ -124,9 +129,14 @@
       );
       return;
     }
-    const body = await this._readBody(request, response, caller, table.configuration.limits.maxBodyBytes);
-    if (body === 'ended') return;
+    const { limits } = table.configuration;
     const route = table.findRoute(request.headers.host ?? '', request.url ?? '/');
+    const timeoutMs = Math.min(caller.timeoutMs ?? Infinity, route?.timeoutMs ?? limits.headerTimeoutMs);
+    const body = await this._readBody(request, response, caller, {
+      maxBytes: limits.maxBodyBytes,
+      remainingMs: startedAtMs + timeoutMs - this._options.context.clock.monotonic(),
+    });
+    if (body === 'ended') return;
     if (!route) {
       this._refuse(response, caller.requestId, 404, 'no-route');
       return;
@@ -196,7 +206,7 @@
     request: IncomingMessage,
     response: ServerResponse,
     caller: CallerRequest,
-    maxBytes: number,
+    { maxBytes, remainingMs }: { readonly maxBytes: number; readonly remainingMs: number },
   ): Promise<Buffer | undefined | 'ended'> {
     if (
       request.headers['content-length'] === undefined &&
@@ -207,6 +217,15 @@
     }
     const chunks: Buffer[] = [];
     let length = 0;
+    let isLate = false;
+    const timer = setTimeout(
+      () => {
+        isLate = true;
+        this._refuse(response, caller.requestId, 408, 'body-late', { Connection: 'close' });
+        request.destroy();
+      },
+      Math.max(0, remainingMs),
+    );
     try {
       for await (const chunk of request as AsyncIterable<Buffer>) {
         length += chunk.length;
@@ -217,12 +236,15 @@
         chunks.push(chunk);
       }
     } catch (error) {
+      if (isLate) return 'ended';
       this._options.context.counters.add('monsoonreach_callers_gone_total');
       this._options.context.log.info('caller disconnected before its request was read', {
         request: caller.requestId,
         error: String(error),
       });
       return 'ended';
+    } finally {
+      clearTimeout(timer);
     }
     return Buffer.concat(chunks, length);
   }
@@ -247,6 +269,12 @@
   }
 }
 
+/** Statuses of answers to requests that cannot be read, by the code of the error. */
+const CLIENT_ERROR_STATUSES: ReadonlyMap<string | undefined, string> = new Map([
+  ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
+  ['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
+]);
+
 type Access =
   | {
       readonly kind: 'allowed';
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -22,6 +22,10 @@
 
 /** Largest answer that is buffered before it is forwarded, in bytes; the attempt fails if the answer is larger. */
 const MAX_BUFFERED_BYTES = 1_048_576;
+/** Largest event of a stream, with the comments before it, in bytes; the attempt fails if one is larger. */
+const MAX_EVENT_BYTES = 262_144;
+/** Interval at which another target is asked for while an attempt is silent, in milliseconds. */
+const MOVE_INTERVAL_MS = 200;
 /** Largest share of the remaining time that Retry-After may ask for; callers do not honour a longer wait. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
 
@@ -43,6 +47,10 @@
   bufferedBytes: number;
   progressAtMs: number;
   events: number;
+  /** Whether nothing is read from the target because the caller does not read. */
+  isPaused: boolean;
+  /** Monotonic time before which no other target is asked for because of silence. */
+  movableAtMs: number;
 }
 
 /** Dependencies and input of a {@link RequestRun}. */
@@ -76,6 +84,8 @@
   private _lastEventAtMs: number | undefined;
   private _longestPauseMs = 0;
   private _isFinished = false;
+  /** Whether a connection brought the answer to another request, so that no other idle one is used. */
+  private _isConnectionDoubted = false;
   /** Whether the answer marks its own end, rather than ending with its connection. */
   private _isFramed = true;
 
@@ -114,7 +124,7 @@
   /** Retries a repeatable request at another target when its attempt makes no progress. */
   checkProgress(nowMs: number): void {
     const attempt = this._attempt;
-    if (!attempt || !this._isRepeatable()) return;
+    if (!attempt || attempt.isPaused || !this._isRepeatable()) return;
     const { context, route } = this._options;
     const silence = classifySilence({
       silentMs: nowMs - Math.max(attempt.startedAtMs, attempt.progressAtMs),
@@ -123,6 +133,7 @@
       hasBegun: attempt.events > 0,
       predictedMs: attempt.predictedMs,
       pauseObjectiveMs: route.pauseObjectiveMs ?? route.latencyObjectiveMs,
+      usualPauseMs: context.health.getUsualPauseMs(attempt.candidate.key),
       isPlainCall: !this._isStream,
     });
     if (silence === 'wait') return;
@@ -134,7 +145,31 @@
       });
       context.onSilentTarget(attempt.candidate);
     }
-    if (this._canRetry()) this._retry(attempt, 'silent');
+    if (this._canRetry()) this._moveSilent(attempt, nowMs);
+  }
+
+  /** Retries a silent attempt at another target; the attempt goes on until that target is assigned. */
+  private _moveSilent(attempt: Attempt, nowMs: number): void {
+    const criteria = this._createPlacementCriteria();
+    if (!criteria) {
+      this._retry(attempt, 'silent');
+      return;
+    }
+    if (nowMs < attempt.movableAtMs) return;
+    attempt.movableAtMs = nowMs + MOVE_INTERVAL_MS;
+    const { progressAtMs } = attempt;
+    this._options.context.placement.place(criteria, (choice) => {
+      const isSilent = this._attempt === attempt && attempt.progressAtMs === progressAtMs;
+      if (this._isFinished || !isSilent || choice.kind === 'none' || !this._tryTakeRetry('silent')) return;
+      this._leaveSilent(attempt);
+      this._handleChoice(choice);
+    });
+  }
+
+  private _leaveSilent(attempt: Attempt): void {
+    this._mayHaveRun = true;
+    if (attempt.events > 0) this._recordPause(attempt, this._options.context.clock.monotonic());
+    this._abandonAttempt(attempt, 'silent');
   }
 
   /** Ends the request because the process ends. */
@@ -223,6 +258,8 @@
       bufferedBytes: 0,
       progressAtMs: -Infinity,
       events: 0,
+      isPaused: false,
+      movableAtMs: -Infinity,
     };
     this._attempt = attempt;
     this._attempts++;
@@ -245,7 +282,7 @@
           urgency: this._isStream ? urgency : undefined,
         }),
         body,
-        isFresh: isFresh || !this._isRepeatable(),
+        isFresh: isFresh || this._isConnectionDoubted || caller.requestId === '' || !this._isRepeatable(),
       },
       {
         onHead: (head) => {
@@ -276,7 +313,8 @@
   private _handleHead(attempt: Attempt, head: ResponseHead): void {
     attempt.head = head;
     attempt.progressAtMs = this._options.context.clock.monotonic();
-    if (head.requestId !== undefined && head.requestId !== this._options.caller.requestId) {
+    if (!this._isOwnAnswer(attempt, head)) {
+      this._isConnectionDoubted = true;
       this._handleFailure(attempt, 'wrong-echo', true);
     } else if (head.isNotRun) {
       this._handleRefusal(attempt, head);
@@ -289,6 +327,12 @@
     }
   }
 
+  /** Whether the head answers this request: the id identifies it, and on a new connection nothing else can come. */
+  private _isOwnAnswer(attempt: Attempt, { requestId }: ResponseHead): boolean {
+    if (requestId === undefined) return attempt.call?.isReused === false;
+    return requestId === this._options.caller.requestId;
+  }
+
   /** Handles an answer in which the target states that it has not run the request. */
   private _handleRefusal(attempt: Attempt, head: ResponseHead): void {
     const { context } = this._options;
@@ -302,27 +346,46 @@
   private _handleData(attempt: Attempt, chunk: Buffer): void {
     const { context } = this._options;
     const nowMs = context.clock.monotonic();
-    attempt.progressAtMs = nowMs;
-    context.health.recordProgress(attempt.candidate.key, nowMs);
     if (!this._isStream || attempt.head?.status !== 200) {
+      this._recordProgress(attempt, nowMs);
       attempt.buffered.push(chunk);
       attempt.bufferedBytes += chunk.length;
       if (attempt.bufferedBytes > MAX_BUFFERED_BYTES) this._handleFailure(attempt, 'answer-too-large', true);
       return;
     }
     const batch = attempt.framer.push(chunk);
-    if (!batch) return;
+    if (!batch) {
+      if (attempt.framer.pendingBytes > MAX_EVENT_BYTES)
+        this._handleFailure(attempt, 'event-too-large', true);
+      return;
+    }
+    if (attempt.events > 0) this._recordPause(attempt, nowMs);
+    this._recordProgress(attempt, nowMs);
     attempt.load.endPrefill();
     attempt.events += batch.eventCount;
     this._recordForwarded(batch.eventCount, nowMs);
     this._lastEventId = batch.lastId ?? this._lastEventId;
     this._startStream(attempt.head);
-    if (!this._options.response.write(batch.bytes)) {
-      attempt.call?.pause();
-      this._options.response.once('drain', () => {
-        attempt.call?.resume();
-      });
-    }
+    if (!this._options.response.write(batch.bytes)) this._pauseUntilDrained(attempt);
+  }
+
+  private _pauseUntilDrained(attempt: Attempt): void {
+    attempt.isPaused = true;
+    attempt.call?.pause();
+    this._options.response.once('drain', () => {
+      attempt.isPaused = false;
+      attempt.progressAtMs = this._options.context.clock.monotonic();
+      attempt.call?.resume();
+    });
+  }
+
+  private _recordProgress(attempt: Attempt, nowMs: number): void {
+    attempt.progressAtMs = nowMs;
+    this._options.context.health.recordProgress(attempt.candidate.key, nowMs);
+  }
+
+  private _recordPause(attempt: Attempt, nowMs: number): void {
+    this._options.context.health.recordPause(attempt.candidate.key, nowMs - attempt.progressAtMs);
   }
 
   private _recordForwarded(events: number, nowMs: number): void {
@@ -360,31 +423,29 @@
       return;
     }
     const body = Buffer.concat(attempt.buffered);
-    if (
-      head.contentLength !== undefined &&
-      head.contentLength !== body.length &&
-      this._options.request.method !== 'HEAD'
-    ) {
+    const isHeadRequest = this._options.request.method === 'HEAD';
+    if (head.contentLength !== undefined && head.contentLength !== body.length && !isHeadRequest) {
       this._handleFailure(attempt, 'truncated', true);
       return;
     }
     this._completeAttempt(attempt, head.status >= 500);
     this._finish(`answered ${head.status}`);
     // An answer that ended with its connection may be truncated; a length would make it look complete.
-    this._writeHead(head, ['content-length', String(body.length)]);
+    const length = isHeadRequest ? head.contentLength : body.length;
+    this._writeHead(head, length === undefined ? [] : ['content-length', String(length)]);
     this._options.response.end(body);
   }
 
   private _finishStream(attempt: Attempt, head: ResponseHead): void {
     const isInDoubt = !head.isFramed && this._options.response.headersSent && this._isFramed;
-    if (attempt.framer.pendingBytes > 0 || isInDoubt) {
+    if (attempt.framer.isInsideEvent || isInDoubt) {
       this._handleFailure(attempt, 'truncated', true);
       return;
     }
     this._startStream(head);
     this._completeAttempt(attempt, false);
     this._finish('streamed');
-    this._options.response.end();
+    this._options.response.end(attempt.framer.takePending());
   }
 
   private _handleError(attempt: Attempt, error: CallError): void {
@@ -392,7 +453,7 @@
       this._sendAgain(attempt);
       return;
     }
-    this._handleFailure(attempt, error.isUnsent ? 'unsent' : 'target-lost', !error.isUnsent);
+    this._handleFailure(attempt, toFailureReason(error), !error.isUnsent);
   }
 
   /** Sends the request to the same target on a new connection; the attempt on the closed one does not count. */
@@ -410,7 +471,7 @@
     const { context } = this._options;
     if (reason === 'unsent') this._attempts--;
     const isGroup = attempt.candidate.engine !== undefined;
-    if (isGroup && (reason === 'unsent' || reason === 'target-lost')) {
+    if (isGroup && CONNECTION_FAILURES.has(reason)) {
       const isNew = context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
       if (isNew) context.onSilentTarget(attempt.candidate);
     }
@@ -448,8 +509,8 @@
       if (reason !== 'silent') this._abandonAndGiveUp(attempt, reason);
       return;
     }
-    if (reason === 'silent') this._mayHaveRun = true;
-    this._abandonAttempt(attempt, reason);
+    if (reason === 'silent') this._leaveSilent(attempt);
+    else this._abandonAttempt(attempt, reason);
     this._dispatch();
   }
 
@@ -458,7 +519,10 @@
     const { context } = this._options;
     const isFailure = reason !== 'caller-gone' && reason !== 'refused-by-target' && reason !== 'misdirected';
     this._trail.push(`${attempt.candidate.key} ${reason} ${this._elapsedMs(attempt.startedAtMs)}ms`);
-    if (isFailure) context.health.recordOutcome(attempt.candidate.key, true, context.clock.monotonic());
+    if (isFailure) {
+      context.counters.add('monsoonreach_attempt_failures_total', { reason });
+      context.health.recordOutcome(attempt.candidate.key, true, context.clock.monotonic());
+    }
     attempt.load.endRequest();
     attempt.call?.cancel();
     if (this._attempt === attempt) this._attempt = undefined;
@@ -499,6 +563,8 @@
   private _breakOff(reason: string): void {
     this._options.context.counters.add('monsoonreach_cuts_total', { reason });
     this._finish(`cut ${reason}`);
+    // The regular close of an unframed answer's connection would mark the answer as complete.
+    if (!this._isFramed) this._options.request.socket.resetAndDestroy();
     this._options.response.destroy();
   }
 
@@ -551,6 +617,14 @@
 /** Retry-After by reason, in milliseconds: a group forms in about 2 s; a batch frees a slot in less than 200 ms. */
 const NO_TARGET_RETRY_AFTER_MS = { 'no-target': 1_500, 'all-full': 200, 'all-silent': 700 } as const;
 
+/** Failures after which a group gets no requests for some time. */
+const CONNECTION_FAILURES: ReadonlySet<CallOutcomeReason> = new Set(['unsent', 'target-lost', 'malformed']);
+
+function toFailureReason({ isUnsent, isMalformed }: CallError): CallOutcomeReason {
+  if (isUnsent) return 'unsent';
+  return isMalformed ? 'malformed' : 'target-lost';
+}
+
 /** Headers of an answer whose end is the end of its connection. */
 const CLOSE_HEADERS = ['Connection', 'close'] as const;
 
--- a/packages/node/src/targetConnections.ts
+++ b/packages/node/src/targetConnections.ts
@@ -1,15 +1,21 @@
+import type { Socket } from 'node:net';
 import { type Clock, MonsoonreachError } from '@monsoonreach/core';
 import { createConnector, decodeResponseHead, type ResponseHead } from '@monsoonreach/platform';
-import { type buildConnector, Client, type Dispatcher, Pool } from 'undici';
+import { type buildConnector, Client, type Dispatcher } from 'undici';
 
 /** Timeout for connecting to a target, in milliseconds; many times the latency between failure domains. */
 const CONNECT_TIMEOUT_MS = 120;
-/** Time for which an idle connection is reused, in milliseconds; short, as idle connections may be lost unnoticed. */
+/** Time for which an idle connection is kept, in milliseconds; short, as idle connections may be lost unnoticed. */
 const IDLE_TIMEOUT_MS = 2_500;
 
 /** Time within which a closed connection answers a request with a reset, in milliseconds; a few round trips. */
 const STALE_RESET_MS = 15;
 
+/** Bytes besides its body that an answer may have, as these may be sent without end: heads, chunk sizes, trailers. */
+const MAX_FRAMING_BYTES = 262_144;
+/** The same for each byte of the body; chunks of one byte have five. */
+const MAX_FRAMING_PER_BODY_BYTE = 8;
+
 /** A call to a target ended without a complete answer. */
 export class CallError extends MonsoonreachError {
   readonly code = 'call';
@@ -20,12 +26,23 @@
     readonly isUnsent: boolean,
     /** Whether an idle connection was used that turned out to be closed; the target may be well. */
     readonly isStale: boolean,
+    /** Whether the target sent bytes that are no answer. */
+    readonly isMalformed: boolean,
     options?: ErrorOptions,
   ) {
     super(message, options);
   }
 }
 
+/** A target sends bytes that are neither a head of the usual size nor a body. */
+class EndlessFramingError extends MonsoonreachError {
+  readonly code = 'endless-framing';
+
+  constructor(framingBytes: number, bodyBytes: number) {
+    super(`The target sent ${framingBytes} bytes that belong to no body, and a body of ${bodyBytes} bytes.`);
+  }
+}
+
 /** One call to a target. */
 export interface TargetCall {
   readonly address: string;
@@ -48,6 +65,8 @@
 
 /** A call in progress. */
 export interface OpenCall {
+  /** Whether an idle connection is used, on which late bytes of an earlier answer may arrive. */
+  readonly isReused: boolean;
   /** Ends the call; its connection is not reused and its listener is not called again. */
   cancel(): void;
   pause(): void;
@@ -57,21 +76,118 @@
 /** Connections to targets, each with at most one request in progress. */
 export class TargetConnections {
   private readonly _resets = new ResetDetector();
-  private readonly _pools = new Map<string, { readonly pool: Pool; usedAtMs: number }>();
+  /** Idle connections by address, the latest used last. */
+  private readonly _idle = new Map<string, TargetConnection[]>();
 
   constructor(private readonly _clock: Clock) {}
 
   open(call: TargetCall, listener: CallListener): OpenCall {
-    const { dispatcher, isReused, release } = this._getDispatcher(call);
+    const idle = call.isFresh ? undefined : this._takeIdle(call.address);
+    const connection = idle ?? new TargetConnection(call.address, this._resets);
     const handler = new CallHandler({
       listener,
-      release,
+      connection,
       resets: this._resets,
-      isReused,
+      isReused: idle !== undefined,
       clock: this._clock,
+      onComplete: () => {
+        if (call.isFresh) connection.destroy();
+        else this._release(connection);
+      },
+    });
+    connection.dispatch(call, handler);
+    return handler;
+  }
+
+  /** Addresses of targets to which a connection is idle, the latest used first. */
+  listConnected(): readonly string[] {
+    return [...this._idle]
+      .map(([address, connections]) => ({ address, usedAtMs: connections.at(-1)?.usedAtMs ?? -Infinity }))
+      .sort((a, b) => b.usedAtMs - a.usedAtMs)
+      .map(({ address }) => address);
+  }
+
+  /** Closes the connections that were idle for `unusedMs`. */
+  closeUnused(unusedMs: number): void {
+    const nowMs = this._clock.monotonic();
+    for (const connection of [...this._idle.values()].flat()) {
+      if (nowMs - connection.usedAtMs >= unusedMs) connection.destroy();
+    }
+  }
+
+  private _takeIdle(address: string): TargetConnection | undefined {
+    const connection = this._idle.get(address)?.findLast(({ isConnected }) => isConnected);
+    if (connection) this._removeIdle(connection);
+    return connection;
+  }
+
+  /** Keeps a connection for reuse, once its target had the time to close it. */
+  private _release(connection: TargetConnection): void {
+    setImmediate(() => {
+      if (!connection.isConnected) {
+        connection.destroy();
+        return;
+      }
+      connection.usedAtMs = this._clock.monotonic();
+      connection.onClose = () => {
+        this._removeIdle(connection);
+      };
+      const idle = this._idle.get(connection.address);
+      if (idle) idle.push(connection);
+      else this._idle.set(connection.address, [connection]);
     });
+  }
+
+  private _removeIdle(connection: TargetConnection): void {
+    connection.onClose = undefined;
+    const others = (this._idle.get(connection.address) ?? []).filter((other) => other !== connection);
+    if (others.length > 0) this._idle.set(connection.address, others);
+    else this._idle.delete(connection.address);
+  }
+}
+
+/** One connection to a target; a pool of undici opens a new connection in place of each that is closed under a call. */
+class TargetConnection {
+  /** Monotonic time of the end of its latest call. */
+  usedAtMs = -Infinity;
+  /** Called once when the connection is closed. */
+  onClose: (() => void) | undefined;
+  private readonly _client: Client;
+  private _socket: Socket | undefined;
+  private _handler: CallHandler | undefined;
+  /** Bytes that the socket had read before the call in progress. */
+  private _earlierBytes = 0;
+
+  constructor(
+    readonly address: string,
+    resets: ResetDetector,
+  ) {
+    this._client = new Client(`http://${address}`, {
+      pipelining: 1,
+      connect: (options, callback) => {
+        resets.connect(options, (...result) => {
+          callback(...result);
+          if (result[1]) this._watch(result[1]);
+        });
+      },
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
+    });
+    this._client.on('disconnect', () => {
+      // A call that is not sent yet goes on over a new connection.
+      if (this._client.stats.size === 0) this.destroy();
+    });
+  }
+
+  get isConnected(): boolean {
+    return this._client.stats.connected;
+  }
+
+  dispatch(call: TargetCall, handler: CallHandler): void {
+    this._handler = handler;
+    this._earlierBytes = this._socket?.bytesRead ?? 0;
     try {
-      dispatcher.dispatch(
+      this._client.dispatch(
         {
           path: call.path,
           method: call.method as Dispatcher.HttpMethod,
@@ -86,54 +202,19 @@
     } catch (error) {
       handler.onResponseError(undefined, error as Error);
     }
-    return handler;
   }
 
-  /** Addresses of targets to which a connection is idle, the latest used first. */
-  listConnected(): readonly string[] {
-    const nowMs = this._clock.monotonic();
-    return [...this._pools]
-      .filter(([, { pool, usedAtMs }]) => nowMs - usedAtMs < IDLE_TIMEOUT_MS && pool.stats.free > 0)
-      .sort(([, a], [, b]) => b.usedAtMs - a.usedAtMs)
-      .map(([address]) => address);
+  destroy(): void {
+    this.onClose?.();
+    void this._client.destroy();
   }
 
-  /** Closes the pools of targets that were not called for `unusedMs`. */
-  closeUnused(unusedMs: number): void {
-    const nowMs = this._clock.monotonic();
-    for (const [address, { pool, usedAtMs }] of this._pools) {
-      if (nowMs - usedAtMs < unusedMs) continue;
-      this._pools.delete(address);
-      void pool.close();
-    }
-  }
-
-  private _getDispatcher(call: TargetCall): {
-    readonly dispatcher: Dispatcher;
-    /** Whether the call uses an idle connection. */
-    readonly isReused: boolean;
-    readonly release: () => void;
-  } {
-    const origin = `http://${call.address}`;
-    const connect = this._resets.connect;
-    if (call.isFresh) {
-      const client = new Client(origin, { pipelining: 1, connect });
-      return { dispatcher: client, isReused: false, release: () => void client.destroy() };
-    }
-    let entry = this._pools.get(call.address);
-    if (!entry) {
-      const options = {
-        pipelining: 1,
-        connect,
-        keepAliveTimeout: IDLE_TIMEOUT_MS,
-        keepAliveMaxTimeout: IDLE_TIMEOUT_MS,
-      };
-      entry = { pool: new Pool(origin, { connections: null, ...options }), usedAtMs: 0 };
-      this._pools.set(call.address, entry);
-    }
-    entry.usedAtMs = this._clock.monotonic();
-    const isReused = entry.pool.stats.free > 0;
-    return { dispatcher: entry.pool, isReused, release: () => undefined };
+  private _watch(socket: Socket): void {
+    this._socket = socket;
+    this._earlierBytes = 0;
+    socket.on('readable', () => {
+      this._handler?.checkFraming(socket.bytesRead - this._earlierBytes);
+    });
   }
 }
 
@@ -174,10 +255,12 @@
 
 interface CallHandlerOptions {
   readonly listener: CallListener;
-  readonly release: () => void;
+  readonly connection: TargetConnection;
   readonly resets: ResetDetector;
   readonly isReused: boolean;
   readonly clock: Clock;
+  /** Called after a complete answer, when the connection may be reused. */
+  readonly onComplete: () => void;
 }
 
 class CallHandler implements Dispatcher.DispatchHandler, OpenCall {
@@ -186,14 +269,19 @@
   private _isAnswered = false;
   /** Monotonic time at which sending began; undefined before. */
   private _sentAtMs: number | undefined;
+  private _bodyBytes = 0;
 
   constructor(private readonly _options: CallHandlerOptions) {}
 
+  get isReused(): boolean {
+    return this._options.isReused;
+  }
+
   cancel(): void {
     if (this._isFinished) return;
     this._isFinished = true;
-    this._controller?.abort(new CallError('The call was cancelled.', false, false));
-    this._options.release();
+    this._controller?.abort(new CallError('The call was cancelled.', false, false, false));
+    this._options.connection.destroy();
   }
 
   pause(): void {
@@ -201,12 +289,19 @@
   }
 
   resume(): void {
-    this._controller?.resume();
+    if (!this._isFinished) this._controller?.resume();
+  }
+
+  /** Ends the call if most of the `readBytes` that its connection has read since its start belong to no body. */
+  checkFraming(readBytes: number): void {
+    const framingBytes = readBytes - this._bodyBytes;
+    if (framingBytes <= MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * this._bodyBytes) return;
+    this.onResponseError(undefined, new EndlessFramingError(framingBytes, this._bodyBytes));
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this._controller = controller;
-    if (this._isFinished) controller.abort(new CallError('The call was cancelled.', true, false));
+    if (this._isFinished) controller.abort(new CallError('The call was cancelled.', true, false, false));
     else this._sentAtMs = this._options.clock.monotonic();
   }
 
@@ -221,6 +316,7 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this._bodyBytes += chunk.length;
     if (!this._isFinished) this._options.listener.onData(chunk);
   }
 
@@ -231,18 +327,26 @@
       return;
     }
     this._isFinished = true;
-    this._options.release();
+    this._options.onComplete();
     this._options.listener.onEnd();
   }
 
   onResponseError(_controller: unknown, error: Error): void {
     if (this._isFinished) return;
     this._isFinished = true;
-    this._options.release();
+    this._options.connection.destroy();
     const message = `The call to the target ended without a complete answer: ${error.message}`;
     const { listener, isReused, clock } = this._options;
     const sentAtMs = this._sentAtMs ?? Infinity;
     const isStale = isReused && !this._isAnswered && clock.monotonic() - sentAtMs < STALE_RESET_MS;
-    listener.onError(new CallError(message, sentAtMs === Infinity, isStale, { cause: error }));
+    const isUnsent = sentAtMs === Infinity;
+    listener.onError(new CallError(message, isUnsent, isStale, isMalformed(error), { cause: error }));
   }
 }
+
+/** Whether an error tells of bytes that are no answer, rather than of an answer that is not complete. */
+function isMalformed(error: Error): boolean {
+  if (error instanceof EndlessFramingError) return true;
+  const { code = '' } = error as { readonly code?: string };
+  return code === 'UND_ERR_HEADERS_OVERFLOW' || (code.startsWith('HPE_') && code !== 'HPE_INVALID_EOF_STATE');
+}
