Callers: pipelined requests are answered also when their node stops

The first answer said `Connection: close`, after which node:http drops the second; and the second was not tracked, as its response has no socket until the first has ended.

Change: an answer announces the end of its connection only if no later request has arrived on it; requests are tracked by the socket that they came on.

--- a/packages/callers/src/callerConnections.ts
+++ b/packages/callers/src/callerConnections.ts
@@ -85,9 +85,10 @@
 
   /** Tracks a request until its answer has been sent or its connection is closed. */
   startRequest(response: ServerResponse, requestId = ''): void {
-    const { socket } = response;
-    const connection = socket ? this._connections.get(socket) : undefined;
-    if (!socket || !connection) return;
+    // A response has no socket of its own until the one before it on the connection has ended.
+    const { socket } = response.req;
+    const connection = this._connections.get(socket);
+    if (!connection) return;
     connection.requestCount++;
     connection.openRequests++;
     this._requests.set(response, {
@@ -106,6 +107,12 @@
     });
   }
 
+  /** Whether no later request has arrived on the connection, so that the response may announce the connection's end. */
+  isLatest(response: ServerResponse): boolean {
+    const connection = this._connections.get(response.req.socket);
+    return connection?.requestCount === this._requests.get(response)?.position;
+  }
+
   setStage(response: ServerResponse, stage: RequestStage): void {
     const request = this._requests.get(response);
     if (request) this._requests.set(response, { ...request, stage });
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -104,9 +104,9 @@
     }
   }
 
-  /** Headers about the connection that every answer carries: names and values, alternating. */
-  connectionHeaders(): readonly string[] {
-    return this.isDraining ? ['Connection', 'close'] : [];
+  /** Headers about the connection that an answer carries: names and values, alternating. */
+  connectionHeaders(response: ServerResponse): readonly string[] {
+    return this.isDraining && this.connections.isLatest(response) ? ['Connection', 'close'] : [];
   }
 
   private async _handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -389,12 +389,12 @@
       placement: this._placement,
       runs: this._runs,
       configuration: () => this._table?.configuration,
-      connectionHeaders: () => this._front.connectionHeaders(),
+      connectionHeaders: (response) => this._front.connectionHeaders(response),
       onSilentTarget: (candidate) => {
         this._reportSilentTarget(candidate);
       },
       sendProblem: (response, status, body, headers) => {
-        sendProblem(this._front.connectionHeaders(), response, status, body, headers);
+        sendProblem(this._front.connectionHeaders(response), response, status, body, headers);
       },
     };
   }
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -408,7 +408,7 @@
     const { response, context } = this._options;
     const headers = dropContentLength(head.forwardedHeaders);
     if (!head.isFramed) closeAfterAnswer(response);
-    const framing = head.isFramed ? [...length, ...context.connectionHeaders()] : CLOSE_HEADERS;
+    const framing = head.isFramed ? [...length, ...context.connectionHeaders(response)] : CLOSE_HEADERS;
     response.writeHead(head.status, [...headers, ...framing]);
   }
 
--- a/packages/node/src/servingContext.ts
+++ b/packages/node/src/servingContext.ts
@@ -34,8 +34,8 @@
   /** Requests in progress. */
   readonly runs: Set<RequestRun>;
   readonly configuration: () => ServingConfiguration | undefined;
-  /** Headers about the connection that every answer carries: names and values, alternating. */
-  readonly connectionHeaders: () => readonly string[];
+  /** Headers about the connection that an answer carries: names and values, alternating. */
+  readonly connectionHeaders: (response: ServerResponse) => readonly string[];
   /** Called when a target was found silent, to notify peers. */
   readonly onSilentTarget: (candidate: TargetCandidate) => void;
   /** Answers with a problem document of this node. */
