Node: an unframed answer that has not left when the process ends is reset

Found by review: an answer that has neither a length nor chunks ends with its connection. If its last bytes still waited for a slow caller when the process ended, the kernel closed the connection in order, and the caller took what it had for the whole: status 200, sealed. Its run had ended, so that nothing abandoned it.

Change: at the end of a stop, connections with an answer that has not left are reset.

tests/node/unframedAnswers, "with an answer of which bytes have not left at the end", ends in order without it; the other two cases, broken off by a time limit and by the stop, guard the reset that came with the answers.

--- a/packages/callers/src/callerConnections.ts
+++ b/packages/callers/src/callerConnections.ts
@@ -122,6 +122,11 @@
     return [...this._requests.values()];
   }
 
+  /** Resets the connections whose answer has not left, so that it does not look complete. */
+  resetUnfinished(): void {
+    for (const { response } of this._requests.values()) response.req.socket.resetAndDestroy();
+  }
+
   /** From now on, closes each connection a moment after its current answer. */
   closeAfterAnswers(): void {
     this._isClosingAfterAnswers = true;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -199,6 +199,7 @@
     this._front.refuseUnserved();
     for (const run of this._runs) run.abandon();
     await this._waitUntilClosed(endsAtMs + FLUSH_TIMEOUT_MS);
+    this._front.connections.resetUnfinished();
     return cut;
   }
 
--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -375,7 +375,13 @@
     lastEventId: number,
   ): Promise<void> {
     const group = this._group;
-    response.writeHead(200, { ...head, 'Content-Type': 'text/event-stream' });
+    const isUnframed = this.mode === 'unframed';
+    if (isUnframed) {
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
+    const framing = isUnframed ? { Connection: 'close' } : {};
+    response.writeHead(200, { ...head, ...framing, 'Content-Type': 'text/event-stream' });
     for (let id = lastEventId + 1; id <= this._fleet.eventCount; id++) {
       await sleep(EVENT_INTERVAL_MS);
       if (group && !this._isWhole(group)) {
