Node: names and bounds of a stop after review

The time that a request has already taken counts against its limit when a stopping node decides whether it can be finished: before, one with a slow body was refused though its deadline came before the end. A `drain-timeout` shorter than the time in which the balancer still connects no longer outlives the kill. What is left at the end is called unfinished, as most of it gets a proper answer. No other behaviour changes.

tests/serving/stopAdmission, "a call whose body took most of its timeout".

--- a/packages/callers/src/callerConnections.ts
+++ b/packages/callers/src/callerConnections.ts
@@ -35,7 +35,7 @@
 }
 
 /**
- * The connections of callers, and their requests from the head until the last byte of the answer has left.
+ * The connections of callers, and their requests from the head until the last byte of the answer was handed to the system.
  *
  * A stopping node closes each connection after its current answer. The head of that answer may have been sent before
  * the stop and then does not announce it.
--- a/packages/core/src/serving/stopAdmission.ts
+++ b/packages/core/src/serving/stopAdmission.ts
@@ -13,6 +13,8 @@
   readonly size: RequestSize;
   /** Time that the caller allows, in milliseconds; undefined if it names none. */
   readonly timeoutMs: number | undefined;
+  /** Time since it arrived, in milliseconds. */
+  readonly elapsedMs: number;
 }
 
 /** How far a stop has come. */
@@ -28,13 +30,13 @@
  *
  * A request that is refused at once is served by another node a moment later; one that is cut has to start again.
  */
-export function canFinishBeforeStop(
+export function canFinishBeforeExit(
   request: StopAdmissionRequest,
   configuration: ServingConfiguration,
   { remainingMs, isInRotation }: StopProgress,
 ): boolean {
-  const { route, timeoutMs } = request;
-  const limitMs = Math.min(timeoutMs ?? Infinity, route.timeoutMs);
+  const { route, timeoutMs, elapsedMs } = request;
+  const limitMs = Math.min(timeoutMs ?? Infinity, route.timeoutMs) - elapsedMs;
   const margin = isInRotation ? ROTATION_DURATION_MARGIN : DURATION_MARGIN;
   return Math.min(limitMs, margin * predictStreamMs(request, configuration)) <= remainingMs;
 }
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { CallerConnections } from '@monsoonreach/callers/connections';
 import {
-  canFinishBeforeStop,
+  canFinishBeforeExit,
   type KeyTrust,
   type RouteTable,
   type ServingRoute,
@@ -36,10 +36,8 @@
 export class FrontServer {
   readonly connections: CallerConnections;
   private readonly _server: Server;
-  /** Monotonic time at which the process ends, in milliseconds; undefined until it is told to stop. */
-  private _endsAtMs: number | undefined;
-  /** Whether no new connections are accepted any more. */
-  private _isClosed = false;
+  /** Set when the process is told to stop: when it abandons its requests, and whether the balancer may still connect. */
+  private _stop: { readonly endsAtMs: number; readonly isInRotation: boolean } | undefined;
 
   constructor(private readonly _options: FrontServerOptions) {
     this.connections = new CallerConnections(_options.context.clock);
@@ -62,7 +60,7 @@
   }
 
   get isDraining(): boolean {
-    return this._endsAtMs !== undefined;
+    return this._stop !== undefined;
   }
 
   /** Starts accepting connections, unless the node was told to stop before it had started. */
@@ -84,16 +82,16 @@
   /**
    * Prepares for the end of the process: from now on, a connection is closed after its current answer, and a request
    * is refused if it may take longer than the process lives.
-   * @param endsAtMs monotonic time, in milliseconds.
+   * @param endsAtMs monotonic time at which requests in progress are abandoned, in milliseconds.
    */
   drain(endsAtMs: number): void {
-    this._endsAtMs = endsAtMs;
+    this._stop = { endsAtMs, isInRotation: true };
     this.connections.closeAfterAnswers();
   }
 
   /** Stops accepting connections and closes the idle ones. */
   close(): void {
-    this._isClosed = true;
+    if (this._stop) this._stop = { ...this._stop, isInRotation: false };
     this._server.close();
   }
 
@@ -165,9 +163,9 @@
     readonly priority: number | undefined;
   }): void {
     const { priority, ...rest } = options;
-    const { caller, route, response } = rest;
+    const { caller, route, response, startedAtMs } = rest;
     if (response.writableEnded || response.destroyed) return;
-    if (!this._canFinish(caller, route)) {
+    if (!this._canFinish(caller, route, startedAtMs)) {
       this._refuseStopping(response, caller.requestId);
       return;
     }
@@ -177,12 +175,14 @@
   }
 
   /** Whether a request that is served now ends before the process; true while the node is not stopping. */
-  private _canFinish(caller: CallerRequest, route: ServingRoute): boolean {
+  private _canFinish(caller: CallerRequest, route: ServingRoute, startedAtMs: number): boolean {
     const { clock, configuration } = this._options.context;
     const current = configuration();
-    if (this._endsAtMs === undefined || !current) return true;
-    const remainingMs = this._endsAtMs - clock.monotonic();
-    return canFinishBeforeStop({ route, ...caller }, current, { remainingMs, isInRotation: !this._isClosed });
+    if (!this._stop || !current) return true;
+    const { endsAtMs, isInRotation } = this._stop;
+    const nowMs = clock.monotonic();
+    const request = { route, ...caller, elapsedMs: nowMs - startedAtMs };
+    return canFinishBeforeExit(request, current, { remainingMs: endsAtMs - nowMs, isInRotation });
   }
 
   /** Refuses a request for which this process has no time left; another node can serve it at once. */
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -38,7 +38,7 @@
   node.logWarning(warning);
 });
 process.on('SIGTERM', () => {
-  void node.drain().then((cut) => process.exit(cut === 0 ? ExitCode.done : ExitCode.forced));
+  void node.drain().then((unfinished) => process.exit(unfinished === 0 ? ExitCode.done : ExitCode.forced));
 });
 process.on('SIGHUP', () => {
   node.reload();
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -177,7 +177,8 @@
 
   /**
    * Stops the node: finishes the requests in progress, as far as `drain-timeout` allows. A repeated call changes
-   * nothing. @returns the number of requests that were cut.
+   * nothing.
+   * @returns the number of requests that were not finished.
    */
   drain(): Promise<number> {
     this._draining ??= this._drain();
@@ -192,15 +193,15 @@
     this._planning.stop();
     this._ownership.stop();
     this._exchange.broadcastDigest();
-    await pause(BALANCER_DRAIN_MS);
+    await pause(Math.min(BALANCER_DRAIN_MS, endsAtMs - startedAtMs));
     this._front.close();
     await this._waitUntilClosed(endsAtMs);
-    const cut = this._logStop(startedAtMs);
+    const unfinished = this._logStop(startedAtMs);
     this._front.refuseUnserved();
     for (const run of this._runs) run.abandon();
     await this._waitUntilClosed(endsAtMs + FLUSH_TIMEOUT_MS);
     this._front.connections.resetUnfinished();
-    return cut;
+    return unfinished;
   }
 
   /** Waits until the last answer has left and all connections of callers are closed. */
@@ -215,7 +216,7 @@
     const { connections } = this._front;
     const openRequests = connections.listOpenRequests();
     for (const request of openRequests) {
-      this._log.warn('request cut by the stop', {
+      this._log.warn('request unfinished at the end of the stop', {
         request: request.requestId,
         stage: request.stage,
         ms: Math.round(nowMs - request.startedAtMs),
@@ -226,7 +227,7 @@
       });
     }
     this._log.info('stopped', {
-      cut: openRequests.length,
+      unfinished: openRequests.length,
       connections: connections.size,
       ms: Math.round(nowMs - stoppingSinceMs),
     });
--- a/tests/serving/stopAdmission.test.ts
+++ b/tests/serving/stopAdmission.test.ts
@@ -1,4 +1,4 @@
-import { canFinishBeforeStop, type ServingConfiguration, type ServingRoute } from '@monsoonreach/core';
+import { canFinishBeforeExit, type ServingConfiguration, type ServingRoute } from '@monsoonreach/core';
 import t from 'tap';
 import { LARGE_MODEL, SERVICE, SMALL_MODEL } from './fixtures.js';
 
@@ -38,6 +38,7 @@
   readonly model?: string;
   readonly answerTokens?: number;
   readonly timeoutMs?: number;
+  readonly elapsedMs?: number;
   readonly remainingMs: number;
   readonly isInRotation?: boolean;
   readonly canFinish: boolean;
@@ -86,20 +87,28 @@
   },
   { name: 'a stream of an unknown model beyond it', model: 'x', remainingMs: 7_900, canFinish: false },
   { name: 'a call within its timeout', route: PLAIN, remainingMs: 1_000, canFinish: true },
+  {
+    name: 'a call whose body took most of its timeout',
+    route: PLAIN,
+    elapsedMs: 500,
+    remainingMs: 500,
+    canFinish: true,
+  },
   { name: 'a call beyond its timeout', route: PLAIN, remainingMs: 900, canFinish: false },
 ];
 
 for (const testCase of cases) {
-  const { name, route, model = LARGE_MODEL.name, answerTokens = 100, timeoutMs } = testCase;
+  const { name, route, model = LARGE_MODEL.name, answerTokens = 100, timeoutMs, elapsedMs = 0 } = testCase;
   void t.test(`load pattern, nodes stop in turn under a burst: ${name}`, (t) => {
     const request = {
       route: { ...ROUTE, ...route },
       model,
       size: { promptTokens: 1_460, answerTokens },
       timeoutMs,
+      elapsedMs,
     };
     const { remainingMs, isInRotation = false, canFinish } = testCase;
-    t.equal(canFinishBeforeStop(request, CONFIGURATION, { remainingMs, isInRotation }), canFinish);
+    t.equal(canFinishBeforeExit(request, CONFIGURATION, { remainingMs, isInRotation }), canFinish);
     t.end();
   });
 }
--- a/tests/soak/program.ts
+++ b/tests/soak/program.ts
@@ -71,7 +71,7 @@
   {
     name: 'a stop ends at once',
     file: 'packages/node/lib/node.js',
-    find: 'await pause(BALANCER_DRAIN_MS);',
+    find: 'await pause(Math.min(BALANCER_DRAIN_MS, endsAtMs - startedAtMs));',
     replace: 'return 0;',
     faults: ['stop'],
     foundWithinMs: 60_000,
