Node: only a target's statement tells a caller that a request was not run

Seen: a target's 503, 429 or 408 without Not-Executed is passed on with its seal. Callers take these statuses for the promise that the request was not run, and send an order once more that may have been run.

Cause: every sealed answer was forwarded as it is, and only 503 was retried.

Ruled out (the new test keeps them): refusals with the statement are 503 with Retry-After and no run; what was lost before or after a refusal stays in doubt (502); a continuation that is refused breaks its stream off.

Change: an answer with such a status and without the statement is a failed attempt: retried if the request is repeatable, else 502 of the node's own without the seal. 421 states by itself that nothing was run.

--- a/packages/core/src/serving/silence.ts
+++ b/packages/core/src/serving/silence.ts
@@ -22,6 +22,7 @@
   | 'event-too-large'
   | 'failed-by-target'
   | 'refused-by-target'
+  | 'unconfirmed-refusal'
   | 'misdirected';
 
 /** Observations of a waiting attempt; times are in milliseconds. */
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -308,6 +308,8 @@
       this._handleFailure(attempt, 'wrong-echo', true);
     } else if (head.isNotRun) {
       this._handleRefusal(attempt, head);
+    } else if (head.isUnconfirmedRefusal) {
+      this._handleFailure(attempt, 'unconfirmed-refusal', true);
     } else if (!head.isSealed || head.isEncoded) {
       this._handleFailure(attempt, 'not-an-answer', true);
     } else if (head.status >= 500 && this._isRepeatable() && this._canRetry()) {
