Node: a request lost on a kept connection stays in doubt

Seen: an idempotent request whose kept connection is reset, and which is refused when it is sent again, is answered 503 (not run), though the target may have run it before the reset.

Cause: sending again to the same target did not record that the first dispatch may have been run.

Ruled out: non-idempotent requests; they use new connections and are never sent again after a reset.

Test before: "not ok 30 - a request that is lost on a kept connection and then refused may have been run", status 503.

--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -451,6 +451,7 @@
   /** Sends the request to the same target on a new connection; the attempt on the closed one does not count. */
   private _sendAgain(attempt: Attempt): void {
     const { candidate, predictedMs } = attempt;
+    this._mayHaveRun = true;
     this._trail.push(`${candidate.key} stale ${this._elapsedMs(attempt.startedAtMs)}ms`);
     attempt.load.endRequest();
     this._attempts--;
--- a/tests/platform/refusals.test.ts
+++ b/tests/platform/refusals.test.ts
@@ -138,4 +138,27 @@
     t.notOk(answer.isComplete);
     t.equal(countDispatches(), 2);
   });
+
+  // Guards against a request that may have been run on a closing connection and is called not run.
+  await t.test(
+    'a request that is lost on a kept connection and then refused may have been run',
+    async (t) => {
+      for (const target of fleet.targets) target.reset(succeed);
+      for (let count = 0; count < 6; count++) await fleet.send('/status/');
+      let resets = 0;
+      for (const target of fleet.targets) {
+        target.handle = (request) => {
+          if (request.ordinal > 1) {
+            resets++;
+            request.socket.resetAndDestroy();
+          } else {
+            refuse(request);
+          }
+        };
+      }
+      const answer = await fleet.send('/status/');
+      t.ok(resets > 0);
+      t.equal(answer.status, 502);
+    },
+  );
 });
