--- a/tests/node/requestRun.test.ts
+++ b/tests/node/requestRun.test.ts
@@ -173,4 +173,19 @@
       t.ok(fixture.targets[0].requests.every(({ socket }) => socket.destroyed));
     },
   );
+
+  // Guards against work for callers that left while their request waited for a group.
+  await t.test('nothing is sent for a caller that left before its group was assigned', async (t) => {
+    fixture.place = (_criteria, onChoice) =>
+      setTimeout(() => {
+        onChoice(fixture.choose(0));
+      }, 100);
+    fixture.reset(() => undefined);
+    const caller = fixture.caller();
+    caller.socket.write(REQUEST);
+    await sleep(50);
+    caller.socket.destroy();
+    await sleep(200);
+    t.ok(fixture.targets.every(({ requests }) => requests.length === 0));
+  });
 });
