--- a/tests/platform/rawFleet.ts
+++ b/tests/platform/rawFleet.ts
@@ -25,27 +25,46 @@
   idleTimeoutMs: 15_000,
 };
 
+/** A node in this process. */
+export interface RawNode {
+  /** Address for callers. */
+  readonly address: string;
+  readonly metrics: string;
+  readonly isReady: () => Promise<boolean>;
+}
+
 /** One node in this process with a stand-in for the store, and two raw targets of one plain service. */
 export class RawFleet {
   readonly store = new StoreStandin();
   readonly targets = [new RawTarget(), new RawTarget()] as const;
   address = '';
   private _metrics = '';
+  private _storeAddress = '';
   private _requestCount = 0;
 
   async start(): Promise<void> {
-    const store = await this.store.start();
-    this.store.put('keyed.op', 'config', createConfiguration());
+    this._storeAddress = await this.store.start();
+    this.store.put('keyed.op', 'config', createConfiguration(1));
     for (const [index, target] of this.targets.entries()) {
       await target.start();
       this.store.put('keyed.servers', `plain-${index + 1}`, createEntry(target.address));
     }
+    const node = await this.startNode('node-1');
+    this.address = node.address;
+    this._metrics = node.metrics;
+    while (!(await node.isReady())) await sleep(50);
+  }
+
+  /** Starts another node in this process. */
+  async startNode(name: string): Promise<RawNode> {
     const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
-    this.address = `127.0.0.1:${front}`;
-    this._metrics = `http://127.0.0.1:${metrics}/metrics`;
-    const settings = { name: 'node-1', domain: 'zone-1', store, front, readiness, peers, metrics };
+    const settings = { name, domain: 'zone-1', store: this._storeAddress, front, readiness, peers, metrics };
     await new Node(parseNodeSettings(formatSettings({ ...settings, log: 'hidden' })), systemClock).start();
-    while ((await fetch(`http://127.0.0.1:${readiness}/v1/readyz`)).status !== 200) await sleep(50);
+    return {
+      address: `127.0.0.1:${front}`,
+      metrics: `http://127.0.0.1:${metrics}/metrics`,
+      isReady: async () => (await fetch(`http://127.0.0.1:${readiness}/v1/readyz`)).status === 200,
+    };
   }
 
   /** Lets both targets answer with `handle` from now on, and closes their connections. */
@@ -55,12 +74,15 @@
   }
 
   /** Creates the head of a request whose connection the node closes after its answer. */
-  createHead(prefix: RoutePrefix, options: { readonly id?: string; readonly headers?: string } = {}): string {
+  createHead(
+    prefix: RoutePrefix,
+    options: { readonly id?: string; readonly headers?: string; readonly key?: string } = {},
+  ): string {
     const id = options.id ?? `request-${++this._requestCount}`;
     const headers = options.headers ?? 'Content-Length: 2\r\nConnection: close\r\n';
     return (
       `POST ${prefix}1 HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: ${id}\r\n` +
-      `Deadline-Ms: 5000\r\nAuthorization: Bearer ${API_KEY}\r\n${headers}\r\n`
+      `Deadline-Ms: 5000\r\nAuthorization: Bearer ${options.key ?? API_KEY}\r\n${headers}\r\n`
     );
   }
 
@@ -95,9 +117,10 @@
   };
 }
 
-function createConfiguration(): unknown {
+/** Returns a configuration with the routes of a {@link RoutePrefix} and one key. */
+export function createConfiguration(version: number, key = API_KEY): unknown {
   return {
-    version: 1,
+    version,
     routes: Object.entries(ROUTES).map(([pathPrefix, route]) => ({
       ...route,
       name: pathPrefix,
@@ -110,6 +133,6 @@
     })),
     services: [{ name: 'plain', maxConnections: 50 }],
     limits: LIMITS,
-    tenants: [{ name: 'workspace-1', apiKeys: [API_KEY], priority: 1 }],
+    tenants: [{ name: 'workspace-1', apiKeys: [key], priority: 1 }],
   };
 }
