Node: bytes that are no request get no answer inside another one

Seen: when a caller sends bytes that are no request after a request, the node writes "400 Bad Request" into the target's answer in progress: an unframed stream then ends with foreign bytes and a regular close, and an order that its target still runs is answered 400.

Cause: the listener for errors of callers answered whatever was in progress on the connection.

Change: while a forwarded request of the connection is not answered, the connection is reset instead; its call is cancelled as for any caller that leaves. A request that is still being read is answered 400, 413 or 431 as before.

Test before: "not ok 2 - sent during an answer, unframed", the body ended with "HTTP/1.1 400 Bad Request"; "not ok 3 - sent while a request waits for its answer", status 400.

--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { type KeyTrust, type RouteTable, type ServingRoute, splitAddress } from '@monsoonreach/core';
 import { type CallerRequest, decodeCallerRequest, encodeRetryAfter } from '@monsoonreach/platform';
 import { RequestRun } from './requestRun.js';
@@ -28,6 +29,8 @@
 /** HTTP server for callers: finds the route and workspace of each request, and starts forwarding it. */
 export class FrontServer {
   private readonly _server: Server;
+  /** Number of forwarded requests by connection whose answer is not complete. */
+  private readonly _forwarded = new WeakMap<Socket, number>();
   private _isDraining = false;
 
   constructor(private readonly _options: FrontServerOptions) {
@@ -43,8 +46,7 @@
       },
     );
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      const status = CLIENT_ERROR_STATUSES.get(error.code) ?? '400 Bad Request';
-      if (socket.writable) socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+      this._handleCallerError(error, socket as Socket);
     });
   }
 
@@ -82,6 +84,24 @@
     return this._isDraining ? ['Connection', 'close'] : [];
   }
 
+  private _handleCallerError(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable) return;
+    if ((this._forwarded.get(socket) ?? 0) > 0) {
+      // An answer of this node would become a part of the answer in progress, or contradict it.
+      socket.resetAndDestroy();
+      return;
+    }
+    const status = CLIENT_ERROR_STATUSES.get(error.code) ?? '400 Bad Request';
+    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+  }
+
+  private _countForwarded({ socket }: IncomingMessage, response: ServerResponse): void {
+    this._forwarded.set(socket, (this._forwarded.get(socket) ?? 0) + 1);
+    response.once('close', () => {
+      this._forwarded.set(socket, (this._forwarded.get(socket) ?? 1) - 1);
+    });
+  }
+
   private async _handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const startedAtMs = this._options.context.clock.monotonic();
     response.on('error', () => {
@@ -131,6 +151,7 @@
   }): void {
     const { priority, ...rest } = options;
     if (rest.response.destroyed) return;
+    this._countForwarded(rest.request, rest.response);
     const urgency = Math.min(9, Math.max(0, priority ?? DEFAULT_URGENCY));
     new RequestRun({ context: this._options.context, urgency, ...rest }).start();
   }
--- a/tests/support/rawHttp.ts
+++ b/tests/support/rawHttp.ts
@@ -168,6 +168,7 @@
     const lineEnd = text.indexOf('\r\n', at);
     if (lineEnd === -1) return { body, isComplete: false };
     const length = Number.parseInt(text.slice(at, lineEnd), 16);
+    if (Number.isNaN(length)) return { body, isComplete: false };
     if (length === 0) return { body, isComplete: text.endsWith('\r\n\r\n') };
     body += text.slice(lineEnd + 2, lineEnd + 2 + length);
     at = lineEnd + 2 + length + 2;
