--- a/packages/callers/src/callerConnections.ts
+++ b/packages/callers/src/callerConnections.ts
@@ -113,6 +113,13 @@
     return connection?.requestCount === this._requests.get(response)?.position;
   }
 
+  /** Whether a request on the connection is being served. */
+  isServing(socket: Socket): boolean {
+    return [...this._requests.values()].some(
+      ({ response, stage }) => stage === 'serving' && response.req.socket === socket,
+    );
+  }
+
   setStage(response: ServerResponse, stage: RequestStage): void {
     const request = this._requests.get(response);
     if (request) this._requests.set(response, { ...request, stage });
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { CallerConnections } from '@monsoonreach/callers/connections';
 import {
   canFinishBeforeExit,
@@ -54,8 +55,7 @@
     );
     this.connections.attach(this._server);
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      const status = CLIENT_ERROR_STATUSES.get(error.code) ?? '400 Bad Request';
-      if (socket.writable) socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+      this._handleCallerError(error, socket as Socket);
     });
   }
 
@@ -107,6 +107,17 @@
     return this.isDraining && this.connections.isLatest(response) ? ['Connection', 'close'] : [];
   }
 
+  private _handleCallerError(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (!socket.writable) return;
+    if (this.connections.isServing(socket)) {
+      // An answer of this node would become a part of the answer in progress, or contradict it.
+      socket.resetAndDestroy();
+      return;
+    }
+    const status = CLIENT_ERROR_STATUSES.get(error.code) ?? '400 Bad Request';
+    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+  }
+
   private async _handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const startedAtMs = this._options.context.clock.monotonic();
     response.on('error', () => {
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -318,6 +318,8 @@
       this._handleFailure(attempt, 'wrong-echo', true);
     } else if (head.isNotRun) {
       this._handleRefusal(attempt, head);
+    } else if (head.isUnconfirmedRefusal) {
+      this._handleFailure(attempt, 'unconfirmed-refusal', true);
     } else if (!head.isSealed || head.isEncoded) {
       this._handleFailure(attempt, 'not-an-answer', true);
     } else if (head.status >= 500 && this._isRepeatable() && this._canRetry()) {
@@ -459,6 +461,7 @@
   /** Sends the request to the same target on a new connection; the attempt on the closed one does not count. */
   private _sendAgain(attempt: Attempt): void {
     const { candidate, predictedMs } = attempt;
+    this._mayHaveRun = true;
     this._trail.push(`${candidate.key} stale ${this._elapsedMs(attempt.startedAtMs)}ms`);
     attempt.load.endRequest();
     this._attempts--;
