--- a/packages/core/src/failureReporter.ts
+++ b/packages/core/src/failureReporter.ts
@@ -1,4 +1,5 @@
 import { SourceMap, type SourceMapPayload } from 'node:module';
+import { dirname, resolve, sep } from 'node:path';
 import type { Clock } from './clock.js';
 import { createErrorReport, type SourceLookup, type SourcePosition } from './errorReport.js';
 
@@ -91,7 +92,7 @@
     const entry = this._readMap(position.file)?.findEntry(position.line - 1, position.column - 1);
     if (!entry || !('originalSource' in entry)) return undefined;
     return {
-      file: entry.originalSource.replace(/^(?:\.\.\/)+/, ''),
+      file: toShortPath(resolve(dirname(position.file), entry.originalSource)),
       line: entry.originalLine + 1,
       column: entry.originalColumn + 1,
     };
@@ -113,3 +114,9 @@
 function blockThread(ms: number): void {
   Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
 }
+
+/** Path relative to the working directory if it lies therein. */
+function toShortPath(path: string): string {
+  const directory = process.cwd() + sep;
+  return path.startsWith(directory) ? path.slice(directory.length) : path;
+}
