Processes: the end of the log's reader does not end the process

What was seen (test, no report): when the reading end of standard output was closed, the next log line ended the process, with every request in it, by an error event without listener ("write EPIPE").

Change: errors of the two outputs are ignored; without a reader the lines are lost.

The test failed before: "not ok 8 - a process goes on when nobody reads its output any more".

--- a/packages/core/src/failureReporter.ts
+++ b/packages/core/src/failureReporter.ts
@@ -41,6 +41,8 @@
     process.on('uncaughtException', (error: unknown, origin) => {
       this._endProcess('process failed', FailureExitCode.uncaught, origin, error);
     });
+    // Requests are served on when the reader of the log has ended.
+    for (const output of [process.stdout, process.stderr]) output.on('error', () => undefined);
   }
 
   /** Reports that the process could not start, and ends it. */
--- a/tests/node/processFailures.test.ts
+++ b/tests/node/processFailures.test.ts
@@ -249,19 +249,18 @@
 
 // Guards against foreign bytes that end the process and every request in it.
 void t.test('a process goes on after a message that it cannot use', async (t) => {
-  for (const { name, port, protocol, text } of foreignMessages) {
-    await t.test(name, async (t) => {
-      const ports = await takeNodePorts();
-      const node = new NodeProcess({ program, ports });
-      await node.waitUntilServing();
-      await send(ports[port], protocol, text);
-      // Reports and digests are sent to the nodes that a message names.
-      await new Promise((resolve) => setTimeout(resolve, 1_200));
-      t.ok(node.isRunning);
-      node.kill();
-      t.same(findFatalLines((await node.end).stdout), []);
-    });
-  }
+  const ends = foreignMessages.map(async ({ name, port, protocol, text }) => {
+    const ports = await takeNodePorts();
+    const node = new NodeProcess({ program, ports });
+    await node.waitUntilServing();
+    await send(ports[port], protocol, text);
+    // Reports and digests are sent to the nodes that a message names.
+    await new Promise((resolve) => setTimeout(resolve, 1_200));
+    t.ok(node.isRunning, name);
+    node.kill();
+    t.same(findFatalLines((await node.end).stdout), [], name);
+  });
+  await Promise.all(ends);
 });
 
 // Guards against a store whose answers end every process that reads them.
@@ -285,6 +284,18 @@
   store.closeAllConnections();
 });
 
+// Guards against a reader of the log whose end ends the process and every request in it.
+void t.test('a process goes on when nobody reads its output any more', async (t) => {
+  const node = new NodeProcess({ program, ports: await takeNodePorts() });
+  await node.waitUntilServing();
+  node.closeOutput();
+  // The node tries to read the store meanwhile and logs each failure.
+  await new Promise((resolve) => setTimeout(resolve, 2_000));
+  t.ok(node.isRunning);
+  node.kill();
+  t.equal((await node.end).stderr, '');
+});
+
 // Guards against warnings of the runtime that appear as text between the structured lines.
 void t.test('a warning of the runtime is a structured line', async (t) => {
   const node = await start('warn');
--- a/tests/support/nodeProcess.ts
+++ b/tests/support/nodeProcess.ts
@@ -98,6 +98,11 @@
     }
   }
 
+  /** Closes the reading end of standard output. */
+  closeOutput(): void {
+    this._child.stdout.destroy();
+  }
+
   kill(): void {
     this._child.kill('SIGKILL');
   }
