Node: a request that arrives as its connection is given up is not run

What callers saw: on a connection without a request the node wrote 408, as the head came too late, and then read and ran the order that arrived at that moment. 408 promises that the request never will be run.

Cause: node:http gives the connection to the error handler, which half-closes it after the answer; what arrives meanwhile is still parsed and handled. On a connection on which nothing was read the 408 also was an answer without a request.

Change: an unused connection is closed without an answer, and a request that is read on a connection whose end was written is dropped with it.

--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -114,11 +114,21 @@
       socket.resetAndDestroy();
       return;
     }
+    if (socket.bytesRead === 0) {
+      // The first request may be on its way, and must not get an answer that was written before it.
+      socket.destroySoon();
+      return;
+    }
     const status = CLIENT_ERROR_STATUSES.get(error.code) ?? '400 Bad Request';
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
   }
 
   private async _handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.socket.writableEnded) {
+      // The connection is being closed, so that the request could not be answered.
+      request.socket.destroy();
+      return;
+    }
     const startedAtMs = this._options.context.clock.monotonic();
     response.on('error', () => {
       this._options.context.counters.add('monsoonreach_caller_errors_total');
--- a/tests/platform/rawFleet.ts
+++ b/tests/platform/rawFleet.ts
@@ -38,6 +38,8 @@
   readonly store = new StoreStandin();
   readonly targets = [new RawTarget(), new RawTarget()] as const;
   address = '';
+  /** The nodes that were started, in order. */
+  readonly nodes: Node[] = [];
   private _metrics = '';
   private _storeAddress = '';
   private _requestCount = 0;
@@ -59,7 +61,9 @@
   async startNode(name: string): Promise<RawNode> {
     const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
     const settings = { name, domain: 'zone-1', store: this._storeAddress, front, readiness, peers, metrics };
-    await new Node(parseNodeSettings(formatSettings({ ...settings, log: 'hidden' })), systemClock).start();
+    const node = new Node(parseNodeSettings(formatSettings({ ...settings, log: 'hidden' })), systemClock);
+    this.nodes.push(node);
+    await node.start();
     return {
       address: `127.0.0.1:${front}`,
       metrics: `http://127.0.0.1:${metrics}/metrics`,
