Node: a log line tells what a lost target was running

Cause: when a target ended, nothing told which request it had just begun, nor that two attempts of callers are the same request. The hypotheses of the incident about requests that crash their targets could not be told apart.

Change: a line for each attempt that a target breaks off, with the fingerprint of the request (path, workspace, body), the shared parts of its prompt, and how far its answer was. The parts of a prompt are decoded where the request is.

--- a/packages/core/src/hashing.ts
+++ b/packages/core/src/hashing.ts
@@ -8,9 +8,9 @@
   return hasher.h32(text, seed);
 }
 
-/** SHA-256 of a text in hexadecimal. */
-export function sha256(text: string): string {
-  return createHash('sha256').update(text).digest('hex');
+/** SHA-256 of a text or of bytes in hexadecimal. */
+export function sha256(data: string | Uint8Array): string {
+  return createHash('sha256').update(data).digest('hex');
 }
 
 /** Compares two texts in time that does not depend on where they differ. */
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -1,3 +1,4 @@
+export * from './crashFactors.js';
 export * from './demandMeter.js';
 export * from './engineCost.js';
 export * from './eventFramer.js';
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -3,6 +3,7 @@
   type CallOutcomeReason,
   chooseService,
   chooseTarget,
+  createFingerprint,
   EventFramer,
   classifySilence,
   type RequestSize,
@@ -43,6 +44,8 @@
   readonly framer: EventFramer;
   call: OpenCall | undefined;
   head: ResponseHead | undefined;
+  headAtMs: number | undefined;
+  firstEventAtMs: number | undefined;
   readonly buffered: Buffer[];
   bufferedBytes: number;
   progressAtMs: number;
@@ -254,6 +257,8 @@
       framer: new EventFramer(),
       call: undefined,
       head: undefined,
+      headAtMs: undefined,
+      firstEventAtMs: undefined,
       buffered: [],
       bufferedBytes: 0,
       progressAtMs: -Infinity,
@@ -312,7 +317,8 @@
 
   private _handleHead(attempt: Attempt, head: ResponseHead): void {
     attempt.head = head;
-    attempt.progressAtMs = this._options.context.clock.monotonic();
+    attempt.headAtMs = this._options.context.clock.monotonic();
+    attempt.progressAtMs = attempt.headAtMs;
     if (!this._isOwnAnswer(attempt, head)) {
       this._isConnectionDoubted = true;
       this._handleFailure(attempt, 'wrong-echo', true);
@@ -365,6 +371,7 @@
     this._recordProgress(attempt, nowMs);
     attempt.load.endPrefill();
     attempt.events += batch.eventCount;
+    attempt.firstEventAtMs ??= nowMs;
     this._recordForwarded(batch.eventCount, nowMs);
     this._lastEventId = batch.lastId ?? this._lastEventId;
     this._startStream(attempt.head);
@@ -473,6 +480,7 @@
     if (mayHaveRun) this._mayHaveRun = true;
     const { context } = this._options;
     if (reason === 'unsent') this._attempts--;
+    if (LOSSES.has(reason)) this._logLoss(attempt, reason);
     const isGroup = attempt.candidate.engine !== undefined;
     if (isGroup && CONNECTION_FAILURES.has(reason)) {
       const isNew = context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
@@ -485,6 +493,24 @@
     this._abandonAndGiveUp(attempt, reason);
   }
 
+  /** Logs what the target was running when it broke off, so that a request that comes again can be recognized. */
+  private _logLoss(attempt: Attempt, reason: CallOutcomeReason): void {
+    const { context, caller, request, workspace, body } = this._options;
+    const { candidate, events, startedAtMs, headAtMs, firstEventAtMs } = attempt;
+    context.log.info('attempt broken off by target', {
+      target: candidate.key,
+      instance: candidate.instance.id,
+      reason,
+      request: caller.requestId,
+      fingerprint: createFingerprint({ path: request.url ?? '/', workspace, body }),
+      sharedParts: caller.sharedParts,
+      events,
+      sentMs: this._elapsedMs(startedAtMs),
+      headMs: headAtMs === undefined ? undefined : this._elapsedMs(headAtMs),
+      firstEventMs: firstEventAtMs === undefined ? undefined : this._elapsedMs(firstEventAtMs),
+    });
+  }
+
   /** Ends the last attempt and the request with it. */
   private _abandonAndGiveUp(attempt: Attempt, reason: CallOutcomeReason): void {
     this._abandonAttempt(attempt, reason);
@@ -623,6 +649,9 @@
 /** Failures after which a group gets no requests for some time. */
 const CONNECTION_FAILURES: ReadonlySet<CallOutcomeReason> = new Set(['unsent', 'target-lost', 'malformed']);
 
+/** Failures in which the target closed the connection before its answer was complete. */
+const LOSSES: ReadonlySet<CallOutcomeReason> = new Set(['target-lost', 'truncated']);
+
 function toFailureReason({ isUnsent, isMalformed }: CallError): CallOutcomeReason {
   if (isUnsent) return 'unsent';
   return isMalformed ? 'malformed' : 'target-lost';
--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -232,6 +232,10 @@
   { headers: { 'deadline-ms': '-1' }, expected: { timeoutMs: undefined } },
   { headers: { authorization: 'Bearer k1' }, expected: { apiKey: 'k1' } },
   { headers: { authorization: 'Basic k1' }, expected: { apiKey: undefined } },
+  { headers: { 'prompt-prefix': '5C1E:800, 91bd:4,e4:2' }, expected: { sharedParts: ['5c1e', '91bd'] } },
+  { headers: { 'prompt-prefix': '5c1e:800' }, expected: { sharedParts: [] } },
+  { headers: { 'prompt-prefix': '5c1e:800,x' }, expected: { sharedParts: [] } },
+  { headers: {}, expected: { sharedParts: [] } },
 ];
 for (const { headers: fields, expected } of callerCases) {
   void t.test(`a caller's headers are decoded: ${JSON.stringify(fields)}`, (t) => {
