Node: a request that crashes its targets is refused once two have crashed

What callers saw: one request that crashes each target that begins to answer it came again and again. Each time it ended one group, or two, as nodes retried it; sound requests at those groups were broken off, and many were refused while groups formed.

Cause: nothing outlived an attempt. A node did not ask why a target was lost before it retried, did not remember what the target had just begun to answer, and told no peer. The class: knowledge that one node has and all need, kept by none. The entry half contains such requests (crashSuspects.ts); the node never did.

Change: CrashEvidence draws a verdict from crashes and survivals, CrashMonitor finds out whether a lost target has crashed (it refuses connections) and shares the evidence with all nodes at once and in digests. A request under which two targets have crashed in succession is refused, 503 and not run, for a minute, doubled by each further crash. The values: two as in the entry half; 250 ms, as crashing targets ended 43 to 130 ms after the head.

--- a/packages/core/src/serving/crashFactors.ts
+++ b/packages/core/src/serving/crashFactors.ts
@@ -3,6 +3,19 @@
 /** Hexadecimal digits of a fingerprint: 64 bits. */
 const FINGERPRINT_DIGITS = 16;
 
+const CRASH_FACTOR_KINDS = ['request'] as const;
+
+/** Something that requests have in common and that may crash the targets that run them. */
+export interface CrashFactor {
+  /** `request`: the whole request, which comes again; its id is a fingerprint. */
+  readonly kind: (typeof CRASH_FACTOR_KINDS)[number];
+  readonly id: string;
+}
+
+export function isCrashFactorKind(kind: string): kind is CrashFactor['kind'] {
+  return (CRASH_FACTOR_KINDS as readonly string[]).includes(kind);
+}
+
 /** What identifies the same request when it comes again, at any node and with another id. */
 export interface RequestIdentity {
   readonly path: string;
@@ -15,3 +28,8 @@
   const head = JSON.stringify([path, workspace]);
   return sha256(body ? Buffer.concat([Buffer.from(head), body]) : head).slice(0, FINGERPRINT_DIGITS);
 }
+
+/** Returns what a request may share with others that crash their targets. */
+export function createCrashFactors(request: RequestIdentity): readonly CrashFactor[] {
+  return [{ kind: 'request', id: createFingerprint(request) }];
+}
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -1,3 +1,4 @@
+export * from './crashEvidence.js';
 export * from './crashFactors.js';
 export * from './demandMeter.js';
 export * from './engineCost.js';
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,3 +1,4 @@
+export * from './crashMonitor.js';
 export * from './decisionLog.js';
 export * from './frontServer.js';
 export * from './headMonitor.js';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -31,6 +31,7 @@
   StoreClient,
   Topic,
 } from '@monsoonreach/platform';
+import { CrashMonitor } from './crashMonitor.js';
 import { DecisionLog } from './decisionLog.js';
 import { FleetReports } from './fleetReports.js';
 import { sendProblem, FrontServer } from './frontServer.js';
@@ -98,6 +99,7 @@
   private readonly _heads: HeadMonitor;
   private readonly _planning: Planning;
   private readonly _placement: Placement;
+  private readonly _crashes: CrashMonitor;
   private readonly _gate: StartGate;
   private readonly _front: FrontServer;
   private readonly _directory: TargetDirectory;
@@ -141,6 +143,7 @@
     this._discovery = this._createDiscovery();
     this._directory = new TargetDirectory(this._list, this._loads, this._ownership);
     this._placement = this._createPlacement();
+    this._crashes = this._createCrashMonitor();
     this._context = this._createContext();
     this._gate = new StartGate(_clock);
     this._front = new FrontServer({
@@ -371,6 +374,21 @@
     });
   }
 
+  private _createCrashMonitor(): CrashMonitor {
+    return new CrashMonitor({
+      address: this._self.address,
+      clock: this._clock,
+      counters: this._counters,
+      log: this._log,
+      send: (address, message) => {
+        this._exchange.send(address, message);
+      },
+      broadcast: (message) => {
+        this._exchange.broadcast(message);
+      },
+    });
+  }
+
   private _createContext(): ServingContext {
     const { bounds, node } = this._settings;
     return {
@@ -387,6 +405,7 @@
         () => this._exchange.size + 1,
       ),
       connections: this._connections,
+      crashes: this._crashes,
       directory: this._directory,
       placement: this._placement,
       runs: this._runs,
@@ -556,11 +575,13 @@
       isLeaving: this._front.isDraining,
       hasTraffic: this._hasTraffic,
       ownershipStamp: this._ownership.stamp,
+      crashes: [...this._crashes.describe()],
     };
   }
 
   private _applyDigest(digest: Digest, address: string, receivedAtMs: number): void {
     this._ownership.answerStamp(digest.ownershipStamp, address);
+    this._crashes.receive({ address, evidence: digest.crashes });
     if (digest.hasTraffic) this._hasPeerTraffic = true;
     if (digest.configurationVersion === this._table?.configuration.version) {
       this._trust.confirm(receivedAtMs - digest.storeAgeMs - MAX_DATAGRAM_DELAY_MS);
@@ -576,6 +597,9 @@
       case 'ask':
       case 'grant':
         this._placement.receive(message);
+        return;
+      case 'crashes':
+        this._crashes.receive(message);
     }
   }
 
--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -47,7 +47,13 @@
 /** The part of a digest that the node supplies; the exchange adds the rest. */
 export type OwnState = Pick<
   Digest,
-  'storeAgeMs' | 'isFirstHand' | 'configurationVersion' | 'isLeaving' | 'hasTraffic' | 'ownershipStamp'
+  | 'storeAgeMs'
+  | 'isFirstHand'
+  | 'configurationVersion'
+  | 'isLeaving'
+  | 'hasTraffic'
+  | 'ownershipStamp'
+  | 'crashes'
 >;
 
 /** The last digest of a peer and the monotonic time at which it arrived. */
@@ -290,6 +296,7 @@
       case 'report':
       case 'ask':
       case 'grant':
+      case 'crashes':
         this._options.onMessage(message);
     }
   }
--- a/packages/node/src/peerMessages.ts
+++ b/packages/node/src/peerMessages.ts
@@ -24,6 +24,14 @@
 /** Requests, context tokens and prompt tokens that await prefill. */
 const loadSchema = z.tuple([z.number(), z.number(), z.number()]);
 
+/** Target, and the ages at which the request was sent to it and it crashed, in milliseconds. */
+const crashSchema = z.tuple([z.string(), count, count]);
+/**
+ * Kind and id of a factor, age of its latest survival in milliseconds, and crashes. A later version may have more kinds,
+ * which must not make its digests unreadable.
+ */
+const evidenceSchema = z.tuple([z.string(), z.string(), z.nullable(count), z.array(crashSchema)]);
+
 const digestSchema = z.object({
   ...version,
   kind: z.literal('digest'),
@@ -42,6 +50,8 @@
   heard: z.array(heardSchema),
   /** Some of the nodes that the sender knows. */
   members: z.array(memberRowSchema),
+  /** What crashes targets, as far as the sender knows; absent from nodes of earlier versions. */
+  crashes: z._default(z.array(evidenceSchema), []),
 });
 
 const ownershipSchema = z.object({
@@ -118,6 +128,14 @@
   free: count,
 });
 
+const crashesSchema = z.object({
+  ...version,
+  kind: z.literal('crashes'),
+  /** Address to which corrections are sent. */
+  address: addressSchema,
+  evidence: z.array(evidenceSchema),
+});
+
 const messageSchema = z.discriminatedUnion('kind', [
   digestSchema,
   ownershipSchema,
@@ -126,6 +144,7 @@
   reportSchema,
   askSchema,
   grantSchema,
+  crashesSchema,
 ]);
 
 /** A message between two nodes. */
@@ -143,6 +162,9 @@
 export type AskMessage = Readonly<z.infer<typeof askSchema>>;
 /** An owner's answer. */
 export type GrantMessage = Readonly<z.infer<typeof grantSchema>>;
+/** New evidence about what crashes targets. */
+export type CrashMessage = Readonly<z.infer<typeof crashesSchema>>;
+export type EvidenceRow = z.infer<typeof evidenceSchema>;
 
 /** A datagram is no message of this system. */
 export class PeerMessageError extends MonsoonreachError {
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -3,7 +3,8 @@
   type CallOutcomeReason,
   chooseService,
   chooseTarget,
-  createFingerprint,
+  type CrashFactor,
+  createCrashFactors,
   EventFramer,
   classifySilence,
   type RequestSize,
@@ -30,8 +31,12 @@
 /** Largest share of the remaining time that Retry-After may ask for; callers do not honour a longer wait. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
 
+/** Time after a stream's first event from which on its target counts as having survived the request, in milliseconds. */
+const SURVIVAL_MS = 250;
+
 /** Reason for refusing a request that was not run. */
-export type RefusalReason = Extract<TargetChoice, { readonly kind: 'none' }>['reason'] | 'not-run-by-target';
+export type RefusalReason =
+  Extract<TargetChoice, { readonly kind: 'none' }>['reason'] | 'not-run-by-target' | 'quarantined';
 
 /** Reason for the failure of a request that may have been run. */
 export type FailureReason = RefusalReason | 'no-answer' | 'timeout' | 'stopping';
@@ -50,6 +55,8 @@
   bufferedBytes: number;
   progressAtMs: number;
   events: number;
+  /** Whether the target is known to survive the answer. */
+  hasSurvived: boolean;
   /** Whether nothing is read from the target because the caller does not read. */
   isPaused: boolean;
   /** Monotonic time before which no other target is asked for because of silence. */
@@ -81,6 +88,7 @@
   private _attempts = 0;
   /** Whether a target may have run the request. */
   private _mayHaveRun = false;
+  private _cachedFactors: readonly CrashFactor[] | undefined;
   private _lastEventId: string | undefined;
   private _forwardedEvents = 0;
   private _firstEventAtMs: number | undefined;
@@ -107,6 +115,11 @@
 
   start(): void {
     const { context, response } = this._options;
+    const quarantineEndMs = this._findQuarantineEndMs();
+    if (quarantineEndMs !== undefined) {
+      this._refuse('quarantined', quarantineEndMs - context.clock.monotonic());
+      return;
+    }
     context.runs.add(this);
     response.on('close', () => {
       if (!this._isFinished) this._handleCallerGone();
@@ -263,6 +276,7 @@
       bufferedBytes: 0,
       progressAtMs: -Infinity,
       events: 0,
+      hasSurvived: false,
       isPaused: false,
       movableAtMs: -Infinity,
     };
@@ -372,6 +386,7 @@
     attempt.load.endPrefill();
     attempt.events += batch.eventCount;
     attempt.firstEventAtMs ??= nowMs;
+    if (nowMs - attempt.firstEventAtMs >= SURVIVAL_MS) this._recordSurvival(attempt);
     this._recordForwarded(batch.eventCount, nowMs);
     this._lastEventId = batch.lastId ?? this._lastEventId;
     this._startStream(attempt.head);
@@ -480,29 +495,74 @@
     if (mayHaveRun) this._mayHaveRun = true;
     const { context } = this._options;
     if (reason === 'unsent') this._attempts--;
-    if (LOSSES.has(reason)) this._logLoss(attempt, reason);
     const isGroup = attempt.candidate.engine !== undefined;
     if (isGroup && CONNECTION_FAILURES.has(reason)) {
       const isNew = context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
       if (isNew) context.onSilentTarget(attempt.candidate);
     }
-    if ((!mayHaveRun || this._isRepeatable()) && this._canRetry()) {
-      this._retry(attempt, reason);
+    if (!LOSSES.has(reason)) {
+      this._retryOrGiveUp(attempt, reason, mayHaveRun);
       return;
     }
-    this._abandonAndGiveUp(attempt, reason);
+    this._logLoss(attempt, reason);
+    void this._examineLoss(attempt).then(() => {
+      if (this._attempt === attempt && !this._isFinished) this._retryOrGiveUp(attempt, reason, mayHaveRun);
+    });
+  }
+
+  private _retryOrGiveUp(attempt: Attempt, reason: CallOutcomeReason, mayHaveRun: boolean): void {
+    if ((!mayHaveRun || this._isRepeatable()) && this._canRetry()) this._retry(attempt, reason);
+    else this._abandonAndGiveUp(attempt, reason);
+  }
+
+  /** Finds out whether the target crashed under this request, before the request may crash another. */
+  private async _examineLoss(attempt: Attempt): Promise<void> {
+    if (!this._hasJustBegun(attempt)) return;
+    const { context, caller } = this._options;
+    const { candidate, startedAtMs: sentAtMs } = attempt;
+    await context.crashes.examineLoss({
+      candidate,
+      requestId: caller.requestId,
+      factors: this._factors,
+      sentAtMs,
+    });
+  }
+
+  /** Whether the target may have begun the answer and has not survived it yet. */
+  private _hasJustBegun({ head, firstEventAtMs }: Attempt): boolean {
+    if (!this._isStream) return true;
+    const nowMs = this._options.context.clock.monotonic();
+    return head !== undefined && (firstEventAtMs === undefined || nowMs - firstEventAtMs < SURVIVAL_MS);
+  }
+
+  private _recordSurvival(attempt: Attempt): void {
+    const { crashes } = this._options.context;
+    if (crashes.isIdle || attempt.hasSurvived) return;
+    attempt.hasSurvived = true;
+    const begunAtMs = this._isStream ? attempt.headAtMs : attempt.startedAtMs;
+    if (begunAtMs !== undefined) crashes.recordSurvival(this._factors, begunAtMs);
+  }
+
+  private get _factors(): readonly CrashFactor[] {
+    const { request, workspace, body } = this._options;
+    return (this._cachedFactors ??= createCrashFactors({ path: request.url ?? '/', workspace, body }));
+  }
+
+  private _findQuarantineEndMs(): number | undefined {
+    const { crashes } = this._options.context;
+    return crashes.isIdle ? undefined : crashes.findQuarantineEndMs(this._factors);
   }
 
   /** Logs what the target was running when it broke off, so that a request that comes again can be recognized. */
   private _logLoss(attempt: Attempt, reason: CallOutcomeReason): void {
-    const { context, caller, request, workspace, body } = this._options;
+    const { context, caller } = this._options;
     const { candidate, events, startedAtMs, headAtMs, firstEventAtMs } = attempt;
     context.log.info('attempt broken off by target', {
       target: candidate.key,
       instance: candidate.instance.id,
       reason,
       request: caller.requestId,
-      fingerprint: createFingerprint({ path: request.url ?? '/', workspace, body }),
+      fingerprint: this._factors[0]?.id,
       sharedParts: caller.sharedParts,
       events,
       sentMs: this._elapsedMs(startedAtMs),
@@ -520,7 +580,12 @@
   private _canRetry(): boolean {
     const { context, route } = this._options;
     const nowMs = context.clock.monotonic();
-    return this._attempts < route.maxAttempts && nowMs < this._deadlineMs && this._choose().kind === 'chosen';
+    return (
+      this._attempts < route.maxAttempts &&
+      nowMs < this._deadlineMs &&
+      this._findQuarantineEndMs() === undefined &&
+      this._choose().kind === 'chosen'
+    );
   }
 
   /** Takes a retry from the budget that all nodes share. */
@@ -559,6 +624,7 @@
 
   private _completeAttempt(attempt: Attempt, isFailure: boolean): void {
     const { context } = this._options;
+    if (!isFailure) this._recordSurvival(attempt);
     this._trail.push(`${attempt.candidate.key} done ${this._elapsedMs(attempt.startedAtMs)}ms`);
     context.health.recordOutcome(attempt.candidate.key, isFailure, context.clock.monotonic());
     attempt.load.endRequest();
--- a/packages/node/src/servingContext.ts
+++ b/packages/node/src/servingContext.ts
@@ -10,6 +10,7 @@
   TargetCandidate,
   TargetHealth,
 } from '@monsoonreach/core';
+import type { CrashMonitor } from './crashMonitor.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { Placement } from './placement.js';
 import type { RequestRun } from './requestRun.js';
@@ -28,6 +29,8 @@
   readonly demand: DemandMeter;
   readonly retries: RetryWindowBudget;
   readonly connections: TargetConnections;
+  /** Recognizes requests that crash their targets. */
+  readonly crashes: CrashMonitor;
   readonly directory: TargetDirectory;
   /** Assigns requests for engine groups to targets. */
   readonly placement: Placement;
--- a/tests/node/planning.test.ts
+++ b/tests/node/planning.test.ts
@@ -48,6 +48,7 @@
       isLeaving: false,
       hasTraffic: true,
       ownershipStamp: ownership.stamp,
+      crashes: [],
     }),
     onDigest: (digest, from) => {
       ownership.answerStamp(digest.ownershipStamp, from);
--- a/tests/node/requestRun.test.ts
+++ b/tests/node/requestRun.test.ts
@@ -14,6 +14,7 @@
   TargetHealth,
 } from '@monsoonreach/core';
 import {
+  CrashMonitor,
   DecisionLog,
   type Placement,
   RequestRun,
@@ -95,11 +96,20 @@
 
   private _createContext(): ServingContext {
     const counters = new Counters();
+    const log = new DecisionLog('node', 'hidden', systemClock, counters);
     return {
       clock: systemClock,
       random: createRandom(1),
       counters,
-      log: new DecisionLog('node', 'hidden', systemClock, counters),
+      log,
+      crashes: new CrashMonitor({
+        address: '127.0.0.1:1',
+        clock: systemClock,
+        counters,
+        log,
+        send: () => undefined,
+        broadcast: () => undefined,
+      }),
       failureDomain: 'zone-1',
       health: new TargetHealth(),
       loads: new LoadTracker(),
--- a/tests/platform/rawFleet.ts
+++ b/tests/platform/rawFleet.ts
@@ -43,20 +43,25 @@
   private _metrics = '';
   private _storeAddress = '';
   private _requestCount = 0;
+  private _startCount = 1;
 
   async start(): Promise<void> {
     this._storeAddress = await this.store.start();
     this.store.put('keyed.op', 'config', createConfiguration(1));
-    for (const [index, target] of this.targets.entries()) {
-      await target.start();
-      this.store.put('keyed.servers', `plain-${index + 1}`, createEntry(target.address));
-    }
+    for (const target of this.targets) await this.startTarget(target);
     const node = await this.startNode('node-1');
     this.address = node.address;
     this._metrics = node.metrics;
     while (!(await node.isReady())) await sleep(50);
   }
 
+  /** Starts a target, or starts it again after a crash, and announces it. */
+  async startTarget(target: RawTarget): Promise<void> {
+    await target.start();
+    const id = `plain-${this.targets.indexOf(target) + 1}`;
+    this.store.put('keyed.servers', id, createEntry(target.address, this._startCount++));
+  }
+
   /** Starts another node in this process. */
   async startNode(name: string): Promise<RawNode> {
     const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
@@ -80,12 +85,17 @@
   /** Creates the head of a request whose connection the node closes after its answer. */
   createHead(
     prefix: RoutePrefix,
-    options: { readonly id?: string; readonly headers?: string; readonly key?: string } = {},
+    options: {
+      readonly id?: string;
+      readonly headers?: string;
+      readonly key?: string;
+      readonly path?: string;
+    } = {},
   ): string {
     const id = options.id ?? `request-${++this._requestCount}`;
     const headers = options.headers ?? 'Content-Length: 2\r\nConnection: close\r\n';
     return (
-      `POST ${prefix}1 HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: ${id}\r\n` +
+      `POST ${prefix}${options.path ?? '1'} HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: ${id}\r\n` +
       `Deadline-Ms: 5000\r\nAuthorization: Bearer ${options.key ?? API_KEY}\r\n${headers}\r\n`
     );
   }
@@ -108,7 +118,7 @@
   }
 }
 
-function createEntry(address: string): unknown {
+function createEntry(address: string, born: number): unknown {
   return {
     service: 'plain',
     address,
@@ -116,7 +126,7 @@
     version: 'v1',
     slots: 8,
     state: 'ready',
-    born: 1,
+    born,
     seqNo: 1,
   };
 }
--- /dev/null
+++ b/tests/serving/crashEvidence.test.ts
@@ -0,0 +1,174 @@
+import { CrashEvidence, type CrashFactor, createCrashFactors, ManualClock } from '@monsoonreach/core';
+import fc from 'fast-check';
+import t from 'tap';
+
+const REQUEST: CrashFactor = { kind: 'request', id: 'f1' };
+const OTHER: CrashFactor = { kind: 'request', id: 'f2' };
+
+function createEvidence(nowMs = 100): CrashEvidence {
+  const clock = new ManualClock();
+  clock.advance(nowMs);
+  return new CrashEvidence(clock);
+}
+
+/** A crash or a survival of the factor `of`, the request by default. */
+type Step =
+  | {
+      readonly kind: 'crash';
+      readonly sentAtMs: number;
+      readonly lostAtMs: number;
+      readonly of?: CrashFactor;
+    }
+  | { readonly kind: 'survival'; readonly begunAtMs: number; readonly of?: CrashFactor };
+
+function apply(evidence: CrashEvidence, steps: readonly Step[]): void {
+  for (const step of steps) {
+    const factors = [step.of ?? REQUEST];
+    switch (step.kind) {
+      case 'crash':
+        evidence.recordCrash(factors, { ...step, target: `target-${step.lostAtMs}-${step.sentAtMs}` });
+        break;
+      case 'survival':
+        evidence.recordSurvival(factors, step.begunAtMs);
+    }
+  }
+}
+
+const crash = (sentAtMs: number, lostAtMs: number, of = REQUEST): Step => ({
+  kind: 'crash',
+  sentAtMs,
+  lostAtMs,
+  of,
+});
+const survival = (begunAtMs: number, of = REQUEST): Step => ({ kind: 'survival', begunAtMs, of });
+
+const cases = [
+  { name: 'one crash may have any reason', steps: [crash(0, 10)], endMs: undefined },
+  { name: 'a second crash quarantines the request', steps: [crash(0, 10), crash(20, 30)], endMs: 60_030 },
+  {
+    name: 'targets that are lost at once count once',
+    steps: [crash(0, 10), crash(2, 10), crash(5, 11), crash(8, 12)],
+    endMs: undefined,
+  },
+  {
+    name: 'crashes count in any order of their messages',
+    steps: [crash(20, 30), crash(0, 10)],
+    endMs: 60_030,
+  },
+  {
+    name: 'a target that survives between two crashes clears the request',
+    steps: [crash(0, 10), survival(15), crash(20, 30)],
+    endMs: undefined,
+  },
+  {
+    name: 'an answer that was begun before the crashes proves nothing',
+    steps: [crash(0, 10), crash(20, 30), survival(5)],
+    endMs: 60_030,
+  },
+  {
+    name: 'a survival that is known late ends the quarantine',
+    steps: [crash(0, 10), crash(20, 30), survival(25)],
+    endMs: undefined,
+  },
+  {
+    name: 'crashes of other requests do not count',
+    steps: [crash(0, 10), crash(20, 30, OTHER)],
+    endMs: undefined,
+  },
+  {
+    name: 'each further crash doubles the quarantine',
+    steps: [crash(0, 10), crash(20, 30), crash(40, 50), crash(60, 70)],
+    endMs: 240_070,
+  },
+] as const;
+
+void t.test('quarantine of a request', (t) => {
+  for (const { name, steps, endMs } of cases) {
+    void t.test(name, (t) => {
+      const evidence = createEvidence();
+      apply(evidence, steps);
+      t.equal(evidence.findQuarantineEndMs([REQUEST]), endMs);
+      t.end();
+    });
+  }
+  t.end();
+});
+
+void t.test('a quarantine ends by itself, and one more crash renews it', (t) => {
+  const clock = new ManualClock();
+  const evidence = new CrashEvidence(clock);
+  apply(evidence, [crash(0, 10), crash(20, 30)]);
+  clock.advance(60_030);
+  t.equal(evidence.findQuarantineEndMs([REQUEST]), undefined);
+  apply(evidence, [crash(61_000, 61_010)]);
+  clock.advance(980);
+  t.equal(evidence.findQuarantineEndMs([REQUEST]), 61_010 + 120_000);
+  clock.advance(338_990);
+  evidence.merge([]);
+  t.ok(evidence.isEmpty, 'evidence is forgotten in the end');
+  t.end();
+});
+
+void t.test('a node that missed a survival is corrected by the next one that knows it', (t) => {
+  const informed = createEvidence();
+  const uninformed = createEvidence();
+  apply(informed, [crash(0, 10), survival(15)]);
+  apply(uninformed, [crash(0, 10), crash(20, 30)]);
+  const corrections = informed.merge(uninformed.listShared());
+  t.equal(corrections.length, 1);
+  t.same(uninformed.merge(corrections), []);
+  t.equal(uninformed.findQuarantineEndMs([REQUEST]), undefined);
+  t.equal(informed.findQuarantineEndMs([REQUEST]), undefined);
+  t.end();
+});
+
+const time = fc.integer({ min: 0, max: 50 });
+const arbitraryStep: fc.Arbitrary<Step> = fc.oneof(
+  fc.tuple(time, time).map(([a, b]) => crash(Math.min(a, b), Math.max(a, b))),
+  time.map((atMs) => survival(atMs)),
+);
+
+void t.test('nodes that know the same evidence agree, in whatever order it came', (t) => {
+  fc.assert(
+    fc.property(fc.array(arbitraryStep, { maxLength: 7 }), fc.infiniteStream(fc.nat(1)), (steps, choices) => {
+      const nodes = [createEvidence(), createEvidence()];
+      // A survival counts only where a crash is known, so that both know one first.
+      for (const node of nodes) apply(node, [crash(0, 0)]);
+      for (const step of steps) apply(nodes[choices.next().value ?? 0] ?? createEvidence(), [step]);
+      const [first, second] = nodes.map((node) => node.describe([REQUEST]));
+      nodes[0]?.merge(second ?? []);
+      nodes[1]?.merge(first ?? []);
+      const verdicts = nodes.map((node) => node.findQuarantineEndMs([REQUEST]));
+      return verdicts[0] === verdicts[1];
+    }),
+  );
+  t.end();
+});
+
+void t.test('evidence about many requests is bounded', (t) => {
+  const evidence = createEvidence();
+  const all: readonly CrashFactor[] = Array.from({ length: 3_000 }, (_, index) => ({
+    kind: 'request',
+    id: `f${index}`,
+  }));
+  for (const factor of all) apply(evidence, [crash(0, 10, factor), crash(20, 30, factor)]);
+  t.ok(evidence.describe(all).length <= 1_024);
+  t.equal(evidence.listShared().length, 16);
+  t.end();
+});
+
+const identity = { path: '/a', workspace: 'w', body: Buffer.from('b') };
+const identityCases = [
+  { name: 'the same request', other: { ...identity, body: Buffer.from('b') }, isSame: true },
+  { name: 'another body', other: { ...identity, body: Buffer.from('c') }, isSame: false },
+  { name: 'no body', other: { ...identity, body: undefined }, isSame: false },
+  { name: 'another workspace', other: { ...identity, workspace: undefined }, isSame: false },
+  { name: 'another path', other: { ...identity, path: '/b' }, isSame: false },
+] as const;
+
+void t.test('what identifies a request', (t) => {
+  for (const { name, other, isSame } of identityCases) {
+    t.equal(createCrashFactors(identity)[0]?.id === createCrashFactors(other)[0]?.id, isSame, name);
+  }
+  t.end();
+});
--- a/tests/support/rawHttp.ts
+++ b/tests/support/rawHttp.ts
@@ -19,6 +19,7 @@
   readonly requests: RawRequest[] = [];
   private readonly _sockets = new Set<Socket>();
   private readonly _server: Server;
+  private _port = 0;
 
   constructor() {
     this._server = createServer((socket) => {
@@ -27,7 +28,7 @@
   }
 
   get address(): string {
-    return `127.0.0.1:${(this._server.address() as AddressInfo).port}`;
+    return `127.0.0.1:${this._port}`;
   }
 
   get openConnections(): number {
@@ -42,8 +43,16 @@
     );
   }
 
+  /** Starts listening, after a crash on the same port. */
   async start(): Promise<void> {
-    await new Promise<void>((resolve) => this._server.listen(0, '127.0.0.1', resolve));
+    await new Promise<void>((resolve) => this._server.listen(this._port, '127.0.0.1', resolve));
+    this._port = (this._server.address() as AddressInfo).port;
+  }
+
+  /** Closes all connections and stops listening, as a process that ends. */
+  crash(): void {
+    this._server.close();
+    for (const socket of this._sockets) socket.resetAndDestroy();
   }
 
   /** Closes all connections and forgets the received requests. */
