Node: a part of a prompt that crashes targets is refused once three have crashed

What callers saw: requests that share one part of their prompts, no two alike, ended one group after the other for as long as they came.

Cause: as for the whole request, nothing outlived an attempt; and a memory of whole requests does not help here, as none comes again.

Change: the parts of a prompt that others may share are factors of the evidence as well. Three successive crashes without a survival quarantine a part, one more than a request, as many sound requests may have it. An earlier part is not blamed for a crash that a part which continues it explains.

--- a/packages/core/src/serving/crashEvidence.ts
+++ b/packages/core/src/serving/crashEvidence.ts
@@ -2,7 +2,7 @@
 import type { CrashFactor } from './crashFactors.js';
 
 /** Successive crashes after which a factor is quarantined. */
-const MAX_CRASHES: Readonly<Record<CrashFactor['kind'], number>> = { request: 2 };
+const MAX_CRASHES: Readonly<Record<CrashFactor['kind'], number>> = { request: 2, part: 3 };
 /** Duration of a quarantine, in milliseconds; doubles with each further crash. */
 const QUARANTINE_MS = 60_000;
 const MAX_QUARANTINE_MS = 600_000;
@@ -55,9 +55,18 @@
     return this._evidence.size === 0;
   }
 
-  recordCrash(factors: readonly CrashFactor[], crash: TargetCrash): void {
-    for (const factor of factors) this._merge({ factor, crashes: [crash], survivedAtMs: -Infinity });
+  /**
+   * Records that a target crashed under a request.
+   * @param factors of the request; a part of a prompt comes before those that continue it.
+   * @returns the evidence that this changed.
+   */
+  recordCrash(factors: readonly CrashFactor[], crash: TargetCrash): readonly FactorEvidence[] {
+    const blamed = factors.filter((factor, index) => !this._isExplained(factor, factors.slice(index + 1)));
+    const changed = blamed.map((factor) =>
+      this._merge({ factor, crashes: [crash], survivedAtMs: -Infinity }),
+    );
     this._removeExpired();
+    return changed;
   }
 
   /**
@@ -111,6 +120,24 @@
       .slice(0, MAX_SHARED_FACTORS);
   }
 
+  /**
+   * Whether a part that continues this one explains the crash as well. Many more requests share the earlier part, so that
+   * it is blamed only if it crashes targets with different continuations.
+   */
+  private _isExplained(factor: CrashFactor, continuations: readonly CrashFactor[]): boolean {
+    if (factor.kind !== 'part') return false;
+    const count = this._countSuccessive(factor);
+    return continuations.some((later) => {
+      const laterCount = this._countSuccessive(later);
+      return laterCount > 0 && laterCount >= count;
+    });
+  }
+
+  private _countSuccessive(factor: CrashFactor): number {
+    const known = this._evidence.get(toKey(factor));
+    return known ? findSuccessive(known).length : 0;
+  }
+
   private _merge({ factor, crashes, survivedAtMs }: FactorEvidence): FactorEvidence {
     const key = toKey(factor);
     const known = this._evidence.get(key);
--- a/packages/core/src/serving/crashFactors.ts
+++ b/packages/core/src/serving/crashFactors.ts
@@ -3,11 +3,14 @@
 /** Hexadecimal digits of a fingerprint: 64 bits. */
 const FINGERPRINT_DIGITS = 16;
 
-const CRASH_FACTOR_KINDS = ['request'] as const;
+const CRASH_FACTOR_KINDS = ['request', 'part'] as const;
 
 /** Something that requests have in common and that may crash the targets that run them. */
 export interface CrashFactor {
-  /** `request`: the whole request, which comes again; its id is a fingerprint. */
+  /**
+   * `request`: the whole request, which comes again; its id is a fingerprint. `part`: a part of a prompt, which many
+   * requests may share.
+   */
   readonly kind: (typeof CRASH_FACTOR_KINDS)[number];
   readonly id: string;
 }
@@ -29,7 +32,14 @@
   return sha256(body ? Buffer.concat([Buffer.from(head), body]) : head).slice(0, FINGERPRINT_DIGITS);
 }
 
-/** Returns what a request may share with others that crash their targets. */
-export function createCrashFactors(request: RequestIdentity): readonly CrashFactor[] {
-  return [{ kind: 'request', id: createFingerprint(request) }];
+/**
+ * Returns what a request may share with others that crash their targets.
+ * @param sharedParts ids of the parts of its prompt that other requests may have.
+ */
+export function createCrashFactors(
+  request: RequestIdentity,
+  sharedParts: readonly string[],
+): readonly CrashFactor[] {
+  const parts = sharedParts.map((id) => ({ kind: 'part' as const, id }));
+  return [{ kind: 'request', id: createFingerprint(request) }, ...parts];
 }
--- a/packages/node/src/crashMonitor.ts
+++ b/packages/node/src/crashMonitor.ts
@@ -61,7 +61,7 @@
     const lostAtMs = clock.monotonic();
     // A target that still listens has closed one connection, for which there are many reasons.
     if (await this._isListening(candidate)) return;
-    this._evidence.recordCrash(factors, { target: candidate.key, sentAtMs, lostAtMs });
+    const changed = this._evidence.recordCrash(factors, { target: candidate.key, sentAtMs, lostAtMs });
     counters.add('monsoonreach_crashes_total');
     const quarantineEndMs = this.findQuarantineEndMs(factors);
     log.warn('target crashed under request', {
@@ -71,7 +71,7 @@
       factors: factors.map(({ kind, id }) => `${kind} ${id}`),
       quarantinedMs: quarantineEndMs === undefined ? undefined : Math.round(quarantineEndMs - lostAtMs),
     });
-    this._options.broadcast(this._createMessage(this._evidence.describe(factors)));
+    this._options.broadcast(this._createMessage(changed));
   }
 
   /** Records that a target has survived an answer that it began at `begunAtMs`. */
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -544,8 +544,11 @@
   }
 
   private get _factors(): readonly CrashFactor[] {
-    const { request, workspace, body } = this._options;
-    return (this._cachedFactors ??= createCrashFactors({ path: request.url ?? '/', workspace, body }));
+    const { request, workspace, body, caller } = this._options;
+    return (this._cachedFactors ??= createCrashFactors(
+      { path: request.url ?? '/', workspace, body },
+      caller.sharedParts,
+    ));
   }
 
   private _findQuarantineEndMs(): number | undefined {
--- a/tests/serving/crashEvidence.test.ts
+++ b/tests/serving/crashEvidence.test.ts
@@ -3,6 +3,7 @@
 import t from 'tap';
 
 const REQUEST: CrashFactor = { kind: 'request', id: 'f1' };
+const identity = { path: '/a', workspace: 'w', body: Buffer.from('b') };
 const OTHER: CrashFactor = { kind: 'request', id: 'f2' };
 
 function createEvidence(nowMs = 100): CrashEvidence {
@@ -94,6 +95,63 @@
   t.end();
 });
 
+const EARLY: CrashFactor = { kind: 'part', id: 'p1' };
+const partCases = [
+  {
+    name: 'the third crash of one part quarantines it, not the part before',
+    crashes: [
+      ['p1', 'p2'],
+      ['p1', 'p2'],
+      ['p1', 'p2'],
+      ['p1', 'p2'],
+    ],
+    quarantined: ['p2'],
+  },
+  {
+    name: 'an early part is blamed if it crashes targets with different continuations',
+    crashes: [
+      ['p1', 'p2'],
+      ['p1', 'p3'],
+      ['p1', 'p4'],
+    ],
+    quarantined: ['p1'],
+  },
+  { name: 'two crashes are too few', crashes: [['p1'], ['p1']], quarantined: [] },
+] as const;
+
+// Guards against sound requests that are refused because their prompts begin like those that crash targets.
+void t.test('quarantine of a part of prompts', (t) => {
+  for (const { name, crashes, quarantined } of partCases) {
+    const evidence = createEvidence();
+    for (const [index, parts] of crashes.entries()) {
+      const factors = createCrashFactors({ ...identity, path: `/${index}` }, parts);
+      evidence.recordCrash(factors, {
+        target: `target-${index}`,
+        sentAtMs: 10 * index,
+        lostAtMs: 10 * index + 5,
+      });
+    }
+    const isQuarantined = (id: string) => evidence.findQuarantineEndMs([{ kind: 'part', id }]) !== undefined;
+    t.same(['p1', 'p2', 'p3', 'p4'].filter(isQuarantined), quarantined, name);
+  }
+  t.end();
+});
+
+void t.test('sound requests clear the part that they share', (t) => {
+  const evidence = createEvidence();
+  for (const index of [0, 1, 2, 3]) {
+    const factors = createCrashFactors({ ...identity, path: `/${index}` }, ['p1', `only-${index}`]);
+    evidence.recordCrash(factors, {
+      target: `target-${index}`,
+      sentAtMs: 10 * index,
+      lostAtMs: 10 * index + 4,
+    });
+    evidence.recordSurvival([EARLY], 10 * index + 5);
+  }
+  t.equal(evidence.findQuarantineEndMs([EARLY]), undefined);
+  t.end();
+});
+
 void t.test('a quarantine ends by itself, and one more crash renews it', (t) => {
   const clock = new ManualClock();
   const evidence = new CrashEvidence(clock);
@@ -157,7 +215,6 @@
   t.end();
 });
 
-const identity = { path: '/a', workspace: 'w', body: Buffer.from('b') };
 const identityCases = [
   { name: 'the same request', other: { ...identity, body: Buffer.from('b') }, isSame: true },
   { name: 'another body', other: { ...identity, body: Buffer.from('c') }, isSame: false },
@@ -168,7 +225,7 @@
 
 void t.test('what identifies a request', (t) => {
   for (const { name, other, isSame } of identityCases) {
-    t.equal(createCrashFactors(identity)[0]?.id === createCrashFactors(other)[0]?.id, isSame, name);
+    t.equal(createCrashFactors(identity, [])[0]?.id === createCrashFactors(other, [])[0]?.id, isSame, name);
   }
   t.end();
 });
