Node: targets get no more requests than the limit that they named

What callers saw: nothing yet. A target in need named how many requests a second it takes from all nodes together, and got as many as before (LIMIT).

Cause: nobody read the limit; the boundary did not decode it. The class: a target's own statement about itself that no decision can heed. Ruled out by the code: nodes that obey it each alone, and requests that pass an owner by.

Change: the limit is decoded with the head of an answer; the owner that assigns a group's requests keeps a token bucket for it, and learns of it with each question and report of the nodes that were told. Nodes that choose without an owner, and all nodes for plain targets, use an equal share.

--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -25,5 +25,6 @@
 export * from './survivingGroups.js';
 export * from './targetHealth.js';
 export * from './targetInstance.js';
+export * from './targetLimits.js';
 export * from './topicReaders.js';
 export * from './unlistedHeads.js';
--- a/packages/core/src/serving/targetChoice.ts
+++ b/packages/core/src/serving/targetChoice.ts
@@ -44,6 +44,8 @@
   readonly isExact?: boolean;
   /** Keys of targets to which the node that holds the request has an idle connection; none by default. */
   readonly connected?: ReadonlySet<string>;
+  /** Ids of instances that take no request now because of the limits that they named; none by default. */
+  readonly limited?: ReadonlySet<string>;
   /** Whether the request resumes a partially delivered answer; it then queues at a full target instead of failing. */
   readonly isContinuing?: boolean;
 }
@@ -64,7 +66,11 @@
   if (untried.length === 0) return { kind: 'none', reason: 'no-target' };
   const responsive = untried.filter((candidate) => isResponsive(candidate, context));
   if (responsive.length === 0) return { kind: 'none', reason: 'all-silent' };
-  const free = responsive.filter((candidate) => context.isContinuing === true || hasCapacity(candidate));
+  const free = responsive.filter(
+    (candidate) =>
+      context.limited?.has(candidate.instance.id) !== true &&
+      (context.isContinuing === true || hasCapacity(candidate)),
+  );
   const jitterShare = context.isExact === true ? EXACT_JITTER_SHARE : JITTER_SHARE;
   let best: { readonly candidate: TargetCandidate; readonly costMs: number; predictedMs: number } | undefined;
   for (const candidate of free) {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -20,7 +20,9 @@
   type ServingConfiguration,
   splitAddress,
   type TargetCandidate,
+  type TargetChoice,
   TargetHealth,
+  TargetLimits,
 } from '@monsoonreach/core';
 import {
   CONFIGURATION_KEY,
@@ -88,6 +90,7 @@
   private readonly _loads = new LoadTracker((target) => {
     this._placement.scheduleReport(target);
   });
+  private readonly _limits: TargetLimits;
   private readonly _demand = new DemandMeter();
   private readonly _health = new TargetHealth();
   private readonly _reports: FleetReports;
@@ -134,6 +137,7 @@
     this._trust = new KeyTrust(_clock, _settings.bounds['key-trust']);
     this._connections = new TargetConnections(_clock);
     this._reports = new FleetReports(_clock);
+    this._limits = new TargetLimits(_clock, () => this._exchange.size + 1);
     this._silentTargets = new SilentTargets(_clock);
     this._list = this._createList();
     this._configurationFollower = this._createConfigurationFollower();
@@ -399,6 +403,7 @@
       failureDomain: node['failure-domain'],
       health: this._health,
       loads: this._loads,
+      limits: this._limits,
       demand: this._demand,
       retries: new RetryWindowBudget(
         { share: bounds['retry-share'], slack: bounds['retry-slack'], windowMs: bounds['retry-window'] },
@@ -430,6 +435,13 @@
       counters: this._counters,
       log: this._log,
       loads: this._loads,
+      limits: this._limits,
+      isOwnedBy: (instanceId, address) => {
+        const instance = this._list.get(instanceId);
+        return (
+          instance !== undefined && this._ownership.findOwner(instance.fabricDomain)?.address === address
+        );
+      },
       findOwners: ({ service, model }) => {
         const configuration = this._table?.configuration;
         return configuration ? this._directory.findOwners(configuration, service, model) : [];
@@ -439,16 +451,8 @@
       send: (address, message) => {
         this._exchange.send(address, message);
       },
-      chooseLocally: (criteria) =>
-        chooseTarget(this._findCandidates(criteria), {
-          ...criteria,
-          isExact: criteria.isOwner,
-          nowMs: this._clock.monotonic(),
-          random: this._random,
-          health: this._health,
-        }),
-      countFree: (criteria) =>
-        countFreePlaces(this._findCandidates({ ...criteria, isOwner: true }), this._health, this._clock),
+      chooseLocally: (criteria) => this._chooseTarget(criteria),
+      countFree: (criteria) => this._countFreePlaces(this._findCandidates({ ...criteria, isOwner: true })),
       findCandidate: (_criteria, key) =>
         this._table && this._directory.findCandidate(this._table.configuration, key),
       silentTargets: () => this._health.listSuspects(this._clock.monotonic()),
@@ -467,6 +471,30 @@
     });
   }
 
+  private _chooseTarget(criteria: LocalPlacementCriteria): TargetChoice {
+    const choice = chooseTarget(this._findCandidates(criteria), {
+      ...criteria,
+      isExact: criteria.isOwner,
+      nowMs: this._clock.monotonic(),
+      random: this._random,
+      health: this._health,
+      limited: this._limits.listExhausted(criteria.isOwner ? 'fleet' : 'node'),
+    });
+    if (criteria.isOwner && choice.kind === 'chosen') {
+      this._limits.recordGrant(choice.candidate.instance.id);
+    }
+    return choice;
+  }
+
+  /** Number of places that responsive targets of this node's shards still have, as far as their limits allow. */
+  private _countFreePlaces(candidates: readonly TargetCandidate[]): number {
+    const nowMs = this._clock.monotonic();
+    const limited = this._limits.listExhausted('fleet');
+    return candidates
+      .filter(({ key, instance }) => !this._health.isSuspect(key, nowMs) && !limited.has(instance.id))
+      .reduce((sum, { slots, load }) => sum + Math.max(0, slots - load.requests), 0);
+  }
+
   private _findCandidates({
     service,
     model,
@@ -664,14 +692,6 @@
   }
 }
 
-/** Number of places that responsive targets still have. */
-function countFreePlaces(candidates: readonly TargetCandidate[], health: TargetHealth, clock: Clock): number {
-  const nowMs = clock.monotonic();
-  return candidates
-    .filter(({ key }) => !health.isSuspect(key, nowMs))
-    .reduce((sum, { slots, load }) => sum + Math.max(0, slots - load.requests), 0);
-}
-
 /** Characters that distinguish the starts of a node. */
 const INCARNATION_LENGTH = 8;
 /** Longest time for which a node looks for others before it reads the store itself, in milliseconds. */
--- a/packages/node/src/peerMessages.ts
+++ b/packages/node/src/peerMessages.ts
@@ -32,6 +32,9 @@
  */
 const evidenceSchema = z.tuple([z.string(), z.string(), z.nullable(count), z.array(crashSchema)]);
 
+/** Requests per second, null if an instance names no limit any more, and the age of that statement in milliseconds. */
+const limitSchema = z.tuple([z.nullable(count), count]);
+
 const digestSchema = z.object({
   ...version,
   kind: z.literal('digest'),
@@ -88,6 +91,8 @@
   openAsks: z.array(z.number()),
   /** Load of the sender at the receiver's targets. */
   loads: z.record(z.string(), loadSchema),
+  /** Limits that the receiver's targets named to the sender, by instance; absent from nodes of earlier versions. */
+  limits: z._default(z.record(z.string(), limitSchema), {}),
 };
 
 const reportSchema = z.object({
@@ -164,6 +169,8 @@
 export type GrantMessage = Readonly<z.infer<typeof grantSchema>>;
 /** New evidence about what crashes targets. */
 export type CrashMessage = Readonly<z.infer<typeof crashesSchema>>;
+/** Limits by instance. */
+export type LimitRows = Readonly<Record<string, z.infer<typeof limitSchema>>>;
 export type EvidenceRow = z.infer<typeof evidenceSchema>;
 
 /** A datagram is no message of this system. */
--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -7,11 +7,19 @@
   ShardOwner,
   TargetCandidate,
   TargetChoice,
+  TargetLimits,
   TargetLoad,
 } from '@monsoonreach/core';
 import { chooseOwner, type OwnerOption } from '@monsoonreach/core';
 import type { DecisionLog } from './decisionLog.js';
-import type { AskMessage, GrantMessage, PeerMessage, ReportMessage, WithoutVersion } from './peerMessages.js';
+import type {
+  AskMessage,
+  GrantMessage,
+  LimitRows,
+  PeerMessage,
+  ReportMessage,
+  WithoutVersion,
+} from './peerMessages.js';
 
 /** Default time to wait for an owner's answer, in milliseconds; ten round trips. */
 const ANSWER_TIMEOUT_MS = 40;
@@ -63,6 +71,9 @@
   readonly counters: Counters;
   readonly log: DecisionLog;
   readonly loads: LoadTracker;
+  readonly limits: TargetLimits;
+  /** Whether the node at the address assigns the requests for an instance. */
+  readonly isOwnedBy: (instanceId: string, address: string) => boolean;
   /** Time to wait for an owner's answer before this node chooses locally, in milliseconds; 40 by default. */
   readonly answerTimeoutMs?: number;
   /** Owners of shards with targets for these criteria, and the number of those targets. */
@@ -265,7 +276,12 @@
     const { sender, sequence, lastAsk, openAsks } = message;
     const loads = new Map(Object.entries(message.loads));
     const report = { sequence, lastAsk, openAsks, loads };
-    this._options.loads.recordReport(sender, report, this._options.clock.monotonic());
+    const nowMs = this._options.clock.monotonic();
+    this._options.loads.recordReport(sender, report, nowMs);
+    for (const [instanceId, [requestsPerS, ageMs]] of Object.entries(message.limits)) {
+      const limit = { requestsPerS: requestsPerS ?? undefined, namedAtMs: nowMs - ageMs };
+      this._options.limits.record(instanceId, limit);
+    }
   }
 
   private _answerRequest(request: AskMessage): void {
@@ -350,9 +366,23 @@
           findOwner(target)?.address === owner ? [[target, [...load] as [number, number, number]]] : [],
         ),
       ),
+      limits: this._describeLimits(owner),
     };
   }
 
+  private _describeLimits(owner: string): LimitRows {
+    const { limits, clock, isOwnedBy } = this._options;
+    const nowMs = clock.monotonic();
+    return Object.fromEntries(
+      [...limits.list()]
+        .filter(([instanceId]) => isOwnedBy(instanceId, owner))
+        .map(([instanceId, { requestsPerS, namedAtMs }]) => [
+          instanceId,
+          [requestsPerS ?? null, Math.round(nowMs - namedAtMs)],
+        ]),
+    );
+  }
+
   private _getKnownOwner(address: string): KnownOwner {
     let known = this._knownOwners.get(address);
     if (!known) {
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -255,6 +255,8 @@
       failureDomain: context.failureDomain,
       size: caller.size,
       tried: this._tried,
+      // The owners of groups know how many requests these still take.
+      limited: model === undefined ? context.limits.listExhausted('node') : undefined,
       isContinuing: this._forwardedEvents > 0,
     });
   }
@@ -283,6 +285,7 @@
     this._attempt = attempt;
     this._attempts++;
     this._tried.add(candidate.key);
+    context.limits.recordRequest(candidate.instance.id);
     const ifCurrent = (handle: () => void) => {
       if (this._attempt === attempt && !this._isFinished) handle();
     };
@@ -336,7 +339,10 @@
     if (!this._isOwnAnswer(attempt, head)) {
       this._isConnectionDoubted = true;
       this._handleFailure(attempt, 'wrong-echo', true);
-    } else if (head.isNotRun) {
+      return;
+    }
+    this._recordLimit(attempt, head);
+    if (head.isNotRun) {
       this._handleRefusal(attempt, head);
     } else if (head.isUnconfirmedRefusal) {
       this._handleFailure(attempt, 'unconfirmed-refusal', true);
@@ -349,6 +355,14 @@
     }
   }
 
+  private _recordLimit({ candidate, progressAtMs }: Attempt, { requestsPerS }: ResponseHead): void {
+    const { limits, placement, log } = this._options.context;
+    const instanceId = candidate.instance.id;
+    if (!limits.record(instanceId, { requestsPerS, namedAtMs: progressAtMs })) return;
+    log.info('target limit changed', { target: candidate.key, instance: instanceId, requestsPerS });
+    placement.scheduleReport(candidate.key);
+  }
+
   /** Whether the head answers this request: the id identifies it, and on a new connection nothing else can come. */
   private _isOwnAnswer(attempt: Attempt, { requestId }: ResponseHead): boolean {
     if (requestId === undefined) return attempt.call?.isReused === false;
--- a/packages/node/src/servingContext.ts
+++ b/packages/node/src/servingContext.ts
@@ -9,6 +9,7 @@
   ServingConfiguration,
   TargetCandidate,
   TargetHealth,
+  TargetLimits,
 } from '@monsoonreach/core';
 import type { CrashMonitor } from './crashMonitor.js';
 import type { DecisionLog } from './decisionLog.js';
@@ -26,6 +27,8 @@
   readonly failureDomain: string;
   readonly health: TargetHealth;
   readonly loads: LoadTracker;
+  /** Limits that targets named. */
+  readonly limits: TargetLimits;
   readonly demand: DemandMeter;
   readonly retries: RetryWindowBudget;
   readonly connections: TargetConnections;
--- a/tests/node/placement.test.ts
+++ b/tests/node/placement.test.ts
@@ -4,11 +4,13 @@
   Counters,
   createRandom,
   LoadTracker,
+  ManualClock,
   type ShardOwner,
   systemClock,
   type TargetCandidate,
   type TargetChoice,
   TargetHealth,
+  TargetLimits,
 } from '@monsoonreach/core';
 import { DecisionLog, type PeerMessage, Placement, type WithoutVersion } from '@monsoonreach/node';
 import t from 'tap';
@@ -21,9 +23,15 @@
 /** For tests that need an owner's answer, which may take long on a busy machine. */
 const ANSWER_TIMEOUT_MS = 10_000;
 
+interface PlacementNode {
+  readonly placement: Placement;
+  readonly loads: LoadTracker;
+  readonly limits: TargetLimits;
+}
+
 /** Nodes that exchange placement messages within this process. */
 class PlacementFleet {
-  readonly nodes = new Map<string, { readonly placement: Placement; readonly loads: LoadTracker }>();
+  readonly nodes = new Map<string, PlacementNode>();
   /** Nodes to which no message is delivered. */
   readonly unreachable = new Set<string>();
   /** Owners; the groups are divided among them. */
@@ -66,6 +74,7 @@
           load: loads.getLoad(key),
         }));
     const health = new TargetHealth();
+    const limits = new TargetLimits(this._clock, () => this.nodes.size);
     const placement: Placement = new Placement({
       id: `${name}#1`,
       address: name,
@@ -75,6 +84,8 @@
       counters,
       log: new DecisionLog(name, 'hidden', this._clock, counters),
       loads,
+      limits,
+      isOwnedBy: (instanceId, address) => this._findOwner(instanceId)?.address === address,
       ...(this._answerTimeoutMs === undefined ? {} : { answerTimeoutMs: this._answerTimeoutMs }),
       findOwners: () =>
         this.owners.map((address) => ({
@@ -86,14 +97,21 @@
       send: (address, message) => {
         this._deliver(address, message);
       },
-      chooseLocally: (criteria) =>
-        chooseTarget(candidates(criteria.isOwner), {
+      chooseLocally: (criteria) => {
+        const choice = chooseTarget(candidates(criteria.isOwner), {
           ...criteria,
           isExact: criteria.isOwner,
           nowMs: this._clock.monotonic(),
           random,
           health,
-        }),
+          limited: limits.listExhausted(criteria.isOwner ? 'fleet' : 'node'),
+        });
+        if (choice.kind === 'chosen') {
+          if (criteria.isOwner) limits.recordGrant(choice.candidate.instance.id);
+          limits.recordRequest(choice.candidate.instance.id);
+        }
+        return choice;
+      },
       countFree: () =>
         candidates(true).reduce((sum, { slots, load }) => sum + Math.max(0, slots - load.requests), 0),
       findCandidate: (_need, key) => candidates(false).find((candidate) => candidate.key === key),
@@ -103,7 +121,7 @@
       onReport: () => undefined,
       onSuspectedOwner: () => undefined,
     });
-    this.nodes.set(name, { placement, loads });
+    this.nodes.set(name, { placement, loads, limits });
   }
 
   private _deliver(address: string, message: WithoutVersion<PeerMessage>): void {
@@ -165,6 +183,54 @@
   t.equal(countRequests(), 0);
 });
 
+const LIMIT_PER_S = 2;
+const limitCases = [
+  { name: 'its owner assigns all requests', owners: [OWNER] },
+  { name: 'owners share the groups', owners: ['node-0', 'node-1'] },
+  { name: 'there is no owner', owners: [] },
+] as const;
+
+// Guards against groups that get far more requests than the limit that they named, from nodes that each obey it alone.
+for (const { name, owners } of limitCases) {
+  void t.test(`load pattern: groups that named a limit get no more from all nodes: ${name}`, async (t) => {
+    const clock = new ManualClock();
+    const fleet = new PlacementFleet(4, ANSWER_TIMEOUT_MS, clock);
+    fleet.owners = owners;
+    for (const { limits } of fleet.nodes.values()) {
+      for (let group = 0; group < GROUPS; group++) {
+        limits.record(`group-${group}`, { requestsPerS: LIMIT_PER_S, namedAtMs: clock.monotonic() });
+      }
+    }
+    const durationS = 8;
+    const byGroup = new Map<string, number>();
+    for (let step = 0; step < durationS * 20; step++) {
+      clock.advance(50);
+      for (const node of fleet.nodes.keys()) {
+        const key = getKeyOrReason(await fleet.place(node));
+        byGroup.set(key, (byGroup.get(key) ?? 0) + 1);
+      }
+    }
+    byGroup.delete('all-full');
+    const allowed = LIMIT_PER_S * durationS + 1;
+    for (const [key, count] of byGroup) t.ok(count <= allowed, `${key}: ${count}, allowed ${allowed}`);
+    const sum = [...byGroup.values()].reduce((a, b) => a + b, 0);
+    t.ok(sum >= 0.7 * GROUPS * LIMIT_PER_S * durationS, `the limits are used: ${sum} requests`);
+  });
+}
+
+// Guards against an owner that was started lately and does not know the limits that other nodes were told.
+void t.test('an ask tells the owner the limits that the asking node knows', async (t) => {
+  const clock = new ManualClock();
+  const fleet = new PlacementFleet(2, ANSWER_TIMEOUT_MS, clock);
+  const node = fleet.nodes.get('node-1');
+  for (let group = 0; group < GROUPS; group++) {
+    node?.limits.record(`group-${group}`, { requestsPerS: 1, namedAtMs: clock.monotonic() });
+  }
+  t.equal(getKeyOrReason(await fleet.place('node-1')), 'all-full');
+  clock.advance(1_000);
+  t.match(getKeyOrReason(await fleet.place('node-1')), /^group-/);
+});
+
 const failures = [
   { name: 'the owner does not answer', dead: [OWNER], owners: [OWNER] },
   { name: 'there is no owner', dead: [], owners: [] },
--- a/tests/node/requestRun.test.ts
+++ b/tests/node/requestRun.test.ts
@@ -12,6 +12,7 @@
   type TargetCandidate,
   type TargetChoice,
   TargetHealth,
+  TargetLimits,
 } from '@monsoonreach/core';
 import {
   CrashMonitor,
@@ -113,6 +114,7 @@
       failureDomain: 'zone-1',
       health: new TargetHealth(),
       loads: new LoadTracker(),
+      limits: new TargetLimits(systemClock, () => 1),
       demand: new DemandMeter(),
       retries: new RetryWindowBudget({ share: 0.2, slack: 130, windowMs: 10_000 }, () => 1),
       connections: new TargetConnections(systemClock),
--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -213,6 +213,19 @@
     headers: { 'not-executed': '1', 'at-server': 'i-3' },
     expected: { faultyInstance: 'i-3' },
   },
+  {
+    name: 'a limit of requests per second',
+    status: 200,
+    headers: { 'server-limit': '4.6' },
+    expected: { requestsPerS: 4.6 },
+  },
+  { name: 'no limit', status: 200, headers: {}, expected: { requestsPerS: undefined } },
+  ...['-1', '1e308', 'Infinity', '', '4,6'].map((text) => ({
+    name: `a limit that is no decimal number: "${text}"`,
+    status: 200,
+    headers: { 'server-limit': text },
+    expected: { requestsPerS: undefined },
+  })),
 ];
 for (const { name, status, headers: fields, expected } of headCases) {
   void t.test(`the head of an answer: ${name}`, (t) => {
