Node: a stream is continued only by events that follow its last one

What callers would see: a stream had begun and broke off; the next target answered with an error as a 200, with a whole head in its body, or with the stream from its beginning. They found that text, or the same events again, in the middle of their stream, which then ended as if it were complete.

Cause: the continuation was recognized by its status and seal alone. Any block of lines counts as an event, and nobody compared its id with the last one delivered.

Ruled out: failures and unsealed answers as continuations (tests/platform/continuations, five cases, pass without the change).

Change: the first event of a continuation must have an id after the last one delivered; otherwise the attempt has failed. Five cases of tests/platform/continuations fail without it (9 of 42 assertions) and pass with it.

--- a/packages/core/src/serving/eventFramer.ts
+++ b/packages/core/src/serving/eventFramer.ts
@@ -6,9 +6,19 @@
 export interface EventBatch {
   readonly bytes: Buffer;
   readonly eventCount: number;
+  /** Id of the first event. */
+  readonly firstId: string | undefined;
   readonly lastId: string | undefined;
 }
 
+/** Whether an event with the id `next` continues a stream after the event `last`: the ids of a stream increase. */
+export function isNextEvent(last: string | undefined, next: string | undefined): boolean {
+  if (last === undefined || next === undefined) return false;
+  return INTEGER.test(last) && INTEGER.test(next) ? BigInt(next) > BigInt(last) : next !== last;
+}
+
+const INTEGER = /^\d{1,30}$/;
+
 /**
  * Splits a `text/event-stream` into complete events, so that a truncated event is never forwarded.
  *
@@ -37,6 +47,7 @@
   /** Adds received bytes; returns the events that they complete, undefined if none. */
   push(chunk: Buffer): EventBatch | undefined {
     let eventCount = 0;
+    let firstId: string | undefined;
     let lastId: string | undefined;
     let batchEnd = 0;
     let lineStart = 0;
@@ -44,7 +55,7 @@
       const isEventEnd = this._endLine(this._line + chunk.toString('latin1', lineStart, end));
       lineStart = end + 1;
       if (!isEventEnd) continue;
-      eventCount++;
+      if (eventCount++ === 0) firstId = this._id;
       lastId = this._id ?? lastId;
       this._id = undefined;
       batchEnd = lineStart;
@@ -56,7 +67,7 @@
     }
     const bytes = Buffer.concat([this.takePending(), chunk.subarray(0, batchEnd)]);
     this._keep(chunk.subarray(batchEnd));
-    return { bytes, eventCount, lastId };
+    return { bytes, eventCount, firstId, lastId };
   }
 
   /** Returns the buffered bytes and forgets them: at the end of a stream, the comments after its last event. */
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -7,6 +7,7 @@
   createCrashFactors,
   EventFramer,
   classifySilence,
+  isNextEvent,
   type RequestSize,
   type ServingRoute,
   type TargetCandidate,
@@ -395,6 +396,11 @@
         this._handleFailure(attempt, 'event-too-large', true);
       return;
     }
+    const isContinuation = this._forwardedEvents > 0 && attempt.events === 0;
+    if (isContinuation && !isNextEvent(this._lastEventId, batch.firstId)) {
+      this._handleFailure(attempt, 'failed-by-target', true);
+      return;
+    }
     if (attempt.events > 0) this._recordPause(attempt, nowMs);
     this._recordProgress(attempt, nowMs);
     attempt.load.endPrefill();
