Platform: an entry with a number that no instance has names no target

What operators of a like system saw: one odd entry among those of the targets, nested very deeply, with a number too large or with a port out of range, ended the processes that read the list, or they followed it no more.

Here: nested entries, 1e999 and ports out of range were typed errors already. Accepted were slots of 1.2e29 or -5, epochs of 1e300, fractions, ranks below the head, starts at 1e308, and names instead of addresses, which would be looked up. Such a number decides which target looks free, or which epoch is the newest.

--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -74,6 +74,7 @@
   'a b:80',
   '1.2.3.4.5:80',
   'a/b:80',
+  'localhost:80',
 ]) {
   void t.test(`an entry with the address "${address}" is rejected`, (t) => {
     t.throws(() => decodeInstance('i', encode({ ...ENTRY, address })), { name: DecodeError.name });
@@ -81,6 +82,26 @@
   });
 }
 
+const oddEntries = [
+  { name: 'far too many slots', change: { slots: 1.2e29 } },
+  { name: 'fewer slots than none', change: { slots: -5 } },
+  { name: 'half a slot', change: { slots: 0.5 } },
+  { name: 'an epoch that cannot be counted on from', change: { group: { ...ENTRY.group, epoch: 1e300 } } },
+  { name: 'an epoch before the first', change: { group: { ...ENTRY.group, epoch: -1 } } },
+  { name: 'half an epoch', change: { group: { ...ENTRY.group, epoch: 1.5 } } },
+  { name: 'a rank below the head', change: { group: { ...ENTRY.group, rank: -1 } } },
+  { name: 'a start at no time', change: { born: 1e308 } },
+  { name: 'a start at half a millisecond', change: { born: 0.5 } },
+] as const;
+
+// Guards against numbers of another writer that decide which target is taken, or which epoch is the newest.
+for (const { name, change } of oddEntries) {
+  void t.test(`an entry with ${name} is rejected`, (t) => {
+    t.throws(() => decodeInstance('i', encode({ ...ENTRY, ...change })), { name: DecodeError.name });
+    t.end();
+  });
+}
+
 void t.test('an entry is decoded into an instance', (t) => {
   t.match(decodeInstance('i', encode(ENTRY)), {
     id: 'i',
--- a/tests/platform/storeStandin.ts
+++ b/tests/platform/storeStandin.ts
@@ -36,8 +36,13 @@
 
   /** Writes a value of a key, as the operator and the targets do; `undefined` deletes the key. */
   put(topic: string, key: string, value: unknown): void {
+    this.putText(topic, key, value === undefined ? '' : JSON.stringify(value));
+  }
+
+  /** Writes a value that need not be JSON. */
+  putText(topic: string, key: string, text: string): void {
     const name = Buffer.from(key);
-    const bytes = value === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(value));
+    const bytes = Buffer.from(text);
     this._append(topic, [Buffer.concat([Buffer.from([name.length]), name, bytes])]);
   }
 
