Tests: the pace of both slow targets is known before streams must stay there

Seen once beside load (tests/platform/slowStreams, 'streams of slow targets stay there once their pace is known': 5 runs, 4 expected), and now traced.

Cause: the test's premise. Its first stream is moved from one target after 300 ms, which counts as a failure there, so that the three other learning streams go to the other target. The pace of the first stays at 62 to 70 ms, one pause of the moved stream; one of the four streams that follow may go there and is moved, as its pause of 400 ms is not known. In the whole file earlier parts have mostly taught both targets.

Ruled out: a stream that is moved from a target whose pace is known (none in 16 runs).

Change: each target learns its pace while the other leaves, so that streams stay there. The assertions are the same.

--- a/tests/platform/slowStreams.test.ts
+++ b/tests/platform/slowStreams.test.ts
@@ -11,6 +11,9 @@
 
 const fleet = new RawFleet();
 
+/** Time until the node has read a changed list. */
+const LIST_READ_MS = 900;
+
 const HEAD_END = 'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n';
 const toChunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
 const toEvent = (id: number) => `id: ${id}\ndata: ${id}\n\n`;
@@ -102,7 +105,14 @@
       begin(request);
       void sendEvents(request, 6, 400);
     });
-    for (let learning = 0; learning < 4; learning++) await fleet.send('/stream/');
+    // Streams stay at a target whose pace is not known yet only if there is no other.
+    for (const [learned, other] of [fleet.targets, [...fleet.targets].reverse()] as const) {
+      fleet.announce(other ?? learned, 'draining');
+      await sleep(LIST_READ_MS);
+      await Promise.all([fleet.send('/stream/'), fleet.send('/stream/')]);
+      fleet.announce(other ?? learned, 'ready');
+      await sleep(LIST_READ_MS);
+    }
     const runsBefore = countRuns();
     const answers = await Promise.all(Array.from({ length: 4 }, () => fleet.send('/stream/')));
     t.ok(answers.every(({ body, isComplete }) => isComplete && body === allEvents(6)));
