Node: targets that leave, or that want nothing for a time, get no requests

Change: both are decoded with the head of an answer and kept for that start of the instance. The node leaves such targets out of its own choices, and names them to the owners that it asks. Limits are kept for one start as well: an instance that starts again under its id knows nothing of before.

--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -5,6 +5,7 @@
 export * from './eventFramer.js';
 export * from './fleetMembers.js';
 export * from './formationPlanner.js';
+export * from './targetAvailability.js';
 export * from './targetChoice.js';
 export * from './groupLayout.js';
 export * from './groupName.js';
--- a/packages/core/src/serving/modelAssignment.ts
+++ b/packages/core/src/serving/modelAssignment.ts
@@ -2,7 +2,7 @@
 import { findModelOfGroup, isStandbyName } from './groupName.js';
 import { allocateEmptyInstances, type DomainInstances, findReload } from './modelAllocation.js';
 import type { EngineProfile } from './servingConfiguration.js';
-import type { TargetInstance } from './targetInstance.js';
+import { getIncarnationKey, type TargetInstance } from './targetInstance.js';
 
 /** Time without a new instance after which a fabric domain's instances load weights, in milliseconds. */
 const DOMAIN_SETTLE_MS = 1_000;
@@ -80,7 +80,7 @@
     const isFirst = this._knownIncarnations.size === 0;
     const current = new Set<string>();
     for (const { id, startedAtMs, fabricDomain } of instances) {
-      const incarnation = `${id}#${startedAtMs}`;
+      const incarnation = getIncarnationKey({ id, startedAtMs });
       current.add(incarnation);
       if (this._knownIncarnations.has(incarnation)) continue;
       this._knownIncarnations.add(incarnation);
--- a/packages/core/src/serving/targetChoice.ts
+++ b/packages/core/src/serving/targetChoice.ts
@@ -2,7 +2,7 @@
 import { type BatchLoad, predictFirstEventMs, type RequestSize } from './engineCost.js';
 import type { EngineProfile, ModelProfile } from './servingConfiguration.js';
 import type { TargetHealth } from './targetHealth.js';
-import type { TargetInstance } from './targetInstance.js';
+import { getIncarnationKey, type TargetInstance } from './targetInstance.js';
 
 /** Added to the predicted time of a target in another failure domain, in milliseconds: one hop each way. */
 const REMOTE_PENALTY_MS = 4;
@@ -44,8 +44,8 @@
   readonly isExact?: boolean;
   /** Keys of targets to which the node that holds the request has an idle connection; none by default. */
   readonly connected?: ReadonlySet<string>;
-  /** Ids of instances that take no request now because of the limits that they named; none by default. */
-  readonly limited?: ReadonlySet<string>;
+  /** Incarnations of instances that take no request now, as they said themselves; none by default. */
+  readonly unavailable?: ReadonlySet<string>;
   /** Whether the request resumes a partially delivered answer; it then queues at a full target instead of failing. */
   readonly isContinuing?: boolean;
 }
@@ -68,7 +68,7 @@
   if (responsive.length === 0) return { kind: 'none', reason: 'all-silent' };
   const free = responsive.filter(
     (candidate) =>
-      context.limited?.has(candidate.instance.id) !== true &&
+      context.unavailable?.has(getIncarnationKey(candidate.instance)) !== true &&
       (context.isContinuing === true || hasCapacity(candidate)),
   );
   const jitterShare = context.isExact === true ? EXACT_JITTER_SHARE : JITTER_SHARE;
--- a/packages/core/src/serving/targetInstance.ts
+++ b/packages/core/src/serving/targetInstance.ts
@@ -30,3 +30,8 @@
   readonly models: readonly string[];
   readonly membership: GroupMembership | undefined;
 }
+
+/** Identifies one start of an instance, which knows nothing of what it was before. */
+export function getIncarnationKey({ id, startedAtMs }: Pick<TargetInstance, 'id' | 'startedAtMs'>): string {
+  return `${id}#${startedAtMs}`;
+}
--- a/packages/core/src/serving/targetLimits.ts
+++ b/packages/core/src/serving/targetLimits.ts
@@ -49,10 +49,10 @@
    * Records what an instance said; an older statement than the known one is ignored.
    * @returns whether the limit has changed.
    */
-  record(instanceId: string, limit: InstanceLimit): boolean {
-    const state = this._states.get(instanceId);
+  record(incarnation: string, limit: InstanceLimit): boolean {
+    const state = this._states.get(incarnation);
     if (!state) {
-      if (limit.requestsPerS !== undefined) this._add(instanceId, limit);
+      if (limit.requestsPerS !== undefined) this._add(incarnation, limit);
       return limit.requestsPerS !== undefined;
     }
     if (limit.namedAtMs < state.limit.namedAtMs) return false;
@@ -63,16 +63,16 @@
   }
 
   /** Counts a request that the owner of a target assigns to it. */
-  recordGrant(instanceId: string): void {
-    this._take(instanceId, 'fleet');
+  recordGrant(incarnation: string): void {
+    this._take(incarnation, 'fleet');
   }
 
   /** Counts a request that this node sends. */
-  recordRequest(instanceId: string): void {
-    this._take(instanceId, 'node');
+  recordRequest(incarnation: string): void {
+    this._take(incarnation, 'node');
   }
 
-  /** Ids of the instances that may get no request now. */
+  /** Incarnations of the instances that may get no request now. */
   listExhausted(scope: LimitScope): ReadonlySet<string> {
     const exhausted = new Set<string>();
     for (const [id, state] of this._states) {
@@ -92,15 +92,15 @@
     return new Map([...this._states].map(([id, { limit }]) => [id, limit]));
   }
 
-  private _add(instanceId: string, limit: InstanceLimit): void {
+  private _add(incarnation: string, limit: InstanceLimit): void {
     const updatedAtMs = this._clock.monotonic();
     // The instance named its limit because it had got too many requests.
     const buckets = { fleet: { tokens: 0, updatedAtMs }, node: { tokens: 0, updatedAtMs } };
-    this._states.set(instanceId, { limit, buckets });
+    this._states.set(incarnation, { limit, buckets });
   }
 
-  private _take(instanceId: string, scope: LimitScope): void {
-    const state = this._states.get(instanceId);
+  private _take(incarnation: string, scope: LimitScope): void {
+    const state = this._states.get(incarnation);
     if (!state) return;
     this._refill(state, scope);
     const bucket = state.buckets[scope];
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -8,6 +8,7 @@
   createMemberId,
   createRandom,
   DemandMeter,
+  getIncarnationKey,
   hash32,
   insertByPreference,
   KeyTrust,
@@ -20,6 +21,7 @@
   type ServingConfiguration,
   splitAddress,
   type TargetCandidate,
+  TargetAvailability,
   type TargetChoice,
   TargetHealth,
   TargetLimits,
@@ -91,6 +93,7 @@
     this._placement.scheduleReport(target);
   });
   private readonly _limits: TargetLimits;
+  private readonly _availability: TargetAvailability;
   private readonly _demand = new DemandMeter();
   private readonly _health = new TargetHealth();
   private readonly _reports: FleetReports;
@@ -138,6 +141,7 @@
     this._connections = new TargetConnections(_clock);
     this._reports = new FleetReports(_clock);
     this._limits = new TargetLimits(_clock, () => this._exchange.size + 1);
+    this._availability = new TargetAvailability(_clock);
     this._silentTargets = new SilentTargets(_clock);
     this._list = this._createList();
     this._configurationFollower = this._createConfigurationFollower();
@@ -404,6 +408,7 @@
       health: this._health,
       loads: this._loads,
       limits: this._limits,
+      availability: this._availability,
       demand: this._demand,
       retries: new RetryWindowBudget(
         { share: bounds['retry-share'], slack: bounds['retry-slack'], windowMs: bounds['retry-window'] },
@@ -455,7 +460,7 @@
       countFree: (criteria) => this._countFreePlaces(this._findCandidates({ ...criteria, isOwner: true })),
       findCandidate: (_criteria, key) =>
         this._table && this._directory.findCandidate(this._table.configuration, key),
-      silentTargets: () => this._health.listSuspects(this._clock.monotonic()),
+      avoidedTargets: () => this._listAvoidedTargets(),
       connectedTargets: () => this._directory.findKeys(this._connections.listConnected()),
       describe: () => ({
         demand: Object.fromEntries(this._demand.getNeededGroups(this._clock.monotonic())),
@@ -478,20 +483,36 @@
       nowMs: this._clock.monotonic(),
       random: this._random,
       health: this._health,
-      limited: this._limits.listExhausted(criteria.isOwner ? 'fleet' : 'node'),
+      unavailable: this._listUnavailable(criteria),
     });
     if (criteria.isOwner && choice.kind === 'chosen') {
-      this._limits.recordGrant(choice.candidate.instance.id);
+      this._limits.recordGrant(getIncarnationKey(choice.candidate.instance));
     }
     return choice;
   }
 
+  /** Incarnations of instances that take no request; what one said to this node does not concern its peers. */
+  private _listUnavailable({ isOwner, isOwnRequest }: LocalPlacementCriteria): ReadonlySet<string> {
+    const limited = this._limits.listExhausted(isOwner ? 'fleet' : 'node');
+    return isOwnRequest ? new Set([...limited, ...this._availability.listUnavailable()]) : limited;
+  }
+
+  private _listAvoidedTargets(): readonly string[] {
+    return [
+      ...this._health.listSuspects(this._clock.monotonic()),
+      ...this._directory.findKeysOfIncarnations(this._availability.listUnavailable()),
+    ];
+  }
+
   /** Number of places that responsive targets of this node's shards still have, as far as their limits allow. */
   private _countFreePlaces(candidates: readonly TargetCandidate[]): number {
     const nowMs = this._clock.monotonic();
     const limited = this._limits.listExhausted('fleet');
     return candidates
-      .filter(({ key, instance }) => !this._health.isSuspect(key, nowMs) && !limited.has(instance.id))
+      .filter(
+        ({ key, instance }) =>
+          !this._health.isSuspect(key, nowMs) && !limited.has(getIncarnationKey(instance)),
+      )
       .reduce((sum, { slots, load }) => sum + Math.max(0, slots - load.requests), 0);
   }
 
--- a/packages/node/src/peerMessages.ts
+++ b/packages/node/src/peerMessages.ts
@@ -91,7 +91,7 @@
   openAsks: z.array(z.number()),
   /** Load of the sender at the receiver's targets. */
   loads: z.record(z.string(), loadSchema),
-  /** Limits that the receiver's targets named to the sender, by instance; absent from nodes of earlier versions. */
+  /** Limits that the receiver's targets named to the sender, by incarnation; absent from nodes of earlier versions. */
   limits: z._default(z.record(z.string(), limitSchema), {}),
 };
 
@@ -115,7 +115,7 @@
   promptTokens: count,
   answerTokens: count,
   isContinuing: z.boolean(),
-  /** Keys of the targets to which the request was already sent, or that the sender suspects. */
+  /** Keys of the targets to which the request was already sent, or that the sender may not use. */
   avoided: z.array(z.string()),
   /** Keys of targets to which the sender has an idle connection. */
   connected: z.array(z.string()),
@@ -169,7 +169,7 @@
 export type GrantMessage = Readonly<z.infer<typeof grantSchema>>;
 /** New evidence about what crashes targets. */
 export type CrashMessage = Readonly<z.infer<typeof crashesSchema>>;
-/** Limits by instance. */
+/** Limits by incarnation of an instance. */
 export type LimitRows = Readonly<Record<string, z.infer<typeof limitSchema>>>;
 export type EvidenceRow = z.infer<typeof evidenceSchema>;
 
--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -55,6 +55,8 @@
   readonly connected: ReadonlySet<string>;
   /** Whether only targets of this node's shards are considered, whose load it knows; otherwise it guesses. */
   readonly isOwner: boolean;
+  /** Whether this node holds the request itself. */
+  readonly isOwnRequest: boolean;
 }
 
 /** The part of a report that does not concern requests in progress. */
@@ -72,8 +74,8 @@
   readonly log: DecisionLog;
   readonly loads: LoadTracker;
   readonly limits: TargetLimits;
-  /** Whether the node at the address assigns the requests for an instance. */
-  readonly isOwnedBy: (instanceId: string, address: string) => boolean;
+  /** Whether the node at the address assigns the requests for this incarnation of an instance. */
+  readonly isOwnedBy: (incarnation: string, address: string) => boolean;
   /** Time to wait for an owner's answer before this node chooses locally, in milliseconds; 40 by default. */
   readonly answerTimeoutMs?: number;
   /** Owners of shards with targets for these criteria, and the number of those targets. */
@@ -87,8 +89,8 @@
   /** Requests that the targets of this node's shards can still take. */
   readonly countFree: (criteria: PlacementCriteria) => number;
   readonly findCandidate: (criteria: PlacementCriteria, key: string) => TargetCandidate | undefined;
-  /** Keys of the targets that this node suspects because they are silent. */
-  readonly silentTargets: () => readonly string[];
+  /** Keys of the targets that this node suspects because they are silent, or that said that they take nothing from it. */
+  readonly avoidedTargets: () => readonly string[];
   /** Keys of the targets to which this node has an idle connection, the latest used first. */
   readonly connectedTargets: () => readonly string[];
   readonly describe: () => Observations;
@@ -204,7 +206,7 @@
       promptTokens: criteria.size.promptTokens,
       answerTokens: criteria.size.answerTokens,
       isContinuing: criteria.isContinuing,
-      avoided: [...criteria.tried, ...this._options.silentTargets()],
+      avoided: [...criteria.tried, ...this._options.avoidedTargets()],
       connected: this._options.connectedTargets().slice(0, MAX_CONNECTED_TARGETS),
     });
   }
@@ -249,7 +251,13 @@
     const { failureDomain, counters } = this._options;
     counters.add('monsoonreach_placements_total', { by: isOwner ? 'owner' : 'alone' });
     const connected = new Set(this._options.connectedTargets());
-    return this._options.chooseLocally({ ...criteria, failureDomain, connected, isOwner });
+    return this._options.chooseLocally({
+      ...criteria,
+      failureDomain,
+      connected,
+      isOwner,
+      isOwnRequest: true,
+    });
   }
 
   private _handleTimeout(requestNumber: number): void {
@@ -278,9 +286,9 @@
     const report = { sequence, lastAsk, openAsks, loads };
     const nowMs = this._options.clock.monotonic();
     this._options.loads.recordReport(sender, report, nowMs);
-    for (const [instanceId, [requestsPerS, ageMs]] of Object.entries(message.limits)) {
+    for (const [incarnation, [requestsPerS, ageMs]] of Object.entries(message.limits)) {
       const limit = { requestsPerS: requestsPerS ?? undefined, namedAtMs: nowMs - ageMs };
-      this._options.limits.record(instanceId, limit);
+      this._options.limits.record(incarnation, limit);
     }
   }
 
@@ -292,7 +300,13 @@
     const size = { promptTokens: request.promptTokens, answerTokens: request.answerTokens };
     const criteria = { service, model, size, tried: new Set(request.avoided), isContinuing };
     const connected = new Set(request.connected);
-    const choice = chooseLocally({ ...criteria, failureDomain, connected, isOwner: true });
+    const choice = chooseLocally({
+      ...criteria,
+      failureDomain,
+      connected,
+      isOwner: true,
+      isOwnRequest: false,
+    });
     counters.add('monsoonreach_placements_total', { by: 'peer' });
     const grant = { kind: 'grant' as const, ask: request.lastAsk };
     switch (choice.kind) {
@@ -375,9 +389,9 @@
     const nowMs = clock.monotonic();
     return Object.fromEntries(
       [...limits.list()]
-        .filter(([instanceId]) => isOwnedBy(instanceId, owner))
-        .map(([instanceId, { requestsPerS, namedAtMs }]) => [
-          instanceId,
+        .filter(([incarnation]) => isOwnedBy(incarnation, owner))
+        .map(([incarnation, { requestsPerS, namedAtMs }]) => [
+          incarnation,
           [requestsPerS ?? null, Math.round(nowMs - namedAtMs)],
         ]),
     );
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -6,6 +6,7 @@
   type CrashFactor,
   createCrashFactors,
   EventFramer,
+  getIncarnationKey,
   classifySilence,
   isNextEvent,
   type RequestSize,
@@ -256,12 +257,18 @@
       failureDomain: context.failureDomain,
       size: caller.size,
       tried: this._tried,
-      // The owners of groups know how many requests these still take.
-      limited: model === undefined ? context.limits.listExhausted('node') : undefined,
+      unavailable: this._listUnavailable(model),
       isContinuing: this._forwardedEvents > 0,
     });
   }
 
+  /** Incarnations of instances that take no request; the owners of groups know how many requests these still take. */
+  private _listUnavailable(model: string | undefined): ReadonlySet<string> {
+    const { availability, limits } = this._options.context;
+    const unavailable = availability.listUnavailable();
+    return model === undefined ? new Set([...unavailable, ...limits.listExhausted('node')]) : unavailable;
+  }
+
   private _send(candidate: TargetCandidate, predictedMs: number, nowMs: number, isFresh = false): void {
     const { context, request, caller, workspace, urgency, body } = this._options;
     const size: RequestSize = caller.size;
@@ -286,7 +293,7 @@
     this._attempt = attempt;
     this._attempts++;
     this._tried.add(candidate.key);
-    context.limits.recordRequest(candidate.instance.id);
+    context.limits.recordRequest(getIncarnationKey(candidate.instance));
     const ifCurrent = (handle: () => void) => {
       if (this._attempt === attempt && !this._isFinished) handle();
     };
@@ -343,6 +350,7 @@
       return;
     }
     this._recordLimit(attempt, head);
+    this._recordAvailability(attempt, head);
     if (head.isNotRun) {
       this._handleRefusal(attempt, head);
     } else if (head.isUnconfirmedRefusal) {
@@ -358,12 +366,26 @@
 
   private _recordLimit({ candidate, progressAtMs }: Attempt, { requestsPerS }: ResponseHead): void {
     const { limits, placement, log } = this._options.context;
-    const instanceId = candidate.instance.id;
-    if (!limits.record(instanceId, { requestsPerS, namedAtMs: progressAtMs })) return;
-    log.info('target limit changed', { target: candidate.key, instance: instanceId, requestsPerS });
+    if (!limits.record(getIncarnationKey(candidate.instance), { requestsPerS, namedAtMs: progressAtMs }))
+      return;
+    log.info('target limit changed', {
+      target: candidate.key,
+      instance: candidate.instance.id,
+      requestsPerS,
+    });
     placement.scheduleReport(candidate.key);
   }
 
+  private _recordAvailability({ candidate }: Attempt, { isLeaving, pauseMs }: ResponseHead): void {
+    const { availability, log } = this._options.context;
+    const { key: target, instance } = candidate;
+    const incarnation = getIncarnationKey(instance);
+    if (isLeaving && availability.recordLeaving(incarnation)) {
+      log.info('target says that it leaves', { target, instance: instance.id });
+    }
+    if (pauseMs !== undefined) availability.recordPause(incarnation, pauseMs);
+  }
+
   /** Whether the head answers this request: the id identifies it, and on a new connection nothing else can come. */
   private _isOwnAnswer(attempt: Attempt, { requestId }: ResponseHead): boolean {
     if (requestId === undefined) return attempt.call?.isReused === false;
--- a/packages/node/src/servingContext.ts
+++ b/packages/node/src/servingContext.ts
@@ -8,6 +8,7 @@
   RetryWindowBudget,
   ServingConfiguration,
   TargetCandidate,
+  TargetAvailability,
   TargetHealth,
   TargetLimits,
 } from '@monsoonreach/core';
@@ -27,6 +28,8 @@
   readonly failureDomain: string;
   readonly health: TargetHealth;
   readonly loads: LoadTracker;
+  /** Targets that told this node to send them nothing. */
+  readonly availability: TargetAvailability;
   /** Limits that targets named. */
   readonly limits: TargetLimits;
   readonly demand: DemandMeter;
--- a/packages/node/src/targetDirectory.ts
+++ b/packages/node/src/targetDirectory.ts
@@ -1,4 +1,5 @@
 import {
+  getIncarnationKey,
   groupBy,
   type LoadTracker,
   observeGroups,
@@ -88,11 +89,25 @@
     return target && this._ownership.findOwner(target.instance.fabricDomain);
   }
 
+  /** Returns the owner of the group that this incarnation of an instance heads. */
+  findOwnerOfIncarnation(incarnation: string): ShardOwner | undefined {
+    const [key] = this.findKeysOfIncarnations(new Set([incarnation]));
+    return key === undefined ? undefined : this.findOwner(key);
+  }
+
   /** Returns the keys of the targets at these addresses. */
   findKeys(addresses: readonly string[]): readonly string[] {
     return addresses.flatMap((address) => this._keysByAddress.get(address) ?? []);
   }
 
+  /** Returns the keys of the targets whose requests these incarnations of instances take. */
+  findKeysOfIncarnations(incarnations: ReadonlySet<string>): readonly string[] {
+    if (incarnations.size === 0) return [];
+    return [...this._targetsByKey.values()].flatMap(({ key, instance }) =>
+      incarnations.has(getIncarnationKey(instance)) ? [key] : [],
+    );
+  }
+
   /** Returns the keys of all targets that accept requests. */
   listKeys(configuration: ServingConfiguration): ReadonlySet<string> {
     this._refresh(configuration);
@@ -150,7 +165,7 @@
     return [...this._list.instances.values()]
       .filter((instance) => instance.service === service.name && instance.state === 'ready')
       .map((instance) => ({
-        key: `${instance.id}#${instance.startedAtMs}`,
+        key: getIncarnationKey(instance),
         instance,
         slots: instance.slots,
         engine: undefined,
--- a/tests/node/placement.test.ts
+++ b/tests/node/placement.test.ts
@@ -3,6 +3,7 @@
   chooseTarget,
   Counters,
   createRandom,
+  getIncarnationKey,
   LoadTracker,
   ManualClock,
   type ShardOwner,
@@ -85,7 +86,8 @@
       log: new DecisionLog(name, 'hidden', this._clock, counters),
       loads,
       limits,
-      isOwnedBy: (instanceId, address) => this._findOwner(instanceId)?.address === address,
+      isOwnedBy: (incarnation, address) =>
+        this._findOwner(incarnation.split('#')[0] ?? '')?.address === address,
       ...(this._answerTimeoutMs === undefined ? {} : { answerTimeoutMs: this._answerTimeoutMs }),
       findOwners: () =>
         this.owners.map((address) => ({
@@ -104,18 +106,18 @@
           nowMs: this._clock.monotonic(),
           random,
           health,
-          limited: limits.listExhausted(criteria.isOwner ? 'fleet' : 'node'),
+          unavailable: limits.listExhausted(criteria.isOwner ? 'fleet' : 'node'),
         });
         if (choice.kind === 'chosen') {
-          if (criteria.isOwner) limits.recordGrant(choice.candidate.instance.id);
-          limits.recordRequest(choice.candidate.instance.id);
+          if (criteria.isOwner) limits.recordGrant(getIncarnationKey(choice.candidate.instance));
+          limits.recordRequest(getIncarnationKey(choice.candidate.instance));
         }
         return choice;
       },
       countFree: () =>
         candidates(true).reduce((sum, { slots, load }) => sum + Math.max(0, slots - load.requests), 0),
       findCandidate: (_need, key) => candidates(false).find((candidate) => candidate.key === key),
-      silentTargets: () => [],
+      avoidedTargets: () => [],
       connectedTargets: () => [],
       describe: () => ({ demand: {}, silent: [], heads: {} }),
       onReport: () => undefined,
@@ -198,7 +200,10 @@
     fleet.owners = owners;
     for (const { limits } of fleet.nodes.values()) {
       for (let group = 0; group < GROUPS; group++) {
-        limits.record(`group-${group}`, { requestsPerS: LIMIT_PER_S, namedAtMs: clock.monotonic() });
+        limits.record(getIncarnationKey(createInstance(`group-${group}`)), {
+          requestsPerS: LIMIT_PER_S,
+          namedAtMs: clock.monotonic(),
+        });
       }
     }
     const durationS = 8;
@@ -224,7 +229,10 @@
   const fleet = new PlacementFleet(2, ANSWER_TIMEOUT_MS, clock);
   const node = fleet.nodes.get('node-1');
   for (let group = 0; group < GROUPS; group++) {
-    node?.limits.record(`group-${group}`, { requestsPerS: 1, namedAtMs: clock.monotonic() });
+    node?.limits.record(getIncarnationKey(createInstance(`group-${group}`)), {
+      requestsPerS: 1,
+      namedAtMs: clock.monotonic(),
+    });
   }
   t.equal(getKeyOrReason(await fleet.place('node-1')), 'all-full');
   clock.advance(1_000);
--- a/tests/node/requestRun.test.ts
+++ b/tests/node/requestRun.test.ts
@@ -11,6 +11,7 @@
   systemClock,
   type TargetCandidate,
   type TargetChoice,
+  TargetAvailability,
   TargetHealth,
   TargetLimits,
 } from '@monsoonreach/core';
@@ -115,6 +116,7 @@
       health: new TargetHealth(),
       loads: new LoadTracker(),
       limits: new TargetLimits(systemClock, () => 1),
+      availability: new TargetAvailability(systemClock),
       demand: new DemandMeter(),
       retries: new RetryWindowBudget({ share: 0.2, slack: 130, windowMs: 10_000 }, () => 1),
       connections: new TargetConnections(systemClock),
--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -240,6 +240,25 @@
     headers: { 'server-limit': '4.6' },
     expected: { requestsPerS: 4.6 },
   },
+  {
+    name: 'a target that leaves',
+    status: 200,
+    headers: { 'server-leaving': '1' },
+    expected: { isLeaving: true },
+  },
+  { name: 'a target that stays', status: 200, headers: {}, expected: { isLeaving: false } },
+  {
+    name: 'a full target that says for how long',
+    status: 503,
+    headers: { 'retry-after': '1.5' },
+    expected: { pauseMs: 1_500 },
+  },
+  {
+    name: 'a time to come back that is no number of seconds',
+    status: 503,
+    headers: { 'retry-after': 'Fri, 04 Dec 2026 10:00:00 GMT' },
+    expected: { pauseMs: undefined },
+  },
   { name: 'no limit', status: 200, headers: {}, expected: { requestsPerS: undefined } },
   ...['-1', '1e308', 'Infinity', '', '4,6'].map((text) => ({
     name: `a limit that is no decimal number: "${text}"`,
