Tests: slow targets learn their pace while the other one asks to be left alone

Cause: it made one target leave while the other learned. A node forgets each 10 s the health of targets that accept no requests, so that the pace learned first was lost if that fell into the second target's turn; without failures it then got all four streams. In a file of its own, as tried before, the turns fell elsewhere.

Change: the other target refuses with Retry-After instead; it stays in the list, and nothing is moved to it meanwhile.

--- a/tests/platform/rawFleet.ts
+++ b/tests/platform/rawFleet.ts
@@ -43,9 +43,8 @@
   private _metrics = '';
   private _storeAddress = '';
   private _requestCount = 0;
+  /** Number of starts of targets, announced as their time so that each has another one. */
   private _startCount = 0;
-  /** Number of the latest start of each target, announced as its time so that each start has another one. */
-  private readonly _startCounts = new Map<RawTarget, number>();
 
   async start(): Promise<void> {
     this._storeAddress = await this.store.start();
@@ -60,15 +59,8 @@
   /** Starts a target, or starts it again after a crash, and announces it. */
   async startTarget(target: RawTarget): Promise<void> {
     await target.start();
-    this._startCounts.set(target, ++this._startCount);
-    this.announce(target, 'ready');
-  }
-
-  /** Writes the target's entry in the list. */
-  announce(target: RawTarget, state: 'ready' | 'draining'): void {
     const id = `plain-${this.targets.indexOf(target) + 1}`;
-    const born = this._startCounts.get(target) ?? 0;
-    this.store.put('keyed.servers', id, createEntry(target.address, born, state));
+    this.store.put('keyed.servers', id, createEntry(target.address, ++this._startCount));
   }
 
   /** Starts another node in this process. */
@@ -127,14 +119,14 @@
   }
 }
 
-function createEntry(address: string, born: number, state: 'ready' | 'draining'): unknown {
+function createEntry(address: string, born: number): unknown {
   return {
     service: 'plain',
     address,
     zone: 'zone-1',
     version: 'v1',
     slots: 8,
-    state,
+    state: 'ready',
     born,
     seqNo: 1,
   };
--- a/tests/platform/slowStreams.test.ts
+++ b/tests/platform/slowStreams.test.ts
@@ -11,8 +11,9 @@
 
 const fleet = new RawFleet();
 
-/** Time until the node has read a changed list. */
-const LIST_READ_MS = 900;
+/** Time for which a target that refuses asks to be left alone. */
+const PAUSE_S = 4;
+const EMPTY = 'Server-Seal: s\r\nContent-Length: 0\r\n\r\n';
 
 const HEAD_END = 'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n';
 const toChunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
@@ -101,18 +102,29 @@
 
   // Guards against streams that are moved from target to target only because all are slow.
   await t.test('streams of slow targets stay there once their pace is known', async (t) => {
-    await fleet.setHandler((request) => {
+    const sendSlowly: RawHandler = (request) => {
+      if (request.head.includes('/status/')) {
+        request.socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${request.id}\r\n${EMPTY}`);
+        return;
+      }
       begin(request);
       void sendEvents(request, 6, 400);
-    });
+    };
+    const refuse: RawHandler = ({ socket, id }) =>
+      socket.write(
+        `HTTP/1.1 503 Full\r\nAttempt-Id: ${id}\r\nNot-Executed: 1\r\nRetry-After: ${PAUSE_S}\r\n${EMPTY}`,
+      );
     // Streams stay at a target whose pace is not known yet only if there is no other.
-    for (const [learned, other] of [fleet.targets, [...fleet.targets].reverse()] as const) {
-      fleet.announce(other ?? learned, 'draining');
-      await sleep(LIST_READ_MS);
+    for (const learned of fleet.targets) {
+      await fleet.setHandler(refuse);
+      learned.handle = sendSlowly;
+      while (fleet.targets.some(({ requests }) => requests.length === 0)) {
+        await Promise.all(Array.from({ length: 20 }, () => fleet.send('/status/')));
+      }
       await Promise.all([fleet.send('/stream/'), fleet.send('/stream/')]);
-      fleet.announce(other ?? learned, 'ready');
-      await sleep(LIST_READ_MS);
+      await sleep(PAUSE_S * 1_000);
     }
+    await fleet.setHandler(sendSlowly);
     const runsBefore = countRuns();
     const answers = await Promise.all(Array.from({ length: 4 }, () => fleet.send('/stream/')));
     t.ok(answers.every(({ body, isComplete }) => isComplete && body === allEvents(6)));
