Node: a request whose caller left before it was read is not sent on

What callers saw: nothing, they had left.

Cause: a node that is busy finds a request and the close of its connection waiting together. It reads the request first; the close is read one turn of the event loop later, and the request was sent on in between. The class: an action on what was read, while what contradicts it is known to the kernel already.

Ruled out: the start gate; callers that leave while their request waits for a place are noticed (tests/node/requestRun).

Change: a request is sent on after two callbacks of setImmediate, between which the event loop polls once.

tests/platform/callerGone: four new cases fail without it (20 requests of callers that left are sent on) and pass with it.

--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { setImmediate } from 'node:timers/promises';
 import { CallerConnections } from '@monsoonreach/callers/connections';
 import {
   canFinishBeforeExit,
@@ -160,6 +161,7 @@
       this._refuse(response, caller.requestId, 404, 'no-route');
       return;
     }
+    await waitForPendingCloses();
     const access = this._checkAccess(table, route, caller);
     switch (access.kind) {
       case 'allowed':
@@ -290,6 +292,15 @@
   }
 }
 
+/**
+ * Resolves when the closes of connections that had arrived together with their requests have been read: the end of a
+ * connection is read one turn of the event loop after its last bytes.
+ */
+async function waitForPendingCloses(): Promise<void> {
+  await setImmediate();
+  await setImmediate();
+}
+
 /** Statuses of answers to requests that cannot be read, by the code of the error. */
 const CLIENT_ERROR_STATUSES: ReadonlyMap<string | undefined, string> = new Map([
   ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
--- a/tests/platform/callerGone.test.ts
+++ b/tests/platform/callerGone.test.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import t from 'tap';
 import { sleep } from '../standins/http.js';
 import { RawCaller, type RawHandler, type RawRequest, writeEndlessly } from '../support/rawHttp.js';
@@ -15,6 +16,13 @@
   socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\n${framing}`);
 }
 
+function waitForConnection(socket: Socket): Promise<void> {
+  return new Promise((resolve) => {
+    if (socket.connecting) socket.once('connect', resolve);
+    else resolve();
+  });
+}
+
 interface State {
   readonly name: string;
   readonly prefixes: readonly RoutePrefix[];
@@ -122,6 +130,22 @@
     });
   }
 
+  for (const prefix of ['/status/', '/order/', '/stream/', '/once/'] as const) {
+    // Guards against work for callers that gave up while a busy node had not read their requests yet.
+    await t.test(`a caller that left before its request was read: ${prefix}`, async (t) => {
+      await fleet.setHandler(() => undefined);
+      const callers = Array.from({ length: 20 }, () => new RawCaller(fleet.address));
+      for (const { socket } of callers) await waitForConnection(socket);
+      await sleep(50);
+      for (const { socket } of callers) {
+        socket.write(`${fleet.createHead(prefix)}{}`);
+        socket.end();
+      }
+      await sleep(MAX_WORK_MS);
+      t.equal(requests().length, 0);
+    });
+  }
+
   // Guards against a node that takes the end of a caller's requests for the wish to read on.
   await t.test('a caller that closes its half of the connection has left', async (t) => {
     await fleet.setHandler(() => undefined);
