--- /dev/null
+++ b/packages/node/src/crashWitness.ts
@@ -0,0 +1,100 @@
+import { type CrashFactor, createCrashFactors, type TargetCandidate } from '@monsoonreach/core';
+import type { CallerRequest } from '@monsoonreach/platform';
+import type { ServingContext } from './servingContext.js';
+
+/** Time after a stream's first event from which on its target counts as having survived the request, in milliseconds. */
+const SURVIVAL_MS = 250;
+
+/** How far one attempt of a request has come; times are monotonic, in milliseconds. */
+export interface AttemptProgress {
+  readonly candidate: TargetCandidate;
+  readonly startedAtMs: number;
+  readonly headAtMs: number | undefined;
+  readonly firstEventAtMs: number | undefined;
+  readonly events: number;
+}
+
+/** The request that a {@link CrashWitness} observes. */
+export interface WitnessedRequest {
+  readonly caller: CallerRequest;
+  readonly path: string;
+  readonly workspace: string | undefined;
+  readonly body: Buffer | undefined;
+  readonly isStream: boolean;
+}
+
+/** Tells the {@link CrashMonitor} of one request's targets: which of them crashed under it, and which survived. */
+export class CrashWitness {
+  private _cachedFactors: readonly CrashFactor[] | undefined;
+  private readonly _survivors = new WeakSet<AttemptProgress>();
+
+  constructor(
+    private readonly _context: Pick<ServingContext, 'clock' | 'crashes' | 'log'>,
+    private readonly _request: WitnessedRequest,
+  ) {}
+
+  /** Time until which the request is refused, monotonic; undefined if it may run. */
+  findQuarantineEndMs(): number | undefined {
+    const { crashes } = this._context;
+    return crashes.isIdle ? undefined : crashes.findQuarantineEndMs(this._factors);
+  }
+
+  /** Records an event of a stream. */
+  recordEvent(attempt: AttemptProgress, nowMs: number): void {
+    if (nowMs - (attempt.firstEventAtMs ?? nowMs) >= SURVIVAL_MS) this.recordSurvival(attempt);
+  }
+
+  /** Records that the target has survived the attempt. */
+  recordSurvival(attempt: AttemptProgress): void {
+    const { crashes } = this._context;
+    if (crashes.isIdle || this._survivors.has(attempt)) return;
+    this._survivors.add(attempt);
+    const begunAtMs = this._request.isStream ? attempt.headAtMs : attempt.startedAtMs;
+    if (begunAtMs !== undefined) crashes.recordSurvival(this._factors, begunAtMs);
+  }
+
+  /** Finds out whether the target that broke off an attempt crashed under it, before the request may crash another. */
+  async examineLoss(attempt: AttemptProgress, reason: string): Promise<void> {
+    this._logLoss(attempt, reason);
+    if (!this._hasJustBegun(attempt)) return;
+    await this._context.crashes.examineLoss({
+      candidate: attempt.candidate,
+      requestId: this._request.caller.requestId,
+      factors: this._factors,
+      sentAtMs: attempt.startedAtMs,
+    });
+  }
+
+  private get _factors(): readonly CrashFactor[] {
+    return (this._cachedFactors ??= createCrashFactors(this._request, this._request.caller.sharedParts));
+  }
+
+  /** Whether the target may have begun the answer and has not survived it yet. */
+  private _hasJustBegun({ headAtMs, firstEventAtMs }: AttemptProgress): boolean {
+    if (!this._request.isStream) return true;
+    const nowMs = this._context.clock.monotonic();
+    return headAtMs !== undefined && nowMs - (firstEventAtMs ?? nowMs) < SURVIVAL_MS;
+  }
+
+  /** Logs what the target was running, so that a request that comes again can be recognized. */
+  private _logLoss(
+    { candidate, events, startedAtMs, headAtMs, firstEventAtMs }: AttemptProgress,
+    reason: string,
+  ) {
+    const { clock, log } = this._context;
+    const nowMs = clock.monotonic();
+    const toAgeMs = (atMs: number | undefined) => (atMs === undefined ? undefined : Math.round(nowMs - atMs));
+    log.info('attempt broken off by target', {
+      target: candidate.key,
+      instance: candidate.instance.id,
+      reason,
+      request: this._request.caller.requestId,
+      fingerprint: this._factors[0]?.id,
+      sharedParts: this._request.caller.sharedParts,
+      events,
+      sentMs: toAgeMs(startedAtMs),
+      headMs: toAgeMs(headAtMs),
+      firstEventMs: toAgeMs(firstEventAtMs),
+    });
+  }
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,4 +1,5 @@
 export * from './crashMonitor.js';
+export * from './crashWitness.js';
 export * from './decisionLog.js';
 export * from './frontServer.js';
 export * from './headMonitor.js';
@@ -19,6 +20,7 @@
 export * from './startGate.js';
 export * from './targetConnections.js';
 export * from './targetDirectory.js';
+export * from './targetStatements.js';
 export * from './topicMirror.js';
 export * from './topicServer.js';
 export * from './topicSources.js';
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -3,8 +3,6 @@
   type CallOutcomeReason,
   chooseService,
   chooseTarget,
-  type CrashFactor,
-  createCrashFactors,
   EventFramer,
   getIncarnationKey,
   classifySilence,
@@ -20,9 +18,11 @@
   encodeRetryAfter,
   type ResponseHead,
 } from '@monsoonreach/platform';
+import { CrashWitness } from './crashWitness.js';
 import type { PlacementCriteria } from './placement.js';
 import type { ServingContext } from './servingContext.js';
 import type { CallError, OpenCall } from './targetConnections.js';
+import { listUnavailable, recordTargetStatements } from './targetStatements.js';
 
 /** Largest answer that is buffered before it is forwarded, in bytes; the attempt fails if the answer is larger. */
 const MAX_BUFFERED_BYTES = 1_048_576;
@@ -33,9 +33,6 @@
 /** Largest share of the remaining time that Retry-After may ask for; callers do not honour a longer wait. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
 
-/** Time after a stream's first event from which on its target counts as having survived the request, in milliseconds. */
-const SURVIVAL_MS = 250;
-
 /** Reason for refusing a request that was not run. */
 export type RefusalReason =
   Extract<TargetChoice, { readonly kind: 'none' }>['reason'] | 'not-run-by-target' | 'quarantined';
@@ -57,8 +54,6 @@
   bufferedBytes: number;
   progressAtMs: number;
   events: number;
-  /** Whether the target is known to survive the answer. */
-  hasSurvived: boolean;
   /** Whether nothing is read from the target because the caller does not read. */
   isPaused: boolean;
   /** Monotonic time before which no other target is asked for because of silence. */
@@ -90,7 +85,7 @@
   private _attempts = 0;
   /** Whether a target may have run the request. */
   private _mayHaveRun = false;
-  private _cachedFactors: readonly CrashFactor[] | undefined;
+  private readonly _witness: CrashWitness;
   private _lastEventId: string | undefined;
   private _forwardedEvents = 0;
   private _firstEventAtMs: number | undefined;
@@ -103,10 +98,17 @@
   private _isFramed = true;
 
   constructor(private readonly _options: RequestRunOptions) {
-    const { context, caller, route, startedAtMs } = _options;
+    const { context, caller, request, route, startedAtMs, workspace, body } = _options;
     this._deadlineMs = startedAtMs + Math.min(caller.timeoutMs ?? Infinity, route.timeoutMs);
     this._lastEventId = caller.lastEventId;
     this._service = chooseService(route, context.random);
+    this._witness = new CrashWitness(context, {
+      caller,
+      path: request.url ?? '/',
+      workspace,
+      body,
+      isStream: this._isStream,
+    });
     this._timer = setTimeout(
       () => {
         this._handleTimeout();
@@ -117,7 +119,7 @@
 
   start(): void {
     const { context, response } = this._options;
-    const quarantineEndMs = this._findQuarantineEndMs();
+    const quarantineEndMs = this._witness.findQuarantineEndMs();
     if (quarantineEndMs !== undefined) {
       this._refuse('quarantined', quarantineEndMs - context.clock.monotonic());
       return;
@@ -257,18 +259,12 @@
       failureDomain: context.failureDomain,
       size: caller.size,
       tried: this._tried,
-      unavailable: this._listUnavailable(model),
+      // The owners of groups know how many requests these still take.
+      unavailable: model === undefined ? listUnavailable(context) : context.availability.listUnavailable(),
       isContinuing: this._forwardedEvents > 0,
     });
   }
 
-  /** Incarnations of instances that take no request; the owners of groups know how many requests these still take. */
-  private _listUnavailable(model: string | undefined): ReadonlySet<string> {
-    const { availability, limits } = this._options.context;
-    const unavailable = availability.listUnavailable();
-    return model === undefined ? new Set([...unavailable, ...limits.listExhausted('node')]) : unavailable;
-  }
-
   private _send(candidate: TargetCandidate, predictedMs: number, nowMs: number, isFresh = false): void {
     const { context, request, caller, workspace, urgency, body } = this._options;
     const size: RequestSize = caller.size;
@@ -286,7 +282,6 @@
       bufferedBytes: 0,
       progressAtMs: -Infinity,
       events: 0,
-      hasSurvived: false,
       isPaused: false,
       movableAtMs: -Infinity,
     };
@@ -349,8 +344,7 @@
       this._handleFailure(attempt, 'wrong-echo', true);
       return;
     }
-    this._recordLimit(attempt, head);
-    this._recordAvailability(attempt, head);
+    recordTargetStatements(this._options.context, attempt.candidate, head);
     if (head.isNotRun) {
       this._handleRefusal(attempt, head);
     } else if (head.isUnconfirmedRefusal) {
@@ -364,28 +358,6 @@
     }
   }
 
-  private _recordLimit({ candidate, progressAtMs }: Attempt, { requestsPerS }: ResponseHead): void {
-    const { limits, placement, log } = this._options.context;
-    if (!limits.record(getIncarnationKey(candidate.instance), { requestsPerS, namedAtMs: progressAtMs }))
-      return;
-    log.info('target limit changed', {
-      target: candidate.key,
-      instance: candidate.instance.id,
-      requestsPerS,
-    });
-    placement.scheduleReport(candidate.key);
-  }
-
-  private _recordAvailability({ candidate }: Attempt, { isLeaving, pauseMs }: ResponseHead): void {
-    const { availability, log } = this._options.context;
-    const { key: target, instance } = candidate;
-    const incarnation = getIncarnationKey(instance);
-    if (isLeaving && availability.recordLeaving(incarnation)) {
-      log.info('target says that it leaves', { target, instance: instance.id });
-    }
-    if (pauseMs !== undefined) availability.recordPause(incarnation, pauseMs);
-  }
-
   /** Whether the head answers this request: the id identifies it, and on a new connection nothing else can come. */
   private _isOwnAnswer(attempt: Attempt, { requestId }: ResponseHead): boolean {
     if (requestId === undefined) return attempt.call?.isReused === false;
@@ -428,7 +400,7 @@
     attempt.load.endPrefill();
     attempt.events += batch.eventCount;
     attempt.firstEventAtMs ??= nowMs;
-    if (nowMs - attempt.firstEventAtMs >= SURVIVAL_MS) this._recordSurvival(attempt);
+    this._witness.recordEvent(attempt, nowMs);
     this._recordForwarded(batch.eventCount, nowMs);
     this._lastEventId = batch.lastId ?? this._lastEventId;
     this._startStream(attempt.head);
@@ -546,8 +518,7 @@
       this._retryOrGiveUp(attempt, reason, mayHaveRun);
       return;
     }
-    this._logLoss(attempt, reason);
-    void this._examineLoss(attempt).then(() => {
+    void this._witness.examineLoss(attempt, reason).then(() => {
       if (this._attempt === attempt && !this._isFinished) this._retryOrGiveUp(attempt, reason, mayHaveRun);
     });
   }
@@ -557,65 +528,6 @@
     else this._abandonAndGiveUp(attempt, reason);
   }
 
-  /** Finds out whether the target crashed under this request, before the request may crash another. */
-  private async _examineLoss(attempt: Attempt): Promise<void> {
-    if (!this._hasJustBegun(attempt)) return;
-    const { context, caller } = this._options;
-    const { candidate, startedAtMs: sentAtMs } = attempt;
-    await context.crashes.examineLoss({
-      candidate,
-      requestId: caller.requestId,
-      factors: this._factors,
-      sentAtMs,
-    });
-  }
-
-  /** Whether the target may have begun the answer and has not survived it yet. */
-  private _hasJustBegun({ head, firstEventAtMs }: Attempt): boolean {
-    if (!this._isStream) return true;
-    const nowMs = this._options.context.clock.monotonic();
-    return head !== undefined && (firstEventAtMs === undefined || nowMs - firstEventAtMs < SURVIVAL_MS);
-  }
-
-  private _recordSurvival(attempt: Attempt): void {
-    const { crashes } = this._options.context;
-    if (crashes.isIdle || attempt.hasSurvived) return;
-    attempt.hasSurvived = true;
-    const begunAtMs = this._isStream ? attempt.headAtMs : attempt.startedAtMs;
-    if (begunAtMs !== undefined) crashes.recordSurvival(this._factors, begunAtMs);
-  }
-
-  private get _factors(): readonly CrashFactor[] {
-    const { request, workspace, body, caller } = this._options;
-    return (this._cachedFactors ??= createCrashFactors(
-      { path: request.url ?? '/', workspace, body },
-      caller.sharedParts,
-    ));
-  }
-
-  private _findQuarantineEndMs(): number | undefined {
-    const { crashes } = this._options.context;
-    return crashes.isIdle ? undefined : crashes.findQuarantineEndMs(this._factors);
-  }
-
-  /** Logs what the target was running when it broke off, so that a request that comes again can be recognized. */
-  private _logLoss(attempt: Attempt, reason: CallOutcomeReason): void {
-    const { context, caller } = this._options;
-    const { candidate, events, startedAtMs, headAtMs, firstEventAtMs } = attempt;
-    context.log.info('attempt broken off by target', {
-      target: candidate.key,
-      instance: candidate.instance.id,
-      reason,
-      request: caller.requestId,
-      fingerprint: this._factors[0]?.id,
-      sharedParts: caller.sharedParts,
-      events,
-      sentMs: this._elapsedMs(startedAtMs),
-      headMs: headAtMs === undefined ? undefined : this._elapsedMs(headAtMs),
-      firstEventMs: firstEventAtMs === undefined ? undefined : this._elapsedMs(firstEventAtMs),
-    });
-  }
-
   /** Ends the last attempt and the request with it. */
   private _abandonAndGiveUp(attempt: Attempt, reason: CallOutcomeReason): void {
     this._abandonAttempt(attempt, reason);
@@ -628,7 +540,7 @@
     return (
       this._attempts < route.maxAttempts &&
       nowMs < this._deadlineMs &&
-      this._findQuarantineEndMs() === undefined &&
+      this._witness.findQuarantineEndMs() === undefined &&
       this._choose().kind === 'chosen'
     );
   }
@@ -669,7 +581,7 @@
 
   private _completeAttempt(attempt: Attempt, isFailure: boolean): void {
     const { context } = this._options;
-    if (!isFailure) this._recordSurvival(attempt);
+    if (!isFailure) this._witness.recordSurvival(attempt);
     this._trail.push(`${attempt.candidate.key} done ${this._elapsedMs(attempt.startedAtMs)}ms`);
     context.health.recordOutcome(attempt.candidate.key, isFailure, context.clock.monotonic());
     attempt.load.endRequest();
