Node: an early empty answer of the store proves no later contact

Cause: an empty answer to a long poll was taken to mean that the store had waited for the whole time, whenever it came. The stand-in of the store answers early when something else changes; the users' page does not forbid it. The class: a time that is computed from what was asked for, not from what was observed.

Ruled out: clock steps (the ages are monotonic; it happened in calm seconds, too).

Change: the end of the wait counts only if the answer took that long, less 20 ms for timers; otherwise the time at which the question was sent.

--- a/packages/node/src/topicSources.ts
+++ b/packages/node/src/topicSources.ts
@@ -32,6 +32,8 @@
 const FALLBACK_WAIT_MS = 300;
 /** Time for which a store that failed is not asked while a peer can reach it, in milliseconds. */
 const STORE_BACKOFF_MS = 2_000;
+/** Time by which the end of the store's wait may seem early here, in milliseconds; timers are not exact. */
+const WAIT_TOLERANCE_MS = 20;
 /** Maximum age of a peer's data, in milliseconds; a node that reads the store receives an answer at least every 1.3 s. */
 const MAX_PEER_AGE_MS = 1_900;
 /** Largest answer of a peer that is read, in bytes. */
@@ -156,8 +158,10 @@
       const sentAtMs = clock.monotonic();
       const { records, end } = await store.read(options);
       this._storeSkippedUntilMs = -Infinity;
-      // An empty answer means that the store waited for the full time, so it was current at the end of the wait.
-      const contactAtMs = sentAtMs + (records.length === 0 ? options.waitMs : 0);
+      // After an empty answer that took the whole wait, nothing had changed until its end.
+      const waitedMs = clock.monotonic() - sentAtMs;
+      const hasWaited = records.length === 0 && waitedMs >= options.waitMs - WAIT_TOLERANCE_MS;
+      const contactAtMs = sentAtMs + (hasWaited ? Math.max(0, options.waitMs - WAIT_TOLERANCE_MS) : 0);
       return { records: records.map(decodeKeyedRecord), end, contactAtMs, isFromPeer: false };
     } catch (error) {
       if (!(error instanceof StoreUnavailableError) || options.signal.aborted) throw error;
--- a/tests/node/topicSources.test.ts
+++ b/tests/node/topicSources.test.ts
@@ -134,6 +134,20 @@
     );
 });
 
+// Guards against keys that are trusted for longer than the last contact allows, and ages that no peer accepts.
+void t.test('an empty answer that comes early proves no later contact', async (t) => {
+  const { nodes, stop } = await createFleet(1);
+  t.teardown(stop);
+  const [node] = nodes;
+  const leadsMs: number[] = [];
+  for (let change = 0; change < 20; change++) {
+    node?.store.put('keyed.other', 'a', String(change));
+    await sleep(50);
+    leadsMs.push((node?.contactAtMs ?? Infinity) - systemClock.monotonic());
+  }
+  t.ok(Math.max(...leadsMs) <= 0, `the contact is ${Math.round(Math.max(...leadsMs))} ms in the future`);
+});
+
 const failures = [
   { name: 'answers 503', mood: 'busy' },
   { name: 'does not answer', mood: 'silent' },
