Core: evidence of one crash is joined, and limits end on nodes without owners

- Nodes that lost the same target under different requests with one factor kept what they had heard first, so that their verdicts could differ for good.
What they saw is joined now: the first sign of the loss, and the latest request that it ended.
- A mass of single crashes could push a quarantined request out of the bounded memory.
- A limit that nobody repeats expired only when reports were written: on a node that reports to no other owner a limit of none would have stayed for ever.

Each has a case in tests/serving that fails without its change.

--- a/packages/core/src/serving/crashEvidence.ts
+++ b/packages/core/src/serving/crashEvidence.ts
@@ -10,7 +10,7 @@
 const CRASH_TTL_MS = 120_000;
 /** Interval at which old evidence is looked for, in milliseconds. */
 const EXPIRY_INTERVAL_MS = 1_000;
-/** Factors that are remembered; the oldest is forgotten first. */
+/** Factors that are remembered; the oldest that one crash concerns is forgotten first. */
 const MAX_FACTORS = 1_024;
 /** Crashes of one factor that are remembered. */
 const MAX_REMEMBERED_CRASHES = 8;
@@ -141,13 +141,9 @@
   private _merge({ factor, crashes, survivedAtMs }: FactorEvidence): FactorEvidence {
     const key = toKey(factor);
     const known = this._evidence.get(key);
-    const knownTargets = new Set(known?.crashes.map(({ target }) => target));
-    const added = crashes.filter(({ target }) => !knownTargets.has(target));
     const merged: FactorEvidence = {
       factor,
-      crashes: [...(known?.crashes ?? []), ...added]
-        .sort((a, b) => a.lostAtMs - b.lostAtMs)
-        .slice(-MAX_REMEMBERED_CRASHES),
+      crashes: joinCrashes([...(known?.crashes ?? []), ...crashes]).slice(-MAX_REMEMBERED_CRASHES),
       survivedAtMs: Math.max(survivedAtMs, known?.survivedAtMs ?? -Infinity),
     };
     this._evidence.set(key, merged);
@@ -156,6 +152,10 @@
 
   private _removeExpired(): void {
     const nowMs = this._clock.monotonic();
+    for (const [key, evidence] of this._evidence) {
+      if (this._evidence.size <= MAX_FACTORS) break;
+      if (findSuccessive(evidence).length < MIN_SHARED_CRASHES) this._evidence.delete(key);
+    }
     for (const key of this._evidence.keys()) {
       if (this._evidence.size <= MAX_FACTORS) break;
       this._evidence.delete(key);
@@ -169,6 +169,23 @@
   }
 }
 
+/**
+ * Joins what several nodes saw of each crash: its first sign, and the latest of the requests that it ended. The result is
+ * in the order of the losses, and the same in whatever order the crashes were reported.
+ */
+function joinCrashes(crashes: readonly TargetCrash[]): readonly TargetCrash[] {
+  const byTarget = new Map<string, TargetCrash>();
+  for (const crash of crashes) {
+    const known = byTarget.get(crash.target) ?? crash;
+    byTarget.set(crash.target, {
+      target: crash.target,
+      sentAtMs: Math.max(known.sentAtMs, crash.sentAtMs),
+      lostAtMs: Math.min(known.lostAtMs, crash.lostAtMs),
+    });
+  }
+  return [...byTarget.values()].sort((a, b) => a.lostAtMs - b.lostAtMs);
+}
+
 /** Crashes since the latest survival, each of a request that was sent after the crash before. */
 function findSuccessive({ crashes, survivedAtMs }: FactorEvidence): readonly TargetCrash[] {
   const successive: TargetCrash[] = [];
--- a/packages/core/src/serving/targetLimits.ts
+++ b/packages/core/src/serving/targetLimits.ts
@@ -74,6 +74,7 @@
 
   /** Incarnations of the instances that may get no request now. */
   listExhausted(scope: LimitScope): ReadonlySet<string> {
+    this._removeExpired();
     const exhausted = new Set<string>();
     for (const [id, state] of this._states) {
       if (state.limit.requestsPerS === undefined) continue;
@@ -85,11 +86,15 @@
 
   /** The limits that are known, and those that have ended lately. */
   list(): ReadonlyMap<string, InstanceLimit> {
+    this._removeExpired();
+    return new Map([...this._states].map(([id, { limit }]) => [id, limit]));
+  }
+
+  private _removeExpired(): void {
     const nowMs = this._clock.monotonic();
     for (const [id, { limit }] of this._states) {
       if (nowMs - limit.namedAtMs > getTtlMs(limit)) this._states.delete(id);
     }
-    return new Map([...this._states].map(([id, { limit }]) => [id, limit]));
   }
 
   private _add(incarnation: string, limit: InstanceLimit): void {
--- a/tests/platform/crashingRequests.test.ts
+++ b/tests/platform/crashingRequests.test.ts
@@ -42,14 +42,7 @@
   return (await new RawCaller(node).exchange(`${fleet.createHead(prefix, { path, headers })}{}`)).status;
 }
 
-async function startNodes(): Promise<readonly string[]> {
-  await fleet.start();
-  const others = [await fleet.startNode('node-2'), await fleet.startNode('node-3')];
-  for (const node of others) while (!(await node.isReady())) await sleep(50);
-  return [fleet.address, ...others.map(({ address }) => address)];
-}
-
-const addresses = await startNodes();
+const addresses = await fleet.startNodes(3);
 t.teardown(() => {
   fleet.store.stop();
   setTimeout(() => process.exit(), 100);
--- a/tests/platform/rawFleet.ts
+++ b/tests/platform/rawFleet.ts
@@ -63,6 +63,15 @@
     this.store.put('keyed.servers', id, createEntry(target.address, ++this._startCount));
   }
 
+  /** Starts the fleet with this many nodes; returns their addresses. */
+  async startNodes(count: number): Promise<readonly string[]> {
+    await this.start();
+    const others: RawNode[] = [];
+    for (let index = 2; index <= count; index++) others.push(await this.startNode(`node-${index}`));
+    for (const node of others) while (!(await node.isReady())) await sleep(50);
+    return [this.address, ...others.map(({ address }) => address)];
+  }
+
   /** Starts another node in this process. */
   async startNode(name: string): Promise<RawNode> {
     const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
--- a/tests/serving/crashEvidence.test.ts
+++ b/tests/serving/crashEvidence.test.ts
@@ -180,6 +180,30 @@
   t.end();
 });
 
+void t.test('nodes that lost the same target under different requests agree', (t) => {
+  const early = { target: 'b', sentAtMs: 5, lostAtMs: 31 };
+  const late = { target: 'b', sentAtMs: 20, lostAtMs: 30 };
+  const nodes = [createEvidence(), createEvidence()] as const;
+  for (const node of nodes) node.recordCrash([REQUEST], { target: 'a', sentAtMs: 0, lostAtMs: 10 });
+  nodes[0].recordCrash([REQUEST], early);
+  nodes[1].recordCrash([REQUEST], late);
+  t.equal(nodes[0].findQuarantineEndMs([REQUEST]), undefined);
+  nodes[0].merge(nodes[1].describe([REQUEST]));
+  nodes[1].merge([{ factor: REQUEST, crashes: [early], survivedAtMs: -Infinity }]);
+  for (const node of nodes) t.equal(node.findQuarantineEndMs([REQUEST]), 60_030);
+  t.end();
+});
+
+void t.test('a quarantine outlasts a mass of single crashes', (t) => {
+  const evidence = createEvidence();
+  apply(evidence, [crash(0, 10), crash(20, 30)]);
+  for (let index = 0; index < 3_000; index++) {
+    apply(evidence, [crash(40, 50, { kind: 'request', id: `single-${index}` })]);
+  }
+  t.equal(evidence.findQuarantineEndMs([REQUEST]), 60_030);
+  t.end();
+});
+
 const time = fc.integer({ min: 0, max: 50 });
 const arbitraryStep: fc.Arbitrary<Step> = fc.oneof(
   fc.tuple(time, time).map(([a, b]) => crash(Math.min(a, b), Math.max(a, b))),
--- a/tests/serving/targetLimits.test.ts
+++ b/tests/serving/targetLimits.test.ts
@@ -79,10 +79,11 @@
 
 void t.test('a limit that nobody repeats expires', (t) => {
   const fixture = new LimitFixture();
-  fixture.name(1);
-  fixture.clock.advance(10_900);
+  fixture.name(0);
+  fixture.clock.advance(19_900);
   t.equal(fixture.limits.list().size, 1);
   fixture.clock.advance(200);
+  t.equal(fixture.limits.listExhausted('fleet').size, 0, 'also on a node that reports to no owner');
   t.equal(fixture.limits.list().size, 0);
   t.end();
 });
