Node: owners are told the limits of their groups again

Seen by reading the change once more: since limits are keyed by the start of an instance, but the node looked their owner up by the instance's id, found none, and told no owner. An owner then assigned as many requests as before, unless the group had told it itself.

Cause: a replacement that did not apply, and no test of the way from the node that is told a limit to another one that owns the group: tests/node/placement has its own look-up.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -441,12 +441,8 @@
       log: this._log,
       loads: this._loads,
       limits: this._limits,
-      isOwnedBy: (instanceId, address) => {
-        const instance = this._list.get(instanceId);
-        return (
-          instance !== undefined && this._ownership.findOwner(instance.fabricDomain)?.address === address
-        );
-      },
+      isOwnedBy: (incarnation, address) =>
+        this._directory.findOwnerOfIncarnation(incarnation)?.address === address,
       findOwners: ({ service, model }) => {
         const configuration = this._table?.configuration;
         return configuration ? this._directory.findOwners(configuration, service, model) : [];
--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -84,6 +84,8 @@
 /** Stands in for one instance: of a plain service, or an engine that joins groups. */
 export class InstanceStandin {
   mode: InstanceMode = 'well';
+  /** Requests per second that it takes, as it tells in its answers; it names no limit by default. */
+  requestsPerS: number | undefined;
   /** Whether the instance cannot reach the store. Its entry expires, but requests still reach it. */
   isDisconnectedFromStore = false;
   /** Number of starts, announced as the start time so that each start has another one. */
@@ -326,7 +328,9 @@
       return;
     }
     const echo = this.mode === 'wrong-echo' ? 'another' : requestId;
-    const head = { 'Attempt-Id': echo, 'Server-Seal': `seal-of-${this.id}` };
+    const limit: Readonly<Record<string, string>> =
+      this.requestsPerS === undefined ? {} : { 'Server-Limit': String(this.requestsPerS) };
+    const head = { 'Attempt-Id': echo, 'Server-Seal': `seal-of-${this.id}`, ...limit };
     if (this._group)
       await this._sendEventStream(response, head, Number(request.headers['last-event-id'] ?? 0));
     else this._sendPlainAnswer(response, head, `${echo}:${body}`);
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -65,6 +65,7 @@
   readonly fleet = new InstanceFleet(this.store, EVENTS_PER_STREAM);
   address = '';
   private _node: Node | undefined;
+  private _storeAddress = '';
 
   get node(): Node {
     if (!this._node) throw new Error('The fleet has no node yet; call start() first.');
@@ -81,31 +82,37 @@
     }
     await this.fleet.add('plain-1', 'plain', 'domain-1');
     await this.fleet.add('plain-2', 'plain', 'domain-1');
-    const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
-    this.address = `127.0.0.1:${front}`;
-    this._node = new Node(
-      parseNodeSettings(
-        formatSettings({
-          name: 'node-1',
-          domain: 'zone-1',
-          store,
-          front,
-          readiness,
-          peers,
-          metrics,
-          log: 'hidden',
-          ...options,
-        }),
-      ),
-      systemClock,
-    );
-    await this._node.start();
+    this._storeAddress = store;
+    const { node, address } = await this.startNode('node-1', options);
+    this._node = node;
+    this.address = address;
     await this._waitForOpenGroups(2);
   }
 
-  /** Sends a request to the node as a caller does. */
-  send(path: string, options: { readonly id: string; readonly key?: string; readonly method?: string }) {
-    return fetch(`http://${this.address}${path}`, {
+  /** Starts another node in this process. */
+  async startNode(
+    name: string,
+    options: { readonly drainTimeout?: string } = {},
+  ): Promise<{ readonly node: Node; readonly address: string }> {
+    const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
+    const common = { domain: 'zone-1', store: this._storeAddress, log: 'hidden' as const };
+    const settings = { ...common, name, front, readiness, peers, metrics, ...options };
+    const node = new Node(parseNodeSettings(formatSettings(settings)), systemClock);
+    await node.start();
+    return { node, address: `127.0.0.1:${front}` };
+  }
+
+  /** Sends a request to a node, the first one by default, as a caller does. */
+  send(
+    path: string,
+    options: {
+      readonly id: string;
+      readonly key?: string;
+      readonly method?: string;
+      readonly address?: string;
+    },
+  ) {
+    return fetch(`http://${options.address ?? this.address}${path}`, {
       method: options.method ?? 'POST',
       headers: {
         'Attempt-Id': options.id,
