Node: an unfinished request tells what it was taken on and how far it came

The line 'request unfinished at the end of the stop' did not tell a prediction that was too short from time that went on retries: it had neither the number of attempts, nor when the current one began, nor the prediction at admission. It has all three now, with the targets, the events that were forwarded and the silence since the last one. The logic is unchanged; the decision returns the figures that it compares.

--- a/packages/core/src/serving/stopAdmission.ts
+++ b/packages/core/src/serving/stopAdmission.ts
@@ -25,20 +25,32 @@
   readonly isInRotation: boolean;
 }
 
+/** Whether a request ends before the process, and why; times are in milliseconds. */
+export interface FinishEstimate {
+  readonly canFinish: boolean;
+  /** Time until the request's timeout. */
+  readonly limitMs: number;
+  /** Predicted duration; Infinity if unknown. */
+  readonly predictedMs: number;
+  /** Time until the process ends. */
+  readonly remainingMs: number;
+}
+
 /**
- * Whether a node that is stopping can finish a request that arrives now.
+ * Estimates whether a node that is stopping can finish a request that arrives now.
  *
  * A request that is refused at once is served by another node a moment later; one that is cut has to start again.
  */
-export function canFinishBeforeExit(
+export function estimateFinish(
   request: StopAdmissionRequest,
   configuration: ServingConfiguration,
   { remainingMs, isInRotation }: StopProgress,
-): boolean {
+): FinishEstimate {
   const { route, timeoutMs, elapsedMs } = request;
   const limitMs = Math.min(timeoutMs ?? Infinity, route.timeoutMs) - elapsedMs;
   const margin = isInRotation ? ROTATION_DURATION_MARGIN : DURATION_MARGIN;
-  return Math.min(limitMs, margin * predictStreamMs(request, configuration)) <= remainingMs;
+  const predictedMs = margin * predictStreamMs(request, configuration);
+  return { canFinish: Math.min(limitMs, predictedMs) <= remainingMs, limitMs, predictedMs, remainingMs };
 }
 
 /** Time that a stream takes in full batches, in milliseconds; unknown for other requests. */
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -3,7 +3,8 @@
 import { setImmediate } from 'node:timers/promises';
 import { CallerConnections } from '@monsoonreach/callers/connections';
 import {
-  canFinishBeforeExit,
+  estimateFinish,
+  type FinishEstimate,
   type KeyTrust,
   type RouteTable,
   type ServingRoute,
@@ -188,24 +189,29 @@
     const { priority, ...rest } = options;
     const { caller, route, response, startedAtMs } = rest;
     if (response.writableEnded || response.destroyed) return;
-    if (!this._canFinish(caller, route, startedAtMs)) {
+    const estimate = this._estimateFinish(caller, route, startedAtMs);
+    if (estimate?.canFinish === false) {
       this._refuseStopping(response, caller.requestId);
       return;
     }
     this.connections.setStage(response, 'serving');
     const urgency = Math.min(9, Math.max(0, priority ?? DEFAULT_URGENCY));
-    new RequestRun({ context: this._options.context, urgency, ...rest }).start();
+    new RequestRun({ context: this._options.context, urgency, estimate, ...rest }).start();
   }
 
-  /** Whether a request that is served now ends before the process; true while the node is not stopping. */
-  private _canFinish(caller: CallerRequest, route: ServingRoute, startedAtMs: number): boolean {
+  /** Estimates whether a request that is served now ends before the process; undefined while the node is not stopping. */
+  private _estimateFinish(
+    caller: CallerRequest,
+    route: ServingRoute,
+    startedAtMs: number,
+  ): FinishEstimate | undefined {
     const { clock, configuration } = this._options.context;
     const current = configuration();
-    if (!this._stop || !current) return true;
+    if (!this._stop || !current) return undefined;
     const { endsAtMs, isInRotation } = this._stop;
     const nowMs = clock.monotonic();
     const request = { route, ...caller, elapsedMs: nowMs - startedAtMs };
-    return canFinishBeforeExit(request, current, { remainingMs: endsAtMs - nowMs, isInRotation });
+    return estimateFinish(request, current, { remainingMs: endsAtMs - nowMs, isInRotation });
   }
 
   /** Refuses a request for which this process has no time left; another node can serve it at once. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -235,6 +235,7 @@
         connection: request.connection,
         connectionMs: Math.round(nowMs - request.connectionOpenedAtMs),
         position: request.position,
+        ...[...this._runs].find((run) => run.isAnswering(request.response))?.describeProgress(),
       });
     }
     this._log.info('stopped', {
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -4,6 +4,7 @@
   chooseService,
   chooseTarget,
   EventFramer,
+  type FinishEstimate,
   getIncarnationKey,
   classifySilence,
   isNextEvent,
@@ -71,6 +72,25 @@
   readonly urgency: number;
   readonly body: Buffer | undefined;
   readonly startedAtMs: number;
+  /** Why the request was accepted while the node is stopping; undefined by default. */
+  readonly estimate?: FinishEstimate | undefined;
+}
+
+/** How far a request has come, for the log. */
+export interface RunProgress {
+  /** Attempts that count against the route's limit. */
+  readonly attempts: number;
+  /** Time since the request was given to its current target, in milliseconds; undefined without one. */
+  readonly attemptMs: number | undefined;
+  readonly trail: readonly string[];
+  /** Events forwarded to the caller. */
+  readonly events: number;
+  /** Time since the last of them, in milliseconds. */
+  readonly silentMs: number | undefined;
+  /** What the request was accepted on, if the node was already stopping; times in milliseconds. */
+  readonly limitMs: number | undefined;
+  readonly predictedMs: number | undefined;
+  readonly remainingMs: number | undefined;
 }
 
 /** Forwards one request of a caller to targets, until its answer is complete or no attempt is left. */
@@ -192,6 +212,26 @@
     this._abandonAttempt(attempt, 'silent');
   }
 
+  /** Whether this run answers with `response`. */
+  isAnswering(response: ServerResponse): boolean {
+    return this._options.response === response;
+  }
+
+  describeProgress(): RunProgress {
+    const { estimate } = this._options;
+    const attempt = this._attempt;
+    return {
+      attempts: this._attempts,
+      attemptMs: attempt && this._elapsedMs(attempt.startedAtMs),
+      trail: attempt ? [...this._trail, attempt.candidate.key] : this._trail,
+      events: this._forwardedEvents,
+      silentMs: this._lastEventAtMs === undefined ? undefined : this._elapsedMs(this._lastEventAtMs),
+      limitMs: toLoggedMs(estimate?.limitMs),
+      predictedMs: toLoggedMs(estimate?.predictedMs),
+      remainingMs: toLoggedMs(estimate?.remainingMs),
+    };
+  }
+
   /** Ends the request because the process ends. */
   abandon(): void {
     if (this._isFinished) return;
@@ -675,6 +715,11 @@
 /** Failures in which the target closed the connection before its answer was complete. */
 const LOSSES: ReadonlySet<CallOutcomeReason> = new Set(['target-lost', 'truncated']);
 
+/** Rounds a time for the log; JSON cannot represent infinity. */
+function toLoggedMs(ms: number | undefined): number | undefined {
+  return ms === undefined || !Number.isFinite(ms) ? undefined : Math.round(ms);
+}
+
 function toFailureReason({ isUnsent, isMalformed }: CallError): CallOutcomeReason {
   if (isUnsent) return 'unsent';
   return isMalformed ? 'malformed' : 'target-lost';
--- a/tests/serving/stopAdmission.test.ts
+++ b/tests/serving/stopAdmission.test.ts
@@ -1,4 +1,4 @@
-import { canFinishBeforeExit, type ServingConfiguration, type ServingRoute } from '@monsoonreach/core';
+import { estimateFinish, type ServingConfiguration, type ServingRoute } from '@monsoonreach/core';
 import t from 'tap';
 import { LARGE_MODEL, SERVICE, SMALL_MODEL } from './fixtures.js';
 
@@ -108,7 +108,7 @@
       elapsedMs,
     };
     const { remainingMs, isInRotation = false, canFinish } = testCase;
-    t.equal(canFinishBeforeExit(request, CONFIGURATION, { remainingMs, isInRotation }), canFinish);
+    t.equal(estimateFinish(request, CONFIGURATION, { remainingMs, isInRotation }).canFinish, canFinish);
     t.end();
   });
 }
