--- /dev/null
+++ b/tests/node/stopSlowTargets.test.ts
@@ -0,0 +1,67 @@
+import t from 'tap';
+import { API_KEY, EVENTS_PER_STREAM, MODEL, PlatformFleet } from '../platform/platformFleet.js';
+import { sleep } from '../standins/http.js';
+import { formatRequest, RawCaller } from '../support/rawCaller.js';
+
+const LAST_EVENT = `id: ${EVENTS_PER_STREAM}\n`;
+/** Answer tokens of a stream that takes 1.9 s in a full batch at the published pace. */
+const LONG_ANSWER_TOKENS = 300;
+/** Interval of its events at half that pace. */
+const LONG_INTERVAL_MS = 93;
+/** The same of a stream that ends in time at half the pace. */
+const SHORT_ANSWER_TOKENS = 120;
+const SHORT_INTERVAL_MS = 37;
+
+const platform = new PlatformFleet();
+
+async function connectAndSend(id: string, answerTokens: number): Promise<RawCaller> {
+  const caller = await RawCaller.connect(platform.address);
+  const request = formatRequest({
+    path: `/stream/${id}`,
+    headers: {
+      'Attempt-Id': id,
+      'Deadline-Ms': '6000',
+      Authorization: `Bearer ${API_KEY}`,
+      Model: MODEL,
+      'Token-Count': `100,${answerTokens}`,
+    },
+    body: `body-of-${id}`,
+  });
+  caller.write(request);
+  return caller;
+}
+
+// Guards against streams that are taken in a stop by the published pace, though their target is slow, and are cut.
+void t.test('a stopping node takes streams by the pace that their target keeps', async (t) => {
+  await platform.start({ drainTimeout: '3500ms' });
+  t.teardown(() => {
+    platform.fleet.stop();
+    platform.store.stop();
+    setTimeout(() => process.exit(), 100);
+  });
+  platform.fleet.pauseBefore = (id) => (id === 'short' ? SHORT_INTERVAL_MS : LONG_INTERVAL_MS);
+  const before = await Promise.all(
+    ['a', 'b', 'c', 'd'].map((id) => connectAndSend(`before-${id}`, LONG_ANSWER_TOKENS)),
+  );
+  for (const caller of before) await caller.waitForText(LAST_EVENT);
+  const targets = platform.fleet.runs.map(({ instance }) => instance);
+  t.equal(new Set(targets).size, 2, 'both targets have shown their pace');
+
+  const draining = platform.node.drain();
+  await sleep(50);
+  const long = await connectAndSend('long', LONG_ANSWER_TOKENS);
+  const short = await connectAndSend('short', SHORT_ANSWER_TOKENS);
+
+  await t.test('a stream that the pace makes too long is refused as not run', async (t) => {
+    await long.waitForClose();
+    t.match(long.received, /^HTTP\/1\.1 503 /);
+    t.match(long.received, /"reason":"stopping","run":"not-run"/);
+    t.match(long.received, /retry-after: 0\.00/i);
+    t.notOk(platform.fleet.runs.some(({ requestId }) => requestId === 'long'));
+  });
+  await t.test('a stream that ends in time at this pace is served', async (t) => {
+    await short.waitForClose();
+    t.ok(short.received.includes(LAST_EVENT), short.received);
+  });
+  t.equal(await draining, 0, 'nothing is cut');
+});
--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -3,8 +3,10 @@
 import { listen, readText, sendJson, sleep } from '../standins/http.js';
 import type { StoreStandin } from './storeStandin.js';
 
-/** Interval between two events of a stream. */
+/** Default interval between two events of a stream. */
 const EVENT_INTERVAL_MS = 15;
+/** Time for which an instance in mode `refuses-late` holds a request, in milliseconds. */
+const REFUSAL_DELAY_MS = 1_200;
 /** Time from a join order until the member is ready. */
 const JOIN_DURATION_MS = 30;
 /** Time from the loss of a member until the head detects it and breaks off its streams; none makes progress meanwhile. */
@@ -19,6 +21,7 @@
   | 'well'
   | 'dark'
   | 'full'
+  | 'refuses-late'
   | 'resets'
   | 'unframed'
   | 'wrong-echo'
@@ -56,6 +59,8 @@
   readonly violations: string[] = [];
   /** Every instance that became ready in a group, as returned by `toMemberKey`. */
   readonly readyMembers = new Set<string>();
+  /** Time before each event of a stream, in milliseconds. */
+  pauseBefore: (requestId: string, eventId: number) => number = () => EVENT_INTERVAL_MS;
 
   constructor(
     readonly store: StoreStandin,
@@ -309,8 +314,10 @@
   private async _runRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readText(request);
     const requestId = String(request.headers['attempt-id']);
+    const isRefusingLate = this.mode === 'refuses-late';
+    if (isRefusingLate) await sleep(REFUSAL_DELAY_MS);
     // A draining target still runs the requests that reach it: tests must see a node that sends it new ones.
-    if (this.mode === 'full' || (this._group && this._group.state !== 'open')) {
+    if (isRefusingLate || this.mode === 'full' || (this._group && this._group.state !== 'open')) {
       response.writeHead(503, { 'Not-Executed': '1', 'Attempt-Id': requestId }).end();
       return;
     }
@@ -387,7 +394,7 @@
     const framing = isUnframed ? { Connection: 'close' } : {};
     response.writeHead(200, { ...head, ...framing, 'Content-Type': 'text/event-stream' });
     for (let id = lastEventId + 1; id <= this._fleet.eventCount; id++) {
-      await sleep(EVENT_INTERVAL_MS);
+      await sleep(this._fleet.pauseBefore(head['Attempt-Id'] ?? '', id));
       if (group && !this._isWhole(group)) {
         await sleep(BREAK_DETECTION_MS);
         response.destroy();
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -16,20 +16,19 @@
 export function createConfiguration(version: number, keys: readonly string[] = [API_KEY]): unknown {
   const route = { host: '127.0.0.1', priority: 1, targetLatencyMs: 400 };
   const plain = { ...route, service: 'plain', timeoutMs: 1_500 };
+  const stream = {
+    ...route,
+    routeType: 'streaming',
+    service: 'engines',
+    timeoutMs: 6_000,
+    gapTargetMs: 250,
+    maxAttempts: 2,
+  };
   return {
     version,
     routes: [
-      {
-        ...route,
-        name: 'stream',
-        pathPrefix: '/stream/',
-        routeType: 'streaming',
-        service: 'engines',
-        timeoutMs: 6_000,
-        gapTargetMs: 250,
-        maxAttempts: 2,
-        streamResume: true,
-      },
+      { ...stream, name: 'stream', pathPrefix: '/stream/', streamResume: true },
+      { ...stream, name: 'once', pathPrefix: '/once/' },
       { ...plain, name: 'order', pathPrefix: '/order/', routeType: 'unsafe', maxAttempts: 2 },
       { ...plain, name: 'status', pathPrefix: '/status/', routeType: 'safe', maxAttempts: 2 },
       { ...plain, name: 'open', pathPrefix: '/open/', routeType: 'safe', authExempt: true, maxAttempts: 1 },
