Core: late in a stop only requests with a sure end are taken

Callers saw answers cut in the middle: a stream that came 3.1 s after SIGTERM, on a connection whose answer had begun before, was taken since 1.25 times its published cost fitted the time left. Its target fell silent for a second, or was slower, and the stream was cut when the process ended.

Once the balancer no longer connects, a refused caller cannot come back: the refusal costs it one round trip, while a cut costs the whole answer. So no prediction counts there; a request is taken only if its timeout, the lower one of caller and route, ends before the process. Nothing that is taken then can be cut. In rotation nothing changes.

Two tests stated the old admission. tests/serving/stopAdmission had streams taken by 1.25 times the prediction out of rotation; the cases now bracket the prediction more closely in rotation, and state the bound by the timeout out of it. tests/node/stop had a stream with a timeout beyond the end of the process served when its body came across the end of listening; it now has one with a timeout before it, served, and one beyond it, refused as not run.

--- a/packages/core/src/serving/stopAdmission.ts
+++ b/packages/core/src/serving/stopAdmission.ts
@@ -1,11 +1,6 @@
 import { predictBusyServiceMs, type RequestSize } from './engineCost.js';
 import type { ServingConfiguration, ServingRoute } from './servingConfiguration.js';
 
-/** Factor on the predicted duration of a stream; the batch may be slower than predicted. */
-const DURATION_MARGIN = 1.25;
-/** The same while the balancer still sends callers here: one that is refused may come back to this node. */
-const ROTATION_DURATION_MARGIN = 1;
-
 /** What decides how long a request may take. */
 export interface StopAdmissionRequest {
   readonly route: ServingRoute;
@@ -30,7 +25,7 @@
   readonly canFinish: boolean;
   /** Time until the request's timeout. */
   readonly limitMs: number;
-  /** Predicted duration; Infinity if unknown. */
+  /** Predicted duration; Infinity if unknown or not considered. */
   readonly predictedMs: number;
   /** Time until the process ends. */
   readonly remainingMs: number;
@@ -39,7 +34,9 @@
 /**
  * Estimates whether a node that is stopping can finish a request that arrives now.
  *
- * A request that is refused at once is served by another node a moment later; one that is cut has to start again.
+ * A request that is refused at once is served by another node a moment later; one that is cut has to start again. While
+ * the balancer still connects, a refused caller may come back, and a stream is accepted by its predicted duration.
+ * Afterwards only its timeout counts: targets may be slower than predicted, or silent for a time.
  */
 export function estimateFinish(
   request: StopAdmissionRequest,
@@ -48,8 +45,7 @@
 ): FinishEstimate {
   const { route, timeoutMs, elapsedMs } = request;
   const limitMs = Math.min(timeoutMs ?? Infinity, route.timeoutMs) - elapsedMs;
-  const margin = isInRotation ? ROTATION_DURATION_MARGIN : DURATION_MARGIN;
-  const predictedMs = margin * predictStreamMs(request, configuration);
+  const predictedMs = isInRotation ? predictStreamMs(request, configuration) : Infinity;
   return { canFinish: Math.min(limitMs, predictedMs) <= remainingMs, limitMs, predictedMs, remainingMs };
 }
 
--- a/tests/node/stop.test.ts
+++ b/tests/node/stop.test.ts
@@ -22,14 +22,14 @@
 function format(
   kind: 'stream' | 'order',
   id: string,
-  options: { answerTokens?: number; body?: string } = {},
+  options: { answerTokens?: number; body?: string; deadlineMs?: number } = {},
 ) {
-  const { answerTokens = 40, body = `body-of-${id}` } = options;
+  const { answerTokens = 40, body = `body-of-${id}`, deadlineMs = 6_000 } = options;
   return formatRequest({
     path: `/${kind}/${id}`,
     headers: {
       'Attempt-Id': id,
-      'Deadline-Ms': '6000',
+      'Deadline-Ms': String(deadlineMs),
       Authorization: `Bearer ${API_KEY}`,
       Model: MODEL,
       'Token-Count': `100,${answerTokens}`,
@@ -59,7 +59,9 @@
   const tooLong = await connectUsed('too-long');
   const unused = await RawCaller.connect(platform.address);
   const slowBody = await RawCaller.connect(platform.address);
-  const slowRequest = format('stream', 'slow-body');
+  const slowRequest = format('stream', 'slow-body', { deadlineMs: 4_000 });
+  const lateBody = await RawCaller.connect(platform.address);
+  const lateRequest = format('stream', 'late-body');
   const streaming = await RawCaller.connect(platform.address);
   streaming.write(format('stream', 'streaming'));
   await streaming.waitForText('id: 1\n');
@@ -85,6 +87,7 @@
 
   await sleepUntil(REFUSING_FROM_MS);
   slowBody.write(slowRequest.slice(0, -4));
+  lateBody.write(lateRequest.slice(0, -4));
 
   await t.test('a stream that may take longer than the process lives is refused as not run', async (t) => {
     tooLong.write(format('stream', 'refused-stream', { answerTokens: LONG_ANSWER_TOKENS }));
@@ -97,13 +100,28 @@
     t.equal(runsOf('refused-stream').length, 0);
   });
 
-  await t.test('a request whose body arrives across the end of listening is served', async (t) => {
-    await sleepUntil(IDLE_CLOSE_MS);
-    t.equal(slowBody.closedAtMs, undefined, 'the node waits for the rest of the body');
-    slowBody.write(slowRequest.slice(-4));
-    await slowBody.waitForClose();
-    t.ok(slowBody.received.includes(LAST_EVENT), slowBody.received);
-  });
+  await t.test(
+    'a request whose body arrives across the end of listening is served in its time',
+    async (t) => {
+      await sleepUntil(IDLE_CLOSE_MS);
+      t.equal(slowBody.closedAtMs, undefined, 'the node waits for the rest of the body');
+      slowBody.write(slowRequest.slice(-4));
+      await slowBody.waitForClose();
+      t.ok(slowBody.received.includes(LAST_EVENT), slowBody.received);
+    },
+  );
+
+  await t.test(
+    'such a request that may take longer than the process lives is refused as not run',
+    async (t) => {
+      t.equal(lateBody.closedAtMs, undefined, 'the node waits for the rest of the body');
+      lateBody.write(lateRequest.slice(-4));
+      await lateBody.waitForClose();
+      t.match(lateBody.received, /^HTTP\/1\.1 503 /);
+      t.match(lateBody.received, /"reason":"stopping","run":"not-run"/);
+      t.equal(runsOf('late-body').length, 0);
+    },
+  );
 
   await t.test('idle and never used connections are closed when listening ends', async (t) => {
     await Promise.all([idle.waitForClose(500), unused.waitForClose(500)]);
--- a/tests/serving/stopAdmission.test.ts
+++ b/tests/serving/stopAdmission.test.ts
@@ -44,49 +44,104 @@
   readonly canFinish: boolean;
 }
 
+const inRotation = { isInRotation: true } as const;
+
 const cases: readonly Case[] = [
-  { name: 'a short stream just before the end', answerTokens: 24, remainingMs: 1_000, canFinish: true },
-  { name: 'a usual stream with 5 s left', answerTokens: 174, remainingMs: 5_000, canFinish: true },
-  { name: 'a usual stream with 2 s left', answerTokens: 174, remainingMs: 2_000, canFinish: false },
-  // Such streams took up to 6.3 s in full batches.
-  { name: 'the longest stream with all time left', answerTokens: 462, remainingMs: 7_500, canFinish: true },
-  { name: 'the longest stream with 5.5 s left', answerTokens: 462, remainingMs: 5_500, canFinish: false },
+  { name: 'a short stream', answerTokens: 24, remainingMs: 320, ...inRotation, canFinish: true },
   {
-    name: 'the longest stream with 5.5 s left while the balancer may send its caller back',
-    answerTokens: 462,
-    remainingMs: 5_500,
-    isInRotation: true,
-    canFinish: true,
+    name: 'a short stream just before the end',
+    answerTokens: 24,
+    remainingMs: 300,
+    ...inRotation,
+    canFinish: false,
   },
+  { name: 'a usual stream', answerTokens: 174, remainingMs: 2_100, ...inRotation, canFinish: true },
   {
-    name: 'the longest stream with 5 s left while the balancer may send its caller back',
+    name: 'a usual stream with 2 s left',
+    answerTokens: 174,
+    remainingMs: 2_000,
+    ...inRotation,
+    canFinish: false,
+  },
+  { name: 'the longest stream', answerTokens: 462, remainingMs: 5_400, ...inRotation, canFinish: true },
+  {
+    name: 'the longest stream with 5.3 s left',
     answerTokens: 462,
-    remainingMs: 5_000,
-    isInRotation: true,
+    remainingMs: 5_300,
+    ...inRotation,
     canFinish: false,
   },
   {
-    name: 'a long stream of a faster model with 5.5 s left',
+    name: 'a long stream of a faster model',
     model: SMALL_MODEL.name,
     answerTokens: 462,
-    remainingMs: 5_500,
+    remainingMs: 3_200,
+    ...inRotation,
     canFinish: true,
   },
   {
-    name: 'a stream whose caller gives up before the end',
+    name: 'a long stream of a faster model with 3.1 s left',
+    model: SMALL_MODEL.name,
     answerTokens: 462,
-    timeoutMs: 3_000,
-    remainingMs: 3_500,
-    canFinish: true,
+    remainingMs: 3_100,
+    ...inRotation,
+    canFinish: false,
   },
   {
     name: 'a stream of an unknown model within its timeout',
     model: 'x',
     remainingMs: 8_000,
+    ...inRotation,
+    canFinish: true,
+  },
+  {
+    name: 'a stream of an unknown model beyond it',
+    model: 'x',
+    remainingMs: 7_900,
+    ...inRotation,
+    canFinish: false,
+  },
+  {
+    name: 'a stream whose caller gives up before the end',
+    answerTokens: 462,
+    timeoutMs: 3_000,
+    remainingMs: 3_000,
+    ...inRotation,
+    canFinish: true,
+  },
+  { name: 'late, a short stream that may be slower', answerTokens: 24, remainingMs: 7_500, canFinish: false },
+  { name: 'late, the longest stream', answerTokens: 462, remainingMs: 7_500, canFinish: false },
+  { name: 'late, a stream within its timeout', answerTokens: 462, remainingMs: 8_000, canFinish: true },
+  {
+    name: 'late, a stream whose caller gives up before the end',
+    answerTokens: 462,
+    timeoutMs: 3_000,
+    remainingMs: 3_000,
+    canFinish: true,
+  },
+  {
+    name: 'late, a stream whose caller gives up just after the end',
+    answerTokens: 24,
+    timeoutMs: 3_000,
+    remainingMs: 2_900,
+    canFinish: false,
+  },
+  {
+    name: 'late, a stream whose body took most of the time that its caller allows',
+    answerTokens: 24,
+    timeoutMs: 3_000,
+    elapsedMs: 2_500,
+    remainingMs: 500,
     canFinish: true,
   },
-  { name: 'a stream of an unknown model beyond it', model: 'x', remainingMs: 7_900, canFinish: false },
   { name: 'a call within its timeout', route: PLAIN, remainingMs: 1_000, canFinish: true },
+  {
+    name: 'a call within its timeout in rotation',
+    route: PLAIN,
+    remainingMs: 1_000,
+    ...inRotation,
+    canFinish: true,
+  },
   {
     name: 'a call whose body took most of its timeout',
     route: PLAIN,
@@ -95,11 +150,19 @@
     canFinish: true,
   },
   { name: 'a call beyond its timeout', route: PLAIN, remainingMs: 900, canFinish: false },
+  {
+    name: 'a call beyond its timeout in rotation',
+    route: PLAIN,
+    remainingMs: 900,
+    ...inRotation,
+    canFinish: false,
+  },
 ];
 
+// Guards against requests that are taken in a stop and cut, and against refusals of those that end in time.
 for (const testCase of cases) {
   const { name, route, model = LARGE_MODEL.name, answerTokens = 100, timeoutMs, elapsedMs = 0 } = testCase;
-  void t.test(`load pattern, nodes stop in turn under a burst: ${name}`, (t) => {
+  void t.test(`a stopping node ${testCase.canFinish ? 'accepts' : 'refuses'} ${name}`, (t) => {
     const request = {
       route: { ...ROUTE, ...route },
       model,
