Node: in a stop, the time left is checked whenever an attempt begins

Callers saw streams cut that had been taken in time: the decision was made once, at arrival. A target that refused 1.2 s later, an owner's answer or a silent attempt then led to an attempt for which the process had too little time left.

StopAdmission holds how far the stop has come, and both the front and each run ask it. An attempt begins only if it can end before the process. Else a request that no target has run is refused as not run, with Retry-After 0, so that another node serves it at once; one that may have run stays at its silent target, or is answered 502, in doubt, as before. A stream that the caller is already reading goes on at another target.

The last line of an unfinished request now shows what its last attempt was begun on.

--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -2,14 +2,7 @@
 import type { Socket } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
 import { CallerConnections } from '@monsoonreach/callers/connections';
-import {
-  estimateFinish,
-  type FinishEstimate,
-  type KeyTrust,
-  type RouteTable,
-  type ServingRoute,
-  splitAddress,
-} from '@monsoonreach/core';
+import { type KeyTrust, type RouteTable, type ServingRoute, splitAddress } from '@monsoonreach/core';
 import { type CallerRequest, decodeCallerRequest, encodeRetryAfter } from '@monsoonreach/platform';
 import { RequestRun } from './requestRun.js';
 import type { ServingContext } from './servingContext.js';
@@ -39,8 +32,6 @@
 export class FrontServer {
   readonly connections: CallerConnections;
   private readonly _server: Server;
-  /** Set when the process is told to stop: when it abandons its requests, and whether the balancer may still connect. */
-  private _stop: { readonly endsAtMs: number; readonly isInRotation: boolean } | undefined;
 
   constructor(private readonly _options: FrontServerOptions) {
     this.connections = new CallerConnections(_options.context.clock);
@@ -62,7 +53,7 @@
   }
 
   get isDraining(): boolean {
-    return this._stop !== undefined;
+    return this._options.context.stop.isStopping;
   }
 
   /** Starts accepting connections, unless the node was told to stop before it had started. */
@@ -87,13 +78,13 @@
    * @param endsAtMs monotonic time at which requests in progress are abandoned, in milliseconds.
    */
   drain(endsAtMs: number): void {
-    this._stop = { endsAtMs, isInRotation: true };
+    this._options.context.stop.begin(endsAtMs);
     this.connections.closeAfterAnswers();
   }
 
   /** Stops accepting connections and closes the idle ones. */
   close(): void {
-    if (this._stop) this._stop = { ...this._stop, isInRotation: false };
+    this._options.context.stop.leaveRotation();
     this._server.close();
   }
 
@@ -189,29 +180,13 @@
     const { priority, ...rest } = options;
     const { caller, route, response, startedAtMs } = rest;
     if (response.writableEnded || response.destroyed) return;
-    const estimate = this._estimateFinish(caller, route, startedAtMs);
-    if (estimate?.canFinish === false) {
+    if (this._options.context.stop.estimate({ route, ...caller, startedAtMs })?.canFinish === false) {
       this._refuseStopping(response, caller.requestId);
       return;
     }
     this.connections.setStage(response, 'serving');
     const urgency = Math.min(9, Math.max(0, priority ?? DEFAULT_URGENCY));
-    new RequestRun({ context: this._options.context, urgency, estimate, ...rest }).start();
-  }
-
-  /** Estimates whether a request that is served now ends before the process; undefined while the node is not stopping. */
-  private _estimateFinish(
-    caller: CallerRequest,
-    route: ServingRoute,
-    startedAtMs: number,
-  ): FinishEstimate | undefined {
-    const { clock, configuration } = this._options.context;
-    const current = configuration();
-    if (!this._stop || !current) return undefined;
-    const { endsAtMs, isInRotation } = this._stop;
-    const nowMs = clock.monotonic();
-    const request = { route, ...caller, elapsedMs: nowMs - startedAtMs };
-    return estimateFinish(request, current, { remainingMs: endsAtMs - nowMs, isInRotation });
+    new RequestRun({ context: this._options.context, urgency, ...rest }).start();
   }
 
   /** Refuses a request for which this process has no time left; another node can serve it at once. */
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -18,6 +18,7 @@
 export * from './settings.js';
 export * from './shardOwnership.js';
 export * from './startGate.js';
+export * from './stopAdmission.js';
 export * from './targetConnections.js';
 export * from './targetDirectory.js';
 export * from './targetStatements.js';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -53,6 +53,7 @@
 import { ShardOwnership } from './shardOwnership.js';
 import { SilentTargets } from './silentTargets.js';
 import { StartGate } from './startGate.js';
+import { StopAdmission } from './stopAdmission.js';
 import { TargetConnections } from './targetConnections.js';
 import { TargetDirectory } from './targetDirectory.js';
 import { TopicServer } from './topicServer.js';
@@ -419,6 +420,7 @@
       crashes: this._crashes,
       directory: this._directory,
       placement: this._placement,
+      stop: new StopAdmission({ clock: this._clock, configuration: () => this._table?.configuration }),
       runs: this._runs,
       configuration: () => this._table?.configuration,
       connectionHeaders: (response) => this._front.connectionHeaders(response),
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -72,8 +72,6 @@
   readonly urgency: number;
   readonly body: Buffer | undefined;
   readonly startedAtMs: number;
-  /** Why the request was accepted while the node is stopping; undefined by default. */
-  readonly estimate?: FinishEstimate | undefined;
 }
 
 /** How far a request has come, for the log. */
@@ -87,7 +85,7 @@
   readonly events: number;
   /** Time since the last of them, in milliseconds. */
   readonly silentMs: number | undefined;
-  /** What the request was accepted on, if the node was already stopping; times in milliseconds. */
+  /** What its last attempt was begun on, if the node was already stopping; times in milliseconds. */
   readonly limitMs: number | undefined;
   readonly predictedMs: number | undefined;
   readonly remainingMs: number | undefined;
@@ -106,6 +104,8 @@
   /** Whether a target may have run the request. */
   private _mayHaveRun = false;
   private readonly _witness: CrashWitness;
+  /** Why the last attempt was begun while the node was stopping. */
+  private _estimate: FinishEstimate | undefined;
   private _lastEventId: string | undefined;
   private _forwardedEvents = 0;
   private _firstEventAtMs: number | undefined;
@@ -200,7 +200,8 @@
     const { progressAtMs } = attempt;
     this._options.context.placement.place(criteria, (choice) => {
       const isSilent = this._attempt === attempt && attempt.progressAtMs === progressAtMs;
-      if (this._isFinished || !isSilent || choice.kind === 'none' || !this._tryTakeRetry('silent')) return;
+      if (this._isFinished || !isSilent || choice.kind === 'none') return;
+      if (this._estimateFinish()?.canFinish === false || !this._tryTakeRetry('silent')) return;
       this._leaveSilent(attempt);
       this._handleChoice(choice);
     });
@@ -218,8 +219,7 @@
   }
 
   describeProgress(): RunProgress {
-    const { estimate } = this._options;
-    const attempt = this._attempt;
+    const { _attempt: attempt, _estimate: estimate } = this;
     return {
       attempts: this._attempts,
       attemptMs: attempt && this._elapsedMs(attempt.startedAtMs),
@@ -265,6 +265,11 @@
   private _handleChoice(choice: TargetChoice): void {
     switch (choice.kind) {
       case 'chosen':
+        this._estimate = this._estimateFinish();
+        if (this._estimate?.canFinish === false) {
+          this._giveUp('stopping', 0);
+          return;
+        }
         this._send(choice.candidate, choice.predictedMs, this._options.context.clock.monotonic());
         return;
       case 'none':
@@ -273,6 +278,13 @@
     }
   }
 
+  /** Estimates whether an attempt that begins now ends before the process; undefined if it is to be made in any case. */
+  private _estimateFinish(): FinishEstimate | undefined {
+    const { context, route, caller, startedAtMs } = this._options;
+    if (this._forwardedEvents > 0) return undefined;
+    return context.stop.estimate({ route, ...caller, startedAtMs });
+  }
+
   /** Criteria for an engine group; undefined for a request to a plain service. */
   private _createPlacementCriteria(): PlacementCriteria | undefined {
     const { size, model } = this._options.caller;
@@ -571,7 +583,9 @@
   /** Ends the last attempt and the request with it. */
   private _abandonAndGiveUp(attempt: Attempt, reason: CallOutcomeReason): void {
     this._abandonAttempt(attempt, reason);
-    this._giveUp(this._mayHaveRun ? 'no-answer' : 'not-run-by-target', NOT_RUN_RETRY_AFTER_MS);
+    if (this._mayHaveRun) this._giveUp('no-answer', 0);
+    else if (this._estimateFinish()?.canFinish === false) this._giveUp('stopping', 0);
+    else this._giveUp('not-run-by-target', NOT_RUN_RETRY_AFTER_MS);
   }
 
   private _canRetry(): boolean {
@@ -581,6 +595,7 @@
       this._attempts < route.maxAttempts &&
       nowMs < this._deadlineMs &&
       this._witness.findQuarantineEndMs() === undefined &&
+      this._estimateFinish()?.canFinish !== false &&
       this._choose().kind === 'chosen'
     );
   }
--- a/packages/node/src/servingContext.ts
+++ b/packages/node/src/servingContext.ts
@@ -16,6 +16,7 @@
 import type { DecisionLog } from './decisionLog.js';
 import type { Placement } from './placement.js';
 import type { RequestRun } from './requestRun.js';
+import type { StopAdmission } from './stopAdmission.js';
 import type { TargetConnections } from './targetConnections.js';
 import type { TargetDirectory } from './targetDirectory.js';
 
@@ -40,6 +41,8 @@
   readonly directory: TargetDirectory;
   /** Assigns requests for engine groups to targets. */
   readonly placement: Placement;
+  /** Decides which requests are still given to targets while the node is stopping. */
+  readonly stop: StopAdmission;
   /** Requests in progress. */
   readonly runs: Set<RequestRun>;
   readonly configuration: () => ServingConfiguration | undefined;
--- /dev/null
+++ b/packages/node/src/stopAdmission.ts
@@ -0,0 +1,53 @@
+import {
+  type Clock,
+  estimateFinish,
+  type FinishEstimate,
+  type ServingConfiguration,
+  type StopAdmissionRequest,
+} from '@monsoonreach/core';
+
+/** A request that may be given to a target. */
+export interface AdmissionCandidate extends Omit<StopAdmissionRequest, 'elapsedMs'> {
+  /** Monotonic time at which it arrived, in milliseconds. */
+  readonly startedAtMs: number;
+}
+
+/** Dependencies of {@link StopAdmission}. */
+export interface StopAdmissionOptions {
+  readonly clock: Clock;
+  readonly configuration: () => ServingConfiguration | undefined;
+}
+
+/** Decides, while the process is stopping, which requests may still be given to a target. */
+export class StopAdmission {
+  private _stop: { readonly endsAtMs: number; readonly isInRotation: boolean } | undefined;
+
+  constructor(private readonly _options: StopAdmissionOptions) {}
+
+  get isStopping(): boolean {
+    return this._stop !== undefined;
+  }
+
+  /**
+   * Begins the stop.
+   * @param endsAtMs monotonic time at which requests in progress are abandoned, in milliseconds.
+   */
+  begin(endsAtMs: number): void {
+    this._stop = { endsAtMs, isInRotation: true };
+  }
+
+  /** From now on, the balancer opens no new connections. */
+  leaveRotation(): void {
+    if (this._stop) this._stop = { ...this._stop, isInRotation: false };
+  }
+
+  /** Estimates whether a request that is given to a target now ends before the process; undefined without a stop. */
+  estimate(candidate: AdmissionCandidate): FinishEstimate | undefined {
+    const configuration = this._options.configuration();
+    if (!this._stop || !configuration) return undefined;
+    const { endsAtMs, isInRotation } = this._stop;
+    const nowMs = this._options.clock.monotonic();
+    const request = { ...candidate, elapsedMs: nowMs - candidate.startedAtMs };
+    return estimateFinish(request, configuration, { remainingMs: endsAtMs - nowMs, isInRotation });
+  }
+}
--- a/tests/node/requestRun.test.ts
+++ b/tests/node/requestRun.test.ts
@@ -22,6 +22,7 @@
   RequestRun,
   sendProblem,
   type ServingContext,
+  StopAdmission,
   type TargetDirectory,
   TargetConnections,
 } from '@monsoonreach/node';
@@ -46,10 +47,14 @@
   priority: 1,
 };
 
+const CONFIGURATION = { services: new Map() } as unknown as ServingConfiguration;
+
 /** One node's requests at two groups, without a store; `place` assigns the groups. */
 class GroupFixture {
   readonly targets = [new RawTarget(), new RawTarget()] as const;
   place: Placement['place'] = () => undefined;
+  /** Replaced by tests that let the node stop. */
+  stop = this._createStop();
   private readonly _runs = new Set<RequestRun>();
   private readonly _server = createServer((request, response) => {
     new RequestRun({
@@ -96,7 +101,23 @@
     };
   }
 
+  /** Lets the node stop: its requests are abandoned in `remainingMs`, and the balancer no longer connects. */
+  beginStop(remainingMs: number): void {
+    this.stop = this._createStop();
+    this.stop.begin(systemClock.monotonic() + remainingMs);
+    this.stop.leaveRotation();
+  }
+
+  endStop(): void {
+    this.stop = this._createStop();
+  }
+
+  private _createStop(): StopAdmission {
+    return new StopAdmission({ clock: systemClock, configuration: () => CONFIGURATION });
+  }
+
   private _createContext(): ServingContext {
+    const fixture = () => this;
     const counters = new Counters();
     const log = new DecisionLog('node', 'hidden', systemClock, counters);
     return {
@@ -128,8 +149,11 @@
           this.place(...options);
         },
       } as unknown as Placement,
+      get stop() {
+        return fixture().stop;
+      },
       runs: this._runs,
-      configuration: () => ({ services: new Map() }) as unknown as ServingConfiguration,
+      configuration: () => CONFIGURATION,
       connectionHeaders: () => [],
       onSilentTarget: () => undefined,
       sendProblem: (response, status, body, headers) => {
@@ -141,6 +165,7 @@
 
 const REQUEST =
   'GET /a HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: a\r\nModel: m\r\nToken-Count: 100,40\r\nConnection: close\r\n\r\n';
+const withDeadline = (ms: number) => REQUEST.replace('\r\n\r\n', `\r\nDeadline-Ms: ${ms}\r\n\r\n`);
 const CHUNKED = 'Server-Seal: s\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n';
 const toChunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
 const toEvent = (id: number) => `id: ${id}\ndata: ${id}\n\n`;
@@ -202,4 +227,90 @@
     await sleep(200);
     t.ok(fixture.targets.every(({ requests }) => requests.length === 0));
   });
+
+  // Guards against a second run that begins in a stop and is cut, while the first one may still answer.
+  await t.test('late in a stop, a silent stream that has not begun stays at its group', async (t) => {
+    fixture.beginStop(2_000);
+    fixture.place = (_criteria, onChoice) => {
+      onChoice(fixture.choose(0));
+    };
+    fixture.reset(({ socket }) => {
+      setTimeout(() => {
+        socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}${toChunk(toEvent(1))}0\r\n\r\n`);
+      }, 900);
+    });
+    const exchange = fixture.caller().exchange(withDeadline(1_800));
+    await sleep(100);
+    fixture.beginStop(1_200);
+    fixture.place = (_criteria, onChoice) => {
+      onChoice(fixture.choose(1));
+    };
+    const answer = await exchange;
+    t.equal(answer.body, toEvent(1));
+    t.ok(answer.isComplete);
+    t.equal(fixture.targets[1].requests.length, 0);
+    fixture.endStop();
+  });
+
+  // Guards against answers that promise "not run" for a request that a target may have run.
+  await t.test(
+    'late in a stop, a stream whose target is lost is in doubt, and does not run again',
+    async (t) => {
+      fixture.place = (_criteria, onChoice) => {
+        onChoice(fixture.choose(0));
+      };
+      fixture.reset(({ socket }) => {
+        fixture.beginStop(500);
+        fixture.place = (_criteria, onChoice) => {
+          onChoice(fixture.choose(1));
+        };
+        socket.resetAndDestroy();
+      });
+      const answer = await fixture.caller().exchange(withDeadline(1_800));
+      t.equal(answer.status, 502);
+      t.match(answer.body, /"run":"in-doubt"/);
+      t.equal(fixture.targets[1].requests.length, 0);
+      fixture.endStop();
+    },
+  );
+
+  // Guards against a stream that its caller is reading and that is broken off though another group could go on.
+  await t.test('late in a stop, a stream that has begun goes on at another group', async (t) => {
+    fixture.beginStop(1_900);
+    fixture.place = (_criteria, onChoice) => {
+      onChoice(fixture.choose(0));
+    };
+    fixture.reset(({ socket, head }) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}`);
+      if (/^Last-Event-Id: 1$/im.test(head)) {
+        socket.write(`${toChunk(toEvent(2))}0\r\n\r\n`);
+        return;
+      }
+      socket.write(toChunk(toEvent(1)));
+      fixture.beginStop(1_000);
+      fixture.place = (_criteria, onChoice) => {
+        onChoice(fixture.choose(1));
+      };
+      setTimeout(() => socket.resetAndDestroy(), 50);
+    });
+    const answer = await fixture.caller().exchange(withDeadline(1_800));
+    t.equal(answer.body, toEvent(1) + toEvent(2));
+    t.ok(answer.isComplete);
+    fixture.endStop();
+  });
+
+  // Guards against requests that wait for a group and are given to it when they can no longer end before the process.
+  await t.test('a stream whose group is assigned too late in a stop is refused as not run', async (t) => {
+    fixture.place = (_criteria, onChoice) =>
+      setTimeout(() => {
+        fixture.beginStop(500);
+        onChoice(fixture.choose(0));
+      }, 100);
+    fixture.reset(() => undefined);
+    const answer = await fixture.caller().exchange(withDeadline(1_800));
+    t.equal(answer.status, 503);
+    t.match(answer.body, /"reason":"stopping","run":"not-run"/);
+    t.ok(fixture.targets.every(({ requests }) => requests.length === 0));
+    fixture.endStop();
+  });
 });
