Node: in a stop, streams are taken by the pace that their target keeps

Each node now measures, for each target, how long the latest events of its streams took against the published pause of a full batch (StreamPace: a ratio of sums that decays). It includes what the published cost does not know: slow members, overfull batches, pauses of a sound target. It needs no constant of a deployment: the cost model already says that a pass sends one event.

No statistic over the targets of a service is used: where an attempt begins, its target is known. The mean would refuse streams of sound targets and take those of slow ones; the slowest would refuse nearly all streams while one target is slow. At arrival, when the target is not known yet, the published pace still sorts out what no target can finish. A factor below 1 counts as 1, as batches fill up while other nodes stop.

Its targets now publish a step that makes half the pace exact, event by event, and it shows that a stream that ends in time at half the pace is still taken.

--- a/packages/core/src/serving/engineCost.ts
+++ b/packages/core/src/serving/engineCost.ts
@@ -72,12 +72,23 @@
 
 /** Predicts how long a request takes if its batch stays full, in milliseconds. */
 export function predictBusyServiceMs(engine: EngineProfile, model: ModelProfile, size: RequestSize): number {
+  const serviceMs = predictServiceMs(engine, model, createFullLoad(engine), size);
+  return serviceMs * predictPrefillFactor(engine, model);
+}
+
+/** Predicts the mean time between two events of a stream if its batch stays full, in milliseconds; each pass sends one. */
+export function predictBusyPauseMs(engine: EngineProfile, model: ModelProfile): number {
+  const passMs = predictStepMs(engine, model, createFullLoad(engine)) * engine.stepsPerPass;
+  return passMs * predictPrefillFactor(engine, model);
+}
+
+/** Factor by which the prefill of others slows a full batch down. */
+function predictPrefillFactor(engine: EngineProfile, model: ModelProfile): number {
   const usual = getUsualSize(engine);
   const decodeMs = usual.answerTokens * predictStepMs(engine, model, createFullLoad(engine));
   // While one request decodes, each slot is filled once more, and every prefill delays the whole batch.
   const prefillMs = engine.slots * predictPrefillMs(engine, model, usual.promptTokens);
-  const serviceMs = predictServiceMs(engine, model, createFullLoad(engine), size);
-  return serviceMs * (1 + prefillMs / Math.max(1, decodeMs));
+  return 1 + prefillMs / Math.max(1, decodeMs);
 }
 
 function getUsualSize(engine: EngineProfile): RequestSize {
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -23,6 +23,7 @@
 export * from './shards.js';
 export * from './silence.js';
 export * from './stopAdmission.js';
+export * from './streamPace.js';
 export * from './survivingGroups.js';
 export * from './targetHealth.js';
 export * from './targetInstance.js';
--- a/packages/core/src/serving/stopAdmission.ts
+++ b/packages/core/src/serving/stopAdmission.ts
@@ -10,6 +10,8 @@
   readonly timeoutMs: number | undefined;
   /** Time since it arrived, in milliseconds. */
   readonly elapsedMs: number;
+  /** Factor on the predicted duration, as its target is slower than published; 1 by default. */
+  readonly pace?: number;
 }
 
 /** How far a stop has come. */
@@ -43,9 +45,9 @@
   configuration: ServingConfiguration,
   { remainingMs, isInRotation }: StopProgress,
 ): FinishEstimate {
-  const { route, timeoutMs, elapsedMs } = request;
+  const { route, timeoutMs, elapsedMs, pace = 1 } = request;
   const limitMs = Math.min(timeoutMs ?? Infinity, route.timeoutMs) - elapsedMs;
-  const predictedMs = isInRotation ? predictStreamMs(request, configuration) : Infinity;
+  const predictedMs = isInRotation ? pace * predictStreamMs(request, configuration) : Infinity;
   return { canFinish: Math.min(limitMs, predictedMs) <= remainingMs, limitMs, predictedMs, remainingMs };
 }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -20,6 +20,7 @@
   RouteTable,
   type ServingConfiguration,
   splitAddress,
+  StreamPace,
   type TargetCandidate,
   TargetAvailability,
   type TargetChoice,
@@ -97,6 +98,7 @@
   private readonly _availability: TargetAvailability;
   private readonly _demand = new DemandMeter();
   private readonly _health = new TargetHealth();
+  private readonly _pace = new StreamPace();
   private readonly _reports: FleetReports;
   private readonly _silentTargets: SilentTargets;
   private readonly _connections: TargetConnections;
@@ -257,10 +259,13 @@
     this._log.warn('process warning', { warning: createErrorReport(warning) });
   }
 
-  /** Closes unused connection pools and drops the health of targets that no longer exist. */
+  /** Closes unused connection pools and drops what is known of targets that no longer exist. */
   private _dropUnused(): void {
     this._connections.closeUnused(UNUSED_POOL_TIMEOUT_MS);
-    if (this._table) this._health.retain(this._directory.listKeys(this._table.configuration));
+    if (!this._table) return;
+    const keys = this._directory.listKeys(this._table.configuration);
+    this._health.retain(keys);
+    this._pace.retain(keys);
   }
 
   private _isReady(): boolean {
@@ -408,6 +413,7 @@
       log: this._log,
       failureDomain: node['failure-domain'],
       health: this._health,
+      pace: this._pace,
       loads: this._loads,
       limits: this._limits,
       availability: this._availability,
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -8,6 +8,7 @@
   getIncarnationKey,
   classifySilence,
   isNextEvent,
+  predictBusyPauseMs,
   type RequestSize,
   type ServingRoute,
   type TargetCandidate,
@@ -201,7 +202,8 @@
     this._options.context.placement.place(criteria, (choice) => {
       const isSilent = this._attempt === attempt && attempt.progressAtMs === progressAtMs;
       if (this._isFinished || !isSilent || choice.kind === 'none') return;
-      if (this._estimateFinish()?.canFinish === false || !this._tryTakeRetry('silent')) return;
+      if (this._estimateFinish(choice.candidate)?.canFinish === false) return;
+      if (!this._tryTakeRetry('silent')) return;
       this._leaveSilent(attempt);
       this._handleChoice(choice);
     });
@@ -209,7 +211,7 @@
 
   private _leaveSilent(attempt: Attempt): void {
     this._mayHaveRun = true;
-    if (attempt.events > 0) this._recordPause(attempt, this._options.context.clock.monotonic());
+    if (attempt.events > 0) this._recordPause(attempt, this._options.context.clock.monotonic(), 0);
     this._abandonAttempt(attempt, 'silent');
   }
 
@@ -265,7 +267,7 @@
   private _handleChoice(choice: TargetChoice): void {
     switch (choice.kind) {
       case 'chosen':
-        this._estimate = this._estimateFinish();
+        this._estimate = this._estimateFinish(choice.candidate);
         if (this._estimate?.canFinish === false) {
           this._giveUp('stopping', 0);
           return;
@@ -279,10 +281,11 @@
   }
 
   /** Estimates whether an attempt that begins now ends before the process; undefined if it is to be made in any case. */
-  private _estimateFinish(): FinishEstimate | undefined {
+  private _estimateFinish(candidate?: TargetCandidate): FinishEstimate | undefined {
     const { context, route, caller, startedAtMs } = this._options;
     if (this._forwardedEvents > 0) return undefined;
-    return context.stop.estimate({ route, ...caller, startedAtMs });
+    const pace = candidate ? context.pace.getFactor(candidate.key, context.clock.monotonic()) : 1;
+    return context.stop.estimate({ route, ...caller, startedAtMs, pace });
   }
 
   /** Criteria for an engine group; undefined for a request to a plain service. */
@@ -447,7 +450,7 @@
       this._handleFailure(attempt, 'failed-by-target', true);
       return;
     }
-    if (attempt.events > 0) this._recordPause(attempt, nowMs);
+    if (attempt.events > 0) this._recordPause(attempt, nowMs, batch.eventCount);
     this._recordProgress(attempt, nowMs);
     attempt.load.endPrefill();
     attempt.events += batch.eventCount;
@@ -474,8 +477,14 @@
     this._options.context.health.recordProgress(attempt.candidate.key, nowMs);
   }
 
-  private _recordPause(attempt: Attempt, nowMs: number): void {
-    this._options.context.health.recordPause(attempt.candidate.key, nowMs - attempt.progressAtMs);
+  /** Records the time since the attempt's last event, and how many events ended it. */
+  private _recordPause({ candidate, progressAtMs }: Attempt, nowMs: number, eventCount: number): void {
+    const { health, pace } = this._options.context;
+    const durationMs = nowMs - progressAtMs;
+    health.recordPause(candidate.key, durationMs);
+    if (!candidate.engine) return;
+    const pauseMs = predictBusyPauseMs(candidate.engine.profile, candidate.engine.model);
+    pace.record(candidate.key, { durationMs, predictedMs: eventCount * pauseMs }, nowMs);
   }
 
   private _recordForwarded(events: number, nowMs: number): void {
--- a/packages/node/src/servingContext.ts
+++ b/packages/node/src/servingContext.ts
@@ -7,6 +7,7 @@
   Random,
   RetryWindowBudget,
   ServingConfiguration,
+  StreamPace,
   TargetCandidate,
   TargetAvailability,
   TargetHealth,
@@ -28,6 +29,7 @@
   readonly log: DecisionLog;
   readonly failureDomain: string;
   readonly health: TargetHealth;
+  readonly pace: StreamPace;
   readonly loads: LoadTracker;
   /** Targets that told this node to send them nothing. */
   readonly availability: TargetAvailability;
--- a/tests/node/stopSlowTargets.test.ts
+++ b/tests/node/stopSlowTargets.test.ts
@@ -4,17 +4,16 @@
 import { formatRequest, RawCaller } from '../support/rawCaller.js';
 
 const LAST_EVENT = `id: ${EVENTS_PER_STREAM}\n`;
-/** Answer tokens of a stream that takes 1.9 s in a full batch at the published pace. */
-const LONG_ANSWER_TOKENS = 300;
-/** Interval of its events at half that pace. */
-const LONG_INTERVAL_MS = 93;
-/** The same of a stream that ends in time at half the pace. */
-const SHORT_ANSWER_TOKENS = 120;
-const SHORT_INTERVAL_MS = 37;
+/** Published duration of one decode step, and so of the pause between two events, in milliseconds. */
+const STEP_MS = 45;
+/** Interval of the events that targets keep, in milliseconds. */
+const INTERVAL_MS = 93;
+/** Last event that the caller of the short stream already has. */
+const RESUMED_AFTER = 24;
 
 const platform = new PlatformFleet();
 
-async function connectAndSend(id: string, answerTokens: number): Promise<RawCaller> {
+async function connectAndSend(id: string, lastEventId = 0): Promise<RawCaller> {
   const caller = await RawCaller.connect(platform.address);
   const request = formatRequest({
     path: `/stream/${id}`,
@@ -23,7 +22,8 @@
       'Deadline-Ms': '6000',
       Authorization: `Bearer ${API_KEY}`,
       Model: MODEL,
-      'Token-Count': `100,${answerTokens}`,
+      'Token-Count': `100,${EVENTS_PER_STREAM - lastEventId}`,
+      'Last-Event-Id': String(lastEventId),
     },
     body: `body-of-${id}`,
   });
@@ -33,24 +33,22 @@
 
 // Guards against streams that are taken in a stop by the published pace, though their target is slow, and are cut.
 void t.test('a stopping node takes streams by the pace that their target keeps', async (t) => {
-  await platform.start({ drainTimeout: '3500ms' });
+  await platform.start({ drainTimeout: '3500ms', stepMs: STEP_MS });
   t.teardown(() => {
     platform.fleet.stop();
     platform.store.stop();
     setTimeout(() => process.exit(), 100);
   });
-  platform.fleet.pauseBefore = (id) => (id === 'short' ? SHORT_INTERVAL_MS : LONG_INTERVAL_MS);
-  const before = await Promise.all(
-    ['a', 'b', 'c', 'd'].map((id) => connectAndSend(`before-${id}`, LONG_ANSWER_TOKENS)),
-  );
+  platform.fleet.pauseBefore = () => INTERVAL_MS;
+  const before = await Promise.all(['a', 'b', 'c', 'd'].map((id) => connectAndSend(`before-${id}`)));
   for (const caller of before) await caller.waitForText(LAST_EVENT);
   const targets = platform.fleet.runs.map(({ instance }) => instance);
   t.equal(new Set(targets).size, 2, 'both targets have shown their pace');
 
   const draining = platform.node.drain();
   await sleep(50);
-  const long = await connectAndSend('long', LONG_ANSWER_TOKENS);
-  const short = await connectAndSend('short', SHORT_ANSWER_TOKENS);
+  const long = await connectAndSend('long');
+  const short = await connectAndSend('short', RESUMED_AFTER);
 
   await t.test('a stream that the pace makes too long is refused as not run', async (t) => {
     await long.waitForClose();
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -13,7 +13,11 @@
 export const EVENTS_PER_STREAM = 40;
 
 /** Returns an operator's configuration with one model, one workspace, and routes of every type. */
-export function createConfiguration(version: number, keys: readonly string[] = [API_KEY]): unknown {
+export function createConfiguration(
+  version: number,
+  keys: readonly string[] = [API_KEY],
+  options: { readonly stepMs?: number } = {},
+): unknown {
   const route = { host: '127.0.0.1', priority: 1, targetLatencyMs: 400 };
   const plain = { ...route, service: 'plain', timeoutMs: 1_500 };
   const stream = {
@@ -42,7 +46,7 @@
           kvCapacityTokens: 100_000,
           stride: 1,
           models: [{ name: MODEL, size: 2, share: 1, pace: 1, loadS: 0.05, warmupS: 0.03 }],
-          step_ms: 5,
+          step_ms: options.stepMs ?? 5,
           per_seq_ms: 0.1,
           context_per_k: 0,
           read_per_s: 50_000,
@@ -72,9 +76,10 @@
   }
 
   /** Starts everything and waits until two groups are open. */
-  async start(options: { readonly drainTimeout?: string } = {}): Promise<void> {
+  async start(options: { readonly drainTimeout?: string; readonly stepMs?: number } = {}): Promise<void> {
+    const { stepMs = 5, ...nodeOptions } = options;
     const store = await this.store.start();
-    this.store.put('keyed.op', 'config', createConfiguration(1));
+    this.store.put('keyed.op', 'config', createConfiguration(1, [API_KEY], { stepMs }));
     this.store.put('keyed.servers', 'unreadable', { service: 7 });
     for (const id of ['engine-1', 'engine-2', 'engine-3', 'engine-4', 'engine-5']) {
       await this.fleet.add(id, 'engines', 'domain-1');
@@ -82,7 +87,7 @@
     await this.fleet.add('plain-1', 'plain', 'domain-1');
     await this.fleet.add('plain-2', 'plain', 'domain-1');
     this._storeAddress = store;
-    const { node, address } = await this.startNode('node-1', options);
+    const { node, address } = await this.startNode('node-1', nodeOptions);
     this._node = node;
     this.address = address;
     await this._waitForOpenGroups(2);
--- a/tests/serving/stopAdmission.test.ts
+++ b/tests/serving/stopAdmission.test.ts
@@ -39,6 +39,7 @@
   readonly answerTokens?: number;
   readonly timeoutMs?: number;
   readonly elapsedMs?: number;
+  readonly pace?: number;
   readonly remainingMs: number;
   readonly isInRotation?: boolean;
   readonly canFinish: boolean;
@@ -56,6 +57,22 @@
     canFinish: false,
   },
   { name: 'a usual stream', answerTokens: 174, remainingMs: 2_100, ...inRotation, canFinish: true },
+  {
+    name: 'a usual stream of a target at two thirds of its pace',
+    answerTokens: 174,
+    pace: 1.5,
+    remainingMs: 3_100,
+    ...inRotation,
+    canFinish: true,
+  },
+  {
+    name: 'a usual stream of such a target with 3 s left',
+    answerTokens: 174,
+    pace: 1.5,
+    remainingMs: 3_000,
+    ...inRotation,
+    canFinish: false,
+  },
   {
     name: 'a usual stream with 2 s left',
     answerTokens: 174,
@@ -161,7 +178,15 @@
 
 // Guards against requests that are taken in a stop and cut, and against refusals of those that end in time.
 for (const testCase of cases) {
-  const { name, route, model = LARGE_MODEL.name, answerTokens = 100, timeoutMs, elapsedMs = 0 } = testCase;
+  const {
+    name,
+    route,
+    model = LARGE_MODEL.name,
+    answerTokens = 100,
+    timeoutMs,
+    elapsedMs = 0,
+    pace,
+  } = testCase;
   void t.test(`a stopping node ${testCase.canFinish ? 'accepts' : 'refuses'} ${name}`, (t) => {
     const request = {
       route: { ...ROUTE, ...route },
@@ -169,6 +194,7 @@
       size: { promptTokens: 1_460, answerTokens },
       timeoutMs,
       elapsedMs,
+      ...(pace === undefined ? {} : { pace }),
     };
     const { remainingMs, isInRotation = false, canFinish } = testCase;
     t.equal(estimateFinish(request, CONFIGURATION, { remainingMs, isInRotation }).canFinish, canFinish);
