Core: in a stop, a stream of unknown size counts as long as its timeout

A stream whose request names no number of tokens was predicted to take no time, so a stopping node took it however little time was left, and cut it at the end. Only its timeout bounds it; it is accepted if that ends before the process. Found while looking for other decisions from the same prediction.

tests/serving/stopAdmission: 'a stream that names no size beyond it' failed before (taken with 7.9 s left, timeout 8 s) and passes.

--- a/packages/core/src/serving/stopAdmission.ts
+++ b/packages/core/src/serving/stopAdmission.ts
@@ -51,12 +51,12 @@
   return { canFinish: Math.min(limitMs, predictedMs) <= remainingMs, limitMs, predictedMs, remainingMs };
 }
 
-/** Time that a stream takes in full batches, in milliseconds; unknown for other requests. */
+/** Time that a stream takes in full batches, in milliseconds; Infinity if it names no size, and for other requests. */
 function predictStreamMs(
   { route, model: modelName, size }: StopAdmissionRequest,
   configuration: ServingConfiguration,
 ): number {
-  if (route.kind !== 'stream') return Infinity;
+  if (route.kind !== 'stream' || size.answerTokens === 0) return Infinity;
   const durationsMs = route.services.map(({ service }) => {
     const engine = configuration.services.get(service)?.engine;
     const model = engine?.models.find(({ name }) => name === modelName);
