Tests: a target that stops inside its head on a kept connection is to blame

On a kept connection, a target that writes a part of its head and closes within 15 ms of the request counts as one that had closed the connection before. The attempt is then not counted, its crash is not looked for, and an idempotent request is sent to the same target again.

--- a/tests/node/targetConnections.test.ts
+++ b/tests/node/targetConnections.test.ts
@@ -188,6 +188,12 @@
     },
     isStale: false,
   },
+  // Guards against a third attempt, at the target that has just broken off the first, whose crash is not looked for.
+  {
+    name: 'a target that stops inside the head of its answer is to blame',
+    handle: (socket: Socket) => socket.end(`${HEAD}Content-Le`),
+    isStale: false,
+  },
 ];
 
 for (const { name, handle, isStale } of secondCalls) {
