Node: a target that stops inside its head has not closed the connection before

On a kept connection, an idempotent request whose target wrote a part of a head and closed at once was sent to that target again, uncounted, and then to another one: three runs where the route allows two attempts. The crash of the target was not looked for.

Cause: a call counted as sent on a connection that was closed already if no whole head had come within 15 ms. Bytes of a head show that the target had read the request. Now any byte that was read since the start of the call does.

The case of a FIN in the same segment on a kept connection joins the table of truncated heads; 16 of its cuts failed before (four requests at the targets instead of three). Measured now: both tests pass, and so do endlessAnswers, endlessResponses, foreignAnswers, brokenOffAnswers and crashingRequests.

--- a/packages/node/src/targetConnections.ts
+++ b/packages/node/src/targetConnections.ts
@@ -183,6 +183,11 @@
     return this._client.stats.connected;
   }
 
+  /** Bytes that were read since the start of the latest call. */
+  get readBytes(): number {
+    return (this._socket?.bytesRead ?? 0) - this._earlierBytes;
+  }
+
   dispatch(call: TargetCall, handler: CallHandler): void {
     this._handler = handler;
     this._earlierBytes = this._socket?.bytesRead ?? 0;
@@ -213,7 +218,7 @@
     this._socket = socket;
     this._earlierBytes = 0;
     socket.on('readable', () => {
-      this._handler?.checkFraming(socket.bytesRead - this._earlierBytes);
+      this._handler?.checkFraming(this.readBytes);
     });
   }
 }
@@ -266,7 +271,6 @@
 class CallHandler implements Dispatcher.DispatchHandler, OpenCall {
   private _controller: Dispatcher.DispatchController | undefined;
   private _isFinished = false;
-  private _isAnswered = false;
   /** Monotonic time at which sending began; undefined before. */
   private _sentAtMs: number | undefined;
   private _bodyBytes = 0;
@@ -310,7 +314,6 @@
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ): void {
-    this._isAnswered = true;
     if (!this._isFinished && status >= 200)
       this._options.listener.onHead(decodeResponseHead(status, headers));
   }
@@ -334,11 +337,11 @@
   onResponseError(_controller: unknown, error: Error): void {
     if (this._isFinished) return;
     this._isFinished = true;
-    this._options.connection.destroy();
+    const { listener, isReused, clock, connection } = this._options;
+    connection.destroy();
     const message = `The call to the target ended without a complete answer: ${error.message}`;
-    const { listener, isReused, clock } = this._options;
     const sentAtMs = this._sentAtMs ?? Infinity;
-    const isStale = isReused && !this._isAnswered && clock.monotonic() - sentAtMs < STALE_RESET_MS;
+    const isStale = isReused && connection.readBytes === 0 && clock.monotonic() - sentAtMs < STALE_RESET_MS;
     const isUnsent = sentAtMs === Infinity;
     listener.onError(new CallError(message, isUnsent, isStale, isMalformed(error), { cause: error }));
   }
--- a/tests/platform/truncatedHeads.test.ts
+++ b/tests/platform/truncatedHeads.test.ts
@@ -181,19 +181,22 @@
   }
 
   for (const cut of cuts) {
-    // Guards against the state of an earlier answer that completes a truncated head on the same connection.
-    await t.test(`${cut.name}, on a kept connection`, async (t) => {
-      await fleet.setHandler((request) => {
-        if (request.ordinal === 1 && countRuns() === 1) writeWhole(request);
-        else void writeCut(request, cut, 'late fin');
+    for (const ending of ['fin', 'late fin'] as const) {
+      // Guards against the state of an earlier answer that completes a truncated head on the same connection, and against
+      // a third attempt, as if the connection had been closed before the request.
+      await t.test(`${cut.name}, ${ending}, on a kept connection`, async (t) => {
+        await fleet.setHandler((request) => {
+          if (request.ordinal === 1 && countRuns() === 1) writeWhole(request);
+          else void writeCut(request, cut, ending);
+        });
+        t.ok(isSuccess(await fleet.send('/status/')));
+        await sleep(SEGMENT_DELAY_MS);
+        const answer = await fleet.send('/status/');
+        t.equal(answer.status, 502, answer.head);
+        t.ok(fleet.targets.some(({ requests }) => requests.some(({ ordinal }) => ordinal === 2)));
+        t.equal(countRuns(), 3, 'one whole answer and two attempts');
       });
-      t.ok(isSuccess(await fleet.send('/status/')));
-      await sleep(SEGMENT_DELAY_MS);
-      const answer = await fleet.send('/status/');
-      t.equal(answer.status, 502, answer.head);
-      t.ok(fleet.targets.some(({ requests }) => requests.some(({ ordinal }) => ordinal === 2)));
-      t.equal(countRuns(), 3, 'one whole answer and two attempts');
-    });
+    }
   }
 
   // Guards against requests that are held past the timeout of their route, as their targets stop without closing.
