Targets: an entry's answer without a length is lost when its connection is reset

Cause: undici reports a reset as the regular end of an answer that ends with its connection. The node detects this; the entry's client did not. The detector moves to the package of the entry's targets, with an interceptor that fails such an answer, and both programs use it.

--- a/packages/node/src/targetConnections.ts
+++ b/packages/node/src/targetConnections.ts
@@ -1,7 +1,8 @@
 import type { Socket } from 'node:net';
 import { type Clock, MonsoonreachError } from '@monsoonreach/core';
 import { createConnector, decodeResponseHead, type ResponseHead } from '@monsoonreach/platform';
-import { type buildConnector, Client, type Dispatcher } from 'undici';
+import { createResetError, ResetDetector } from '@monsoonreach/targets/resets';
+import { Client, type Dispatcher } from 'undici';
 
 /** Timeout for connecting to a target, in milliseconds; many times the latency between failure domains. */
 const CONNECT_TIMEOUT_MS = 120;
@@ -75,7 +76,7 @@
 
 /** Connections to targets, each with at most one request in progress. */
 export class TargetConnections {
-  private readonly _resets = new ResetDetector();
+  private readonly _resets = new ResetDetector(createConnector(CONNECT_TIMEOUT_MS));
   /** Idle connections by address, the latest used last. */
   private readonly _idle = new Map<string, TargetConnection[]>();
 
@@ -223,41 +224,6 @@
   }
 }
 
-/**
- * Detects connections that are being reset. An answer without a length ends with its connection, and undici reports
- * a reset as the regular end of such an answer.
- */
-class ResetDetector {
-  private _isResetting = false;
-
-  readonly connect: buildConnector.connector = (options, callback) => {
-    this._connector(options, (...result) => {
-      const [, socket] = result;
-      socket?.prependListener('error', () => {
-        this._markResetting();
-      });
-      socket?.prependListener('end', () => {
-        // A reset directly after the last bytes arrives as 'end', but a reset socket has no remote address.
-        if (socket.remoteAddress === undefined) this._markResetting();
-      });
-      callback(...result);
-    });
-  };
-  private readonly _connector = createConnector(CONNECT_TIMEOUT_MS);
-
-  /** True while the listeners of a connection's error, or of an end caused by a reset, run. */
-  get isResetting(): boolean {
-    return this._isResetting;
-  }
-
-  private _markResetting(): void {
-    this._isResetting = true;
-    queueMicrotask(() => {
-      this._isResetting = false;
-    });
-  }
-}
-
 interface CallHandlerOptions {
   readonly listener: CallListener;
   readonly connection: TargetConnection;
@@ -326,7 +292,7 @@
   onResponseEnd(): void {
     if (this._isFinished) return;
     if (this._options.resets.isResetting) {
-      this.onResponseError(undefined, new Error('The connection was reset before the answer was complete.'));
+      this.onResponseError(undefined, createResetError());
       return;
     }
     this._isFinished = true;
--- a/packages/targets/src/targetClient.ts
+++ b/packages/targets/src/targetClient.ts
@@ -1,5 +1,6 @@
 import { type FailedReason, MonsoonreachError, splitAddress, type UnsentEvidence } from '@monsoonreach/core';
-import { type Dispatcher, Pool } from 'undici';
+import { buildConnector, type Dispatcher, Pool } from 'undici';
+import { ResetDetector } from './resetDetector.js';
 
 const CONNECT_TIMEOUT_MS = 800;
 
@@ -61,6 +62,8 @@
  */
 export class TargetClient {
   private readonly _pool: Pool;
+  /** Sends over the pool; an answer fails if its connection is reset. */
+  private readonly _dispatcher: Dispatcher;
   private readonly _checksEcho: boolean;
 
   constructor(
@@ -69,11 +72,13 @@
   ) {
     const { host, port } = splitAddress(address);
     this._checksEcho = options.guards?.checksEcho ?? true;
+    const resets = new ResetDetector(buildConnector({ timeout: CONNECT_TIMEOUT_MS }));
     this._pool = new Pool(`http://${host.includes(':') ? `[${host}]` : host}:${port}`, {
       connections: options.connections ?? 64,
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: resets.connect,
     });
+    this._dispatcher = this._pool.compose(resets.intercept);
   }
 
   /** @throws TargetCallError when no response headers arrive, or they do not echo this request's `x-request-id`. */
@@ -94,7 +99,7 @@
 
   private async _send(request: TargetRequest): Promise<Dispatcher.ResponseData> {
     try {
-      return await this._pool.request({
+      return await this._dispatcher.request({
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
         headers: { ...request.headers, 'x-request-id': request.requestId },
--- a/scripts/checkLayers.ts
+++ b/scripts/checkLayers.ts
@@ -13,7 +13,7 @@
   entry: ['core', 'callers', 'targets', 'log', 'peers', 'operators', 'daemon'],
   steward: ['core', 'targets', 'log', 'peers', 'operators', 'daemon'],
   platform: ['core'],
-  node: ['core', 'callers/connections', 'platform'],
+  node: ['core', 'callers/connections', 'targets/resets', 'platform'],
 };
 
 /** I/O modules that `core` must not import. */
