Tests: requests that an entry gets late in its stop

A report from operators of systems like ours: in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut at its end without an answer, among them requests that must not be repeated (LOST).

It happens in the entry. A connection whose request is not read whole stays open after balancer-delay. The request is passed on whenever its last byte comes, up to the end of drain-timeout, however long its own timeout is.

--- a/tests/support/localFleet.ts
+++ b/tests/support/localFleet.ts
@@ -28,6 +28,10 @@
   readonly checksFencing?: boolean;
   /** Further options of the engine stand-ins. */
   readonly engine?: Readonly<Record<string, unknown>>;
+  /** Further options of the service stand-ins. */
+  readonly service?: Readonly<Record<string, unknown>>;
+  /** Duration after which an entry cuts what is left in a stop, with its unit; 30s by default. */
+  readonly drainTimeout?: string;
   /** Options of the log stand-in. */
   readonly log?: Readonly<Record<string, unknown>>;
   /** Records between two checkpoints of a steward; 5,000 by default. */
@@ -69,7 +73,9 @@
     this.liveList = this._startStandin('live-list', takePort(), {});
     for (let index = 0; index < engines; index++) this.engines.push(this._startEngine(index, takePort()));
     for (let index = 0; index < services; index++) {
-      this.services.push(this._startStandin('service', takePort(), { journal: this.journal }));
+      this.services.push(
+        this._startStandin('service', takePort(), { journal: this.journal, ...this._options.service }),
+      );
     }
     const peers = Array.from({ length: entries + stewards }, () => `127.0.0.1:${takePort()}`);
     for (let index = 0; index < entries; index++)
@@ -236,7 +242,7 @@
 [callers]
 address = 127.0.0.1:${callersPort}
 balancer-delay = 300ms
-drain-timeout = 30s
+drain-timeout = ${this._options.drainTimeout ?? '30s'}
 `;
     return this._startDaemon(`entry-${index}`, ENTRY, settings, `127.0.0.1:${callersPort}`, operatorsPort);
   }
