Tests: an entry's answer that begins in its stop announces the end

The answer to a request whose head came before the stop has no "Connection: close", though it is written during the stop and its connection is closed 250 ms later. A request that its caller sends then is lost.

--- a/tests/callers/callerServer.test.ts
+++ b/tests/callers/callerServer.test.ts
@@ -64,3 +64,17 @@
   await closing;
   t.equal(server.inProgress, 0);
 });
+
+// Guards against a caller that sends its next request on a connection that is about to end, as the answer does not say so.
+void t.test('an answer that begins after the server starts closing announces the end', async (t) => {
+  const { server, address } = await startServer();
+  const caller = await RawCaller.connect(address);
+  caller.write(completion.slice(0, -1));
+  while (server.inProgress === 0) await sleep(EVENT_INTERVAL_MS);
+  server.startClosing();
+  const closing = server.close();
+  caller.write(completion.slice(-1));
+  await caller.waitForText(LAST_BYTES);
+  t.match(caller.received, /^connection: close\r$/im);
+  await closing;
+});
