Callers: an answer that begins in a stop announces the end of its connection

Callers of a stopping entry were not told that their connection would end if the head of their request had come before the stop, and could lose the next request that they sent on it.

Cause: "Connection: close" was set when the head of a request was read. It is now also set, at the start of the stop, on the responses in progress whose head has not been sent, for the latest request of each connection.

--- a/packages/callers/src/callerServer.ts
+++ b/packages/callers/src/callerServer.ts
@@ -1,4 +1,4 @@
-import { createServer, type Server } from 'node:http';
+import { createServer, type Server, type ServerResponse } from 'node:http';
 import { type Clock, type Outcome, splitAddress, Undispatched } from '@monsoonreach/core';
 import { type H3Event, H3, toNodeHandler } from 'h3';
 import { v7 as uuidv7 } from 'uuid';
@@ -47,7 +47,7 @@
       },
       (request, response) => {
         this._connections.startRequest(response);
-        if (this._isClosing) response.setHeader('connection', 'close');
+        if (this._isClosing) this._announceClose(response);
         void handle(request, response);
       },
     );
@@ -72,6 +72,7 @@
   startClosing(): void {
     this._isClosing = true;
     this._connections.closeAfterAnswers();
+    for (const { response } of this._connections.listOpenRequests()) this._announceClose(response);
   }
 
   /** Stops accepting connections and closes idle ones; resolves when the last request has ended. */
@@ -92,6 +93,12 @@
     return abortedRequests;
   }
 
+  /** Lets the connection end with the response, unless its head has been sent or a later request has arrived. */
+  private _announceClose(response: ServerResponse): void {
+    if (!response.headersSent && this._connections.isLatest(response))
+      response.setHeader('connection', 'close');
+  }
+
   private _createApp(): H3 {
     const { handler } = this._options;
     const app = new H3();
