Entry: a request that may not end before the stop does is refused as not run

In a planned stop, callers of an entry whose requests came late were cut at the end of drain-timeout without an answer, among them orders that had run (LOST).

Cause: an entry that stops passed on any request that it had read, whatever was left of its stop. A connection with a request that is not read whole, or with one after it, stays open after balancer-delay.

Before its first byte is sent to a target, a request now has to fit into what is left of balancer-delay and drain-timeout by its own limit: the timeout of a service, or what is left of a completion's deadline. Otherwise it is refused as "stopping": 503 with Retry-After, not run. Later attempts and hedges of an idempotent call have to fit as well. A check when the request has been read refuses it at once, and one before the first send covers requests that waited for a claim, a target or a group. The end of the stop is counted from SIGTERM, so the announcement to the peers does not extend it.

--- a/packages/entry/src/completionRun.ts
+++ b/packages/entry/src/completionRun.ts
@@ -21,7 +21,7 @@
   type TargetAnswer,
   TargetCallError,
 } from '@monsoonreach/targets';
-import { type EntryContext, spendRetry } from './entryContext.js';
+import { type EntryContext, refuseStopping, spendRetry } from './entryContext.js';
 import type { InFlightCalls } from './inFlightCalls.js';
 
 /** How long a request waits for an available group. */
@@ -94,6 +94,8 @@
     for (;;) {
       const candidate = await this._chooseGroup();
       if (!candidate) return { kind: 'ended', outcome: this._giveUp(dispatchState) };
+      if (dispatchState instanceof Undispatched && !this._isTimeLeft())
+        return { kind: 'ended', outcome: refuseStopping(dispatchState) };
       const attempt = this._startAttempt(candidate);
       const wasUndispatched: boolean = dispatchState instanceof Undispatched;
       const dispatched: Dispatched =
@@ -231,6 +233,11 @@
     return this._callUntilAccepted(started.dispatched);
   }
 
+  /** Whether the request ends before this entry, if it stops. */
+  private _isTimeLeft(): boolean {
+    return this._options.context.drainWindow.isLongEnough(this._deadline.remainingMs());
+  }
+
   private async _chooseGroup(): Promise<RouteCandidate | undefined> {
     const { context, router, request, call } = this._options;
     const endsAtMs = context.clock.monotonic() + Math.min(GROUP_WAIT_MS, this._deadline.remainingMs());
--- a/packages/entry/src/completions.ts
+++ b/packages/entry/src/completions.ts
@@ -8,7 +8,7 @@
 } from '@monsoonreach/core';
 import type { CallContext, CompletionAnswer, CompletionRequest } from '@monsoonreach/callers';
 import { CompletionRun } from './completionRun.js';
-import { type EntryContext, localWorkspaceLimit } from './entryContext.js';
+import { type EntryContext, localWorkspaceLimit, refuseStopping } from './entryContext.js';
 import { InFlightCalls } from './inFlightCalls.js';
 
 /** Authorizes and admits chat completion requests, and runs them at groups of the model. */
@@ -68,6 +68,7 @@
       const detail = 'This request has broken the groups that ran it; change it before you send it again.';
       return call.undispatched.refuse('quarantined', { detail });
     }
+    if (!this._context.drainWindow.isLongEnough(model.deadline)) return refuseStopping(call.undispatched);
     return this._admit(run, request, call, configuration);
   }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -29,6 +29,7 @@
 import { TargetClients } from '@monsoonreach/targets';
 import { AtMostOnce } from './atMostOnce.js';
 import { Completions } from './completions.js';
+import { DrainWindow } from './drainWindow.js';
 import type { EntryContext } from './entryContext.js';
 import { GroupDirectory } from './groupDirectory.js';
 import { RequestTraces } from './requestTraces.js';
@@ -48,6 +49,7 @@
   private readonly _puller: LeasePuller;
   private readonly _suspects: CrashSuspects;
   private readonly _traces: RequestTraces;
+  private readonly _drainWindow: DrainWindow;
   private readonly _targets = new TargetClients();
   private readonly _completions: Completions;
   private readonly _services: ServiceCalls;
@@ -60,6 +62,7 @@
     const clock = this._clock;
     this._suspects = new CrashSuspects(clock);
     this._traces = new RequestTraces(clock);
+    this._drainWindow = new DrainWindow(clock);
     this._fleet = new FleetNode({
       settings: _settings,
       role: 'entry',
@@ -115,16 +118,18 @@
 
   /**
    * Reports not ready at once, but still takes requests for `balancer-delay`, until the load balancer has noticed.
-   * Then finishes the requests in progress, and aborts those left after `drain-timeout`.
+   * Then finishes the requests in progress, and aborts those left after `drain-timeout`. A request that might be
+   * aborted there is refused instead of sent to a target.
    */
   async drain(): Promise<number> {
     const { callers } = this._settings;
     this._fleet.stateLog.info('entry draining', { inProgress: this._callers.inProgress });
+    this._drainWindow.start(callers['balancer-delay'] + callers['drain-timeout']);
     await this._fleet.announceLeaving();
     this._callers.startClosing();
     await pause(callers['balancer-delay']);
     const closed = this._callers.close().then(() => true);
-    const isDone = await Promise.race([closed, pause(callers['drain-timeout']).then(() => false)]);
+    const isDone = await Promise.race([closed, pause(this._drainWindow.remainingMs()).then(() => false)]);
     const abortedRequests = isDone ? 0 : this._callers.abortRequests();
     await this._waitForOutcomes();
     await this._stop();
@@ -248,6 +253,7 @@
         share: () => this._configuration()?.limits['retry-share'] ?? DEFAULT_RETRY_SHARE,
       }),
       fleet: this._fleet,
+      drainWindow: this._drainWindow,
       configuration: () => this._configuration(),
     };
   }
--- a/packages/entry/src/serviceCalls.ts
+++ b/packages/entry/src/serviceCalls.ts
@@ -13,7 +13,7 @@
 import { isUnsent, TargetCallError } from '@monsoonreach/targets';
 import type { AtMostOnce } from './atMostOnce.js';
 import type { PreparedCall } from './preparedCall.js';
-import { type EntryContext, spendRetry } from './entryContext.js';
+import { type EntryContext, refuseStopping, spendRetry } from './entryContext.js';
 import type { ServiceTargets } from './serviceTargets.js';
 
 const MAX_ATTEMPTS = 4;
@@ -39,6 +39,7 @@
       return call.undispatched.refuse('forbidden');
     }
     const prepared = { request, call, service };
+    if (!this._isTimeLeft(prepared)) return refuseStopping(call.undispatched);
     this._context.retryBudgets.earn(call.workspace);
     if (route.idempotent) return this._callWithRetries(prepared);
     return this._atMostOnce.run(prepared, (undispatched) => this.callOnce(prepared, undispatched));
@@ -55,6 +56,7 @@
       const target = await this._chooseTarget(prepared, tried);
       if (target === undefined) return dispatchState.refuse('no-target', { retryAfterMs: TARGET_WAIT_MS });
       if (prepared.call.signal.aborted) return dispatchState.refuse('caller-gone');
+      if (!this._isTimeLeft(prepared)) return refuseStopping(dispatchState);
       tried.add(target);
       const dispatched = dispatchState.dispatch();
       try {
@@ -80,6 +82,8 @@
     for (let attempt = 1; ; attempt++) {
       const target = await this._chooseTarget(prepared, tried);
       if (target === undefined) return giveUp(dispatchState);
+      if (dispatchState instanceof Undispatched && !this._isTimeLeft(prepared))
+        return refuseStopping(dispatchState);
       tried.add(target);
       const wasUndispatched: boolean = dispatchState instanceof Undispatched;
       const dispatched: Dispatched =
@@ -92,7 +96,8 @@
         if (!(error instanceof TargetCallError)) throw error;
         this._countFailure(error);
         dispatchState = wasUndispatched && isUnsent(error) ? dispatched.provenUnsent(error) : dispatched;
-        const isRetryAllowed = attempt < MAX_ATTEMPTS && !deadline.isOver() && !call.signal.aborted;
+        const isRetryAllowed =
+          attempt < MAX_ATTEMPTS && !deadline.isOver() && !call.signal.aborted && this._isTimeLeft(prepared);
         if (!isRetryAllowed || !spendRetry(this._context, call.workspace, toRetryReason(error))) {
           return dispatchState instanceof Undispatched
             ? giveUp(dispatchState)
@@ -120,7 +125,8 @@
       pause(hedgeAfterMs, prepared.call.signal).then(() => false),
     ]);
     const second = isSettled ? undefined : await this._chooseTarget(prepared, tried);
-    if (second === undefined || !this._context.retryBudgets.spend(prepared.call.workspace)) return first;
+    if (second === undefined || !this._isTimeLeft(prepared)) return first;
+    if (!this._context.retryBudgets.spend(prepared.call.workspace)) return first;
     tried.add(second);
     this._context.counters.add('monsoonreach_hedges_total');
     return Promise.any([first, this._send(prepared, second)]).catch((error: unknown) => {
@@ -128,6 +134,11 @@
     });
   }
 
+  /** Whether a call that is sent now ends before this entry, if it stops. */
+  private _isTimeLeft({ service }: PreparedCall): boolean {
+    return this._context.drainWindow.isLongEnough(service.timeout);
+  }
+
   private async _chooseTarget(
     prepared: PreparedCall,
     tried: ReadonlySet<string>,
