Tests: an entry that stops answers the pipelined requests that it runs

Each answer of a stopping entry announces the end of its connection. A request that arrives behind one that is still being answered is passed on nevertheless, and its connection is closed after the answer before it: it has run and gets no answer (LOST). It also counts as in progress from then on.

--- a/tests/callers/callerServer.test.ts
+++ b/tests/callers/callerServer.test.ts
@@ -18,6 +18,10 @@
   }
 }
 
+const ANSWER = 'called';
+/** Number of calls of services that the handler got. */
+let calls = 0;
+
 const handler: CallerHandler = {
   authenticate: () => 'workspace-1',
   isReady: () => true,
@@ -25,7 +29,11 @@
   listModels: () => ['model-a'],
   complete: (_request, { undispatched }) =>
     Promise.resolve(undispatched.dispatch().answered({ kind: 'stream', events: produceEvents() } as const)),
-  callService: (_request, { undispatched }) => Promise.resolve(undispatched.refuse('not-found')),
+  callService: (_request, { undispatched }) => {
+    calls++;
+    const answer = { status: 200, contentType: undefined, body: Buffer.from(ANSWER), isReplayed: false };
+    return Promise.resolve(undispatched.dispatch().answered(answer));
+  },
   onEnded: () => undefined,
 };
 
@@ -35,6 +43,12 @@
   body: JSON.stringify({ model: 'model-a', messages: [{ role: 'user', content: 'hello' }], stream: true }),
 });
 
+const call = formatRequest({
+  path: '/services/booking/orders',
+  headers: { Authorization: 'Bearer key-1' },
+  body: '{}',
+});
+
 async function startServer(): Promise<{ readonly server: CallerServer; readonly address: string }> {
   const [port = 0] = await findFreePorts(1);
   const address = `127.0.0.1:${port}`;
@@ -78,3 +92,27 @@
   t.match(caller.received, /^connection: close\r$/im);
   await closing;
 });
+
+const pipelined = [
+  { name: 'with the request before it', isTogether: true },
+  { name: 'after the head of the answer before it', isTogether: false },
+];
+
+for (const { name, isTogether } of pipelined) {
+  // Guards against a request that is run and whose connection ends with the answer to the request before it.
+  void t.test(`a closing server answers what it runs: a request that arrives ${name}`, async (t) => {
+    const { server, address } = await startServer();
+    const caller = await RawCaller.connect(address);
+    server.startClosing();
+    calls = 0;
+    caller.write(isTogether ? completion + call : completion);
+    await caller.waitForText('data: 0');
+    if (!isTogether) caller.write(call);
+    await caller.waitForText(LAST_BYTES);
+    await caller.waitForClose(CLOSE_TIMEOUT_MS);
+    t.equal(caller.received.includes(ANSWER), calls === 1, `calls: ${calls}`);
+    t.equal(calls, isTogether ? 1 : 0);
+    await server.close();
+    t.equal(server.inProgress, 0);
+  });
+}
