Callers: a stopping entry answers the pipelined requests that it runs

Cause: each answer of a stop announced the end of its connection, and Node.js closes the connection after such an answer, whatever has been read behind it.

When a request arrives behind others, the ones whose heads have not been sent no longer announce the end, so that only the last answer does. If the end has been announced already, the request is not run; its caller knows that it was not.

--- a/packages/callers/src/callerServer.ts
+++ b/packages/callers/src/callerServer.ts
@@ -46,6 +46,7 @@
         maxHeaderSize: MAX_HEADER_BYTES,
       },
       (request, response) => {
+        if (this._isClosing && !this._prepareLaterRequest(response)) return;
         this._connections.startRequest(response);
         if (this._isClosing) this._announceClose(response);
         void handle(request, response);
@@ -99,6 +100,21 @@
       response.setHeader('connection', 'close');
   }
 
+  /**
+   * Lets a connection last for a request behind others. Returns false if its end is announced already: the request must
+   * not be run, as it cannot be answered.
+   */
+  private _prepareLaterRequest({ req: { socket } }: ServerResponse): boolean {
+    const earlier = this._connections
+      .listOpenRequests()
+      .map(({ response }) => response)
+      .filter(({ req }) => req.socket === socket);
+    if (socket.writableEnded || earlier.some((response) => response.headersSent && isLast(response)))
+      return false;
+    for (const response of earlier) if (!response.headersSent) response.removeHeader('connection');
+    return true;
+  }
+
   private _createApp(): H3 {
     const { handler } = this._options;
     const app = new H3();
@@ -245,6 +261,11 @@
   }
 }
 
+/** Whether the connection ends with the response. */
+function isLast(response: ServerResponse): boolean {
+  return response.getHeader('connection') === 'close';
+}
+
 function toServiceResponse(answer: ServiceAnswer, requestId: string): Response {
   const headers: Record<string, string> = { 'x-request-id': requestId };
   if (answer.contentType !== undefined) headers['content-type'] = answer.contentType;
