--- a/tests/node/topicSources.test.ts
+++ b/tests/node/topicSources.test.ts
@@ -106,11 +106,18 @@
   put('a', '1');
   for (const node of nodes) await node.start();
   await sleep(500);
+  const restoreAfter = (change: () => void) => {
+    const copies = stores.map((store) => store.copy());
+    change();
+    return () => {
+      for (const [index, copy] of copies.entries()) stores[index]?.restore(copy);
+    };
+  };
   const stop = () => {
     for (const node of nodes) node.stop();
     for (const store of stores) store.stop();
   };
-  return { nodes, put, stop };
+  return { nodes, put, restoreAfter, stop };
 }
 
 const toStoredText = (text: string) => JSON.stringify(text);
@@ -190,6 +197,31 @@
   });
 }
 
+const restores = [
+  { name: 'the same number of records is written again', lost: ['a'], rewritten: ['b'] },
+  { name: 'fewer records are written than were lost', lost: ['a', 'a', 'a'], rewritten: ['b'] },
+  { name: 'more records are written than were lost', lost: ['a'], rewritten: ['b', 'c', 'd'] },
+];
+
+// Guards against changes that nodes never read because their offsets had been given out before the restore.
+for (const { name, lost, rewritten } of restores) {
+  void t.test(`all nodes get what is written to a store that was restored, when ${name}`, async (t) => {
+    const { nodes, put, restoreAfter, stop } = await createFleet(5);
+    t.teardown(stop);
+    const restore = restoreAfter(() => {
+      for (const [index, key] of lost.entries()) put(key, `lost-${index}`);
+    });
+    await sleep(1_000);
+    restore();
+    await sleep(200);
+    for (const key of rewritten) put(key, 'rewritten');
+    await sleep(3_500);
+    for (const { name: node, values } of nodes) {
+      for (const key of rewritten) t.equal(values.get(key), toStoredText('rewritten'), `${node}: ${key}`);
+    }
+  });
+}
+
 void t.test('a node reads the store itself when the node that reads for it is unreachable', async (t) => {
   const { nodes, put, stop } = await createFleet(2);
   t.teardown(stop);
--- a/tests/platform/storeStandin.ts
+++ b/tests/platform/storeStandin.ts
@@ -14,12 +14,20 @@
 /** Delay before a slow store answers. */
 const SLOW_ANSWER_MS = 240;
 
+/** The records of a store at one moment. */
+export interface StoreCopy {
+  readonly partitions: ReadonlyMap<string, Partition>;
+  readonly compactedRecords: ReadonlyMap<string, readonly Buffer[]>;
+}
+
 /** Stands in for the platform's store: topics with conditional appends, long polling and the newest value of each key. */
 export class StoreStandin {
   mode: StoreMode = 'well';
   /** Number of calls received, including those that got no answer. */
   callCount = 0;
-  private readonly _partitions = new Map<string, Partition>();
+  private _partitions = new Map<string, Partition>();
+  /** Number of the history that the store serves; rises with each restore. */
+  private _era = 1;
   /** Callbacks of reads that wait for an append. */
   private readonly _waiters = new Set<() => void>();
   private _server: Server | undefined;
@@ -53,11 +61,29 @@
     this._compactedRecords.set(topic, [...(this._compactedRecords.get(topic) ?? []), ...records]);
   }
 
+  /** Copies all records, to be restored later. */
+  copy(): StoreCopy {
+    return {
+      partitions: copyPartitions(this._partitions),
+      compactedRecords: new Map(this._compactedRecords),
+    };
+  }
+
+  /** Comes back from a copy: what was appended since is lost, and its offsets are given out again. */
+  restore(copy: StoreCopy): void {
+    this._era++;
+    this._partitions = copyPartitions(copy.partitions);
+    this._compactedRecords = new Map(copy.compactedRecords);
+    this._server?.closeAllConnections();
+    for (const wake of [...this._waiters]) wake();
+  }
+
   /** Records dropped from the log of a topic, which still hold the newest values of keys. */
-  private readonly _compactedRecords = new Map<string, readonly Buffer[]>();
+  private _compactedRecords = new Map<string, readonly Buffer[]>();
 
   private async _handleRequest(request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> {
     this.callCount++;
+    response.setHeader('Store-Era', String(this._era));
     if (this.mode === 'silent') return;
     if (this.mode === 'slow') await sleep(SLOW_ANSWER_MS);
     if (this.mode === 'busy') {
@@ -105,7 +131,7 @@
   private async _handleRead(response: ServerResponse, url: URL, topic: string): Promise<void> {
     const from = Number(url.searchParams.get('from'));
     const { first } = this._getPartition(topic);
-    if (from < first) {
+    if (from < first || from > this._getEndOffset(topic)) {
       sendJson(response, 410, { first });
       return;
     }
@@ -168,6 +194,12 @@
   }
 }
 
+function copyPartitions(partitions: ReadonlyMap<string, Partition>): Map<string, Partition> {
+  return new Map(
+    [...partitions].map(([topic, { first, records }]) => [topic, { first, records: [...records] }]),
+  );
+}
+
 /** Splits a body of records, each with its length in four bytes before it. */
 function splitRecords(bytes: Buffer): readonly Buffer[] {
   const records: Buffer[] = [];
