Node: positions in the store belong to an era, and nothing is read across a restore

Cause: positions were compared as bare offsets. A restored store gives offsets out again; a node that held a position from before asked, mostly through a peer, for records after one that is written only later, waited, and took the empty answer for proof that nothing had changed. Nothing says 410 there: the position is beyond the end only until enough has been written again.

A position is now an era (the header Store-Era, which rises with each restore) and an offset. Answers of the store and of peers name their era; a position of another era is not in the history, so that all records are read again; what a peer has from before a restore is not used, and its kept answers belong to one era. StoreHistory holds the latest era that any answer named. A store or a peer that names none has era 0.

Ruled out: configuration records that are dropped (a version is never left for an older one, and that guard stands).

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -19,6 +19,7 @@
 export * from './shardOwnership.js';
 export * from './startGate.js';
 export * from './stopAdmission.js';
+export * from './storeHistory.js';
 export * from './targetConnections.js';
 export * from './targetDirectory.js';
 export * from './targetStatements.js';
--- a/packages/node/src/keyedFollower.ts
+++ b/packages/node/src/keyedFollower.ts
@@ -1,5 +1,10 @@
 import { type Clock, pause, type Random } from '@monsoonreach/core';
-import { HistoryGoneError, type KeyedRecord, StoreUnavailableError } from '@monsoonreach/platform';
+import {
+  HistoryGoneError,
+  type KeyedRecord,
+  type StorePosition,
+  StoreUnavailableError,
+} from '@monsoonreach/platform';
 import { type DecisionLog, describeError } from './decisionLog.js';
 import { TopicMirror } from './topicMirror.js';
 import type { TopicReadResult, TopicSources } from './topicSources.js';
@@ -35,7 +40,7 @@
 
 /** Follows a keyed topic: reads the newest record of every key, then the changes. */
 export class KeyedFollower {
-  private _nextOffset: number | undefined;
+  private _next: StorePosition | undefined;
   private _failures = 0;
   /** Whether no peer had contact with the store either while reads failed. */
   private _isStoreOut = false;
@@ -72,9 +77,7 @@
   /** Reads once. @returns the pause before the next read, in milliseconds. */
   private async _poll(): Promise<number> {
     try {
-      const answer = await (this._nextOffset === undefined
-        ? this._readAll()
-        : this._readChanges(this._nextOffset));
+      const answer = await (this._next === undefined ? this._readAll() : this._readChanges(this._next));
       this._recordContact(answer);
       return answer.isFromPeer ? (this._options.peerIntervalMs ?? 0) : this._options.intervalMs();
     } catch (error) {
@@ -83,7 +86,7 @@
         this._options.log.warn('history gone; reading all records again', {
           topic: this._options.topic,
         });
-        this._nextOffset = undefined;
+        this._next = undefined;
         return 0;
       }
       this._recordFailure(error);
@@ -96,11 +99,11 @@
     const answer = await sources.readNewest(topic);
     onSnapshot(answer.records);
     this.mirror.replaceAll(answer.records, answer.end);
-    this._nextOffset = answer.end;
+    this._next = answer.end;
     return answer;
   }
 
-  private async _readChanges(from: number): Promise<TopicReadResult> {
+  private async _readChanges(from: StorePosition): Promise<TopicReadResult> {
     const { sources, topic, onChanges } = this._options;
     // After a failure an immediate answer matters, even an empty one: it confirms that no change was missed.
     const { waitMs, peerWaitMs } = this._failures > 0 ? NO_WAIT : this._options;
@@ -111,7 +114,7 @@
       peerWaitMs,
       signal: this._abortController.signal,
     });
-    this._nextOffset = from + answer.records.length;
+    this._next = { ...from, offset: from.offset + answer.records.length };
     if (answer.records.length > 0) onChanges(answer.records);
     this.mirror.applyChanges(answer.records);
     return answer;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -55,6 +55,7 @@
 import { SilentTargets } from './silentTargets.js';
 import { StartGate } from './startGate.js';
 import { StopAdmission } from './stopAdmission.js';
+import { StoreHistory } from './storeHistory.js';
 import { TargetConnections } from './targetConnections.js';
 import { TargetDirectory } from './targetDirectory.js';
 import { TopicServer } from './topicServer.js';
@@ -87,6 +88,7 @@
   private readonly _self: Member;
   private readonly _random: Random;
   private readonly _log: DecisionLog;
+  private readonly _history: StoreHistory;
   private readonly _store: StoreClient;
   private readonly _sources: TopicSources;
   private readonly _trust: KeyTrust;
@@ -138,7 +140,12 @@
     };
     this._random = createRandom(hash32(this._self.id));
     this._log = new DecisionLog('monsoonreach-node', node.log, _clock, this._counters);
-    this._store = new StoreClient(_settings.store.address);
+    this._history = new StoreHistory({ clock: _clock, log: this._log });
+    this._store = new StoreClient(_settings.store.address, {
+      onEra: (era) => {
+        this._history.observe(era);
+      },
+    });
     this._sources = this._createSources();
     this._trust = new KeyTrust(_clock, _settings.bounds['key-trust']);
     this._connections = new TargetConnections(_clock);
@@ -287,6 +294,7 @@
     return new TopicSources({
       self: this._self,
       store: this._store,
+      history: this._history,
       clock: this._clock,
       counters: this._counters,
       log: this._log,
--- a/packages/node/src/shardOwnership.ts
+++ b/packages/node/src/shardOwnership.ts
@@ -23,6 +23,8 @@
   decodeJson,
   HistoryGoneError,
   type StoreClient,
+  type StorePosition,
+  type StoreSlice,
   StoreUnavailableError,
   Topic,
 } from '@monsoonreach/platform';
@@ -187,14 +189,14 @@
     const { store } = this._options;
     const { end, last } = await this._readRecords();
     if (last) this._apply(last, 'store');
-    const assigned = this._findAssignment(toTerm(end));
+    const assigned = this._findAssignment(toTerm(end.offset));
     if (!assigned || this._abortController.signal.aborted) return;
-    await store.append(Topic.shards, Buffer.from(JSON.stringify(encodeOwnership(assigned))), end);
+    await store.append(Topic.shards, Buffer.from(JSON.stringify(encodeOwnership(assigned))), end.offset);
     this._apply(assigned, 'own record');
     this._options.exchange.broadcast(createOwnershipMessage(this._ownership));
   }
 
-  private async _readRecords(): Promise<{ readonly end: number; readonly last: Ownership | undefined }> {
+  private async _readRecords(): Promise<LastRecord> {
     const { store } = this._options;
     try {
       return toLastRecord(await store.read({ topic: Topic.shards, from: 0, waitMs: 0 }));
@@ -220,7 +222,13 @@
   }
 }
 
-function toLastRecord({ records, end }: { readonly records: readonly Uint8Array[]; readonly end: number }) {
+/** The owners that the last readable record names, and the position after all records. */
+interface LastRecord {
+  readonly end: StorePosition;
+  readonly last: Ownership | undefined;
+}
+
+function toLastRecord({ records, end }: StoreSlice): LastRecord {
   for (const record of [...records].reverse()) {
     try {
       return { end, last: decodeOwnership(decodeJson(record, recordSchema, 'record of the owners')) };
--- a/packages/node/src/topicMirror.ts
+++ b/packages/node/src/topicMirror.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@monsoonreach/core';
-import { HistoryGoneError, type KeyedRecord } from '@monsoonreach/platform';
+import { HistoryGoneError, type KeyedRecord, type StorePosition } from '@monsoonreach/platform';
 
 /** Number of changes kept for peers, in records; a peer that is further behind has to read all records again. */
 const MAX_KEPT_CHANGES = 2_000;
@@ -7,8 +7,8 @@
 /** Records of a keyed topic, with the age of the source's data. */
 export interface TopicSlice {
   readonly records: readonly KeyedRecord[];
-  /** Offset after the last change that the source has. */
-  readonly end: number;
+  /** Position after the last change that the source has. */
+  readonly end: StorePosition;
   /** Milliseconds since the source's last contact with the store. */
   readonly ageMs: number;
   /** Milliseconds since the source reached the store again after an outage; undefined if there was none. */
@@ -19,7 +19,7 @@
 export class TopicMirror {
   private readonly _newestByKey = new Map<string, KeyedRecord>();
   private _changes: KeyedRecord[] = [];
-  private _end: number | undefined;
+  private _end: StorePosition | undefined;
   private _contactAtMs = -Infinity;
   private _reconnectedAtMs: number | undefined;
   private _isFirstHand = false;
@@ -37,8 +37,8 @@
     return this._isFirstHand;
   }
 
-  /** Replaces the copy by all records up to the offset `end`. */
-  replaceAll(records: readonly KeyedRecord[], end: number): void {
+  /** Replaces the copy by all records up to the position `end`. */
+  replaceAll(records: readonly KeyedRecord[], end: StorePosition): void {
     this._newestByKey.clear();
     for (const record of records) this._newestByKey.set(record.key, record);
     this._changes = [];
@@ -54,7 +54,7 @@
       else this._newestByKey.delete(record.key);
     }
     this._changes = [...this._changes, ...records].slice(-MAX_KEPT_CHANGES);
-    this._end += records.length;
+    this._end = { ...this._end, offset: this._end.offset + records.length };
     this._wakeWaiters();
   }
 
@@ -73,18 +73,19 @@
   }
 
   /**
-   * Returns the changes from the offset `from` on; waits up to `waitMs` for the first.
-   * @throws HistoryGoneError when changes after `from` are no longer kept.
+   * Returns the changes from the position `from` on; waits up to `waitMs` for the first.
+   * @throws HistoryGoneError when changes after `from` are no longer kept, or belong to another era of the store.
    */
-  async read(from: number, waitMs: number): Promise<TopicSlice | undefined> {
+  async read(from: StorePosition, waitMs: number): Promise<TopicSlice | undefined> {
     if (this._end === undefined) return undefined;
-    if (from >= this._end) await this._waitForChange(waitMs);
-    const first = this._end - this._changes.length;
-    if (from < first) throw new HistoryGoneError(first);
-    return this._createSlice(this._changes.slice(from - first), this._end);
+    if (from.era === this._end.era && from.offset >= this._end.offset) await this._waitForChange(waitMs);
+    const { era, offset } = this._end;
+    const first = offset - this._changes.length;
+    if (from.era !== era || from.offset < first) throw new HistoryGoneError({ era, offset: first });
+    return this._createSlice(this._changes.slice(from.offset - first), this._end);
   }
 
-  private _createSlice(records: readonly KeyedRecord[], end: number): TopicSlice {
+  private _createSlice(records: readonly KeyedRecord[], end: StorePosition): TopicSlice {
     const nowMs = this._clock.monotonic();
     const regainedMs = this._reconnectedAtMs === undefined ? undefined : nowMs - this._reconnectedAtMs;
     return { records, end, ageMs: nowMs - this._contactAtMs, regainedMs };
--- a/packages/node/src/topicServer.ts
+++ b/packages/node/src/topicServer.ts
@@ -2,7 +2,7 @@
 import { type Counters, type Member, splitAddress } from '@monsoonreach/core';
 import { HistoryGoneError } from '@monsoonreach/platform';
 import { decodeMembers, encodeMembers, MAX_MEMBERS_BYTES, MEMBERS_PATH } from './peerDiscovery.js';
-import { encodeSlice, encodeSliceHeaders } from './topicMessages.js';
+import { encodeSlice, encodeSliceEra, encodeSliceHeaders } from './topicMessages.js';
 import type { TopicMirror, TopicSlice } from './topicMirror.js';
 
 /** Maximum wait that a peer may request, in milliseconds. */
@@ -16,7 +16,7 @@
 export const TOO_LARGE_STATUS = 413;
 /** Status when this node itself reads through a peer; two nodes that read through each other would get no changes. */
 export const SECOND_HAND_STATUS = 409;
-/** Status when the requested offset is older than the changes that are kept. */
+/** Status when the requested offset is older than the changes that are kept, or of another era of the store. */
 export const GONE_STATUS = 410;
 
 /** Dependencies of {@link TopicServer}. */
@@ -105,12 +105,12 @@
         : { status: 200, body, headers: encodeSliceHeaders(slice) };
     } catch (error) {
       if (!(error instanceof HistoryGoneError)) throw error;
-      return { status: GONE_STATUS, body: NO_BODY };
+      return { status: GONE_STATUS, body: NO_BODY, headers: encodeSliceEra(error.first) };
     }
   }
 
   private _encode(range: string, slice: TopicSlice): Buffer {
-    const key = `${range}/${slice.end}`;
+    const key = `${range}/${slice.end.era}/${slice.end.offset}`;
     let body = this._answers.get(key);
     if (!body) {
       body = encodeSlice(slice);
@@ -139,5 +139,6 @@
   const from = query.get('from');
   if (from === null) return Promise.resolve(mirror.readNewest());
   const waitMs = Math.min(MAX_WAIT_MS, Number(query.get('wait') ?? 0));
-  return mirror.read(Number(from), waitMs);
+  // Nodes of earlier versions name no era; they know of one only.
+  return mirror.read({ era: Number(query.get('era') ?? 0), offset: Number(from) }, waitMs);
 }
--- a/packages/node/src/topicSources.ts
+++ b/packages/node/src/topicSources.ts
@@ -14,12 +14,13 @@
   type KeyedRecord,
   readBoundedBody,
   type StoreClient,
+  type StorePosition,
   StoreUnavailableError,
 } from '@monsoonreach/platform';
 import { Agent, request } from 'undici';
 import { type DecisionLog, describeError } from './decisionLog.js';
-import { decodeSlice } from './topicMessages.js';
-import type { TopicSlice } from './topicMirror.js';
+import type { StoreHistory } from './storeHistory.js';
+import { decodeSlice, decodeSliceEra } from './topicMessages.js';
 import { GONE_STATUS, TOO_LARGE_STATUS } from './topicServer.js';
 
 /** Timeout for connecting to a peer, in milliseconds; many times the latency between failure domains. */
@@ -56,7 +57,7 @@
 /** A read of a topic's changes. */
 export interface TopicReadOptions {
   readonly topic: string;
-  readonly from: number;
+  readonly from: StorePosition;
   /** How long to wait for the first change, in milliseconds. */
   readonly waitMs: number;
   /** The same for a read through a peer, in milliseconds; a peer has each change as soon as it has read it. */
@@ -67,8 +68,8 @@
 /** Result of a read. */
 export interface TopicReadResult {
   readonly records: readonly KeyedRecord[];
-  /** Offset after the last change. */
-  readonly end: number;
+  /** Position after the last change. */
+  readonly end: StorePosition;
   /** Monotonic time at which the result was known to be current. */
   readonly contactAtMs: number;
   /** Milliseconds since the peer that answered reached the store again after an outage. */
@@ -80,6 +81,7 @@
 export interface TopicSourcesOptions {
   readonly self: ReaderCandidate;
   readonly store: StoreClient;
+  readonly history: StoreHistory;
   readonly clock: Clock;
   readonly counters: Counters;
   readonly log: DecisionLog;
@@ -93,7 +95,8 @@
 
 /**
  * Reads topics from the store, or through a peer: the one chosen to read for this node, or a fallback peer when the
- * store does not answer. All sources use the store's offsets, so that a reader can change its source at any time.
+ * store does not answer. All sources use the store's positions, so that a reader can change its source at any time. What
+ * a peer has from before a restore of the store is not used.
  */
 export class TopicSources {
   private readonly _dispatcher = new Agent({ pipelining: 1, connect: createConnector(CONNECT_TIMEOUT_MS) });
@@ -131,7 +134,7 @@
   /**
    * Reads changes from an offset on.
    * @throws StoreUnavailableError when neither the store nor a peer answers.
-   * @throws HistoryGoneError when the offset is older than the history that the source keeps.
+   * @throws HistoryGoneError when the position is older than the history that the source keeps, or of another era.
    */
   async read(options: TopicReadOptions): Promise<TopicReadResult> {
     const reader = this._chooseReader();
@@ -198,14 +201,20 @@
     this._options.counters.add('monsoonreach_topic_reads_total', { from: 'peer' });
     const sentAtMs = this._options.clock.monotonic();
     const answer = await this._fetch(peer, path, waitMs);
-    if (answer.status === GONE_STATUS) throw new HistoryGoneError(0);
     if (answer.status === TOO_LARGE_STATUS)
       throw new LargeAnswerError(
         `The answer of peer ${peer.node} would be too large; the store is read instead.`,
       );
-    if (answer.status !== 200)
+    if (answer.status !== 200 && answer.status !== GONE_STATUS)
       throw new PeerReadError(`Peer ${peer.node} answered with status ${answer.status}; expected 200.`);
-    const { records, end, ageMs, regainedMs } = this._decode(peer, answer);
+    const era = this._decode(peer, () => decodeSliceEra(answer.headers));
+    if (era < (this._options.history.era ?? 0))
+      throw new PeerReadError(`Peer ${peer.node} has the store as it was before a restore.`);
+    this._options.history.observe(era);
+    if (answer.status === GONE_STATUS) throw new HistoryGoneError({ era, offset: 0 });
+    const { records, end, ageMs, regainedMs } = this._decode(peer, () =>
+      decodeSlice(answer.body, answer.headers),
+    );
     const contactAtMs = sentAtMs - ageMs;
     if (ageMs <= MAX_PEER_AGE_MS) return { records, end, contactAtMs, regainedMs, isFromPeer: true };
     throw new PeerReadError(`Peer ${peer.node} had no contact with the store for ${Math.round(ageMs)} ms.`);
@@ -228,9 +237,9 @@
     }
   }
 
-  private _decode(peer: ReaderCandidate, { body, headers }: PeerAnswer): TopicSlice {
+  private _decode<Part>(peer: ReaderCandidate, decode: () => Part): Part {
     try {
-      return decodeSlice(body, headers);
+      return decode();
     } catch (error) {
       throw new PeerReadError(`The answer of peer ${peer.node} cannot be decoded.`, { cause: error });
     }
@@ -266,5 +275,5 @@
 }
 
 function toPath({ topic, from, waitMs }: Pick<TopicReadOptions, 'topic' | 'from' | 'waitMs'>): string {
-  return `/topics/${topic}?from=${from}&wait=${waitMs}`;
+  return `/topics/${topic}?from=${from.offset}&era=${from.era}&wait=${waitMs}`;
 }
--- a/tests/node/topicSources.test.ts
+++ b/tests/node/topicSources.test.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from 'node:crypto';
 import { Counters, createRandom, type FallbackCandidate, systemClock } from '@monsoonreach/core';
-import { DecisionLog, KeyedFollower, TopicServer, TopicSources } from '@monsoonreach/node';
+import { DecisionLog, KeyedFollower, StoreHistory, TopicServer, TopicSources } from '@monsoonreach/node';
 import { StoreClient } from '@monsoonreach/platform';
 import t from 'tap';
 import { StoreStandin } from '../platform/storeStandin.js';
@@ -29,6 +29,7 @@
     const sources = new TopicSources({
       self: { node: name, address, failureDomain: DOMAIN },
       store: new StoreClient(storeAddress),
+      history: new StoreHistory({ clock: systemClock, log }),
       clock: systemClock,
       counters: this.counters,
       log,
--- a/tests/platform/endlessResponses.test.ts
+++ b/tests/platform/endlessResponses.test.ts
@@ -1,5 +1,5 @@
 import { Counters, systemClock } from '@monsoonreach/core';
-import { DecisionLog, TopicSources } from '@monsoonreach/node';
+import { DecisionLog, StoreHistory, TopicSources } from '@monsoonreach/node';
 import { readReport, sendOrder, StoreClient } from '@monsoonreach/platform';
 import t from 'tap';
 import { sleep } from '../standins/http.js';
@@ -19,13 +19,15 @@
 };
 
 const store = (address: string) => new StoreClient(address);
+const log = new DecisionLog('node-2', 'hidden', systemClock, new Counters());
 const peer = (address: string) =>
   new TopicSources({
     self: { node: 'node-2', address: '127.0.0.1:1', failureDomain: 'zone-1' },
     store: new StoreClient('127.0.0.1:1'),
+    history: new StoreHistory({ clock: systemClock, log }),
     clock: systemClock,
     counters: new Counters(),
-    log: new DecisionLog('node-2', 'hidden', systemClock, new Counters()),
+    log,
     nodes: () => [{ node: 'node-2', address: '127.0.0.1:1', failureDomain: 'zone-1' }],
     peers: () => [{ node: 'node-1', address, failureDomain: 'zone-1', storeAgeMs: 0, isFirstHand: true }],
     owners: () => new Set(),
@@ -50,7 +52,7 @@
     send: (address) =>
       peer(address).read({
         topic: 'a',
-        from: 0,
+        from: { era: 0, offset: 0 },
         waitMs: 5_000,
         peerWaitMs: 5_000,
         signal: new AbortController().signal,
