--- a/tests/platform/rawFleet.ts
+++ b/tests/platform/rawFleet.ts
@@ -128,7 +128,8 @@
   }
 }
 
-function createEntry(address: string, born: number): unknown {
+/** Returns the entry of a plain target. */
+export function createEntry(address: string, born: number): unknown {
   return {
     service: 'plain',
     address,
