Node: entries that a restored store shows again do not replace newer ones

Callers saw: after a restore nodes sent requests to targets that had said that they leave, or whose entry had been removed, and planned groups from memberships that had ended; targets that had come since were dropped at once if the node had not seen the store away.

Cause: each entry that is read was taken for newer than the one before.

For five seconds after a restore an entry of the same start with a lower heartbeat count, or of an earlier start, is not taken. An entry of an instance that was removed within the last minute is withheld until it is written again, removed, or has outlived these five seconds: live instances write theirs within two, the others expire in less than four. A restore counts as an outage: entries that are missing may come back, and no group is planned meanwhile.

--- a/packages/node/src/instanceList.ts
+++ b/packages/node/src/instanceList.ts
@@ -1,6 +1,11 @@
 import { isDeepStrictEqual } from 'node:util';
 import type { Clock, Counters, TargetInstance } from '@monsoonreach/core';
-import { decodeInstance, type KeyedRecord, DecodeError } from '@monsoonreach/platform';
+import {
+  DecodeError,
+  decodeInstanceEntry,
+  type InstanceEntry,
+  type KeyedRecord,
+} from '@monsoonreach/platform';
 import type { DecisionLog } from './decisionLog.js';
 
 /**
@@ -9,17 +14,40 @@
  */
 export const MISSING_ENTRY_GRACE_MS = 2_300;
 
+/**
+ * Time after a restore of the store for which its entries may be older than those that were read before, in
+ * milliseconds: live instances write theirs again within two seconds, and those of others expire in less than four.
+ */
+const RESTORE_GRACE_MS = 5_000;
+/** Time for which a removed instance is remembered, in milliseconds; longer than a restored copy is old. */
+const REMOVED_TTL_MS = 60_000;
+
 /** When this node last had contact with the store, as monotonic times. */
 export interface StoreContact {
-  /** Time at which the store was last reached again after an outage; -Infinity if it always was. */
+  /** Time at which the store was last reached again after an outage or a restore; -Infinity if it always was. */
   readonly reconnectedAtMs: number;
+  /** Time at which the store was found to be restored from an older copy; -Infinity if it never was. */
+  readonly restoredAtMs: number;
   /** Time at which the list was last known to be current. */
   readonly currentAtMs: number;
 }
 
-/** The instances that the store lists, without entries that cannot be decoded. */
+interface RemovedInstance {
+  readonly entry: InstanceEntry;
+  readonly removedAtMs: number;
+}
+
+/**
+ * The instances that the store lists, without entries that cannot be decoded. After a restore of the store, an entry
+ * that is older than what was read before does not count.
+ */
 export class InstanceList {
   private readonly _instances = new Map<string, TargetInstance>();
+  private readonly _revisions = new Map<string, number>();
+  /** Instances that were removed lately, with their last entry. */
+  private readonly _removed = new Map<string, RemovedInstance>();
+  /** Entries of removed instances that a restored store shows again, until it is known whether they are written again. */
+  private readonly _withheld = new Map<string, InstanceEntry>();
   /** Entries that are missing after an outage, with the monotonic time until which they are kept. */
   private readonly _missing = new Map<string, number>();
   private readonly _changedAtMs = new Map<string, number>();
@@ -71,14 +99,14 @@
   /** Applies changed entries, in order. */
   applyChanges(records: readonly KeyedRecord[]): void {
     for (const { key, value } of records) {
-      const instance = value && this._decode(key, value);
-      if (instance) this._put(instance);
+      const entry = value && this._decode(key, value);
+      if (entry) this._putUnlessOlder(entry);
       else this._remove(key);
     }
     this.removeExpired();
   }
 
-  /** Removes entries that did not reappear in time after an outage. */
+  /** Removes entries that did not reappear in time after an outage, and adds those that outlived a restore. */
   removeExpired(): void {
     const nowMs = this._clock.monotonic();
     for (const [id, untilMs] of this._missing) {
@@ -86,10 +114,43 @@
       this._missing.delete(id);
       this._delete(id);
     }
+    for (const [id, { removedAtMs }] of this._removed) {
+      if (nowMs - removedAtMs > REMOVED_TTL_MS) this._removed.delete(id);
+    }
+    if (this._isRestoring) return;
+    for (const entry of this._withheld.values()) this._put(entry);
+    this._withheld.clear();
+  }
+
+  /** Whether the store may still show entries that are older than those that were read before. */
+  private get _isRestoring(): boolean {
+    return this._clock.monotonic() - this._contact.restoredAtMs < RESTORE_GRACE_MS;
+  }
+
+  private _putUnlessOlder(entry: InstanceEntry): void {
+    const { id } = entry.instance;
+    if (!this._isRestoring) {
+      this._put(entry);
+      return;
+    }
+    const listed = this._instances.get(id);
+    const removed = this._removed.get(id);
+    if (listed) {
+      if (isOlder(entry, { instance: listed, revision: this._revisions.get(id) ?? 0 }))
+        this._missing.delete(id);
+      else this._put(entry);
+    } else if (removed && !isOlder(removed.entry, entry)) {
+      this._withheld.set(id, entry);
+    } else {
+      this._put(entry);
+    }
   }
 
-  private _put(instance: TargetInstance): void {
+  private _put({ instance, revision }: InstanceEntry): void {
     this._missing.delete(instance.id);
+    this._withheld.delete(instance.id);
+    this._removed.delete(instance.id);
+    this._revisions.set(instance.id, revision);
     const previous = this._instances.get(instance.id);
     if (previous && previous.state !== instance.state) {
       this._log.info('target state changed', { target: instance.id, state: instance.state });
@@ -102,6 +163,7 @@
   }
 
   private _remove(id: string): void {
+    this._withheld.delete(id);
     if (!this._instances.has(id)) return;
     const untilMs = this._contact.reconnectedAtMs + MISSING_ENTRY_GRACE_MS;
     if (this._clock.monotonic() < untilMs) {
@@ -113,13 +175,19 @@
   }
 
   private _delete(id: string): void {
+    const instance = this._instances.get(id);
+    if (!instance) return;
+    const entry = { instance, revision: this._revisions.get(id) ?? 0 };
+    this._removed.set(id, { entry, removedAtMs: this._clock.monotonic() });
+    this._revisions.delete(id);
     this._changedAtMs.delete(id);
-    if (this._instances.delete(id)) this._version++;
+    this._instances.delete(id);
+    this._version++;
   }
 
-  private _decode(id: string, value: Uint8Array): TargetInstance | undefined {
+  private _decode(id: string, value: Uint8Array): InstanceEntry | undefined {
     try {
-      return decodeInstance(id, value);
+      return decodeInstanceEntry(id, value);
     } catch (error) {
       if (!(error instanceof DecodeError)) throw error;
       this._counters.add('monsoonreach_unreadable_entries_total');
@@ -128,3 +196,10 @@
     }
   }
 }
+
+/** Whether an entry was written before another one of the same instance. */
+function isOlder(entry: InstanceEntry, other: InstanceEntry): boolean {
+  const { startedAtMs } = other.instance;
+  if (entry.instance.startedAtMs !== startedAtMs) return entry.instance.startedAtMs < startedAtMs;
+  return entry.revision < other.revision;
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -326,9 +326,14 @@
 
   private _createList(): InstanceList {
     const follower = () => this._listFollower;
+    const reconnectedAtMs = () => this._listReconnectedAtMs;
+    const { _history: history } = this;
     return new InstanceList(this._clock, this._log, this._counters, {
       get reconnectedAtMs() {
-        return follower().reconnectedAtMs;
+        return reconnectedAtMs();
+      },
+      get restoredAtMs() {
+        return history.restoredAtMs;
       },
       get currentAtMs() {
         return follower().mirror.contactAtMs;
@@ -336,6 +341,11 @@
     });
   }
 
+  /** Monotonic time from which on entries that the store had lost may reappear. */
+  private get _listReconnectedAtMs(): number {
+    return Math.max(this._listFollower.reconnectedAtMs, this._history.restoredAtMs);
+  }
+
   private _createExchange(): PeerExchange {
     return new PeerExchange({
       self: this._self,
@@ -680,7 +690,7 @@
   private _isListSettled(): boolean {
     const nowMs = this._clock.monotonic();
     if (!this._hasList || this._listFollower.isFailing) return false;
-    if (nowMs - this._listFollower.reconnectedAtMs < MISSING_ENTRY_GRACE_MS) return false;
+    if (nowMs - this._listReconnectedAtMs < MISSING_ENTRY_GRACE_MS) return false;
     return this._hasFleetTraffic() || nowMs - this._list.lastAddedAtMs > START_SETTLE_MS;
   }
 
--- a/tests/node/planning.test.ts
+++ b/tests/node/planning.test.ts
@@ -23,6 +23,7 @@
   const configuration = decodeConfiguration(Buffer.from(JSON.stringify(createConfiguration(1))));
   const contact = {
     reconnectedAtMs: -Infinity,
+    restoredAtMs: -Infinity,
     get currentAtMs() {
       return systemClock.monotonic();
     },
