Node: contact with a restored store does not confirm keys until it is written again

Callers saw: a key that had ended was accepted later than the bound after a restore, by nodes that had not read its end before the store lost it.

Cause: each contact with the store counts as proof that the configuration in force is the newest one. A restored store shows an older one and has forgotten that a later one was acknowledged.

For 2.3 s after a restore, in which the operator writes its records again, contact confirms no keys; the trust of the last contact before goes on to age. The hold ends as soon as the operator's configuration arrives as a change. A node that started after the restore does not confirm the keys of a configuration while a peer has a later one.

--- a/packages/core/src/serving/keyTrust.ts
+++ b/packages/core/src/serving/keyTrust.ts
@@ -11,6 +11,8 @@
  */
 export class KeyTrust {
   private _confirmedAtMs = -Infinity;
+  /** Monotonic time before which contact with the store proves nothing. */
+  private _heldUntilMs = -Infinity;
   private _clockOffsetMs: number;
 
   constructor(
@@ -23,9 +25,23 @@
   /** Records that the configuration was the newest one at this monotonic time, in milliseconds. */
   confirm(atMs: number): void {
     this.detectClockJump();
+    if (atMs < this._heldUntilMs) return;
     this._confirmedAtMs = Math.max(this._confirmedAtMs, atMs);
   }
 
+  /**
+   * Lets no contact before this monotonic time confirm the keys, in milliseconds: a store that was restored from an older
+   * copy may have lost a configuration that ended one of them.
+   */
+  hold(untilMs: number): void {
+    this._heldUntilMs = untilMs;
+  }
+
+  /** Ends a hold early, because the store has the newest configuration again. */
+  release(): void {
+    this._heldUntilMs = -Infinity;
+  }
+
   /** Time since the configuration was last known to be the newest, in milliseconds; Infinity if unknown. */
   ageMs(): number {
     this.detectClockJump();
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -119,6 +119,8 @@
   private readonly _configurationFollower: KeyedFollower;
   private readonly _listFollower: KeyedFollower;
   private _table: RouteTable | undefined;
+  /** Latest version of the configuration that a peer has, which a restored store may not have. */
+  private _newestKnownVersion = -Infinity;
   private _hasList = false;
   private _hasTraffic: boolean;
   private _hasPeerTraffic = false;
@@ -146,6 +148,9 @@
         this._history.observe(era);
       },
     });
+    this._history.onRestored(() => {
+      this._trust.hold(_clock.monotonic() + REWRITE_GRACE_MS);
+    });
     this._sources = this._createSources();
     this._trust = new KeyTrust(_clock, _settings.bounds['key-trust']);
     this._connections = new TargetConnections(_clock);
@@ -568,9 +573,6 @@
   }
 
   private _createConfigurationFollower(): KeyedFollower {
-    const apply = (records: readonly KeyedRecord[]) => {
-      for (const record of records) this._applyConfiguration(record);
-    };
     return new KeyedFollower({
       topic: Topic.operator,
       sources: this._sources,
@@ -580,10 +582,15 @@
       waitMs: CONFIGURATION_WAIT_MS,
       peerWaitMs: CONFIGURATION_WAIT_MS,
       intervalMs: () => 0,
-      onSnapshot: apply,
-      onChanges: apply,
+      onSnapshot: (records) => {
+        for (const record of records) this._applyConfiguration(record);
+      },
+      onChanges: (records) => {
+        for (const record of records) this._applyConfiguration(record);
+        if (records.some(({ key }) => key === CONFIGURATION_KEY)) this._trust.release();
+      },
       onContact: (atMs) => {
-        this._trust.confirm(atMs);
+        this._confirmKeys(atMs);
       },
     });
   }
@@ -655,11 +662,18 @@
     this._ownership.answerStamp(digest.ownershipStamp, address);
     this._crashes.receive({ address, evidence: digest.crashes });
     if (digest.hasTraffic) this._hasPeerTraffic = true;
+    this._newestKnownVersion = Math.max(this._newestKnownVersion, digest.configurationVersion);
     if (digest.configurationVersion === this._table?.configuration.version) {
-      this._trust.confirm(receivedAtMs - digest.storeAgeMs - MAX_DATAGRAM_DELAY_MS);
+      this._confirmKeys(receivedAtMs - digest.storeAgeMs - MAX_DATAGRAM_DELAY_MS);
     }
   }
 
+  /** Records that the configuration was the newest one at this time, unless a peer has shown that it is not. */
+  private _confirmKeys(atMs: number): void {
+    const version = this._table?.configuration.version ?? -Infinity;
+    if (version >= this._newestKnownVersion) this._trust.confirm(atMs);
+  }
+
   private _handleMessage(message: Exclude<PeerMessage, MembershipMessage>): void {
     switch (message.kind) {
       case 'ownership':
@@ -748,5 +762,7 @@
 const START_SETTLE_MS = 1_000;
 /** Age of a target's last bytes up to which a peer's report of silence is ignored, in milliseconds; two steps of a full batch. */
 const RECENT_PROGRESS_MS = 200;
+/** Time after a restore of the store in which the operator writes its configuration again, in milliseconds. */
+const REWRITE_GRACE_MS = 2_300;
 /** Longest assumed transit time of a datagram, in milliseconds; far above the latency between failure domains. */
 const MAX_DATAGRAM_DELAY_MS = 300;
