Platform: an answer that names no era does not count as a restore

A refusal by something in front of the store may lack the header Store-Era; taken for era 0, the next answer would have looked like a restore. Found in a read of the change.

--- a/tests/platform/storeClient.test.ts
+++ b/tests/platform/storeClient.test.ts
@@ -63,3 +63,35 @@
     });
   }
 }
+
+const eras = [
+  { name: 'names an era', header: { 'Store-Era': '3' }, era: 3, observed: [3] },
+  { name: 'names none', header: {}, era: 0, observed: [] },
+  { name: 'names one that is no number', header: { 'Store-Era': 'x' }, era: 0, observed: [] },
+  {
+    name: 'names one that cannot be counted on from',
+    header: { 'Store-Era': '1e300' },
+    era: 0,
+    observed: [],
+  },
+] as const;
+
+// Guards against offsets that are taken for those of another era, and restores that did not happen.
+for (const { name, header, era, observed } of eras) {
+  void t.test(`an answer that ${name} belongs to era ${era}`, async (t) => {
+    const server = createServer((request, response) => {
+      request.resume();
+      response.writeHead(200, header).end('{"offset":7,"items":[],"end":8}');
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const observedEras: number[] = [];
+    const store = new StoreClient(`127.0.0.1:${(server.address() as AddressInfo).port}`, {
+      onEra: (observedEra) => observedEras.push(observedEra),
+    });
+    t.same(await store.append(TOPIC, Buffer.from('record'), 7), { era, offset: 7 });
+    t.same(observedEras, observed);
+    t.same((await store.readNewest(TOPIC)).end, { era, offset: 8 });
+    await store.close();
+    server.close();
+  });
+}
