Node: keys are confirmed as soon as a restored store has the configuration again

KeyConfirmation tells a configuration that was written again by its offset, which records now carry through peers too, or by a later version; only one that may have survived at its old place keeps the hold. It also drops the trust when the store shows an older configuration than a peer had before: the second test of restoredKeys accepted an ended key on a node that had started after the restore (40 requests) before.

--- a/packages/core/src/serving/keyTrust.ts
+++ b/packages/core/src/serving/keyTrust.ts
@@ -37,6 +37,11 @@
     this._heldUntilMs = untilMs;
   }
 
+  /** Drops the trust until the next contact that confirms the keys. */
+  revoke(): void {
+    this._confirmedAtMs = -Infinity;
+  }
+
   /** Ends a hold early, because the store has the newest configuration again. */
   release(): void {
     this._heldUntilMs = -Infinity;
@@ -57,7 +62,7 @@
     const offsetMs = this._clock.now() - this._clock.monotonic();
     const hasJumped = Math.abs(offsetMs - this._clockOffsetMs) > CLOCK_JUMP_MS;
     this._clockOffsetMs = offsetMs;
-    if (hasJumped) this._confirmedAtMs = -Infinity;
+    if (hasJumped) this.revoke();
     return hasJumped;
   }
 }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -4,6 +4,7 @@
 export * from './frontServer.js';
 export * from './headMonitor.js';
 export * from './instanceList.js';
+export * from './keyConfirmation.js';
 export * from './keyedFollower.js';
 export * from './node.js';
 export * from './orderSender.js';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -42,6 +42,7 @@
 import { sendProblem, FrontServer } from './frontServer.js';
 import { HeadMonitor } from './headMonitor.js';
 import { InstanceList, MISSING_ENTRY_GRACE_MS } from './instanceList.js';
+import { KeyConfirmation } from './keyConfirmation.js';
 import { KeyedFollower } from './keyedFollower.js';
 import { PeerDiscovery } from './peerDiscovery.js';
 import { type MembershipMessage, type OwnState, PeerExchange } from './peerExchange.js';
@@ -92,6 +93,7 @@
   private readonly _store: StoreClient;
   private readonly _sources: TopicSources;
   private readonly _trust: KeyTrust;
+  private readonly _keyConfirmation: KeyConfirmation;
   private readonly _list: InstanceList;
   private readonly _loads = new LoadTracker((target) => {
     this._placement.scheduleReport(target);
@@ -119,8 +121,6 @@
   private readonly _configurationFollower: KeyedFollower;
   private readonly _listFollower: KeyedFollower;
   private _table: RouteTable | undefined;
-  /** Latest version of the configuration that a peer has, which a restored store may not have. */
-  private _newestKnownVersion = -Infinity;
   private _hasList = false;
   private _hasTraffic: boolean;
   private _hasPeerTraffic = false;
@@ -148,11 +148,13 @@
         this._history.observe(era);
       },
     });
-    this._history.onRestored(() => {
-      this._trust.hold(_clock.monotonic() + REWRITE_GRACE_MS);
-    });
     this._sources = this._createSources();
     this._trust = new KeyTrust(_clock, _settings.bounds['key-trust']);
+    this._keyConfirmation = new KeyConfirmation({
+      clock: _clock,
+      trust: this._trust,
+      history: this._history,
+    });
     this._connections = new TargetConnections(_clock);
     this._reports = new FleetReports(_clock);
     this._limits = new TargetLimits(_clock, () => this._exchange.size + 1);
@@ -583,14 +585,13 @@
       peerWaitMs: CONFIGURATION_WAIT_MS,
       intervalMs: () => 0,
       onSnapshot: (records) => {
-        for (const record of records) this._applyConfiguration(record);
+        for (const record of records) this._applyConfiguration(record, false);
       },
       onChanges: (records) => {
-        for (const record of records) this._applyConfiguration(record);
-        if (records.some(({ key }) => key === CONFIGURATION_KEY)) this._trust.release();
+        for (const record of records) this._applyConfiguration(record, true);
       },
       onContact: (atMs) => {
-        this._confirmKeys(atMs);
+        this._keyConfirmation.confirm(atMs);
       },
     });
   }
@@ -617,7 +618,7 @@
     });
   }
 
-  private _applyConfiguration({ key, value }: KeyedRecord): void {
+  private _applyConfiguration({ key, value, offset }: KeyedRecord, isChange: boolean): void {
     if (key !== CONFIGURATION_KEY || !value) return;
     let configuration: ServingConfiguration;
     try {
@@ -630,13 +631,15 @@
       });
       return;
     }
+    const { version } = configuration;
+    this._keyConfirmation.recordRead({ version, offset, isChange });
     const current = this._table?.configuration.version ?? -Infinity;
-    if (configuration.version <= current) return;
+    if (version <= current) return;
     this._table = new RouteTable(configuration);
     this._front.configure(configuration.limits);
     this._openGateIfReady();
     this._log.info('configuration in force', {
-      version: configuration.version,
+      version,
       before: current,
       routes: configuration.routes.length,
     });
@@ -662,18 +665,12 @@
     this._ownership.answerStamp(digest.ownershipStamp, address);
     this._crashes.receive({ address, evidence: digest.crashes });
     if (digest.hasTraffic) this._hasPeerTraffic = true;
-    this._newestKnownVersion = Math.max(this._newestKnownVersion, digest.configurationVersion);
+    this._keyConfirmation.recordPeer(digest.configurationVersion, receivedAtMs);
     if (digest.configurationVersion === this._table?.configuration.version) {
-      this._confirmKeys(receivedAtMs - digest.storeAgeMs - MAX_DATAGRAM_DELAY_MS);
+      this._keyConfirmation.confirm(receivedAtMs - digest.storeAgeMs - MAX_DATAGRAM_DELAY_MS);
     }
   }
 
-  /** Records that the configuration was the newest one at this time, unless a peer has shown that it is not. */
-  private _confirmKeys(atMs: number): void {
-    const version = this._table?.configuration.version ?? -Infinity;
-    if (version >= this._newestKnownVersion) this._trust.confirm(atMs);
-  }
-
   private _handleMessage(message: Exclude<PeerMessage, MembershipMessage>): void {
     switch (message.kind) {
       case 'ownership':
@@ -762,7 +759,5 @@
 const START_SETTLE_MS = 1_000;
 /** Age of a target's last bytes up to which a peer's report of silence is ignored, in milliseconds; two steps of a full batch. */
 const RECENT_PROGRESS_MS = 200;
-/** Time after a restore of the store in which the operator writes its configuration again, in milliseconds. */
-const REWRITE_GRACE_MS = 2_300;
 /** Longest assumed transit time of a datagram, in milliseconds; far above the latency between failure domains. */
 const MAX_DATAGRAM_DELAY_MS = 300;
--- a/packages/node/src/topicMessages.ts
+++ b/packages/node/src/topicMessages.ts
@@ -20,6 +20,8 @@
 const sliceSchema = z.object({
   /** Keys with the bytes of their values, one character each; null means that the key was removed. */
   records: z.array(z.tuple([z.string(), z.nullable(z.string())])),
+  /** Offsets of the records, null where it is not known; absent from nodes of earlier versions. */
+  offsets: z._default(z.array(z.nullable(z.number())), []),
   end: z.number(),
 });
 
@@ -27,6 +29,7 @@
 export function encodeSlice({ records, end }: TopicSlice): Buffer {
   const text = JSON.stringify({
     records: records.map(({ key, value }) => [key, value ? Buffer.from(value).toString('latin1') : null]),
+    offsets: records.map(({ offset }) => offset ?? null),
     end: end.offset,
   });
   return gzipSync(text, { level: COMPRESSION_LEVEL });
@@ -56,18 +59,18 @@
 /** @throws Error when the answer is not a valid slice. */
 export function decodeSlice(body: Uint8Array, headers: SliceHeaders): TopicSlice {
   const text = gunzipSync(body, { maxOutputLength: MAX_SLICE_BYTES }).toString('utf8');
-  const { records, end } = z.parse(sliceSchema, JSON.parse(text));
+  const { records, offsets, end } = z.parse(sliceSchema, JSON.parse(text));
   const ageMs = Number(headers[AGE_HEADER] ?? NaN);
   if (!Number.isFinite(ageMs)) throw new Error('The slice does not tell its age.');
   const regained = headers[REGAINED_HEADER];
   return {
-    records: records.map(toRecord),
+    records: records.map((row, index) => toRecord(row, offsets[index] ?? undefined)),
     end: { era: decodeSliceEra(headers), offset: end },
     ageMs,
     regainedMs: regained === undefined ? undefined : Number(regained),
   };
 }
 
-function toRecord([key, value]: readonly [string, string | null]): KeyedRecord {
-  return { key, value: value === null ? undefined : Buffer.from(value, 'latin1') };
+function toRecord([key, value]: readonly [string, string | null], offset: number | undefined): KeyedRecord {
+  return { key, value: value === null ? undefined : Buffer.from(value, 'latin1'), offset };
 }
--- a/packages/node/src/topicSources.ts
+++ b/packages/node/src/topicSources.ts
@@ -165,7 +165,11 @@
       const waitedMs = clock.monotonic() - sentAtMs;
       const hasWaited = records.length === 0 && waitedMs >= options.waitMs - WAIT_TOLERANCE_MS;
       const contactAtMs = sentAtMs + (hasWaited ? Math.max(0, options.waitMs - WAIT_TOLERANCE_MS) : 0);
-      return { records: records.map(decodeKeyedRecord), end, contactAtMs, isFromPeer: false };
+      const keyed = records.map((record, index) => ({
+        ...decodeKeyedRecord(record),
+        offset: options.from.offset + index,
+      }));
+      return { records: keyed, end, contactAtMs, isFromPeer: false };
     } catch (error) {
       if (!(error instanceof StoreUnavailableError) || options.signal.aborted) throw error;
       return this._readFallback(error, path, FALLBACK_WAIT_MS);
