Node: a configuration that survived a restore does not confirm keys

Found by a review. A key was accepted from 5.0 s to 5.5 s after its end by a node that read, after a restore, a version that it had simply not read before: eight requests of eight. The same after two restores, the second from a copy of the first era, and when the offset of the latest version had not been known.

Cause: a later version, or another offset, counted as written again. Both also hold for a record that survived. Later versions have higher offsets in one era, so only a version at an offset that an earlier one had taken was written again.

The stand-in of the store now tells the offsets of newest records as the store does; it told their place in the list, so that a record could look moved.

Trials of the review on the code before: three of these cases of keyConfirmation failed, and restoredKeys with a surviving version (eight of eight). All pass now.

--- a/packages/node/src/keyConfirmation.ts
+++ b/packages/node/src/keyConfirmation.ts
@@ -25,7 +25,7 @@
  * have lost the configuration that ended one, until the operator has written its configuration again.
  */
 export class KeyConfirmation {
-  /** The latest configuration that was read, with its offset in the era in which it was read. */
+  /** The latest configuration that was read, with its offset when it was last read. */
   private _latest: Pick<ReadConfiguration, 'version' | 'offset'> = { version: -Infinity, offset: undefined };
   /** The latest version that a peer has had, and the monotonic time at which this node heard of it. */
   private _latestOfPeers = { version: -Infinity, knownAtMs: -Infinity };
@@ -39,11 +39,16 @@
 
   /** Records a configuration that was read from the store or through a peer. */
   recordRead({ version, offset, isChange }: ReadConfiguration): void {
-    const { trust } = this._options;
-    const hasMoved =
-      version === this._latest.version && offset !== undefined && offset !== this._latest.offset;
-    if (isChange || hasMoved || version > this._latest.version) trust.release();
-    if (version >= this._latest.version) this._latest = { version, offset };
+    const { version: latestVersion, offset: latestOffset } = this._latest;
+    // Later versions have higher offsets, unless they were written again. One at a higher offset may have survived.
+    const isWrittenAgain =
+      offset !== undefined &&
+      latestOffset !== undefined &&
+      version >= latestVersion &&
+      offset <= latestOffset &&
+      !(version === latestVersion && offset === latestOffset);
+    if (isChange || isWrittenAgain) this._options.trust.release();
+    if (version >= latestVersion) this._latest = { version, offset };
   }
 
   /** Records the version that a peer has in force. */
--- a/tests/node/keyConfirmation.test.ts
+++ b/tests/node/keyConfirmation.test.ts
@@ -56,10 +56,25 @@
     isConfirmed: true,
   },
   {
-    name: 'of a restored store with a later configuration',
+    name: 'of a restored store in which a later configuration was written at the offset of the latest',
     steps: [snapshot(13, 3), restore, snapshot(14, 3)],
     isConfirmed: true,
   },
+  {
+    name: 'of a restored store in which a later configuration may have survived that had not been read',
+    steps: [snapshot(12, 2), restore, snapshot(13, 3)],
+    isConfirmed: false,
+  },
+  {
+    name: 'of a restored store with the latest configuration, whose offset had not been known',
+    steps: [snapshot(13), restore, snapshot(13, 3)],
+    isConfirmed: false,
+  },
+  {
+    name: 'of a store that was restored twice, the second time from a copy of the first era',
+    steps: [change(13, 3), restore, snapshot(11, 1), change(13, 2), restore, snapshot(13, 3)],
+    isConfirmed: false,
+  },
   {
     name: 'of a restored store that is written after its older configuration was read',
     steps: [snapshot(13, 3), restore, snapshot(10, 2), change(13, 3)],
--- a/tests/platform/restoredKeys.test.ts
+++ b/tests/platform/restoredKeys.test.ts
@@ -33,7 +33,7 @@
 }
 
 function endKey(): void {
-  fleet.store.put('keyed.op', 'config', createConfiguration(2, NEXT_KEY));
+  fleet.store.put('keyed.op', 'config', createConfiguration(3, NEXT_KEY));
 }
 
 // Guards against keys that are accepted after their end, because a restored store seems to confirm them.
@@ -41,9 +41,11 @@
   await fleet.start();
   await fleet.setHandler(answer);
   t.equal(await send(ENDED_KEY), 200);
-  const copy = fleet.store.copy();
   fleet.store.mode = 'busy';
   await sleep(LONG_POLL_MS);
+  // A version that this node had not read survives; it does not prove that no later one was lost.
+  fleet.store.put('keyed.op', 'config', createConfiguration(2, ENDED_KEY));
+  const copy = fleet.store.copy();
   endKey();
   const endedAtMs = systemClock.monotonic();
   const sleepUntil = (ms: number) => sleep(Math.max(0, endedAtMs + ms - systemClock.monotonic()));
--- a/tests/platform/storeStandin.ts
+++ b/tests/platform/storeStandin.ts
@@ -146,18 +146,16 @@
   }
 
   private _handleNewest(response: ServerResponse, topic: string): void {
-    const newest = new Map<string, string>();
-    for (const record of [
-      ...(this._compactedRecords.get(topic) ?? []),
-      ...this._getPartition(topic).records,
-    ]) {
+    const newest = new Map<string, { readonly value: string; readonly offset: number }>();
+    const records = [...(this._compactedRecords.get(topic) ?? []), ...this._getPartition(topic).records];
+    for (const [offset, record] of records.entries()) {
       const length = record[0] ?? 0;
       const key = record.toString('utf8', 1, 1 + length);
       const value = record.subarray(1 + length);
-      if (value.length > 0) newest.set(key, value.toString('base64'));
+      if (value.length > 0) newest.set(key, { value: value.toString('base64'), offset });
       else newest.delete(key);
     }
-    const items = [...newest].map(([key, value], offset) => ({ key, value, offset }));
+    const items = [...newest].map(([key, { value, offset }]) => ({ key, value, offset }));
     sendJson(response, 200, { items, hasMore: false, end: this._getEndOffset(topic) });
   }
 
