Node: an answer from before a known restore is not used

Found by a review: an answer of the store that is delayed across a restore, and arrives after another reader has seen the new era, was applied as a change of the new one. It now counts like records that are gone.

--- a/packages/node/src/topicSources.ts
+++ b/packages/node/src/topicSources.ts
@@ -120,6 +120,7 @@
     try {
       const contactAtMs = this._options.clock.monotonic();
       const { records, end } = await this._options.store.readNewest(topic);
+      if (this._isOutdated(end)) throw new StoreUnavailableError('The answer is older than a restore.', true);
       return { records, end, contactAtMs, isFromPeer: false };
     } catch (error) {
       return this._readFallback(error, `/topics/${topic}?whole`, 0);
@@ -151,7 +152,7 @@
   }
 
   private async _readStore(options: TopicReadOptions): Promise<TopicReadResult> {
-    const { store, clock } = this._options;
+    const { store, clock, history } = this._options;
     const path = `${toPath({ ...options, waitMs: FALLBACK_WAIT_MS })}&whole`;
     if (clock.monotonic() < this._storeSkippedUntilMs) {
       const peer = this._findFreshestPeer();
@@ -160,6 +161,7 @@
     try {
       const sentAtMs = clock.monotonic();
       const { records, end } = await store.read(options);
+      if (this._isOutdated(end)) throw new HistoryGoneError({ era: history.era ?? end.era, offset: 0 });
       this._storeSkippedUntilMs = -Infinity;
       // After an empty answer that took the whole wait, nothing had changed until its end.
       const waitedMs = clock.monotonic() - sentAtMs;
@@ -212,7 +214,7 @@
     if (answer.status !== 200 && answer.status !== GONE_STATUS)
       throw new PeerReadError(`Peer ${peer.node} answered with status ${answer.status}; expected 200.`);
     const era = this._decode(peer, () => decodeSliceEra(answer.headers));
-    if (era < (this._options.history.era ?? 0))
+    if (this._isOutdated({ era }))
       throw new PeerReadError(`Peer ${peer.node} has the store as it was before a restore.`);
     this._options.history.observe(era);
     if (answer.status === GONE_STATUS) throw new HistoryGoneError({ era, offset: 0 });
@@ -269,6 +271,11 @@
     return findFreshestPeer(this._options.peers(), this._listDoubted(), MAX_PEER_AGE_MS);
   }
 
+  /** Whether an answer is from before a restore of the store that this node already knows of. */
+  private _isOutdated({ era }: Pick<StorePosition, 'era'>): boolean {
+    return era < (this._options.history.era ?? 0);
+  }
+
   /** Addresses of the peers that are not asked for now. */
   private _listDoubted(): ReadonlySet<string> {
     const nowMs = this._options.clock.monotonic();
