Node: reads of nodes of earlier versions are answered as before

A node of an earlier version that reads through an upgraded one names no era. It got 410, read all again without a pause, and so on: a tight loop for as long as the upgrade takes. The test got 410 before and gets 200 now. The tests of topics learn the era from the store's client, as the node does.

--- a/packages/node/src/topicMirror.ts
+++ b/packages/node/src/topicMirror.ts
@@ -32,6 +32,11 @@
     return this._contactAtMs;
   }
 
+  /** Era of this copy; undefined until the topic was read. */
+  get era(): number | undefined {
+    return this._end?.era;
+  }
+
   /** Whether the last read went to the store directly, so that peers may read through this node. */
   get isFirstHand(): boolean {
     return this._isFirstHand;
--- a/packages/node/src/topicServer.ts
+++ b/packages/node/src/topicServer.ts
@@ -139,6 +139,7 @@
   const from = query.get('from');
   if (from === null) return Promise.resolve(mirror.readNewest());
   const waitMs = Math.min(MAX_WAIT_MS, Number(query.get('wait') ?? 0));
-  // Nodes of earlier versions name no era; they know of one only.
-  return mirror.read({ era: Number(query.get('era') ?? 0), offset: Number(from) }, waitMs);
+  // Nodes of earlier versions name no era. They would read all again at once, and again, if they were refused for it.
+  const era = Number(query.get('era') ?? mirror.era ?? 0);
+  return mirror.read({ era, offset: Number(from) }, waitMs);
 }
--- a/tests/node/topicSources.test.ts
+++ b/tests/node/topicSources.test.ts
@@ -1,6 +1,13 @@
 import { randomBytes } from 'node:crypto';
 import { Counters, createRandom, type FallbackCandidate, systemClock } from '@monsoonreach/core';
-import { DecisionLog, KeyedFollower, StoreHistory, TopicServer, TopicSources } from '@monsoonreach/node';
+import {
+  DecisionLog,
+  KeyedFollower,
+  StoreHistory,
+  TopicMirror,
+  TopicServer,
+  TopicSources,
+} from '@monsoonreach/node';
 import { StoreClient } from '@monsoonreach/platform';
 import t from 'tap';
 import { StoreStandin } from '../platform/storeStandin.js';
@@ -26,10 +33,15 @@
     storeAddress: string,
   ) {
     const log = new DecisionLog(name, 'hidden', systemClock, this.counters);
+    const history = new StoreHistory({ clock: systemClock, log });
     const sources = new TopicSources({
       self: { node: name, address, failureDomain: DOMAIN },
-      store: new StoreClient(storeAddress),
-      history: new StoreHistory({ clock: systemClock, log }),
+      store: new StoreClient(storeAddress, {
+        onEra: (era) => {
+          history.observe(era);
+        },
+      }),
+      history,
       clock: systemClock,
       counters: this.counters,
       log,
@@ -223,6 +235,27 @@
   });
 }
 
+// Guards against nodes of earlier versions that read all records again and again through an upgraded one.
+void t.test('a read that names no era is answered from the era that this node has', async (t) => {
+  const [port = 0] = await findFreePorts(1);
+  const mirror = new TopicMirror(systemClock);
+  mirror.replaceAll([], { era: 1, offset: 4 });
+  mirror.confirm(systemClock.monotonic(), undefined, true);
+  const server = new TopicServer({
+    address: `127.0.0.1:${port}`,
+    mirrors: new Map([[TOPIC, mirror]]),
+    counters: new Counters(),
+    members: () => [],
+    onMembers: () => undefined,
+  });
+  await server.start();
+  const read = async (query: string) =>
+    (await fetch(`http://127.0.0.1:${port}/topics/${TOPIC}?from=4&wait=50${query}`)).status;
+  t.equal(await read(''), 200);
+  t.equal(await read('&era=1'), 200);
+  t.equal(await read('&era=0'), 410);
+});
+
 void t.test('a node reads the store itself when the node that reads for it is unreachable', async (t) => {
   const { nodes, put, stop } = await createFleet(2);
   t.teardown(stop);
