Node: keys are refused for a shorter time after a restore that lost no configuration

Found by a review: with five nodes and the store away for two seconds, all of them refused requests with keys for 0.7 s to 2.4 s, up to 4.3 s after the restore, as the hold of 2.3 s was followed by the rest of a long poll.

A read that is begun during the hold ends with it. And there is no hold if the last contact before the restore was so recent that the operator's configuration will be read within the bound of a key that ended after that contact.

--- a/packages/core/src/serving/keyTrust.ts
+++ b/packages/core/src/serving/keyTrust.ts
@@ -2,6 +2,8 @@
 
 /** Share of the maximum age after which keys are no longer trusted; the rest covers the request's way to its target. */
 const TRUST_SHARE = 0.84;
+/** Longest time in which a change of the configuration is read, in milliseconds. */
+const READ_MS = 300;
 /** Change of the offset between wall and monotonic clock that indicates a suspension or step, in milliseconds. */
 const CLOCK_JUMP_MS = 400;
 
@@ -31,10 +33,16 @@
 
   /**
    * Lets no contact before this monotonic time confirm the keys, in milliseconds: a store that was restored from an older
-   * copy may have lost a configuration that ended one of them.
+   * copy may have lost a configuration that ended one of them. Has no effect if the last contact before was so recent
+   * that a key that ended after it need not have ended by then.
    */
   hold(untilMs: number): void {
-    this._heldUntilMs = untilMs;
+    if (untilMs + READ_MS > this._confirmedAtMs + this._boundMs) this._heldUntilMs = untilMs;
+  }
+
+  /** Time until contact confirms the keys again, in milliseconds; 0 without a hold. */
+  get heldForMs(): number {
+    return Math.max(0, this._heldUntilMs - this._clock.monotonic());
   }
 
   /** Drops the trust until the next contact that confirms the keys. */
--- a/packages/node/src/keyedFollower.ts
+++ b/packages/node/src/keyedFollower.ts
@@ -7,7 +7,7 @@
 } from '@monsoonreach/platform';
 import { type DecisionLog, describeError } from './decisionLog.js';
 import { TopicMirror } from './topicMirror.js';
-import type { TopicReadResult, TopicSources } from './topicSources.js';
+import type { TopicReadOptions, TopicReadResult, TopicSources } from './topicSources.js';
 
 /** First backoff after a failed read, in milliseconds; doubles up to the maximum, with jitter of up to half. */
 const INITIAL_BACKOFF_MS = 100;
@@ -23,9 +23,9 @@
   readonly random: Random;
   readonly log: DecisionLog;
   /** Time for which a read waits for the first change, in milliseconds. */
-  readonly waitMs: number;
+  readonly waitMs: () => number;
   /** The same for a read through a peer, in milliseconds. */
-  readonly peerWaitMs: number;
+  readonly peerWaitMs: () => number;
   /** Pause between two reads of the store, in milliseconds. */
   readonly intervalMs: () => number;
   /** The same for reads through a peer, in milliseconds; 0 by default. */
@@ -106,7 +106,7 @@
   private async _readChanges(from: StorePosition): Promise<TopicReadResult> {
     const { sources, topic, onChanges } = this._options;
     // After a failure an immediate answer matters, even an empty one: it confirms that no change was missed.
-    const { waitMs, peerWaitMs } = this._failures > 0 ? NO_WAIT : this._options;
+    const { waitMs, peerWaitMs } = this._failures > 0 ? NO_WAIT : this._getWaits();
     const answer = await sources.read({
       topic,
       from,
@@ -120,6 +120,10 @@
     return answer;
   }
 
+  private _getWaits(): Pick<TopicReadOptions, 'waitMs' | 'peerWaitMs'> {
+    return { waitMs: this._options.waitMs(), peerWaitMs: this._options.peerWaitMs() };
+  }
+
   private _recordContact({ contactAtMs, regainedMs, isFromPeer }: TopicReadResult): void {
     const { clock, log, topic, onContact } = this._options;
     if (regainedMs !== undefined) {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -64,6 +64,8 @@
 
 /** Long-poll wait of a read of the configuration, in milliseconds; bounds the time between two confirmations of the keys. */
 const CONFIGURATION_WAIT_MS = 1_300;
+/** Time after the end of a hold of the keys at which a read ends that confirms them, in milliseconds. */
+const HOLD_SLACK_MS = 50;
 /** Pause between two reads of the instance list, in milliseconds; a target that leaves must get no work after two seconds. */
 const LIST_INTERVAL_MS = 600;
 /** Long-poll wait of a read of the list through a peer, in milliseconds; bounds how late a silent peer is detected. */
@@ -575,14 +577,21 @@
   }
 
   private _createConfigurationFollower(): KeyedFollower {
+    // At the end of a hold, the next answer has to come soon, as it confirms the keys.
+    const waitMs = () => {
+      const { heldForMs } = this._trust;
+      return heldForMs > 0
+        ? Math.min(CONFIGURATION_WAIT_MS, heldForMs + HOLD_SLACK_MS)
+        : CONFIGURATION_WAIT_MS;
+    };
     return new KeyedFollower({
       topic: Topic.operator,
       sources: this._sources,
       clock: this._clock,
       random: this._random,
       log: this._log,
-      waitMs: CONFIGURATION_WAIT_MS,
-      peerWaitMs: CONFIGURATION_WAIT_MS,
+      waitMs,
+      peerWaitMs: waitMs,
       intervalMs: () => 0,
       onSnapshot: (records) => {
         for (const record of records) this._applyConfiguration(record, false);
@@ -603,8 +612,8 @@
       clock: this._clock,
       random: this._random,
       log: this._log,
-      waitMs: 0,
-      peerWaitMs: PEER_LIST_WAIT_MS,
+      waitMs: () => 0,
+      peerWaitMs: () => PEER_LIST_WAIT_MS,
       intervalMs: () => (this._planning.isBusy ? BUSY_LIST_INTERVAL_MS : LIST_INTERVAL_MS),
       peerIntervalMs: PEER_LIST_INTERVAL_MS,
       onSnapshot: (records) => {
--- a/tests/serving/keyTrust.test.ts
+++ b/tests/serving/keyTrust.test.ts
@@ -48,6 +48,16 @@
     atMs: 3_000,
     isTrusted: true,
   },
+  {
+    name: 'are confirmed during a hold that ends early enough after the last contact',
+    steps: [
+      { kind: 'confirm', atMs: 1_000 },
+      { kind: 'hold', untilMs: 5_700 },
+      { kind: 'confirm', atMs: 5_000 },
+    ],
+    atMs: 5_500,
+    isTrusted: true,
+  },
   {
     name: 'are confirmed by contact after the hold',
     steps: [
