--- a/packages/node/src/instanceList.ts
+++ b/packages/node/src/instanceList.ts
@@ -15,8 +15,9 @@
 export const MISSING_ENTRY_GRACE_MS = 2_300;
 
 /**
- * Time after a restore of the store for which its entries may be older than those that were read before, in
- * milliseconds: live instances write theirs again within two seconds, and those of others expire in less than four.
+ * Time after a restore of the store for which a snapshot may hold entries that are older than those that were read
+ * before, in milliseconds: live instances write theirs again within two seconds, and those of others expire in less than
+ * four.
  */
 const RESTORE_GRACE_MS = 5_000;
 /** Time for which a removed instance is remembered, in milliseconds; longer than a restored copy is old. */
@@ -33,6 +34,7 @@
 }
 
 interface RemovedInstance {
+  /** The last one that was read. */
   readonly entry: InstanceEntry;
   readonly removedAtMs: number;
 }
@@ -48,6 +50,8 @@
   private readonly _removed = new Map<string, RemovedInstance>();
   /** Entries of removed instances that a restored store shows again, until it is known whether they are written again. */
   private readonly _withheld = new Map<string, InstanceEntry>();
+  /** The latest restore: its monotonic time, and whether what the store shows is up to date since. */
+  private _restore = { atMs: -Infinity, isOver: true };
   /** Entries that are missing after an outage, with the monotonic time until which they are kept. */
   private readonly _missing = new Map<string, number>();
   private readonly _changedAtMs = new Map<string, number>();
@@ -93,57 +97,62 @@
   replaceAll(records: readonly KeyedRecord[]): void {
     const keys = new Set(records.map(({ key }) => key));
     for (const id of this._instances.keys()) if (!keys.has(id)) this._remove(id);
-    this.applyChanges(records);
+    this._apply(records, this._isRestoring() ? (entry) => this._isFromCopy(entry) : () => false);
   }
 
   /** Applies changed entries, in order. */
   applyChanges(records: readonly KeyedRecord[]): void {
-    for (const { key, value } of records) {
-      const entry = value && this._decode(key, value);
-      if (entry) this._putUnlessOlder(entry);
-      else this._remove(key);
-    }
-    this.removeExpired();
+    this._apply(records, () => false);
   }
 
   /** Removes entries that did not reappear in time after an outage, and adds those that outlived a restore. */
   removeExpired(): void {
-    const nowMs = this._clock.monotonic();
+    // What the list lacks is known only from contact.
+    const { currentAtMs } = this._contact;
     for (const [id, untilMs] of this._missing) {
-      if (nowMs < untilMs) continue;
+      if (currentAtMs < untilMs) continue;
       this._missing.delete(id);
       this._delete(id);
     }
+    const nowMs = this._clock.monotonic();
     for (const [id, { removedAtMs }] of this._removed) {
       if (nowMs - removedAtMs > REMOVED_TTL_MS) this._removed.delete(id);
     }
-    if (this._isRestoring) return;
+    if (this._isRestoring()) return;
     for (const entry of this._withheld.values()) this._put(entry);
     this._withheld.clear();
   }
 
-  /** Whether the store may still show entries that are older than those that were read before. */
-  private get _isRestoring(): boolean {
-    return this._clock.monotonic() - this._contact.restoredAtMs < RESTORE_GRACE_MS;
+  /** Whether a snapshot may hold older entries: until there is contact a time after the store was last back. */
+  private _isRestoring(): boolean {
+    const { restoredAtMs, reconnectedAtMs, currentAtMs } = this._contact;
+    if (restoredAtMs > this._restore.atMs) this._restore = { atMs: restoredAtMs, isOver: false };
+    if (!this._restore.isOver) {
+      const isOver = currentAtMs >= Math.max(restoredAtMs, reconnectedAtMs) + RESTORE_GRACE_MS;
+      this._restore = { ...this._restore, isOver };
+    }
+    return !this._restore.isOver;
   }
 
-  private _putUnlessOlder(entry: InstanceEntry): void {
-    const { id } = entry.instance;
-    if (!this._isRestoring) {
-      this._put(entry);
-      return;
+  private _apply(records: readonly KeyedRecord[], isFromCopy: (entry: InstanceEntry) => boolean): void {
+    for (const { key, value } of records) {
+      const entry = value && this._decode(key, value);
+      if (!entry) this._remove(key);
+      else if (!isFromCopy(entry)) this._put(entry);
+      else if (this._instances.has(key)) this._missing.delete(key);
+      else this._withheld.set(key, entry);
     }
+    this.removeExpired();
+  }
+
+  /** Whether an entry of a restored store may be older than what was read of its instance before. */
+  private _isFromCopy(entry: InstanceEntry): boolean {
+    const { id } = entry.instance;
     const listed = this._instances.get(id);
+    if (listed) return isOlder(entry, { instance: listed, revision: this._revisions.get(id) ?? 0 });
+    // What was read of a removed instance need not be its last entry.
     const removed = this._removed.get(id);
-    if (listed) {
-      if (isOlder(entry, { instance: listed, revision: this._revisions.get(id) ?? 0 }))
-        this._missing.delete(id);
-      else this._put(entry);
-    } else if (removed && !isOlder(removed.entry, entry)) {
-      this._withheld.set(id, entry);
-    } else {
-      this._put(entry);
-    }
+    return removed !== undefined && entry.instance.startedAtMs <= removed.entry.instance.startedAtMs;
   }
 
   private _put({ instance, revision }: InstanceEntry): void {
@@ -197,9 +206,10 @@
   }
 }
 
-/** Whether an entry was written before another one of the same instance. */
+/** Whether an entry was written before another one of the same instance; an instance that leaves does not come back. */
 function isOlder(entry: InstanceEntry, other: InstanceEntry): boolean {
   const { startedAtMs } = other.instance;
   if (entry.instance.startedAtMs !== startedAtMs) return entry.instance.startedAtMs < startedAtMs;
-  return entry.revision < other.revision;
+  if (entry.revision !== other.revision) return entry.revision < other.revision;
+  return other.instance.state === 'leaving';
 }
