Node: a node that just started plans no groups from a list that may be restored

Found by a review: 565 ms after a restore, an instance of an open group was joined to another one (TWO), by a node that had started just then, as the restored list shows memberships that have ended. Such a node cannot tell that the store was restored, or away.

It now counts a group's instances as complete only once it has read the list 2.3 s after it first did; at the first start of a system nothing was written before. The time after an outage or restore is measured up to the last contact too: 2.5 s after the start a node still planned from what it had read before the entries were written again.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -124,6 +124,8 @@
   private readonly _listFollower: KeyedFollower;
   private _table: RouteTable | undefined;
   private _hasList = false;
+  /** Monotonic time at which the list was first read, in milliseconds. */
+  private _listReadAtMs = Infinity;
   private _hasTraffic: boolean;
   private _hasPeerTraffic = false;
   private _draining: Promise<number> | undefined;
@@ -568,7 +570,7 @@
       counters: this._counters,
       log: this._log,
       configuration: () => (this._hasList ? this._table?.configuration : undefined),
-      isListSettled: () => this._isListSettled(),
+      isListSettled: () => this._isListSettled() && this._isListKnown(),
       demand: () => this._reports.sumDemand(this._demand.getNeededGroups(this._clock.monotonic())),
       hasTraffic: () => this._hasFleetTraffic(),
       heads: this._heads,
@@ -619,6 +621,7 @@
       onSnapshot: (records) => {
         this._list.replaceAll(records);
         this._hasList = true;
+        this._listReadAtMs = Math.min(this._listReadAtMs, this._clock.monotonic());
         this._openGateIfReady();
       },
       onChanges: (records) => {
@@ -710,10 +713,16 @@
   private _isListSettled(): boolean {
     const nowMs = this._clock.monotonic();
     if (!this._hasList || this._listFollower.isFailing) return false;
-    if (nowMs - this._listReconnectedAtMs < MISSING_ENTRY_GRACE_MS) return false;
+    if (this._list.currentAtMs - this._listReconnectedAtMs < MISSING_ENTRY_GRACE_MS) return false;
     return this._hasFleetTraffic() || nowMs - this._list.lastAddedAtMs > START_SETTLE_MS;
   }
 
+  /** Whether this node would have seen if the store had been restored lately: just started, it cannot tell. */
+  private _isListKnown(): boolean {
+    if (this._settings.node['first-start']) return true;
+    return this._list.currentAtMs - this._listReadAtMs >= MISSING_ENTRY_GRACE_MS;
+  }
+
   private _reportSilentTarget({ key }: TargetCandidate): void {
     this._counters.add('monsoonreach_silent_targets_total');
     this._silentTargets.add(key);
--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -186,7 +186,12 @@
   announce(): void {
     if (this.mode === 'dark' || this.isDisconnectedFromStore) return;
     this._announcementCount++;
-    this._fleet.store.put('keyed.servers', this.id, {
+    this._fleet.store.put('keyed.servers', this.id, this.describeEntry());
+  }
+
+  /** The instance's entry as it would be written now. */
+  describeEntry(): Readonly<Record<string, unknown>> {
+    return {
       service: this._service,
       address: this._publicAddress ?? this.address,
       zone: 'zone-1',
@@ -196,7 +201,7 @@
       domain: this._fabricDomain,
       ...this._describeState(),
       seqNo: this._announcementCount,
-    });
+    };
   }
 
   /** State that entries and reports have in common. */
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -96,7 +96,7 @@
   /** Starts another node in this process. */
   async startNode(
     name: string,
-    options: { readonly drainTimeout?: string } = {},
+    options: { readonly drainTimeout?: string; readonly isFirstStart?: boolean } = {},
   ): Promise<{ readonly node: Node; readonly address: string }> {
     const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
     const common = { domain: 'zone-1', store: this._storeAddress, log: 'hidden' as const };
@@ -154,11 +154,13 @@
   readonly metrics: number;
   /** Time from SIGTERM until the process is killed; 8 s by default. */
   readonly drainTimeout?: string;
+  /** Whether all nodes start at the same time, for the first time; true by default. */
+  readonly isFirstStart?: boolean;
 }): string {
   return `[node]
 name = ${options.name}
 failure-domain = ${options.domain}
-first-start = yes
+first-start = ${(options.isFirstStart ?? true) ? 'yes' : 'no'}
 log = ${options.log}
 [callers]
 address = 127.0.0.1:${options.front}
