Node: the term of an owner belongs to an era of the store

What callers would see: two nodes form groups of the same names from the same instances, and targets can fence neither of them; or shards stay without an owner for seconds.

Cause: the term, which is the fencing token of all orders and from which the epochs and names of groups follow, was computed from the offset of the claim alone. A store that was restored from an older copy gives offsets out again. A node that had not heard of a lost claim got the same term for the same shards; the sums of terms were equal, so that neither told the other. A claim at a lower offset than the known one never took effect and was made again, record by record, until the offset had caught up.

A term now begins with the era (2^24 terms each, a million records), so that those of a later era are higher than all earlier ones. Epochs (100000 for each term) are exact integers up to era 5367. A position beyond that has no term: toTerm throws, and the claim is not made; owners keep their shards and can still hand them over. Terms in a store that names no era are the same as before.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -3,6 +3,7 @@
 import { findLoadingModel, findUsedModel, ModelAssignment } from './modelAssignment.js';
 import { groupId, isHeadServing, isWhole, type ObservedGroup, observeGroups } from './observedGroups.js';
 import type { ModelProfile, ServingService } from './servingConfiguration.js';
+import { MAX_EPOCHS_PER_TERM } from './shards.js';
 import type { TargetInstance } from './targetInstance.js';
 
 /** Weight loads that may start at once; the weight store tolerates three beyond its steady rate. */
@@ -375,9 +376,6 @@
   }
 }
 
-/** Epochs reserved for each term, so that those of a later term are higher. */
-const MAX_EPOCHS_PER_TERM = 100_000;
-
 /** Whether the head cannot be reached, so that the group cannot be ended by an order to it. */
 function isHeadLost(view: FormationView, { name, epoch, head }: ObservedGroup): boolean {
   const id = groupId({ group: name, epoch });
--- a/packages/core/src/serving/shards.ts
+++ b/packages/core/src/serving/shards.ts
@@ -1,9 +1,16 @@
+import { MonsoonreachError } from '../errors.js';
 import { hash32 } from '../hashing.js';
 
 /** Number of shards. Each holds the fabric domains whose names hash to it; the number must not change in a deployment. */
 export const SHARD_COUNT = 32;
 /** Terms reserved for each record in the store, so that shards can be handed over while the store is out. */
 const TERMS_PER_RECORD = 16;
+/** Terms reserved for each era of the store, so that those of a later era are higher; enough for a million records. */
+const TERMS_PER_ERA = 2 ** 24;
+/** Epochs of groups reserved for each term, so that those of a later term are higher. */
+export const MAX_EPOCHS_PER_TERM = 100_000;
+/** The last era whose terms still give epochs that are represented exactly. */
+const MAX_ERA = Math.floor(Number.MAX_SAFE_INTEGER / (TERMS_PER_ERA * MAX_EPOCHS_PER_TERM)) - 1;
 /** Instances for which one owner forms groups and assigns requests. */
 const INSTANCES_PER_OWNER = 256;
 
@@ -43,9 +50,21 @@
   return shard;
 }
 
-/** Term of the owners that a record at this offset of the log names. */
-export function toTerm(offset: number): number {
-  return (offset + 1) * TERMS_PER_RECORD;
+/** A position of the log has no term of its own: those of its era are used up, or the era is too late. */
+export class TermRangeError extends MonsoonreachError {
+  readonly code = 'term-range';
+}
+
+/**
+ * Term of the owners that a record at this position of the log names; higher than all terms of earlier positions and
+ * of earlier eras, in which the same offsets were given out before.
+ * @throws TermRangeError
+ */
+export function toTerm({ era, offset }: { readonly era: number; readonly offset: number }): number {
+  const termInEra = (offset + 1) * TERMS_PER_RECORD;
+  if (termInEra >= TERMS_PER_ERA || era > MAX_ERA)
+    throw new TermRangeError(`There is no term for offset ${offset} in era ${era}.`);
+  return era * TERMS_PER_ERA + termInEra;
 }
 
 /** Number of nodes that should own shards. */
--- a/packages/node/src/shardOwnership.ts
+++ b/packages/node/src/shardOwnership.ts
@@ -15,6 +15,7 @@
   type Random,
   type ShardOwner,
   sumTerms,
+  TermRangeError,
   toTerm,
 } from '@monsoonreach/core';
 import {
@@ -69,7 +70,7 @@
  * Knows which node owns which shard, and assigns the shards of nodes that are gone.
  *
  * Assignments are records of one topic of the store. Each is appended on condition that the writer has read all before
- * it, and its offset gives the term of the owners that it names. Nodes tell each other the owners that they know; the
+ * it, and its position gives the term of the owners that it names. Nodes tell each other the owners that they know; the
  * higher term of a shard wins.
  */
 export class ShardOwnership {
@@ -170,7 +171,7 @@
     } catch (error) {
       counters.add('monsoonreach_shard_claims_failed_total');
       if (error instanceof AppendConditionError) return;
-      if (!(error instanceof StoreUnavailableError || error instanceof HistoryGoneError)) throw error;
+      if (!isExpected(error)) throw error;
       log.warn('shards cannot be assigned', { error: error.message });
     }
   }
@@ -189,7 +190,7 @@
     const { store } = this._options;
     const { end, last } = await this._readRecords();
     if (last) this._apply(last, 'store');
-    const assigned = this._findAssignment(toTerm(end.offset));
+    const assigned = this._findAssignment(toTerm(end));
     if (!assigned || this._abortController.signal.aborted) return;
     await store.append(Topic.shards, Buffer.from(JSON.stringify(encodeOwnership(assigned))), end.offset);
     this._apply(assigned, 'own record');
@@ -222,6 +223,15 @@
   }
 }
 
+/** Whether a claim may fail with this error and is made again later. */
+function isExpected(error: unknown): error is StoreUnavailableError | HistoryGoneError | TermRangeError {
+  return (
+    error instanceof StoreUnavailableError ||
+    error instanceof HistoryGoneError ||
+    error instanceof TermRangeError
+  );
+}
+
 /** The owners that the last readable record names, and the position after all records. */
 interface LastRecord {
   readonly end: StorePosition;
--- a/tests/serving/shards.test.ts
+++ b/tests/serving/shards.test.ts
@@ -9,10 +9,12 @@
   listOwners,
   type Member,
   mergeOwnership,
+  MAX_EPOCHS_PER_TERM,
   NO_OWNERS,
   type Ownership,
   SHARD_COUNT,
   sumTerms,
+  TermRangeError,
   toTerm,
 } from '@monsoonreach/core';
 import t from 'tap';
@@ -29,11 +31,21 @@
       ownership,
       candidates: createCandidates(...ids),
       ownerCount,
-      term: toTerm(offset),
+      term: toTerm({ era: 1, offset }),
     }) ?? ownership
   );
 }
 
+/** Hands shards to and fro until the terms that are reserved for their record are used up. */
+function handOverOften(ownership: Ownership): Ownership {
+  let last = ownership;
+  for (;;) {
+    const next = handOverShards(last, last[0]?.id ?? '', createCandidates('a', 'b'));
+    if (!next) return last;
+    last = next;
+  }
+}
+
 function countByOwner(ownership: Ownership): Readonly<Record<string, number>> {
   const counts: Record<string, number> = {};
   for (const owner of ownership) if (owner) counts[owner.id] = (counts[owner.id] ?? 0) + 1;
@@ -103,13 +115,58 @@
       ownership = handedOver;
     }
     t.ok(
-      ownership.every((owner) => (owner?.term ?? 0) < toTerm(5)),
+      ownership.every((owner) => (owner?.term ?? 0) < toTerm({ era: 1, offset: 5 })),
       'the next record of the store still has a higher term',
     );
     t.end();
   },
 );
 
+// Guards against a term that is given twice: the store gives offsets out again after it was restored.
+void t.test('terms rise with the offset and, whatever the offset, with the era of the store', (t) => {
+  const positions = [
+    { era: 0, offset: 0 },
+    { era: 0, offset: 1 },
+    { era: 0, offset: 1_048_574 },
+    { era: 1, offset: 0 },
+    { era: 1, offset: 500_000 },
+    { era: 2, offset: 0 },
+    { era: 2, offset: 1_048_574 },
+    { era: 3, offset: 0 },
+    { era: 5_000, offset: 0 },
+  ];
+  const terms = positions.map(toTerm);
+  for (const [index, term] of terms.entries()) {
+    const position = JSON.stringify(positions[index]);
+    const last = handOverOften(
+      assignVacantShards({
+        ownership: NO_OWNERS,
+        candidates: createCandidates('a'),
+        ownerCount: 1,
+        term,
+      }) ?? NO_OWNERS,
+    );
+    const next = terms[index + 1] ?? Infinity;
+    t.ok((last[0]?.term ?? Infinity) < next, `${position}: lower than the next, also after handovers`);
+    t.ok(Number.isSafeInteger((term + 16) * MAX_EPOCHS_PER_TERM), `${position}: epochs are exact`);
+    t.ok(Number.isSafeInteger(sumTerms(last)), `${position}: the stamp is exact`);
+  }
+  t.end();
+});
+
+// Guards against terms that overlap with those of the next era, or that no longer differ once they are rounded.
+void t.test('a position beyond the terms of its era gets none', (t) => {
+  for (const position of [
+    { era: 0, offset: 1_048_575 },
+    { era: 7, offset: 2_000_000 },
+    { era: 10_000, offset: 0 },
+    { era: Number.MAX_SAFE_INTEGER, offset: 0 },
+  ]) {
+    t.throws(() => toTerm(position), TermRangeError, JSON.stringify(position));
+  }
+  t.end();
+});
+
 void t.test('shards are not handed over beyond the terms that are reserved for their record', (t) => {
   let ownership: Ownership | undefined = assign(NO_OWNERS, ['a', 'b'], 1, 0);
   let handovers = 0;
@@ -117,7 +174,7 @@
     const [from, to] = turn % 2 === 0 ? (['a', 'b'] as const) : (['b', 'a'] as const);
     ownership = handOverShards(ownership, from, createCandidates(to));
     if (ownership) handovers++;
-    for (const owner of ownership ?? []) t.ok((owner?.term ?? 0) < toTerm(1));
+    for (const owner of ownership ?? []) t.ok((owner?.term ?? 0) < toTerm({ era: 1, offset: 1 }));
   }
   t.equal(handovers, 15);
   t.end();
