Tests: a claim of shards across a restore of the store (failing)

The store is restored between the read and the append of a claim. The append is executed in the new era, as its condition holds there again. On the code as it is, the node acts as owner in the term of the position that it had read, whether its append is answered or it finds the record later. Another node has confirmed a claim in the same term, which the store has lost: both own all 32 shards.

--- a/tests/node/shardOwnership.test.ts
+++ b/tests/node/shardOwnership.test.ts
@@ -7,7 +7,7 @@
   systemClock,
 } from '@monsoonreach/core';
 import { DecisionLog, type PeerExchange, ShardOwnership, StoreHistory } from '@monsoonreach/node';
-import { StoreClient, Topic } from '@monsoonreach/platform';
+import { StoreClient, type StorePosition, StoreUnavailableError, Topic } from '@monsoonreach/platform';
 import t, { type Test } from 'tap';
 import { StoreStandin } from '../platform/storeStandin.js';
 import { sleep } from '../standins/http.js';
@@ -21,22 +21,22 @@
 
 type Exchange = Pick<PeerExchange, 'listLive' | 'probe' | 'send' | 'broadcast'>;
 
-/** A store client whose next append waits until the test has done something. */
-class DelayedStoreClient extends StoreClient {
-  beforeAppend: (() => Promise<void>) | undefined;
+/** A store client whose next append is made, or not, by the test. */
+class InterceptedStoreClient extends StoreClient {
+  interceptAppend: ((execute: () => Promise<StorePosition>) => Promise<StorePosition>) | undefined;
 
-  override async append(...args: Parameters<StoreClient['append']>): ReturnType<StoreClient['append']> {
-    const { beforeAppend } = this;
-    this.beforeAppend = undefined;
-    await beforeAppend?.();
-    return super.append(...args);
+  override append(...args: Parameters<StoreClient['append']>): Promise<StorePosition> {
+    const { interceptAppend } = this;
+    this.interceptAppend = undefined;
+    const execute = () => super.append(...args);
+    return interceptAppend ? interceptAppend(execute) : execute();
   }
 }
 
 /** The part of a node that claims shards. */
 class OwnerNode {
   readonly self: Member;
-  readonly store: DelayedStoreClient;
+  readonly store: InterceptedStoreClient;
   readonly ownership: ShardOwnership;
   isRunning = false;
 
@@ -46,7 +46,7 @@
     const history = new StoreHistory({ clock: systemClock, log });
     const address = `${name}.example:1`;
     this.self = { node: name, id: createMemberId(name, '1'), address, failureDomain: 'zone-1', capacity: 1 };
-    this.store = new DelayedStoreClient(network.storeAddress, {
+    this.store = new InterceptedStoreClient(network.storeAddress, {
       onEra: (era) => {
         history.observe(era);
       },
@@ -222,3 +222,33 @@
     t.equal(await network.countRecords(), 1);
   },
 );
+
+// Guards against two owners in one term: a claim that follows records of an earlier era counts as confirmed, or is found
+// in the log and counts as confirmed there.
+for (const { name, isAnswered } of [
+  { name: 'and its claim is answered', isAnswered: true },
+  { name: 'and its claim is not answered', isAnswered: false },
+]) {
+  void t.test(
+    `the store is restored between the read and the claim of a node, ${name}: no term has two owners`,
+    async (t) => {
+      const { network, first, second } = await createNetwork(t, ['a', 'b']);
+      const copy = network.store.copy();
+      network.isConnected = false;
+      first.store.interceptAppend = async (execute) => {
+        second.start();
+        await waitFor(() => second.ownership.isOwner);
+        network.store.restore(copy);
+        const position = await execute();
+        if (!isAnswered) throw new StoreUnavailableError('The answer was lost.', false);
+        return position;
+      };
+      first.start();
+      t.ok(await waitFor(() => first.ownership.isOwner));
+      network.isConnected = true;
+      await sleep(CLAIM_TIME_MS);
+      t.same(network.listConflicts(), []);
+      t.same(network.listOwners(), ['a'], 'the later claim is known to both');
+    },
+  );
+}
