Node: a claim of shards counts only in the era in which it was based on all records

What callers would see: two nodes own the same shards in one term; both form groups, and targets can fence neither.

Cause: a claim is appended on condition that the log ends where the writer read it. The store knows no era in that condition. An append that is executed after a restore meets an end that was given out again. Its term belongs to a position of the earlier era, at which another node may have confirmed a claim that the store has lost. The node acted on it when the answer came, or when it later found the record in the log.

A claim that is answered in another era than the read is not applied; the node reads again and claims again. Records name the position for which they were written, and only those that are read at that position are taken as claims. So a term of a shard has one owner: the one that its record names, whether a node learned of it by its own acknowledged append, from a peer, or from the log; terms between two records are only given by the owner of the term before. Two views with the same term name the same owner, and mergeOwnership needs no rule for that case.

A record that survived a restore names no owners to a node that knows none: it claims with a term of the new era, which is higher.

--- a/packages/node/src/shardOwnership.ts
+++ b/packages/node/src/shardOwnership.ts
@@ -20,20 +20,16 @@
 } from '@monsoonreach/core';
 import {
   AppendConditionError,
-  DecodeError,
-  decodeJson,
   HistoryGoneError,
   type StoreClient,
-  type StorePosition,
-  type StoreSlice,
   StoreUnavailableError,
   Topic,
 } from '@monsoonreach/platform';
-import * as z from 'zod/mini';
 import type { DecisionLog } from './decisionLog.js';
-import { createOwnershipMessage, decodeOwnership, encodeOwnership } from './ownershipMessages.js';
+import { createOwnershipMessage, decodeOwnership } from './ownershipMessages.js';
+import { encodeOwnershipRecord, findLoggedOwnership, type LoggedOwnership } from './ownershipRecords.js';
 import type { PeerExchange } from './peerExchange.js';
-import { addressSchema, type OwnershipMessage } from './peerMessages.js';
+import type { OwnershipMessage } from './peerMessages.js';
 
 /** Interval between two checks for shards without an owner, in milliseconds. */
 const CHECK_INTERVAL_MS = 200;
@@ -46,11 +42,6 @@
 /** Copies of a message that hands shards over while the store may be out; a datagram may be lost. */
 const HANDOVER_COPIES = 2;
 
-const recordSchema = z.object({
-  owners: z.array(z.tuple([z.string(), addressSchema])),
-  shards: z.array(z.nullable(z.tuple([z.number(), z.number()]))),
-});
-
 /** Dependencies of {@link ShardOwnership}. */
 export interface ShardOwnershipOptions {
   readonly self: Member;
@@ -70,8 +61,9 @@
  * Knows which node owns which shard, and assigns the shards of nodes that are gone.
  *
  * Assignments are records of one topic of the store. Each is appended on condition that the writer has read all before
- * it, and its position gives the term of the owners that it names. Nodes tell each other the owners that they know; the
- * higher term of a shard wins.
+ * it, and its position gives the term of the owners that it names. A claim counts once its append has been acknowledged
+ * at that position, or it is read there; so a term of a shard has one owner only. Nodes tell each other the owners that
+ * they know; the higher term of a shard wins.
  */
 export class ShardOwnership {
   private _ownership: Ownership = NO_OWNERS;
@@ -187,23 +179,30 @@
   }
 
   private async _assign(): Promise<void> {
-    const { store } = this._options;
-    const { end, last } = await this._readRecords();
-    if (last) this._apply(last, 'store');
+    const { store, counters, exchange } = this._options;
+    const { end, ownership } = await this._readRecords();
+    if (ownership) this._apply(ownership, 'store');
     const assigned = this._findAssignment(toTerm(end));
     if (!assigned || this._abortController.signal.aborted) return;
-    await store.append(Topic.shards, Buffer.from(JSON.stringify(encodeOwnership(assigned))), end.offset);
+    const { era } = await store.append(Topic.shards, encodeOwnershipRecord(assigned, end), end.offset);
+    if (era !== end.era) {
+      // The store was restored after the read: another node may have been given the same term before.
+      counters.add('monsoonreach_shard_claims_failed_total');
+      return;
+    }
     this._apply(assigned, 'own record');
-    this._options.exchange.broadcast(createOwnershipMessage(this._ownership));
+    exchange.broadcast(createOwnershipMessage(this._ownership));
   }
 
-  private async _readRecords(): Promise<LastRecord> {
+  private async _readRecords(): Promise<LoggedOwnership> {
     const { store } = this._options;
+    const read = async (from: number) =>
+      findLoggedOwnership(await store.read({ topic: Topic.shards, from, waitMs: 0 }), from);
     try {
-      return toLastRecord(await store.read({ topic: Topic.shards, from: 0, waitMs: 0 }));
+      return await read(0);
     } catch (error) {
       if (!(error instanceof HistoryGoneError)) throw error;
-      return toLastRecord(await store.read({ topic: Topic.shards, from: error.first, waitMs: 0 }));
+      return read(error.first.offset);
     }
   }
 
@@ -231,21 +230,3 @@
     error instanceof TermRangeError
   );
 }
-
-/** The owners that the last readable record names, and the position after all records. */
-interface LastRecord {
-  readonly end: StorePosition;
-  readonly last: Ownership | undefined;
-}
-
-function toLastRecord({ records, end }: StoreSlice): LastRecord {
-  for (const record of [...records].reverse()) {
-    try {
-      return { end, last: decodeOwnership(decodeJson(record, recordSchema, 'record of the owners')) };
-    } catch (error) {
-      // A record that cannot be read names no owners; the one before it does.
-      if (!(error instanceof DecodeError)) throw error;
-    }
-  }
-  return { end, last: undefined };
-}
