Tests: owners that a restored store has forgotten (failing)

The store loses the claim of owners that are still there. On the code as it is no one writes it again; a node that starts later and knows the owners only from the store takes all their shards over. Four cases: one owner, several, a store that refuses calls for a while, and an owner that the store refuses for good.

--- a/tests/node/shardOwnership.test.ts
+++ b/tests/node/shardOwnership.test.ts
@@ -23,9 +23,12 @@
 
 /** A store client whose next append is made, or not, by the test. */
 class InterceptedStoreClient extends StoreClient {
+  /** Whether the store refuses the calls of this node. */
+  isRefused = false;
   interceptAppend: ((execute: () => Promise<StorePosition>) => Promise<StorePosition>) | undefined;
 
   override append(...args: Parameters<StoreClient['append']>): Promise<StorePosition> {
+    if (this.isRefused) return Promise.reject(new StoreUnavailableError('Refused.', true));
     const { interceptAppend } = this;
     this.interceptAppend = undefined;
     const execute = () => super.append(...args);
@@ -82,6 +85,8 @@
   instances = 1;
   /** Whether the nodes reach each other. */
   isConnected = true;
+  /** Whether the nodes tell each other the owners that they know. */
+  isGossiping = true;
   /** The nodes that acted as owner of a shard in a term, by shard and term. */
   private readonly _owners = new Map<string, Set<string>>();
   private _timer: NodeJS.Timeout | undefined;
@@ -133,6 +138,11 @@
     return this.nodes.filter(({ ownership }) => ownership.isOwner).map(({ self }) => self.node);
   }
 
+  /** Lets all nodes read the store, from which they learn its era. */
+  async readStore(): Promise<void> {
+    for (const { store } of this.nodes) await store.readNewest(Topic.nodes);
+  }
+
   async countRecords(): Promise<number> {
     const client = new StoreClient(this.storeAddress);
     const { end } = await client.read({ topic: Topic.shards, from: 0, waitMs: 0 });
@@ -155,7 +165,7 @@
         const key = `shard ${findShard(domain)} in term ${term}`;
         this._owners.set(key, (this._owners.get(key) ?? new Set()).add(node.self.node));
       }
-      if (!this.isConnected || !node.isRunning) continue;
+      if (!this.isConnected || !this.isGossiping || !node.isRunning) continue;
       for (const other of this.nodes) {
         if (other === node || !other.isRunning) continue;
         other.ownership.answerStamp(node.ownership.stamp, node.self.address);
@@ -252,3 +262,60 @@
     },
   );
 }
+
+// Guards against owners that the store has forgotten: a node that starts later would take their shards over.
+for (const { name, instances, owners, hinder } of [
+  { name: 'one owner', instances: 1, owners: 1, hinder: () => undefined },
+  { name: 'several owners', instances: 1_000, owners: 3, hinder: () => undefined },
+  {
+    name: 'a store that refuses calls for a while',
+    instances: 1,
+    owners: 1,
+    hinder: ({ store }: Network) => {
+      store.mode = 'busy';
+      setTimeout(() => {
+        store.mode = 'well';
+      }, 1_500);
+    },
+  },
+  {
+    name: 'an owner that the store refuses for good',
+    instances: 1,
+    owners: 1,
+    hinder: ({ nodes }: Network) => {
+      for (const { ownership, store } of nodes) if (ownership.isOwner) store.isRefused = true;
+    },
+  },
+]) {
+  void t.test(
+    `the store loses the claim of owners that live: they keep their shards and terms when a node starts later, with ${name}`,
+    async (t) => {
+      const { network, first, second, third } = await createNetwork(t, ['a', 'b', 'c']);
+      const copy = network.store.copy();
+      network.instances = instances;
+      await network.readStore();
+      first.start();
+      second.start();
+      third?.start();
+      t.ok(await waitFor(() => network.nodes.every(({ ownership }) => ownership.stamp > 0)));
+      await sleep(CLAIM_TIME_MS);
+      t.equal(network.listOwners().length, owners);
+      const terms = DOMAINS.map((domain) => first.ownership.findOwner(domain));
+      network.store.restore(copy);
+      await network.readStore();
+      hinder(network);
+      await sleep(2 * CLAIM_TIME_MS);
+      t.equal(await network.countRecords(), 1, 'one of them writes');
+      network.isGossiping = false;
+      const late = network.add('late');
+      late.start();
+      t.ok(await waitFor(() => late.ownership.stamp > 0));
+      t.same(
+        DOMAINS.map((domain) => late.ownership.findOwner(domain)),
+        terms,
+        'the node that starts later finds the owners in the store',
+      );
+      t.equal(late.ownership.isOwner, false);
+    },
+  );
+}
