Node: known owners are recorded again in a restored store

What callers would see: a node that starts after a restore takes the shards of living owners over; their groups are planned anew by a node that has just started.

Cause: the claim of owners is one record. A store that was restored from an older copy may have lost it, and nothing wrote it again, as for the fleet nothing had changed. Only the store tells the owners to a node that has not heard of them yet.

When a new era of the store is seen, the known owners are recorded once more, with the same terms, after all records have been read, and on condition that none follows. The owners do so in the order of their shards, then the preferred nodes, at most four, each 200 ms later than the one before; a node that finds a record with all that it knows writes none. Failed attempts are repeated.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -379,6 +379,7 @@
     return new ShardOwnership({
       self: this._self,
       store: this._store,
+      history: this._history,
       exchange: this._exchange,
       clock: this._clock,
       random: this._random,
--- a/packages/node/src/shardOwnership.ts
+++ b/packages/node/src/shardOwnership.ts
@@ -22,6 +22,7 @@
   AppendConditionError,
   HistoryGoneError,
   type StoreClient,
+  type StorePosition,
   StoreUnavailableError,
   Topic,
 } from '@monsoonreach/platform';
@@ -30,14 +31,15 @@
 import { encodeOwnershipRecord, findLoggedOwnership, type LoggedOwnership } from './ownershipRecords.js';
 import type { PeerExchange } from './peerExchange.js';
 import type { OwnershipMessage } from './peerMessages.js';
+import type { StoreHistory } from './storeHistory.js';
 
 /** Interval between two checks for shards without an owner, in milliseconds. */
 const CHECK_INTERVAL_MS = 200;
-/** Delay of a claim for each live node that is preferred to this one, in milliseconds. */
+/** Delay of a record for each live node that is preferred to this one, in milliseconds. */
 const RANK_DELAY_MS = 200;
 /** Largest number of preferred nodes that are waited for. */
 const MAX_RANK = 3;
-/** Largest random delay of a claim, in milliseconds. */
+/** Largest random delay of a record, in milliseconds. */
 const MAX_JITTER_MS = 100;
 /** Copies of a message that hands shards over while the store may be out; a datagram may be lost. */
 const HANDOVER_COPIES = 2;
@@ -46,6 +48,7 @@
 export interface ShardOwnershipOptions {
   readonly self: Member;
   readonly store: StoreClient;
+  readonly history: StoreHistory;
   readonly exchange: PeerExchange;
   readonly clock: Clock;
   readonly random: Random;
@@ -64,12 +67,20 @@
  * it, and its position gives the term of the owners that it names. A claim counts once its append has been acknowledged
  * at that position, or it is read there; so a term of a shard has one owner only. Nodes tell each other the owners that
  * they know; the higher term of a shard wins.
+ *
+ * A restored store may have lost the last records. The known owners are then recorded again, with the same terms.
  */
 export class ShardOwnership {
   private _ownership: Ownership = NO_OWNERS;
   private readonly _abortController = new AbortController();
+  /** Era of the restored store, until its log names the known owners. */
+  private _unrecordedEra: number | undefined;
 
-  constructor(private readonly _options: ShardOwnershipOptions) {}
+  constructor(private readonly _options: ShardOwnershipOptions) {
+    _options.history.onRestored((era) => {
+      this._unrecordedEra = era;
+    });
+  }
 
   /** Sum of the known terms; nodes with different sums tell each other the owners. */
   get stamp(): number {
@@ -122,6 +133,7 @@
     const { signal } = this._abortController;
     while (!signal.aborted) {
       if (this._findAssignment(0)) await this._tryAssign();
+      else if (this._unrecordedEra !== undefined) await this._tryRecordAgain();
       await pause(CHECK_INTERVAL_MS, signal);
     }
   }
@@ -153,19 +165,34 @@
   }
 
   private async _tryAssign(): Promise<void> {
-    const { self, exchange, random, counters, log } = this._options;
+    const { self, exchange } = this._options;
     const { signal } = this._abortController;
-    const rank = insertByPreference(exchange.listLive(), self).findIndex(({ id }) => id === self.id);
-    await pause(Math.min(rank, MAX_RANK) * RANK_DELAY_MS + random.next() * MAX_JITTER_MS, signal);
+    await this._waitForPreferred(insertByPreference(exchange.listLive(), self));
     if (signal.aborted || !(await this._isVacant())) return;
-    try {
-      await this._assign();
-    } catch (error) {
-      counters.add('monsoonreach_shard_claims_failed_total');
-      if (error instanceof AppendConditionError) return;
-      if (!isExpected(error)) throw error;
-      log.warn('shards cannot be assigned', { error: error.message });
-    }
+    await this._tryWrite((_logged, end) => this._findAssignment(toTerm(end)));
+  }
+
+  /** Records the owners that a restored store may have forgotten; one of the first nodes does so, owners before others. */
+  private async _tryRecordAgain(): Promise<void> {
+    const { self, exchange } = this._options;
+    const live = insertByPreference(exchange.listLive(), self);
+    const ownerIds = listOwners(this._ownership).map(({ id }) => id);
+    const owners = ownerIds.flatMap((id) => live.find((member) => member.id === id) ?? []);
+    const writers = [...owners, ...live.filter(({ id }) => !ownerIds.includes(id))].slice(0, MAX_RANK + 1);
+    if (ownerIds.length === 0 || !writers.some(({ id }) => id === self.id)) return;
+    await this._waitForPreferred(writers);
+    if (this._abortController.signal.aborted) return;
+    await this._tryWrite((logged) =>
+      mergeOwnership(logged, this._ownership) === logged ? undefined : this._ownership,
+    );
+  }
+
+  /** Lets the nodes before this one write first. */
+  private async _waitForPreferred(nodes: readonly Member[]): Promise<void> {
+    const { self, random } = this._options;
+    const rank = nodes.findIndex(({ id }) => id === self.id);
+    const delayMs = Math.min(rank, MAX_RANK) * RANK_DELAY_MS + random.next() * MAX_JITTER_MS;
+    await pause(delayMs, this._abortController.signal);
   }
 
   /** Whether shards have no owner: one that was not heard of lately is asked directly before it loses its shards. */
@@ -178,20 +205,36 @@
     return this._findAssignment(0) !== undefined;
   }
 
-  private async _assign(): Promise<void> {
-    const { store, counters, exchange } = this._options;
-    const { end, ownership } = await this._readRecords();
-    if (ownership) this._apply(ownership, 'store');
-    const assigned = this._findAssignment(toTerm(end));
-    if (!assigned || this._abortController.signal.aborted) return;
-    const { era } = await store.append(Topic.shards, encodeOwnershipRecord(assigned, end), end.offset);
-    if (era !== end.era) {
-      // The store was restored after the read: another node may have been given the same term before.
+  /** Appends a record after all that are in the log, unless there is nothing to record. */
+  private async _tryWrite(findRecord: RecordSource): Promise<void> {
+    const { counters, log } = this._options;
+    try {
+      await this._write(findRecord);
+    } catch (error) {
       counters.add('monsoonreach_shard_claims_failed_total');
-      return;
+      if (error instanceof AppendConditionError) return;
+      if (!isExpected(error)) throw error;
+      log.warn('owners of shards cannot be recorded', { error: error.message });
     }
-    this._apply(assigned, 'own record');
-    exchange.broadcast(createOwnershipMessage(this._ownership));
+  }
+
+  private async _write(findRecord: RecordSource): Promise<void> {
+    const { store, counters, exchange } = this._options;
+    const { end, ownership: logged } = await this._readRecords();
+    if (logged) this._apply(logged, 'store');
+    const record = findRecord(logged ?? NO_OWNERS, end);
+    if (this._abortController.signal.aborted) return;
+    if (record) {
+      const { era } = await store.append(Topic.shards, encodeOwnershipRecord(record, end), end.offset);
+      if (era !== end.era) {
+        // The store was restored after the read: another node may have been given the same term before.
+        counters.add('monsoonreach_shard_claims_failed_total');
+        return;
+      }
+      this._apply(record, 'own record');
+      exchange.broadcast(createOwnershipMessage(this._ownership));
+    }
+    if (this._unrecordedEra !== undefined && end.era >= this._unrecordedEra) this._unrecordedEra = undefined;
   }
 
   private async _readRecords(): Promise<LoggedOwnership> {
@@ -222,7 +265,10 @@
   }
 }
 
-/** Whether a claim may fail with this error and is made again later. */
+/** Returns the owners to record after those in the log, which end at a position; undefined if there is nothing to record. */
+type RecordSource = (logged: Ownership, end: StorePosition) => Ownership | undefined;
+
+/** Whether a record may fail with this error and is written again later. */
 function isExpected(error: unknown): error is StoreUnavailableError | HistoryGoneError | TermRangeError {
   return (
     error instanceof StoreUnavailableError ||
--- a/tests/node/planning.test.ts
+++ b/tests/node/planning.test.ts
@@ -6,6 +6,7 @@
   PeerExchange,
   Planning,
   ShardOwnership,
+  StoreHistory,
 } from '@monsoonreach/node';
 import { decodeConfiguration, StoreClient } from '@monsoonreach/platform';
 import t from 'tap';
@@ -62,6 +63,7 @@
     ...common,
     self,
     store: new StoreClient(store),
+    history: new StoreHistory({ clock: systemClock, log }),
     exchange,
     countInstances: () => 10,
     onOwner: () => undefined,
