Node: a registered node registers again in a restored store

What callers would see: a node that starts after a restore finds no other one, takes all shards over and forms groups on its own.

Cause: a node remembered for good that it was registered. A store that was restored from an older copy may have lost the entry, and the nodes that are registered are the only ones that a new node asks.

A registration now belongs to the era in which it was acknowledged. With each new era a registered node registers again, and repeats the attempt until it is acknowledged; an acknowledgement of an earlier era than the latest known one does not count. A node that read the others' entries in one era and registers in another reads on until one has answered, as before, and now finds those that have registered again.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -396,6 +396,7 @@
     return new PeerDiscovery({
       self: this._self,
       store: this._store,
+      history: this._history,
       exchange: this._exchange,
       random: this._random,
       log: this._log,
--- a/packages/node/src/peerDiscovery.ts
+++ b/packages/node/src/peerDiscovery.ts
@@ -11,6 +11,7 @@
 import { type DecisionLog, describeError } from './decisionLog.js';
 import type { PeerExchange } from './peerExchange.js';
 import { type MemberRow, memberRowSchema, toMember, toMemberRow } from './peerMessages.js';
+import type { StoreHistory } from './storeHistory.js';
 
 /** Timeout of a node's answer with the members that it knows, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 400;
@@ -34,6 +35,7 @@
 export interface PeerDiscoveryOptions {
   readonly self: Member;
   readonly store: StoreClient;
+  readonly history: StoreHistory;
   readonly exchange: PeerExchange;
   readonly random: Random;
   readonly log: DecisionLog;
@@ -43,13 +45,19 @@
 
 /**
  * Finds the other nodes. The store names a few registered ones, which know the rest; a node that reaches none of them
- * registers itself.
+ * registers itself. A restored store may have lost the entry, so that a registered node then registers again.
  */
 export class PeerDiscovery {
   private readonly _dispatcher = new Agent({ pipelining: 1, connect: createConnector(ANSWER_TIMEOUT_MS) });
-  private _isRegistered = false;
+  /** Era of the store in which this node's entry was last acknowledged; undefined before the first time. */
+  private _registeredEra: number | undefined;
+  private _isRegisteringAgain = false;
 
-  constructor(private readonly _options: PeerDiscoveryOptions) {}
+  constructor(private readonly _options: PeerDiscoveryOptions) {
+    _options.history.onRestored(() => {
+      if (this._registeredEra !== undefined) void this._registerAgain();
+    });
+  }
 
   /** Resolves when another node has answered. */
   async run(): Promise<void> {
@@ -69,10 +77,31 @@
   /** Registers this node in the store, so that new ones find it. */
   async register(): Promise<void> {
     if (this._isRegistered) return;
+    await this._tryRegister();
+    // The store may have been restored before its answer arrived.
+    if (this._registeredEra !== undefined) void this._registerAgain();
+  }
+
+  /** Whether the store has this node's entry, as far as this node knows. */
+  private get _isRegistered(): boolean {
+    return this._registeredEra !== undefined && this._registeredEra >= (this._options.history.era ?? 0);
+  }
+
+  private async _registerAgain(): Promise<void> {
+    if (this._isRegisteringAgain) return;
+    this._isRegisteringAgain = true;
+    while (!this._isRegistered) {
+      await this._tryRegister();
+      if (!this._isRegistered) await pause(RETRY_MS * (0.5 + this._options.random.next()));
+    }
+    this._isRegisteringAgain = false;
+  }
+
+  private async _tryRegister(): Promise<void> {
     const { store, self, log } = this._options;
     try {
-      await store.appendKeyed(Topic.nodes, self.node, self.address);
-      this._isRegistered = true;
+      const { era } = await store.appendKeyed(Topic.nodes, self.node, self.address);
+      this._registeredEra = era;
     } catch (error) {
       if (!(error instanceof StoreUnavailableError)) throw error;
       log.warn('node cannot be registered', { error: describeError(error) });
