Node: the registration of a new owner is repeated until it is acknowledged

What callers would see: a node that starts later finds no other one and forms groups on its own, although an owner is there.

Cause: a node that becomes an owner registers once. Shards are handed over also while the store refuses calls; the attempt then failed and was not made again. The same holds for an attempt whose answer is lost together with its effect in a restore.

The new test failed before (not registered 2.5 s after the store answers again) and passes now.

--- a/packages/node/src/peerDiscovery.ts
+++ b/packages/node/src/peerDiscovery.ts
@@ -51,11 +51,12 @@
   private readonly _dispatcher = new Agent({ pipelining: 1, connect: createConnector(ANSWER_TIMEOUT_MS) });
   /** Era of the store in which this node's entry was last acknowledged; undefined before the first time. */
   private _registeredEra: number | undefined;
-  private _isRegisteringAgain = false;
+  private _isToBeRegistered = false;
+  private _isRegistering = false;
 
   constructor(private readonly _options: PeerDiscoveryOptions) {
     _options.history.onRestored(() => {
-      if (this._registeredEra !== undefined) void this._registerAgain();
+      if (this._isToBeRegistered) void this.register();
     });
   }
 
@@ -69,32 +70,26 @@
         void this._repeat(addresses);
         return;
       }
-      if (addresses) await this.register();
+      if (addresses) void this.register();
       await pause(RETRY_MS * (0.5 + random.next()));
     }
   }
 
-  /** Registers this node in the store, so that new ones find it. */
+  /** Registers this node in the store, so that new ones find it; resolves when that is acknowledged. */
   async register(): Promise<void> {
-    if (this._isRegistered) return;
-    await this._tryRegister();
-    // The store may have been restored before its answer arrived.
-    if (this._registeredEra !== undefined) void this._registerAgain();
-  }
-
-  /** Whether the store has this node's entry, as far as this node knows. */
-  private get _isRegistered(): boolean {
-    return this._registeredEra !== undefined && this._registeredEra >= (this._options.history.era ?? 0);
-  }
-
-  private async _registerAgain(): Promise<void> {
-    if (this._isRegisteringAgain) return;
-    this._isRegisteringAgain = true;
+    this._isToBeRegistered = true;
+    if (this._isRegistering) return;
+    this._isRegistering = true;
     while (!this._isRegistered) {
       await this._tryRegister();
       if (!this._isRegistered) await pause(RETRY_MS * (0.5 + this._options.random.next()));
     }
-    this._isRegisteringAgain = false;
+    this._isRegistering = false;
+  }
+
+  /** Whether the store has this node's entry, as far as this node knows; it may be restored before an answer arrives. */
+  private get _isRegistered(): boolean {
+    return this._registeredEra !== undefined && this._registeredEra >= (this._options.history.era ?? 0);
   }
 
   private async _tryRegister(): Promise<void> {
--- a/tests/node/peerDiscovery.test.ts
+++ b/tests/node/peerDiscovery.test.ts
@@ -140,6 +140,18 @@
   });
 }
 
+// Guards against an owner that no new node finds: shards are handed over also while the store refuses calls.
+void t.test(
+  'a node that becomes an owner while the store refuses calls registers as soon as it answers',
+  async (t) => {
+    const { store, first } = await createNodes(t);
+    store.mode = 'busy';
+    await Promise.race([first.discovery.register(), sleep(700)]);
+    store.mode = 'well';
+    t.ok(await first.waitUntilRegistered());
+  },
+);
+
 // Guards against two nodes that each plan groups, as neither finds the other.
 void t.test('two nodes that start while the store is restored find each other', async (t) => {
   const { store, first, second } = await createNodes(t);
