Node: views of the owners with the same sum of terms are told apart

What callers would see: while the store refuses calls, requests to some groups are refused, as the node that should assign them does not know that it owns their shards.

Cause: nodes tell each other the known owners when the sums of the terms differ. Two owners that stop hand their shards over by one term each. If each message reaches one node only, their views differ, but the sums are equal, and neither tells the other; only a claim in the store ends that.

Digests now also bear a hash of the owners and terms. Views with the same sum and different hashes are exchanged; merging them gives a greater sum. A digest without the hash, of an earlier version, is treated as before.

--- a/packages/core/src/serving/shards.ts
+++ b/packages/core/src/serving/shards.ts
@@ -79,7 +79,10 @@
   return known.map((owner, shard) => (isNewer(shard) ? reported[shard] : owner));
 }
 
-/** Sum of all terms; of two views of which one includes the other, the newer has the greater sum. */
+/**
+ * Sum of all terms; of two views of which one includes the other, the newer has the greater sum. Views that each include
+ * a change that the other lacks may have the same sum.
+ */
 export function sumTerms(ownership: Ownership): number {
   return ownership.reduce((sum, owner) => sum + (owner?.term ?? 0), 0);
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -670,13 +670,13 @@
       configurationVersion: this._table?.configuration.version ?? -1,
       isLeaving: this._front.isDraining,
       hasTraffic: this._hasTraffic,
-      ownershipStamp: this._ownership.stamp,
+      ...this._ownership.describe(),
       crashes: [...this._crashes.describe()],
     };
   }
 
   private _applyDigest(digest: Digest, address: string, receivedAtMs: number): void {
-    this._ownership.answerStamp(digest.ownershipStamp, address);
+    this._ownership.answerDigest(digest, address);
     this._crashes.receive({ address, evidence: digest.crashes });
     if (digest.hasTraffic) this._hasPeerTraffic = true;
     this._keyConfirmation.recordPeer(digest.configurationVersion, receivedAtMs);
--- a/packages/node/src/ownershipMessages.ts
+++ b/packages/node/src/ownershipMessages.ts
@@ -1,4 +1,4 @@
-import { type Ownership, SHARD_COUNT, listOwners } from '@monsoonreach/core';
+import { hash32, listOwners, type Ownership, SHARD_COUNT } from '@monsoonreach/core';
 import type { OwnershipMessage, WithoutVersion } from './peerMessages.js';
 
 /** Owners by shard as compact rows; also the content of a record in the store. */
@@ -22,6 +22,11 @@
   });
 }
 
+/** Hash of the owners and terms of all shards. */
+export function hashOwnership(ownership: Ownership): number {
+  return hash32(JSON.stringify(encodeOwnership(ownership)));
+}
+
 export function createOwnershipMessage(ownership: Ownership): WithoutVersion<OwnershipMessage> {
   return { kind: 'ownership', ...encodeOwnership(ownership) };
 }
--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -53,6 +53,7 @@
   | 'isLeaving'
   | 'hasTraffic'
   | 'ownershipStamp'
+  | 'ownershipHash'
   | 'crashes'
 >;
 
--- a/packages/node/src/peerMessages.ts
+++ b/packages/node/src/peerMessages.ts
@@ -50,6 +50,8 @@
   hasTraffic: z.boolean(),
   /** Sum of the terms of the shard owners that the sender knows. */
   ownershipStamp: count,
+  /** Hash of these owners, which tells views with the same sum apart; absent from nodes of earlier versions. */
+  ownershipHash: z.optional(count),
   heard: z.array(heardSchema),
   /** Some of the nodes that the sender knows. */
   members: z.array(memberRowSchema),
--- a/packages/node/src/shardOwnership.ts
+++ b/packages/node/src/shardOwnership.ts
@@ -27,10 +27,10 @@
   Topic,
 } from '@monsoonreach/platform';
 import type { DecisionLog } from './decisionLog.js';
-import { createOwnershipMessage, decodeOwnership } from './ownershipMessages.js';
+import { createOwnershipMessage, decodeOwnership, hashOwnership } from './ownershipMessages.js';
 import { encodeOwnershipRecord, findLoggedOwnership, type LoggedOwnership } from './ownershipRecords.js';
 import type { PeerExchange } from './peerExchange.js';
-import type { OwnershipMessage } from './peerMessages.js';
+import type { Digest, OwnershipMessage } from './peerMessages.js';
 import type { StoreHistory } from './storeHistory.js';
 
 /** Interval between two checks for shards without an owner, in milliseconds. */
@@ -44,6 +44,9 @@
 /** Copies of a message that hands shards over while the store may be out; a datagram may be lost. */
 const HANDOVER_COPIES = 2;
 
+/** What a digest tells of the owners that its sender knows. */
+export type OwnershipSummary = Pick<Digest, 'ownershipStamp' | 'ownershipHash'>;
+
 /** Dependencies of {@link ShardOwnership}. */
 export interface ShardOwnershipOptions {
   readonly self: Member;
@@ -82,7 +85,7 @@
     });
   }
 
-  /** Sum of the known terms; nodes with different sums tell each other the owners. */
+  /** Sum of the known terms; it rises with each change of the known owners. */
   get stamp(): number {
     return sumTerms(this._ownership);
   }
@@ -118,9 +121,18 @@
     this._apply(decodeOwnership(message), 'peer');
   }
 
-  /** Sends the known owners to a peer that knows older ones. */
-  answerStamp(stamp: number, address: string): void {
-    if (stamp < this.stamp) this._options.exchange.send(address, createOwnershipMessage(this._ownership));
+  /** Describes the known owners in digests. */
+  describe(): OwnershipSummary {
+    return { ownershipStamp: this.stamp, ownershipHash: hashOwnership(this._ownership) };
+  }
+
+  /** Sends the known owners to a peer that knows older ones, or others with the same sum of terms. */
+  answerDigest({ ownershipStamp, ownershipHash }: OwnershipSummary, address: string): void {
+    const { stamp } = this;
+    const isOlder = ownershipStamp < stamp;
+    const mayDiffer = ownershipStamp === stamp && ownershipHash !== undefined;
+    if (isOlder || (mayDiffer && ownershipHash !== hashOwnership(this._ownership)))
+      this._options.exchange.send(address, createOwnershipMessage(this._ownership));
   }
 
   /** Asks an owner that does not answer requests whether it is there; it loses its shards if it is not. */
--- a/tests/node/planning.test.ts
+++ b/tests/node/planning.test.ts
@@ -49,11 +49,11 @@
       configurationVersion: 1,
       isLeaving: false,
       hasTraffic: true,
-      ownershipStamp: ownership.stamp,
+      ...ownership.describe(),
       crashes: [],
     }),
     onDigest: (digest, from) => {
-      ownership.answerStamp(digest.ownershipStamp, from);
+      ownership.answerDigest(digest, from);
     },
     onMessage: (message) => {
       if (message.kind === 'ownership') ownership.receive(message);
--- a/tests/node/shardOwnership.test.ts
+++ b/tests/node/shardOwnership.test.ts
@@ -12,7 +12,7 @@
 import { StoreStandin } from '../platform/storeStandin.js';
 import { sleep } from '../standins/http.js';
 
-/** Interval at which the nodes tell each other the stamps of their views, in milliseconds. */
+/** Interval at which the nodes describe their views to each other, in milliseconds. */
 const GOSSIP_INTERVAL_MS = 40;
 /** Time in which a claim is made, also by a node with the lowest rank, in milliseconds. */
 const CLAIM_TIME_MS = 2_000;
@@ -85,6 +85,8 @@
   instances = 1;
   /** Whether the nodes reach each other. */
   isConnected = true;
+  /** Names of the nodes to which messages are lost. */
+  deaf: readonly string[] = [];
   /** Whether the nodes tell each other the owners that they know. */
   isGossiping = true;
   /** The nodes that acted as owner of a shard in a term, by shard and term. */
@@ -109,7 +111,9 @@
       this.nodes.filter((other) => other !== node && other.isRunning && node.isRunning && this.isConnected);
     const deliver = (others: readonly OwnerNode[], message: Parameters<Exchange['broadcast']>[0]) => {
       if (message.kind !== 'ownership') return;
-      for (const other of others) other.ownership.receive({ version: 2, ...message });
+      for (const { self, ownership } of others) {
+        if (!this.deaf.includes(self.node)) ownership.receive({ version: 2, ...message });
+      }
     };
     return {
       listLive: () => listReachable().map(({ self }) => self),
@@ -168,7 +172,7 @@
       if (!this.isConnected || !this.isGossiping || !node.isRunning) continue;
       for (const other of this.nodes) {
         if (other === node || !other.isRunning) continue;
-        other.ownership.answerStamp(node.ownership.stamp, node.self.address);
+        other.ownership.answerDigest(node.ownership.describe(), node.self.address);
       }
     }
   }
@@ -319,3 +323,38 @@
     },
   );
 }
+
+// Guards against shards whose new owner does not learn of them: two different views had the same stamp.
+void t.test(
+  'two owners stop while the store refuses calls, and each is heard by another node only: the others agree',
+  async (t) => {
+    const { network, first, second } = await createNetwork(t, ['a', 'b', 'c', 'd']);
+    network.instances = 300;
+    first.start();
+    second.start();
+    t.ok(await waitFor(() => network.listOwners().length === 2));
+    const [, , third, fourth] = network.nodes;
+    third?.start();
+    fourth?.start();
+    const stamp = () => first.ownership.stamp;
+    t.ok(await waitFor(() => network.nodes.every(({ ownership }) => ownership.stamp === stamp())));
+    network.store.mode = 'busy';
+    for (const [node, deaf] of [
+      [first, ['b', 'd']],
+      [second, ['c']],
+    ] as const) {
+      network.deaf = deaf;
+      node.ownership.stop();
+      node.isRunning = false;
+    }
+    network.deaf = [];
+    await sleep(CLAIM_TIME_MS);
+    const listOwnerNames = (node: OwnerNode | undefined) =>
+      DOMAINS.map((domain) => node?.ownership.findOwner(domain)?.id);
+    t.same(listOwnerNames(third), listOwnerNames(fourth));
+    t.notOk(
+      listOwnerNames(third).some((id) => id === first.self.id || id === second.self.id),
+      'all shards have a new owner',
+    );
+  },
+);
