Tests: the soak lets the store come back from an older copy

The fault "store restored" copies the records of the store, silences it for one second 0.5 to 9 s later and lets it come back from that copy. The operator's newest configuration and the entries of the targets are written again within 1.9 s, and entries that had been removed are removed again. All promises are checked; those with a time bound from 3 s after the store is back.

--- a/tests/platform/storeStandin.ts
+++ b/tests/platform/storeStandin.ts
@@ -61,6 +61,11 @@
     this._compactedRecords.set(topic, [...(this._compactedRecords.get(topic) ?? []), ...records]);
   }
 
+  /** Keys of a topic that have a value. */
+  listKeys(topic: string): readonly string[] {
+    return [...this._findNewest(topic).keys()];
+  }
+
   /** Copies all records, to be restored later. */
   copy(): StoreCopy {
     return {
@@ -146,17 +151,28 @@
   }
 
   private _handleNewest(response: ServerResponse, topic: string): void {
-    const newest = new Map<string, { readonly value: string; readonly offset: number }>();
+    const items = [...this._findNewest(topic)].map(([key, { value, offset }]) => ({
+      key,
+      value: value.toString('base64'),
+      offset,
+    }));
+    sendJson(response, 200, { items, hasMore: false, end: this._getEndOffset(topic) });
+  }
+
+  /** The newest value of each key, and the offset of its record. */
+  private _findNewest(
+    topic: string,
+  ): ReadonlyMap<string, { readonly value: Buffer; readonly offset: number }> {
+    const newest = new Map<string, { readonly value: Buffer; readonly offset: number }>();
     const records = [...(this._compactedRecords.get(topic) ?? []), ...this._getPartition(topic).records];
     for (const [offset, record] of records.entries()) {
       const length = record[0] ?? 0;
       const key = record.toString('utf8', 1, 1 + length);
       const value = record.subarray(1 + length);
-      if (value.length > 0) newest.set(key, { value: value.toString('base64'), offset });
+      if (value.length > 0) newest.set(key, { value, offset });
       else newest.delete(key);
     }
-    const items = [...newest].map(([key, { value, offset }]) => ({ key, value, offset }));
-    sendJson(response, 200, { items, hasMore: false, end: this._getEndOffset(topic) });
+    return newest;
   }
 
   private _append(topic: string, records: readonly Buffer[]): void {
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -13,6 +13,8 @@
 const DURATION_SPREAD_MS = 8_500;
 /** Pause between two nodes when all are stopped in turn, in milliseconds. */
 const ROLLING_STOP_INTERVAL_MS = 1_200;
+/** Time for which the store is away before it comes back from a copy, in milliseconds. */
+const RESTORE_MS = 1_000;
 
 /** A fault in the timeline. */
 export interface FaultEvent {
@@ -40,6 +42,7 @@
   'store slow',
   'store loses answers',
   'history gone',
+  'store restored',
   'member crashes',
   'head crashes',
   'engine cut from store',
@@ -66,6 +69,7 @@
   private readonly _running = new Set<Promise<void>>();
   private _keys: readonly string[] = ['key-1'];
   private _replacements = 0;
+  private _isRestoring = false;
 
   constructor(
     private readonly _fleet: SoakFleet,
@@ -125,6 +129,8 @@
         this._fleet.store.compact('keyed.op');
         this._fleet.store.compact('keyed.servers');
         return Promise.resolve();
+      case 'store restored':
+        return this._restoreStore(name, forMs);
       case 'member crashes':
       case 'head crashes':
       case 'engine cut from store':
@@ -229,6 +235,20 @@
     this._fleet.store.mode = 'well';
   }
 
+  /** Lets the store come back from a copy that is `copyAgeMs` old. */
+  private async _restoreStore(name: FaultName, copyAgeMs: number): Promise<void> {
+    if (this._isRestoring) return;
+    this._isRestoring = true;
+    const copy = this._fleet.store.copy();
+    await sleep(copyAgeMs);
+    this._record(name, `store, ${Math.round(copyAgeMs)} ms back`, RESTORE_MS);
+    this._fleet.harm(RESTORE_MS);
+    this._fleet.store.mode = 'silent';
+    await sleep(RESTORE_MS);
+    await this._fleet.restoreStore(copy, () => this._keys);
+    this._isRestoring = false;
+  }
+
   private async _injectEngineFault(
     name: Extract<FaultName, 'member crashes' | 'head crashes' | `engine ${string}`>,
     forMs: number,
--- a/tests/soak/soakFleet.ts
+++ b/tests/soak/soakFleet.ts
@@ -5,7 +5,7 @@
 import { fileURLToPath } from 'node:url';
 import { InstanceFleet, type InstanceStandin } from '../platform/instanceStandin.js';
 import { createConfiguration, formatSettings } from '../platform/platformFleet.js';
-import { StoreStandin } from '../platform/storeStandin.js';
+import { type StoreCopy, StoreStandin } from '../platform/storeStandin.js';
 import { sleep } from '../standins/http.js';
 import { findFreePorts } from '../support/ports.js';
 import { FaultProxy } from './faultProxy.js';
@@ -18,6 +18,8 @@
 const ENGINES_PER_DOMAIN = 7;
 const FABRIC_DOMAINS = 2;
 const PLAIN_INSTANCES = 3;
+/** Time in which all that the operator and the instances wrote is in a restored store again, in milliseconds. */
+const REWRITE_MS = 1_900;
 
 /** A node process under test: its ports, files and faults. */
 export interface SoakNode {
@@ -116,6 +118,26 @@
     this.store.put('keyed.op', 'config', createConfiguration(this.version, keys));
   }
 
+  /**
+   * Lets the store come back from a copy, and answer again. The operator and the instances then write again what they
+   * wrote since; entries that were removed meanwhile are removed again.
+   */
+  async restoreStore(copy: StoreCopy, getKeys: () => readonly string[]): Promise<void> {
+    const listed = new Set(this.store.listKeys('keyed.servers'));
+    this.store.restore(copy);
+    this.store.mode = 'well';
+    const instances = [...this.instances.instances.values()];
+    const pauseMs = REWRITE_MS / (instances.length + 1);
+    for (const instance of instances) {
+      await sleep(pauseMs);
+      if (listed.has(instance.id)) instance.announce();
+      else if (this.store.listKeys('keyed.servers').includes(instance.id))
+        this.store.put('keyed.servers', instance.id, undefined);
+    }
+    await sleep(pauseMs);
+    this.store.put('keyed.op', 'config', createConfiguration(this.version, getKeys()));
+  }
+
   /** Records that a fault affects everything outside the nodes for `forMs` milliseconds. */
   harm(forMs: number): void {
     this.harmedUntilMs = Math.max(this.harmedUntilMs, Date.now() + forMs);
