Node: in a stop, the wait for the first event counts as well

Callers saw streams cut that had been taken early in a stop beside a burst: the prediction left out the wait for a slot. Long streams there waited 0.41 s for their first event in the median, 0.63 s and more in a tenth of the cases, where the prediction had 0.03 s of prefill.

Where an attempt begins, the owner of its target has just predicted the time to the first event, with the queue that it knows. It takes the place of the prefill.

tests/serving/stopAdmission: 'a usual stream that waits so long with 2.4 s left' fails if the wait is left out.

--- a/packages/core/src/serving/stopAdmission.ts
+++ b/packages/core/src/serving/stopAdmission.ts
@@ -12,6 +12,8 @@
   readonly elapsedMs: number;
   /** Factor on the predicted duration, as its target is slower than published; 1 by default. */
   readonly pace?: number;
+  /** Predicted time to the first event at its target, in milliseconds; by default that of the prefill, without a wait. */
+  readonly firstEventMs?: number;
 }
 
 /** How far a stop has come. */
@@ -53,14 +55,15 @@
 
 /** Time that a stream takes in full batches, in milliseconds; Infinity if it names no size, and for other requests. */
 function predictStreamMs(
-  { route, model: modelName, size }: StopAdmissionRequest,
+  { route, model: modelName, size, firstEventMs }: StopAdmissionRequest,
   configuration: ServingConfiguration,
 ): number {
   if (route.kind !== 'stream' || size.answerTokens === 0) return Infinity;
+  const decoded = firstEventMs === undefined ? size : { ...size, promptTokens: 0 };
   const durationsMs = route.services.map(({ service }) => {
     const engine = configuration.services.get(service)?.engine;
     const model = engine?.models.find(({ name }) => name === modelName);
-    return engine && model ? predictBusyServiceMs(engine, model, size) : Infinity;
+    return engine && model ? predictBusyServiceMs(engine, model, decoded) : Infinity;
   });
-  return Math.max(...durationsMs);
+  return (firstEventMs ?? 0) + Math.max(...durationsMs);
 }
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -35,6 +35,8 @@
 /** Largest share of the remaining time that Retry-After may ask for; callers do not honour a longer wait. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
 
+type ChosenTarget = Extract<TargetChoice, { readonly kind: 'chosen' }>;
+
 /** Reason for refusing a request that was not run. */
 export type RefusalReason =
   Extract<TargetChoice, { readonly kind: 'none' }>['reason'] | 'not-run-by-target' | 'quarantined';
@@ -202,7 +204,7 @@
     this._options.context.placement.place(criteria, (choice) => {
       const isSilent = this._attempt === attempt && attempt.progressAtMs === progressAtMs;
       if (this._isFinished || !isSilent || choice.kind === 'none') return;
-      if (this._estimateFinish(choice.candidate)?.canFinish === false) return;
+      if (this._estimateFinish(choice)?.canFinish === false) return;
       if (!this._tryTakeRetry('silent')) return;
       this._leaveSilent(attempt);
       this._handleChoice(choice);
@@ -267,7 +269,7 @@
   private _handleChoice(choice: TargetChoice): void {
     switch (choice.kind) {
       case 'chosen':
-        this._estimate = this._estimateFinish(choice.candidate);
+        this._estimate = this._estimateFinish(choice);
         if (this._estimate?.canFinish === false) {
           this._giveUp('stopping', 0);
           return;
@@ -281,11 +283,13 @@
   }
 
   /** Estimates whether an attempt that begins now ends before the process; undefined if it is to be made in any case. */
-  private _estimateFinish(candidate?: TargetCandidate): FinishEstimate | undefined {
+  private _estimateFinish(choice?: ChosenTarget): FinishEstimate | undefined {
     const { context, route, caller, startedAtMs } = this._options;
     if (this._forwardedEvents > 0) return undefined;
-    const pace = candidate ? context.pace.getFactor(candidate.key, context.clock.monotonic()) : 1;
-    return context.stop.estimate({ route, ...caller, startedAtMs, pace });
+    const request = { route, ...caller, startedAtMs };
+    if (!choice) return context.stop.estimate(request);
+    const pace = context.pace.getFactor(choice.candidate.key, context.clock.monotonic());
+    return context.stop.estimate({ ...request, pace, firstEventMs: choice.predictedMs });
   }
 
   /** Criteria for an engine group; undefined for a request to a plain service. */
--- a/tests/serving/stopAdmission.test.ts
+++ b/tests/serving/stopAdmission.test.ts
@@ -40,6 +40,7 @@
   readonly timeoutMs?: number;
   readonly elapsedMs?: number;
   readonly pace?: number;
+  readonly firstEventMs?: number;
   readonly remainingMs: number;
   readonly isInRotation?: boolean;
   readonly canFinish: boolean;
@@ -57,6 +58,22 @@
     canFinish: false,
   },
   { name: 'a usual stream', answerTokens: 174, remainingMs: 2_100, ...inRotation, canFinish: true },
+  {
+    name: 'a usual stream that waits half a second for a slot',
+    answerTokens: 174,
+    firstEventMs: 500,
+    remainingMs: 2_500,
+    ...inRotation,
+    canFinish: true,
+  },
+  {
+    name: 'a usual stream that waits so long with 2.4 s left',
+    answerTokens: 174,
+    firstEventMs: 500,
+    remainingMs: 2_400,
+    ...inRotation,
+    canFinish: false,
+  },
   {
     name: 'a usual stream of a target at two thirds of its pace',
     answerTokens: 174,
@@ -200,6 +217,7 @@
     timeoutMs,
     elapsedMs = 0,
     pace,
+    firstEventMs,
   } = testCase;
   void t.test(`a stopping node ${testCase.canFinish ? 'accepts' : 'refuses'} ${name}`, (t) => {
     const request = {
@@ -209,6 +227,7 @@
       timeoutMs,
       elapsedMs,
       ...(pace === undefined ? {} : { pace }),
+      ...(firstEventMs === undefined ? {} : { firstEventMs }),
     };
     const { remainingMs, isInRotation = false, canFinish } = testCase;
     t.equal(estimateFinish(request, CONFIGURATION, { remainingMs, isInRotation }).canFinish, canFinish);
