Node: late in a stop, no request is run behind an unfinished answer

Found by a review. An order that was pipelined 3.1 s after SIGTERM behind a slow stream was run, as its own limit fitted into the stop, and its answer, which has to wait for the stream's, was lost with it (LOST). Once the balancer has left, such a request is refused as not run. Before that it is served as before.

--- a/packages/callers/src/callerConnections.ts
+++ b/packages/callers/src/callerConnections.ts
@@ -113,6 +113,14 @@
     return connection?.requestCount === this._requests.get(response)?.position;
   }
 
+  /** Whether the answer to an earlier request on the connection has not been sent, so that the response has to wait. */
+  isBehindAnother(response: ServerResponse): boolean {
+    const position = this._requests.get(response)?.position ?? 0;
+    return [...this._requests.values()].some(
+      (earlier) => earlier.response.req.socket === response.req.socket && earlier.position < position,
+    );
+  }
+
   /** Whether a request on the connection is being served. */
   isServing(socket: Socket): boolean {
     return [...this._requests.values()].some(
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -180,7 +180,10 @@
     const { priority, ...rest } = options;
     const { caller, route, response, startedAtMs } = rest;
     if (response.writableEnded || response.destroyed) return;
-    if (this._options.context.stop.estimate({ route, ...caller, startedAtMs })?.canFinish === false) {
+    const { stop } = this._options.context;
+    // An answer that has to wait for another one may be ready in time and yet not be sent.
+    const mayWait = stop.hasLeftRotation && this.connections.isBehindAnother(response);
+    if (mayWait || stop.estimate({ route, ...caller, startedAtMs })?.canFinish === false) {
       this._refuseStopping(response, caller.requestId);
       return;
     }
--- a/packages/node/src/stopAdmission.ts
+++ b/packages/node/src/stopAdmission.ts
@@ -28,6 +28,11 @@
     return this._stop !== undefined;
   }
 
+  /** Whether the balancer no longer opens connections. */
+  get hasLeftRotation(): boolean {
+    return this._stop?.isInRotation === false;
+  }
+
   /**
    * Begins the stop.
    * @param endsAtMs monotonic time at which requests in progress are abandoned, in milliseconds.
