Tests: an order that waits for its claim until late in an entry's stop

The order arrives in time, and its claim takes so long that it would be cut if it were sent then. It is refused as "stopping", and the refusals of the other cases name that reason now.

--- a/tests/entry/lateRequests.test.ts
+++ b/tests/entry/lateRequests.test.ts
@@ -9,6 +9,13 @@
 /** Time after SIGTERM at which a request still ends before the cut, and at which it does not, in milliseconds. */
 const EARLY_MS = 800;
 const LATE_MS = 3_300;
+/** Time after SIGTERM at which the log slows down, and at which a request ends in time only if it is sent on at once. */
+const SLOW_LOG_MS = 1_300;
+const MIDDLE_MS = 1_800;
+/** Delay of the log before and after each append, in milliseconds. */
+const LOG_DELAY_MS = 800;
+/** Time within which a request is refused that waits for nothing, in milliseconds. */
+const REFUSAL_MS = 500;
 
 const fleet = new LocalFleet({
   entries: 1,
@@ -55,9 +62,11 @@
   readonly request: string;
   readonly isAnswered: boolean;
   readonly key?: string;
+  /** Time for which a refused request waits for the log, in milliseconds. */
+  readonly waitMs?: number;
 }
 
-const [earlyKey, lateKey] = [uuidv7(), uuidv7()];
+const [earlyKey, middleKey, lateKey] = [uuidv7(), uuidv7(), uuidv7()];
 
 const cases: readonly Case[] = [
   { name: 'a stream in progress is completed', atMs: 0, request: completion, isAnswered: true },
@@ -68,6 +77,14 @@
     isAnswered: true,
     key: earlyKey,
   },
+  {
+    name: 'an order that waits for its claim until late in the stop is refused as not run',
+    atMs: MIDDLE_MS,
+    request: formatOrder(middleKey),
+    isAnswered: false,
+    key: middleKey,
+    waitMs: 2 * LOG_DELAY_MS,
+  },
   {
     name: 'an order that arrives late in the stop is refused as not run',
     atMs: LATE_MS,
@@ -128,12 +145,20 @@
   const stopped = sleep(300).then(() => {
     fleet.sendSignal(entry, 'SIGTERM');
   });
-  await Promise.all(cases.map((each) => send(each, stopped, entry.address)));
+  const slowed = stopped
+    .then(() => sleep(SLOW_LOG_MS))
+    .then(() =>
+      fetch(`http://${fleet.log.address}/faults`, {
+        method: 'POST',
+        body: JSON.stringify({ delayMs: LOG_DELAY_MS }),
+      }),
+    );
+  await Promise.all([slowed, ...cases.map((each) => send(each, stopped, entry.address))]);
   exitCode = await exited;
 });
 t.teardown(() => fleet.stop());
 
-for (const { name, isAnswered, key } of cases) {
+for (const { name, isAnswered, key, waitMs = 0 } of cases) {
   // Guards against requests that an entry takes late in its stop, passes on and cuts at its end without an answer.
   void t.test(name, (t) => {
     const { text, closedAfterMs } = received.get(name) ?? { text: '', closedAfterMs: Infinity };
@@ -144,8 +169,8 @@
       t.match(text, /^HTTP\/1\.1 503 /);
       t.match(text, /^retry-after: \d+\r$/im);
       t.match(text, /^connection: close\r$/im);
-      t.match(text, /"run":"not-run"/);
-      t.ok(closedAfterMs < 500, `closed after ${closedAfterMs} ms`);
+      t.match(text, /"run":"not-run","reason":"stopping"/);
+      t.ok(closedAfterMs < waitMs + REFUSAL_MS, `closed after ${closedAfterMs} ms`);
     }
     const orders = fleet.readJournal().filter((event) => event['key'] === key && event['event'] === 'order');
     if (key !== undefined) t.equal(orders.length, isAnswered ? 1 : 0);
