Tests: late streams are short and their targets keep the published pace

Since the pace of targets counts, stopLate passed also with the prediction put back for late requests: its targets had shown a pace of a tenth, so that the prediction refused the streams. Now targets keep the published pace until they fall silent or slow, and the late streams are predicted with 0.8 s where 1.4 s remain.

--- a/tests/node/stopLate.test.ts
+++ b/tests/node/stopLate.test.ts
@@ -3,12 +3,21 @@
 import { formatRequest, RawCaller } from '../support/rawCaller.js';
 
 const LAST_EVENT = `id: ${EVENTS_PER_STREAM}\n`;
-/** Interval of the events of a stream that begins before the stop and ends after the node has left the rotation. */
-const CARRIER_INTERVAL_MS = 80;
+/** Published duration of one decode step, in milliseconds. */
+const STEP_MS = 75;
+/** Pause between two events at about this pace; a stream that begins before the stop ends after the rotation. */
+const INTERVAL_MS = 80;
+/** Last event that the callers of late streams have; the published pace predicts 0.8 s for the rest. */
+const RESUMED_AFTER = 30;
 
 const platform = new PlatformFleet();
 
-function format(kind: 'stream' | 'order', id: string, deadlineMs = 6_000): string {
+function format(
+  kind: 'stream' | 'order',
+  id: string,
+  options: { readonly deadlineMs?: number | undefined; readonly lastEventId?: number } = {},
+): string {
+  const { deadlineMs = 6_000, lastEventId = 0 } = options;
   return formatRequest({
     path: `/${kind}/${id}`,
     headers: {
@@ -16,17 +25,17 @@
       'Deadline-Ms': String(deadlineMs),
       Authorization: `Bearer ${API_KEY}`,
       Model: MODEL,
-      'Token-Count': '100,40',
+      'Token-Count': `100,${EVENTS_PER_STREAM - lastEventId}`,
+      'Last-Event-Id': String(lastEventId),
     },
     body: `body-of-${id}`,
   });
 }
 
-/** Time before an event, in milliseconds, by the first part of the request's id. */
+/** Time before an event, in milliseconds, by the request's id. */
 const pauses: Readonly<Record<string, (eventId: number) => number>> = {
-  carrier: () => CARRIER_INTERVAL_MS,
-  silent: (eventId) => (eventId === 5 ? 1_200 : 15),
-  slow: () => 60,
+  silent: (eventId) => (eventId === 35 ? 1_200 : INTERVAL_MS),
+  slow: () => 200,
   short: () => 5,
 };
 
@@ -60,13 +69,13 @@
 
 // Guards against requests that arrive late in a planned stop, on a connection that is still open, and are taken and cut.
 void t.test('a request that arrives late in a calm stop is finished or refused as not run', async (t) => {
-  await platform.start({ drainTimeout: '5s' });
+  await platform.start({ drainTimeout: '5s', stepMs: STEP_MS });
   t.teardown(() => {
     platform.fleet.stop();
     platform.store.stop();
     setTimeout(() => process.exit(), 100);
   });
-  platform.fleet.pauseBefore = (id, eventId) => pauses[id.split('.')[0] ?? '']?.(eventId) ?? 15;
+  platform.fleet.pauseBefore = (id, eventId) => pauses[id]?.(eventId) ?? INTERVAL_MS;
   const carriers = await Promise.all(
     cases.map(async ({ id }) => {
       const carrier = await RawCaller.connect(platform.address);
@@ -84,7 +93,7 @@
       if (!caller) throw new Error('There is a carrier for each case.');
       await caller.waitForText(`${LAST_EVENT}data: {"n":${EVENTS_PER_STREAM}}\n\n\r\n0\r\n\r\n`);
       const sentAtMs = Date.now();
-      caller.write(format(kind, id, deadlineMs));
+      caller.write(format(kind, id, { deadlineMs, lastEventId: kind === 'stream' ? RESUMED_AFTER : 0 }));
       await caller.waitForClose();
       const text = caller.received.slice(caller.received.lastIndexOf('HTTP/1.1'));
       return { text, msAfterStop: sentAtMs - stoppedAtMs };
