--- a/tests/soak/program.ts
+++ b/tests/soak/program.ts
@@ -92,6 +92,14 @@
     faults: ['target leaves'],
     foundWithinMs: 90_000,
   },
+  {
+    name: 'a restored store goes unnoticed',
+    file: 'platform/lib/storeClient.js',
+    find: 'const era = decodeEra(headers[ERA_HEADER]);',
+    replace: 'const era = 0;',
+    faults: ['store restored', 'key taken away'],
+    foundWithinMs: 120_000,
+  },
 ];
 
 /** Bundles the program as deployed, or a mutant of it, into a new directory; returns the file's path. */
