Node: records of owners and registrations are logged with the era of the store

After a restore the logs did not tell which node had recorded the owners again, in which era a claim had been made, or that a claim had met a restore.

--- a/packages/node/src/peerDiscovery.ts
+++ b/packages/node/src/peerDiscovery.ts
@@ -97,6 +97,7 @@
     try {
       const { era } = await store.appendKeyed(Topic.nodes, self.node, self.address);
       this._registeredEra = era;
+      log.info('node registered', { era });
     } catch (error) {
       if (!(error instanceof StoreUnavailableError)) throw error;
       log.warn('node cannot be registered', { error: describeError(error) });
--- a/packages/node/src/shardOwnership.ts
+++ b/packages/node/src/shardOwnership.ts
@@ -231,18 +231,24 @@
   }
 
   private async _write(findRecord: RecordSource): Promise<void> {
-    const { store, counters, exchange } = this._options;
+    const { store, counters, exchange, log } = this._options;
     const { end, ownership: logged } = await this._readRecords();
     if (logged) this._apply(logged, 'store');
     const record = findRecord(logged ?? NO_OWNERS, end);
     if (this._abortController.signal.aborted) return;
     if (record) {
-      const { era } = await store.append(Topic.shards, encodeOwnershipRecord(record, end), end.offset);
+      const { era, offset } = await store.append(
+        Topic.shards,
+        encodeOwnershipRecord(record, end),
+        end.offset,
+      );
       if (era !== end.era) {
         // The store was restored after the read: another node may have been given the same term before.
         counters.add('monsoonreach_shard_claims_failed_total');
+        log.warn('store restored while owners of shards were recorded', { era, before: end.era });
         return;
       }
+      log.info('owners of shards recorded', { era, offset, owners: listOwners(record).map(({ id }) => id) });
       this._apply(record, 'own record');
       exchange.broadcast(createOwnershipMessage(this._ownership));
     }
