--- a/tests/node/stop.test.ts
+++ b/tests/node/stop.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
-import { API_KEY, EVENTS_PER_STREAM, MODEL, PlatformFleet } from '../platform/platformFleet.js';
+import { EVENTS_PER_STREAM, formatCall, PlatformFleet } from '../platform/platformFleet.js';
 import { sleep } from '../standins/http.js';
-import { formatRequest, RawCaller } from '../support/rawCaller.js';
+import { RawCaller } from '../support/rawCaller.js';
 
 /** Time after SIGTERM at which the listening socket is closed, in milliseconds, and what timers may add. */
 const IDLE_CLOSE_MS = 2_600 + 400;
@@ -19,29 +19,10 @@
   return platform.fleet.runs.filter(({ requestId }) => requestId === id);
 }
 
-function format(
-  kind: 'stream' | 'order',
-  id: string,
-  options: { answerTokens?: number; body?: string; deadlineMs?: number } = {},
-) {
-  const { answerTokens = 40, body = `body-of-${id}`, deadlineMs = 6_000 } = options;
-  return formatRequest({
-    path: `/${kind}/${id}`,
-    headers: {
-      'Attempt-Id': id,
-      'Deadline-Ms': String(deadlineMs),
-      Authorization: `Bearer ${API_KEY}`,
-      Model: MODEL,
-      'Token-Count': `100,${answerTokens}`,
-    },
-    body,
-  });
-}
-
 /** Opens a connection that has answered one order and is idle. */
 async function connectUsed(id: string): Promise<RawCaller> {
   const caller = await RawCaller.connect(platform.address);
-  caller.write(format('order', id));
+  caller.write(formatCall('order', id));
   await caller.waitForText(`${id}:body-of-${id}`);
   return caller;
 }
@@ -59,11 +40,11 @@
   const tooLong = await connectUsed('too-long');
   const unused = await RawCaller.connect(platform.address);
   const slowBody = await RawCaller.connect(platform.address);
-  const slowRequest = format('stream', 'slow-body', { deadlineMs: 4_000 });
+  const slowRequest = formatCall('stream', 'slow-body', { deadlineMs: 4_000 });
   const lateBody = await RawCaller.connect(platform.address);
-  const lateRequest = format('stream', 'late-body');
+  const lateRequest = formatCall('stream', 'late-body');
   const streaming = await RawCaller.connect(platform.address);
-  streaming.write(format('stream', 'streaming'));
+  streaming.write(formatCall('stream', 'streaming'));
   await streaming.waitForText('id: 1\n');
 
   const stoppedAtMs = Date.now();
@@ -79,7 +60,7 @@
   });
 
   await t.test('an order on an idle connection is answered and closes its connection', async (t) => {
-    usedLate.write(format('order', 'order-in-stop'));
+    usedLate.write(formatCall('order', 'order-in-stop'));
     await usedLate.waitForClose();
     t.match(usedLate.received, /connection: close/i);
     t.ok(usedLate.received.endsWith('order-in-stop:body-of-order-in-stop'));
@@ -90,7 +71,7 @@
   lateBody.write(lateRequest.slice(0, -4));
 
   await t.test('a stream that may take longer than the process lives is refused as not run', async (t) => {
-    tooLong.write(format('stream', 'refused-stream', { answerTokens: LONG_ANSWER_TOKENS }));
+    tooLong.write(formatCall('stream', 'refused-stream', { answerTokens: LONG_ANSWER_TOKENS }));
     await tooLong.waitForClose();
     const answer = tooLong.received.slice(tooLong.received.lastIndexOf('HTTP/1.1'));
     t.match(answer, /^HTTP\/1\.1 503 /);
--- a/tests/node/stopAnswers.test.ts
+++ b/tests/node/stopAnswers.test.ts
@@ -1,30 +1,16 @@
 import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
 import t from 'tap';
-import { API_KEY, EVENTS_PER_STREAM, MODEL, PlatformFleet } from '../platform/platformFleet.js';
+import { EVENTS_PER_STREAM, formatCall, PlatformFleet } from '../platform/platformFleet.js';
 import { sleep } from '../standins/http.js';
 import { holdWrites } from '../support/heldWrites.js';
-import { formatRequest, RawCaller } from '../support/rawCaller.js';
+import { RawCaller } from '../support/rawCaller.js';
 
 const platform = new PlatformFleet();
 const LAST_EVENT = `id: ${EVENTS_PER_STREAM}\n`;
 /** Time after SIGTERM at which the listening socket is closed, in milliseconds. */
 const CLOSE_MS = 2_600;
 
-function format(kind: 'stream' | 'order', id: string): string {
-  return formatRequest({
-    path: `/${kind}/${id}`,
-    headers: {
-      'Attempt-Id': id,
-      'Deadline-Ms': '6000',
-      Authorization: `Bearer ${API_KEY}`,
-      Model: MODEL,
-      'Token-Count': '100,40',
-    },
-    body: `body-of-${id}`,
-  });
-}
-
 function runsOf(id: string): number {
   return platform.fleet.runs.filter(({ requestId }) => requestId === id).length;
 }
@@ -48,13 +34,13 @@
     const slowSocket = sockets.at(-1);
     const pipelining = await RawCaller.connect(platform.address);
     const release = holdWrites(slowSocket);
-    slowReader.write(format('order', 'slow-reader'));
+    slowReader.write(formatCall('order', 'slow-reader'));
 
     const stoppedAtMs = Date.now();
     const draining = platform.node.drain();
 
     await t.test('pipelined requests that targets run are answered', async (t) => {
-      pipelining.write(format('stream', 'pipelined-1') + format('stream', 'pipelined-2'));
+      pipelining.write(formatCall('stream', 'pipelined-1') + formatCall('stream', 'pipelined-2'));
       await pipelining.waitForClose();
       t.ok(runsOf('pipelined-2') > 0);
       t.equal(pipelining.received.split(LAST_EVENT).length - 1, 2, 'complete answers');
--- a/tests/node/stopLate.test.ts
+++ b/tests/node/stopLate.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
-import { API_KEY, EVENTS_PER_STREAM, MODEL, PlatformFleet } from '../platform/platformFleet.js';
-import { formatRequest, RawCaller } from '../support/rawCaller.js';
+import { EVENTS_PER_STREAM, formatCall, PlatformFleet } from '../platform/platformFleet.js';
+import { RawCaller } from '../support/rawCaller.js';
 
 const LAST_EVENT = `id: ${EVENTS_PER_STREAM}\n`;
 /** Published duration of one decode step, in milliseconds. */
@@ -17,18 +17,11 @@
   id: string,
   options: { readonly deadlineMs?: number | undefined; readonly lastEventId?: number } = {},
 ): string {
-  const { deadlineMs = 6_000, lastEventId = 0 } = options;
-  return formatRequest({
-    path: `/${kind}/${id}`,
-    headers: {
-      'Attempt-Id': id,
-      'Deadline-Ms': String(deadlineMs),
-      Authorization: `Bearer ${API_KEY}`,
-      Model: MODEL,
-      'Token-Count': `100,${EVENTS_PER_STREAM - lastEventId}`,
-      'Last-Event-Id': String(lastEventId),
-    },
-    body: `body-of-${id}`,
+  const { deadlineMs, lastEventId = 0 } = options;
+  return formatCall(kind, id, {
+    deadlineMs,
+    lastEventId,
+    answerTokens: EVENTS_PER_STREAM - lastEventId,
   });
 }
 
--- a/tests/node/stopPipelined.test.ts
+++ b/tests/node/stopPipelined.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
-import { API_KEY, MODEL, PlatformFleet } from '../platform/platformFleet.js';
+import { formatCall, PlatformFleet } from '../platform/platformFleet.js';
 import { sleep } from '../standins/http.js';
-import { formatRequest, RawCaller } from '../support/rawCaller.js';
+import { RawCaller } from '../support/rawCaller.js';
 
 /** Time after SIGTERM at which the balancer has left the node, in milliseconds. */
 const LATE_MS = 3_100;
@@ -10,20 +10,6 @@
 
 const platform = new PlatformFleet();
 
-function format(kind: 'stream' | 'order', id: string, deadlineMs: number): string {
-  return formatRequest({
-    path: `/${kind}/${id}`,
-    headers: {
-      'Attempt-Id': id,
-      'Deadline-Ms': String(deadlineMs),
-      Authorization: `Bearer ${API_KEY}`,
-      Model: MODEL,
-      'Token-Count': '100,40',
-    },
-    body: `body-of-${id}`,
-  });
-}
-
 // Guards against orders that are run late in a stop, though their answers have to wait for another one on the connection.
 void t.test('a pipelined order that arrives late in a stop is not run behind a slow stream', async (t) => {
   await platform.start({ drainTimeout: '5s' });
@@ -34,11 +20,11 @@
   });
   platform.fleet.pauseBefore = () => SLOW_INTERVAL_MS;
   const caller = await RawCaller.connect(platform.address);
-  caller.write(format('stream', 'carrier', 6_000));
+  caller.write(formatCall('stream', 'carrier'));
   await caller.waitForText('id: 1\n');
   const draining = platform.node.drain();
   await sleep(LATE_MS);
-  caller.write(format('order', 'late-order', 1_000));
+  caller.write(formatCall('order', 'late-order', { deadlineMs: 1_000 }));
   await caller.waitForClose();
   t.notOk(platform.fleet.runs.some(({ requestId }) => requestId === 'late-order'));
   await draining;
--- a/tests/node/stopSlowTargets.test.ts
+++ b/tests/node/stopSlowTargets.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
-import { API_KEY, EVENTS_PER_STREAM, MODEL, PlatformFleet } from '../platform/platformFleet.js';
+import { EVENTS_PER_STREAM, formatCall, PlatformFleet } from '../platform/platformFleet.js';
 import { sleep } from '../standins/http.js';
-import { formatRequest, RawCaller } from '../support/rawCaller.js';
+import { RawCaller } from '../support/rawCaller.js';
 
 const LAST_EVENT = `id: ${EVENTS_PER_STREAM}\n`;
 /** Published duration of one decode step, and so of the pause between two events, in milliseconds. */
@@ -15,19 +15,8 @@
 
 async function connectAndSend(id: string, lastEventId = 0): Promise<RawCaller> {
   const caller = await RawCaller.connect(platform.address);
-  const request = formatRequest({
-    path: `/stream/${id}`,
-    headers: {
-      'Attempt-Id': id,
-      'Deadline-Ms': '6000',
-      Authorization: `Bearer ${API_KEY}`,
-      Model: MODEL,
-      'Token-Count': `100,${EVENTS_PER_STREAM - lastEventId}`,
-      'Last-Event-Id': String(lastEventId),
-    },
-    body: `body-of-${id}`,
-  });
-  caller.write(request);
+  const answerTokens = EVENTS_PER_STREAM - lastEventId;
+  caller.write(formatCall('stream', id, { lastEventId, answerTokens }));
   return caller;
 }
 
--- a/tests/node/stopWaiting.test.ts
+++ b/tests/node/stopWaiting.test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
-import { API_KEY, MODEL, PlatformFleet } from '../platform/platformFleet.js';
+import { formatCall, PlatformFleet } from '../platform/platformFleet.js';
 import { sleep } from '../standins/http.js';
-import { formatRequest, RawCaller } from '../support/rawCaller.js';
+import { RawCaller } from '../support/rawCaller.js';
 
 /** Time after SIGTERM at which the request arrives, in milliseconds; its target refuses it after the rotation has ended. */
 const ARRIVAL_MS = 1_800;
@@ -25,19 +25,7 @@
   const draining = platform.node.drain();
   await sleep(ARRIVAL_MS);
   setModes('refuses-late');
-  caller.write(
-    formatRequest({
-      path: '/once/waiting',
-      headers: {
-        'Attempt-Id': 'waiting',
-        'Deadline-Ms': '6000',
-        Authorization: `Bearer ${API_KEY}`,
-        Model: MODEL,
-        'Token-Count': '100,40',
-      },
-      body: 'body',
-    }),
-  );
+  caller.write(formatCall('once', 'waiting', { body: 'body' }));
   await sleep(300);
   setModes('well');
   await caller.waitForClose();
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -1,6 +1,7 @@
 import { systemClock } from '@monsoonreach/core';
 import { Node, parseNodeSettings } from '@monsoonreach/node';
 import { findFreePorts } from '../support/ports.js';
+import { formatRequest } from '../support/rawCaller.js';
 import { sleep } from '../standins/http.js';
 import { InstanceFleet } from './instanceStandin.js';
 import { StoreStandin } from './storeStandin.js';
@@ -62,6 +63,37 @@
   };
 }
 
+/** Options of {@link formatCall}. */
+export interface CallOptions {
+  /** Time that the caller allows, in milliseconds; 6 s by default. */
+  readonly deadlineMs?: number | undefined;
+  /** Largest number of tokens in the answer; 40 by default. */
+  readonly answerTokens?: number;
+  /** Id of the last event that the caller has; none by default. */
+  readonly lastEventId?: number;
+  readonly body?: string;
+}
+
+/** Formats a caller's request with the workspace's key. */
+export function formatCall(
+  route: 'stream' | 'once' | 'order',
+  id: string,
+  { deadlineMs = 6_000, answerTokens = 40, lastEventId, body = `body-of-${id}` }: CallOptions = {},
+): string {
+  return formatRequest({
+    path: `/${route}/${id}`,
+    headers: {
+      'Attempt-Id': id,
+      'Deadline-Ms': String(deadlineMs),
+      Authorization: `Bearer ${API_KEY}`,
+      Model: MODEL,
+      'Token-Count': `100,${answerTokens}`,
+      ...(lastEventId === undefined ? {} : { 'Last-Event-Id': String(lastEventId) }),
+    },
+    body,
+  });
+}
+
 /** One node in this process, with stand-ins for the store, five engines and two plain targets. */
 export class PlatformFleet {
   readonly store = new StoreStandin();
