Node: the log names the state that an order was decided on, and its source

The log of the incident could not tell whether the planner took an open head for a free instance, used an outdated state of it, or sent an order that rested on another state than the decision. The line of each order now holds the instance's membership at the decision and where it was known from.

--- a/packages/core/src/serving/instanceStateOverlay.ts
+++ b/packages/core/src/serving/instanceStateOverlay.ts
@@ -6,10 +6,12 @@
 /** Maximum time until the list shows the effect of an order, in milliseconds: its refresh interval plus its lag. */
 const LIST_LAG_MS = 1_300;
 
+/** Where a state comes from: the instance's own report, or an order that it has started. */
+export type StateSource = 'report' | InstanceOrder['kind'];
+
 /** State of an instance that may be newer than its entry in the list. */
 interface OverlayEntry {
-  /** Where the state comes from: the instance's own report, or an order that it has started. */
-  readonly source: 'report' | InstanceOrder['kind'];
+  readonly source: StateSource;
   readonly instance: TargetInstance;
   /** Number of orders that the instance has started so far. */
   readonly orderCount: number;
@@ -71,6 +73,11 @@
     return overlay?.instance.startedAtMs === instance.startedAtMs ? overlay.orderCount : undefined;
   }
 
+  /** Where the overlay's state of an instance comes from; undefined if it has none. */
+  getSource(id: string): StateSource | undefined {
+    return this._entries.get(id)?.source;
+  }
+
   /** Membership state from the overlay alone; undefined if unknown. */
   getMemberState(id: string): MemberState | undefined {
     return this._entries.get(id)?.instance.membership?.state;
--- a/packages/node/src/orderSender.ts
+++ b/packages/node/src/orderSender.ts
@@ -108,6 +108,7 @@
       group: 'group' in order ? order.group : undefined,
       epoch: 'epoch' in order ? order.epoch : undefined,
       expectedOrderCount,
+      ...this._describeBasis(order.instance),
       outcome: outcome.kind,
     });
     await this._handleOutcome(order, outcome, { term, expectedOrderCount });
@@ -145,6 +146,18 @@
     return undefined;
   }
 
+  /** Describes the state of the instance that the order was decided on, and where that state comes from. */
+  private _describeBasis(instance: TargetInstance): Readonly<Record<string, unknown>> {
+    const { membership } = instance;
+    const isListed = this._options.list.get(instance.id) === instance;
+    return {
+      basis: membership
+        ? `${groupId(membership)} rank ${membership.rank} ${membership.state}`
+        : 'in no group',
+      basisSource: isListed ? 'list' : this._overlay.getSource(instance.id),
+    };
+  }
+
   private async _handleOutcome(
     order: InstanceOrder,
     outcome: OrderOutcome,
