Planner: an instance joins a group only out of none, on its own leave

Cause: whether an instance may join another group was remembered for its old group. Each acknowledged leave, also a member's, marked the group as one whose head had left, for 60 s, and that was asked before the state of the head. A head that was silent while its members left, and answered again, counted as free although it was open; so did a member that had not left yet. Ruled out by the log of each order's basis: an outdated state of the head (it was open in the list that was used), and an order that rested on another state than the decision.

Change: nothing is remembered for a group. An instance is free if it is in no group, or in its own standby group, which never opens; to get there it leaves its group on an order of its own, whose condition is the number of orders that it has begun. So what the planner believes of the head, which may change, decides when members leave, and no longer whether they may be joined. Who has left is derived from what that instance shows now (GroupRoster).

A head that comes back without its members leaves its group at once; it stayed open until the engine found it broken, 4 s after the next request. So does a member whose head has left. A ready group that lacks a member, of whatever term and with however many listed members, ends by an order to its head: this replaces the memory of orders to open without an answer, and the special case of earlier terms, which left out a head that was listed alone. Members of a formation that was given up leave at once; without a head they waited for 12 s.

The test of a planner that takes over beside a spare of either name passes as well: a ready head is asked before it is told to leave.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -1,7 +1,8 @@
 import { layOutGroups } from './groupLayout.js';
-import { createGroupName, createStandbyName, findModelOfGroup } from './groupName.js';
+import { createGroupName, createStandbyName, findModelOfGroup, isStandbyName } from './groupName.js';
+import { GroupRoster } from './groupRoster.js';
 import { findLoadingModel, findUsedModel, ModelAssignment } from './modelAssignment.js';
-import { groupId, isHeadServing, isWhole, type ObservedGroup, observeGroups } from './observedGroups.js';
+import { groupId, isWhole, type ObservedGroup, observeGroups } from './observedGroups.js';
 import type { ModelProfile, ServingService } from './servingConfiguration.js';
 import { MAX_EPOCHS_PER_TERM } from './shards.js';
 import type { TargetInstance } from './targetInstance.js';
@@ -46,10 +47,6 @@
   readonly isHeadGone: (group: string) => boolean;
   /** Whether several nodes find that a group makes no progress, so that its silent head is not cut off from one only. */
   readonly isGroupStalled: (group: string) => boolean;
-  /** Ids of groups whose head left on an order of this planner. */
-  readonly headlessGroups: ReadonlySet<string>;
-  /** Ids of groups whose `open` order was not acknowledged: the head may still carry it out until it has left. */
-  readonly unconfirmedOpens: ReadonlySet<string>;
   /** Heads that are missing from the instance list but still serve. */
   readonly unlistedServingHeads: readonly TargetInstance[];
   /** False while the list may lack running instances, as after an outage of the store. */
@@ -70,12 +67,20 @@
 }
 
 /**
- * Decides which instances form which groups. Its only state is the formations in progress, the epoch counter and the
- * rate limit of weight loads; everything else is derived from the instance list, so that another planner can take over.
+ * Decides which instances form which groups. Its only state is the formations in progress, the epoch counter, the rate
+ * limit of weight loads, and who held which rank; everything else is derived from the instances as they are now, so that
+ * another planner can take over.
+ *
+ * An instance joins a group only out of none, or out of its own standby group, which never opens: it leaves the previous
+ * one on an order of its own. So whether it may join is decided by its own state, to which its orders are bound, and does
+ * not depend on what became of the other members and the head, which may be silent for a while and go on.
  */
 export class FormationPlanner {
   private readonly _formations = new Map<string, Formation>();
   private readonly _assignments = new Map<string, ModelAssignment>();
+  private readonly _roster = new GroupRoster();
+  /** Ids of the groups whose formation was given up before the group was opened, while instances are in them. */
+  private readonly _abandonedGroups = new Set<string>();
   private _sequence = 0;
   private _availableWeightLoads = WEIGHT_LOAD_BURST;
   private _refilledAtMs: number | undefined;
@@ -96,6 +101,9 @@
     for (const service of view.services) {
       if (service.engine) orders.push(...this._planService(view, service));
     }
+    const groups = this._listGroups(view);
+    this._roster.retain(groups);
+    for (const id of this._abandonedGroups) if (!groups.has(id)) this._abandonedGroups.delete(id);
     return orders;
   }
 
@@ -105,11 +113,12 @@
       ({ fabricDomain }) => view.findTerm(fabricDomain) !== undefined,
     );
     const groups = observeGroups(service, owned);
+    for (const group of groups.values()) this._roster.record(group, listRanks(group));
     this._removeEndedFormations(view, service);
     const orders: InstanceOrder[] = [];
     for (const group of groups.values()) orders.push(...this._planGroup(view, group));
     orders.push(...planUnlistedHeadCloses(view, service));
-    const free = this._findFreeInstances(view, service, owned, groups);
+    const free = this._findFreeInstances(view, service, owned);
     const loads = this._findLoads(view, service, free);
     this._startFormations(view, service, free, loads);
     for (const formation of this._formations.values()) {
@@ -134,45 +143,76 @@
     this._refilledAtMs = view.nowMs;
   }
 
-  /** Removes formations that have opened, or lost a member before that. */
+  /** Ids of the groups that any instance is in or is to join. */
+  private _listGroups(view: FormationView): ReadonlySet<string> {
+    const ids = new Set<string>();
+    for (const { membership } of view.instances.values()) if (membership) ids.add(groupId(membership));
+    for (const { name, epoch } of this._formations.values()) ids.add(groupId({ group: name, epoch }));
+    return ids;
+  }
+
+  /** Removes formations that have opened, or can no longer become whole. */
   private _removeEndedFormations(view: FormationView, service: ServingService): void {
     for (const [id, formation] of this._formations) {
       if (formation.service !== service.name) continue;
       const members = formation.members.map((member) => view.instances.get(member));
-      const isLost = members.some(
-        (member) =>
-          member?.state !== 'ready' ||
-          view.silentInstances.has(member.id) ||
-          view.findTerm(member.fabricDomain) !== formation.term ||
-          hasNewerMembership(member, formation),
-      );
-      const isOpen = members[0]?.membership?.state === 'open';
-      if (isLost || isOpen) this._formations.delete(id);
+      const [head] = members;
+      const isOpen = head?.membership?.state === 'open';
+      const isLost = members.some((member) => !member || !canComplete(view, member, formation));
+      if (!isOpen && !isLost) continue;
+      this._formations.delete(id);
+      if (!isOpen) this._abandonedGroups.add(toGroupId(formation));
     }
   }
 
   private _planGroup(view: FormationView, group: ObservedGroup): readonly InstanceOrder[] {
+    if (isStandbyName(group.name)) return [];
     const { head } = group;
-    if (isHeadLost(view, group)) return planMemberLeaves(view, group);
-    if (!head || view.instancesWithPendingOrder.has(head.id)) return [];
+    if (this._hasNoHead(view, group)) return planMemberLeaves(view, group);
+    if (!head || view.instancesWithPendingOrder.has(head.id) || view.silentInstances.has(head.id)) return [];
     const order = { instance: head, group: group.name, epoch: group.epoch };
-    const isAnswering = group.members.every((member) => !view.silentInstances.has(member.id));
-    if (head.membership?.state === 'ready' && isWhole(group) && isAnswering) {
-      return [{ ...order, kind: 'open' }];
+    const state = head.membership?.state;
+    if (state === 'ready' && isWhole(group) && isAnswering(view, group)) return [{ ...order, kind: 'open' }];
+    // The others follow once the head has left, except in a broken group, which does not serve any more.
+    if (this._isEnded(view, group)) {
+      const leave = { ...order, kind: 'leave' as const };
+      return state === 'broken' ? [leave, ...planMemberLeaves(view, group)] : [leave];
+    }
+    const isLeaving = group.members.some((member) => member.state === 'leaving');
+    return state === 'open' && isLeaving ? [{ ...order, kind: 'close' }] : [];
+  }
+
+  /** Whether the group has no head that serves, or could be told to end. */
+  private _hasNoHead(view: FormationView, group: ObservedGroup): boolean {
+    const isNeverOpened = !group.head && this._abandonedGroups.has(toGroupId(group));
+    return isNeverOpened || this._roster.hasHeadLeft(group, view.instances) || isHeadLost(view, group);
+  }
+
+  /** Whether a group whose head answers serves no more, or will never serve. */
+  private _isEnded(view: FormationView, group: ObservedGroup): boolean {
+    switch (group.head?.membership?.state) {
+      case 'joining':
+      case 'ready':
+        return view.isListSettled && !this._formations.has(group.name) && !isAssembling(view, group);
+      case 'open':
+      case 'closing':
+        // A group that lacks a member is stalled. The head leaves before the engines detect the loss.
+        return (
+          !isAnswering(view, group) ||
+          this._roster.hasMemberLeft(group, view.instances) ||
+          (view.isListSettled && isIncomplete(group) && view.isGroupStalled(toGroupId(group)))
+        );
+      case 'broken':
+        return true;
+      case undefined:
+        return false;
     }
-    if (this._isStale(view, group)) return [{ ...order, kind: 'leave' }];
-    if (head.membership?.state !== 'open') return [];
-    // A group that lost a member is stalled. Making the head leave frees the others before the engines detect the loss.
-    if (!isAnswering && !view.silentInstances.has(head.id)) return [{ ...order, kind: 'leave' }];
-    const isLeaving = group.members.some(({ state }) => state === 'leaving');
-    return isLeaving ? [{ ...order, kind: 'close' }] : [];
   }
 
   private _findFreeInstances(
     view: FormationView,
     service: ServingService,
     owned: readonly TargetInstance[],
-    groups: ReadonlyMap<string, ObservedGroup>,
   ): readonly TargetInstance[] {
     const assigned = this._getAssignedInstances();
     return owned.filter(
@@ -183,7 +223,7 @@
         !view.instancesWithPendingOrder.has(instance.id) &&
         !view.silentInstances.has(instance.id) &&
         findLoadingModel(instance) === undefined &&
-        this._isReleased(view, instance, groups),
+        isFree(instance),
     );
   }
 
@@ -192,55 +232,6 @@
     return new Set(this.listFormingInstances());
   }
 
-  /** Whether the instance may join another group because its own no longer serves. */
-  private _isReleased(
-    view: FormationView,
-    { membership }: TargetInstance,
-    groups: ReadonlyMap<string, ObservedGroup>,
-  ): boolean {
-    if (!membership) return true;
-    const id = groupId(membership);
-    const group = groups.get(id);
-    if (!group) return true;
-    if (view.headlessGroups.has(id)) return true;
-    if (!group.head || view.silentInstances.has(group.head.id)) return false;
-    if (isHeadServing(group) || this._isStale(view, group)) return false;
-    if (group.head.membership?.state === 'broken') return true;
-    if (view.instancesWithPendingOrder.has(group.head.id)) return false;
-    return !isWhole(group) && !this._isAssembling(view, group);
-  }
-
-  /**
-   * Whether the group cannot become whole but a delayed `open` could still open it: one sent by the planner of an
-   * earlier term, or one that was not acknowledged. Another order to its head rules that out.
-   */
-  private _isStale(view: FormationView, group: ObservedGroup): boolean {
-    const term = view.findTerm(group.members[0]?.fabricDomain ?? '') ?? 0;
-    const isEarlierTerm = group.epoch < term * MAX_EPOCHS_PER_TERM;
-    const isOpenPossible =
-      isEarlierTerm || view.unconfirmedOpens.has(groupId({ group: group.name, epoch: group.epoch }));
-    const state = group.head?.membership?.state;
-    return (
-      isOpenPossible &&
-      group.members.length > 1 &&
-      (state === 'ready' || state === 'joining') &&
-      !isWhole(group) &&
-      !this._isAssembling(view, group)
-    );
-  }
-
-  /** Whether all members are present and not broken; such a group, also of an earlier term, may still become ready. */
-  private _isAssembling(view: FormationView, group: ObservedGroup): boolean {
-    return (
-      group.model !== undefined &&
-      group.members.length === group.model.groupSize &&
-      group.members.every(
-        ({ id, state, membership }) =>
-          state === 'ready' && !view.silentInstances.has(id) && membership?.state !== 'broken',
-      )
-    );
-  }
-
   /** Returns the model that each free instance should load, by id. */
   private _findLoads(
     view: FormationView,
@@ -302,6 +293,7 @@
     const term = view.findTerm(members[0]?.fabricDomain ?? '') ?? 0;
     const epoch = this._takeEpoch(term);
     const name = createGroupName(model.name, epoch);
+    this._roster.record({ name, epoch }, members.entries());
     this._formations.set(name, {
       name,
       term,
@@ -317,8 +309,7 @@
     for (const id of formation.members) {
       const instance = view.instances.get(id);
       if (!instance || view.instancesWithPendingOrder.has(id)) continue;
-      const { membership } = instance;
-      if (membership?.group === formation.name && membership.epoch === formation.epoch) continue;
+      if (isMemberOf(instance, formation)) continue;
       if (!instance.stagedModels.includes(formation.model.name) && !this._takeWeightLoad()) continue;
       orders.push({
         kind: 'join',
@@ -376,18 +367,63 @@
   }
 }
 
+function toGroupId({ name, epoch }: Pick<ObservedGroup, 'name' | 'epoch'>): string {
+  return groupId({ group: name, epoch });
+}
+
+function listRanks({ members }: ObservedGroup): readonly (readonly [number, TargetInstance])[] {
+  return members.flatMap((member) => (member.membership ? [[member.membership.rank, member] as const] : []));
+}
+
+/** Whether the instance may join a group: it is in none, or in its own standby group, which never opens. */
+function isFree({ membership }: TargetInstance): boolean {
+  if (!membership) return true;
+  return isStandbyName(membership.group) && membership.state !== 'open' && membership.state !== 'closing';
+}
+
+function isMemberOf({ membership }: TargetInstance, { name, epoch }: Formation): boolean {
+  return membership?.group === name && membership.epoch === epoch;
+}
+
+/** Whether the member is in the formation's group, or may still join it. */
+function canComplete(view: FormationView, member: TargetInstance, formation: Formation): boolean {
+  const isUsable =
+    member.state === 'ready' &&
+    !view.silentInstances.has(member.id) &&
+    view.findTerm(member.fabricDomain) === formation.term;
+  if (!isUsable) return false;
+  if (isMemberOf(member, formation)) return member.membership?.state !== 'broken';
+  return (member.membership?.epoch ?? 0) <= formation.epoch;
+}
+
+/** Whether no member of the group is silent. */
+function isAnswering(view: FormationView, { members }: ObservedGroup): boolean {
+  return members.every(({ id }) => !view.silentInstances.has(id));
+}
+
+/** Whether fewer members are listed than the group's model needs. */
+function isIncomplete({ model, members }: ObservedGroup): boolean {
+  return model !== undefined && members.length < model.groupSize;
+}
+
+/** Whether all members are present and not broken; such a group, also of an earlier term, may still become ready. */
+function isAssembling(view: FormationView, group: ObservedGroup): boolean {
+  return (
+    group.members.length === group.model?.groupSize &&
+    isAnswering(view, group) &&
+    group.members.every(({ state, membership }) => state === 'ready' && membership?.state !== 'broken')
+  );
+}
+
 /** Whether the head cannot be reached, so that the group cannot be ended by an order to it. */
-function isHeadLost(view: FormationView, { name, epoch, head }: ObservedGroup): boolean {
-  const id = groupId({ group: name, epoch });
-  if (view.headlessGroups.has(id)) return false;
+function isHeadLost(view: FormationView, group: ObservedGroup): boolean {
+  const { head } = group;
+  const id = toGroupId(group);
   if (!head) return view.isListSettled && view.isHeadGone(id);
   return view.silentInstances.has(head.id) && view.isGroupStalled(id);
 }
 
-/**
- * Makes the members leave a group whose head is lost. They may join another group only then: the head may still be
- * running, cut off from this node, and would not notice that its members have joined another group.
- */
+/** Makes the other members leave a group that has no head or whose head is lost. */
 function planMemberLeaves(
   view: FormationView,
   { name, epoch, members }: ObservedGroup,
@@ -403,10 +439,6 @@
     .map((instance) => ({ kind: 'leave' as const, instance, group: name, epoch }));
 }
 
-function hasNewerMembership(instance: TargetInstance, formation: Formation): boolean {
-  return (instance.membership?.epoch ?? 0) > formation.epoch;
-}
-
 /** A head that is cut off from the store gets no requests; closing it makes its members available. */
 function planUnlistedHeadCloses(view: FormationView, service: ServingService): readonly InstanceOrder[] {
   if (!view.isListSettled) return [];
@@ -415,7 +447,7 @@
       head.service === service.name &&
       view.findTerm(head.fabricDomain) !== undefined &&
       !view.instancesWithPendingOrder.has(head.id);
-    if (!isOrderable || !head.membership || view.headlessGroups.has(groupId(head.membership))) return [];
+    if (!isOrderable || !head.membership) return [];
     const { group, epoch } = head.membership;
     return [{ kind: 'close' as const, instance: head, group, epoch }];
   });
--- a/packages/core/src/serving/groupLayout.ts
+++ b/packages/core/src/serving/groupLayout.ts
@@ -46,7 +46,7 @@
 /** Predicts the time until the instance is ready to serve the model, in milliseconds. */
 export function predictJoinMs(model: ModelProfile, instance: TargetInstance): number {
   if (!instance.stagedModels.includes(model.name)) return model.loadMs;
-  return instance.membership && instance.models.includes(model.name) ? REJOIN_MS : model.warmupMs;
+  return instance.models.includes(model.name) ? REJOIN_MS : model.warmupMs;
 }
 
 /** Groups items by key, in the order of their first occurrence. */
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -9,6 +9,7 @@
 export * from './targetChoice.js';
 export * from './groupLayout.js';
 export * from './groupName.js';
+export * from './groupRoster.js';
 export * from './instanceStateOverlay.js';
 export * from './keyTrust.js';
 export * from './loadTracker.js';
--- a/packages/node/src/orderSender.ts
+++ b/packages/node/src/orderSender.ts
@@ -20,8 +20,6 @@
 const ORDER_EFFECT_MS = 1_500;
 /** Time for which a closing head is polled, in milliseconds; its requests may take that long to finish. */
 const CLOSE_TIMEOUT_MS = 8_000;
-/** Time for which a group is remembered whose head left on an order, in milliseconds; its members are reused long before. */
-const HEADLESS_GROUP_TTL_MS = 60_000;
 
 /** Dependencies of {@link OrderSender}. */
 export interface OrderSenderOptions {
@@ -42,10 +40,6 @@
   /** Instances with an order in progress, with the monotonic time until which they get no other. */
   private readonly _pendingOrders = new Map<string, number>();
   private readonly _overlay = new InstanceStateOverlay();
-  /** Groups whose head left on an order of this node, with the monotonic time of that order. */
-  private readonly _headlessGroups = new Map<string, number>();
-  /** Groups whose order to open has no known outcome. */
-  private readonly _unconfirmedOpens = new Set<string>();
   private readonly _abortController = new AbortController();
 
   constructor(private readonly _options: OrderSenderOptions) {}
@@ -57,10 +51,6 @@
     return this._pendingOrders.size > 0;
   }
 
-  get unconfirmedOpens(): ReadonlySet<string> {
-    return this._unconfirmedOpens;
-  }
-
   /** Ids of the instances that get no other order for now. */
   listPending(): ReadonlySet<string> {
     const nowMs = this._options.clock.monotonic();
@@ -68,14 +58,6 @@
     return new Set(this._pendingOrders.keys());
   }
 
-  /** Ids of the groups whose head left on an order of this node. */
-  listHeadlessGroups(): ReadonlySet<string> {
-    const nowMs = this._options.clock.monotonic();
-    for (const [id, atMs] of this._headlessGroups)
-      if (nowMs - atMs > HEADLESS_GROUP_TTL_MS) this._headlessGroups.delete(id);
-    return new Set(this._headlessGroups.keys());
-  }
-
   /** The listed instances, with newer state where this node knows it. */
   listInstances(): ReadonlyMap<string, TargetInstance> {
     return this._overlay.merge(this._options.list);
@@ -181,7 +163,6 @@
         return;
       case 'conflict':
       case 'unknown':
-        if (order.kind === 'open') this._unconfirmedOpens.add(groupId(order));
         await pause(MAX_REPORT_LAG_MS, this._abortController.signal);
         await this.refresh(order.instance);
         if (order.kind === 'stage') this._pendingOrders.set(id, clock.monotonic() + ORDER_EFFECT_MS);
@@ -194,8 +175,6 @@
     this._overlay.recordOrderStart(order, orderCount, nowMs);
     if (order.kind !== 'open') this._pendingOrders.delete(id);
     if (order.kind === 'close') void this._pollUntilClosed(order.instance);
-    if (order.kind === 'leave')
-      this._headlessGroups.set(groupId({ group: order.group, epoch: order.epoch }), nowMs);
   }
 
   /** Polls a head until it has closed, because the instance list shows that late. */
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -177,8 +177,6 @@
       findTerm: (fabricDomain) => this._findTerm(fabricDomain),
       instancesWithPendingOrder: this._orders.listPending(),
       silentInstances: this._checks.getLostMembers(),
-      headlessGroups: this._orders.listHeadlessGroups(),
-      unconfirmedOpens: this._orders.unconfirmedOpens,
       isHeadGone: (group) => heads.isReleased(group),
       isGroupStalled: (group) =>
         this._checks.countReporters(group, nowMs) >= Math.min(MIN_STALL_REPORTERS, countNodes()),
--- a/tests/serving/fixtures.ts
+++ b/tests/serving/fixtures.ts
@@ -93,8 +93,6 @@
     findTerm: () => TERM,
     instancesWithPendingOrder: new Set(),
     silentInstances: new Set(),
-    headlessGroups: new Set(),
-    unconfirmedOpens: new Set(),
     isHeadGone: () => false,
     isGroupStalled: () => false,
     unlistedServingHeads: [],
--- a/tests/serving/formationPlanner.test.ts
+++ b/tests/serving/formationPlanner.test.ts
@@ -25,7 +25,7 @@
 const standby = createInstance('standby', {
   stagedModels: ['large'],
   models: ['large'],
-  membership: { group: 'standby-1', epoch: 2, rank: 0, state: 'ready' },
+  membership: { group: createStandbyName('large', 2), epoch: 2, rank: 0, state: 'ready' },
 });
 
 function withState(member: TargetInstance, state: 'ready' | 'broken' | 'closing'): TargetInstance {
@@ -71,20 +71,36 @@
     orders: ['open a-0'],
   },
   {
-    name: 'a ready group that lacks a member is not opened; its members form another group',
+    name: 'the head of a ready group that lacks a member leaves it, as a delayed order may still open it',
     instances: [withState(currentTermHead, 'ready'), currentTermSecond, standby],
-    orders: ['join b-0', 'join b-1', 'join standby'],
+    orders: ['leave b-0'],
   },
   {
-    name: 'the head of a ready group that is not whole leaves first if the planner of an earlier term may still open the group',
+    name: 'the same if the planner of an earlier term has formed the group',
     instances: [withState(head, 'ready'), second, standby],
     orders: ['leave a-0'],
   },
   {
-    name: 'the head of a ready group that is not whole leaves first if an unanswered open order may be executed late',
-    instances: [withState(currentTermHead, 'ready'), currentTermSecond, standby],
-    view: { unconfirmedOpens: new Set(['b@300001']) },
-    orders: ['leave b-0'],
+    name: 'the same if the head is the only member that is listed',
+    instances: [withState(head, 'ready'), standby],
+    orders: ['leave a-0'],
+  },
+  {
+    name: 'a ready group with a silent member is not opened',
+    instances: [withState(head, 'ready'), second, third, standby],
+    view: { silentInstances: new Set(['a-1']) },
+    orders: ['leave a-0'],
+  },
+  {
+    name: 'an open group that lacks a listed member is left alone: the member may be cut off from the store only',
+    instances: [head, second, standby],
+    orders: [],
+  },
+  {
+    name: 'the head leaves an open group that lacks a listed member once several nodes find the group stalled',
+    instances: [head, second, standby],
+    view: { isGroupStalled: () => true },
+    orders: ['leave a-0'],
   },
   {
     name: 'the head leaves an open group with a silent member before the other members are used',
@@ -93,9 +109,9 @@
     orders: ['leave a-0'],
   },
   {
-    name: 'members whose head has left form a group with the substitute',
-    instances: [withoutGroup(head), second, third, standby],
-    view: { headlessGroups: new Set(['a@7']), silentInstances: new Set(['a-0']) },
+    name: 'instances that have left their group form a group with the substitute',
+    instances: [withoutGroup(head), withoutGroup(second), withoutGroup(third), standby],
+    view: { silentInstances: new Set(['a-0']) },
     orders: FORMATION_JOINS,
   },
   {
@@ -109,9 +125,9 @@
     orders: [],
   },
   {
-    name: 'members of a broken group form another group',
+    name: 'the members of a broken group leave it before they form another one',
     instances: [withState(head, 'broken'), second, standby],
-    orders: ['join a-0', 'join a-1', 'join standby'],
+    orders: ['leave a-0', 'leave a-1'],
   },
   {
     name: 'members whose head is not listed wait until it is known to be gone',
@@ -183,11 +199,7 @@
   },
   {
     name: 'load pattern, a lost member: the others do not load the weights of a smaller group',
-    instances: [
-      withState(head, 'broken'),
-      second,
-      ...createGroupMembers('s', 8, SMALL_MODEL, ['open', 'ready']),
-    ],
+    instances: [...createStandbys('large', 2), ...createGroupMembers('s', 8, SMALL_MODEL, ['open', 'ready'])],
     orders: [],
   },
   {
@@ -220,7 +232,7 @@
   'the join orders of one formation name the same members, and a higher epoch than all before',
   (t) => {
     const planner = new FormationPlanner();
-    const orders = planner.plan(createView([withState(head, 'broken'), second, standby]));
+    const orders = planner.plan(createView([withoutGroup(head), withoutGroup(second), standby]));
     const joins = orders.flatMap((order) => (order.kind === 'join' ? [order] : []));
     t.equal(new Set(joins.map(({ group, epoch, members }) => `${group} ${epoch} ${members.join()}`)).size, 1);
     t.ok(joins.every(({ epoch }) => epoch > 7));
@@ -230,7 +242,7 @@
 
 void t.test('a later term uses higher epochs', (t) => {
   const epochOf = (term: number) => {
-    const view = createView([withState(head, 'broken'), second, standby], { findTerm: () => term });
+    const view = createView([withoutGroup(head), withoutGroup(second), standby], { findTerm: () => term });
     const [order] = new FormationPlanner().plan(view);
     return order?.kind === 'join' ? order.epoch : 0;
   };
@@ -277,3 +289,120 @@
   t.ok(orders.filter(({ kind }) => kind === 'join').length >= 20);
   t.end();
 });
+
+/** A step of a formation of two standbys and an instance: what they show, and the orders that follow. */
+interface FormationStep {
+  readonly instances: readonly TargetInstance[];
+  readonly view?: Partial<FormationView>;
+  readonly orders: readonly string[];
+}
+
+const [formed = standby, formedSecond = standby] = createStandbys('large', 2);
+const joinedNow = (
+  instance: TargetInstance,
+  rank: number,
+  state: 'joining' | 'ready' | 'open' = 'joining',
+) => ({
+  ...instance,
+  membership: { group: 'large.300001', epoch: 300_001, rank, state },
+});
+const allJoins = ['join large-standby-0', 'join large-standby-1', 'join standby'];
+const allFree: FormationStep = { instances: [formed, formedSecond, standby], orders: allJoins };
+
+const formationCases: readonly { readonly name: string; readonly steps: readonly FormationStep[] }[] = [
+  {
+    name: 'a formation goes on while the outcome of an order to a member is not known',
+    steps: [
+      allFree,
+      {
+        instances: [joinedNow(formed, 0), formedSecond, joinedNow(standby, 2)],
+        view: { instancesWithPendingOrder: new Set([formedSecond.id]) },
+        orders: [],
+      },
+      {
+        instances: [joinedNow(formed, 0), formedSecond, joinedNow(standby, 2)],
+        orders: [`join ${formedSecond.id}`],
+      },
+    ],
+  },
+  {
+    name: 'the members of a formation that is given up leave its group, the head first',
+    steps: [
+      allFree,
+      {
+        instances: [joinedNow(formed, 0), formedSecond, joinedNow(standby, 2)],
+        view: { silentInstances: new Set([formedSecond.id]) },
+        orders: [`leave ${formed.id}`],
+      },
+      {
+        instances: [withoutGroup(formed), formedSecond, joinedNow(standby, 2)],
+        view: { silentInstances: new Set([formedSecond.id]) },
+        orders: [`leave ${standby.id}`, `join ${formed.id}`].sort(),
+      },
+    ],
+  },
+  {
+    name: 'the members of a formation that is given up leave its group if its head never joined it',
+    steps: [
+      allFree,
+      {
+        instances: [formed, joinedNow(formedSecond, 1), joinedNow(standby, 2)],
+        view: { silentInstances: new Set([formed.id]) },
+        orders: [`leave ${formedSecond.id}`, `leave ${standby.id}`],
+      },
+    ],
+  },
+  // A head that answered again after its members had left counted as free while it was open.
+  {
+    name: 'a head that answers again without its members leaves its group before it is used',
+    steps: [
+      { instances: [head, second, third, standby], orders: [] },
+      {
+        instances: [head, second, third, standby],
+        view: { silentInstances: new Set(['a-0']), isGroupStalled: () => true },
+        orders: ['leave a-1', 'leave a-2'],
+      },
+      {
+        instances: [head, withoutGroup(second), withoutGroup(third), standby],
+        orders: [...FORMATION_JOINS, 'leave a-0'],
+      },
+    ],
+  },
+  {
+    name: 'a member that answers again after its head has left leaves the group before it is used',
+    steps: [
+      { instances: [head, second, third, standby], orders: [] },
+      {
+        instances: [withoutGroup(head), withoutGroup(second), third],
+        orders: ['join a-0', 'join a-1', 'leave a-2'],
+      },
+    ],
+  },
+  {
+    name: 'members stay with a head that is not listed, as it may be cut off from the store only',
+    steps: [
+      { instances: [head, second, third], orders: [] },
+      { instances: [second, third], orders: [] },
+    ],
+  },
+  {
+    name: 'the head leaves its group if a member has restarted',
+    steps: [
+      { instances: [head, second, third], orders: [] },
+      {
+        instances: [head, second, { ...withoutGroup(third), startedAtMs: 2, stagedModels: ['large'] }],
+        orders: ['join a-2', 'leave a-0'],
+      },
+    ],
+  },
+];
+
+for (const { name, steps } of formationCases) {
+  void t.test(name, (t) => {
+    const planner = new FormationPlanner();
+    for (const [index, { instances, view, orders }] of steps.entries()) {
+      t.same(summarize(planner.plan(createView(instances, view))), [...orders].sort(), `step ${index}`);
+    }
+    t.end();
+  });
+}
