Planner: a formation ends once a member is no longer free

Cause: a formation, once begun, sent its joins whatever its members turned out to be, except a member of a newer group. Begun on a list that shows three standbys, it joined one that a report then showed as the open or closing head, or as a member, of an older group. A head that was open in any group ended the formation, as if it had opened.

Change: each cycle, a member that is not in the formation's group yet has to be free, or to have an order in progress whose outcome decides. Only the formation's own group counts as opened.

Evidence: four cases of tests/serving/formationPlanner (an open, closing or ready head, and a member) joined the instance before.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -157,7 +157,7 @@
       if (formation.service !== service.name) continue;
       const members = formation.members.map((member) => view.instances.get(member));
       const [head] = members;
-      const isOpen = head?.membership?.state === 'open';
+      const isOpen = head !== undefined && isMemberOf(head, formation) && head.membership?.state === 'open';
       const isLost = members.some((member) => !member || !canComplete(view, member, formation));
       if (!isOpen && !isLost) continue;
       this._formations.delete(id);
@@ -393,7 +393,8 @@
     view.findTerm(member.fabricDomain) === formation.term;
   if (!isUsable) return false;
   if (isMemberOf(member, formation)) return member.membership?.state !== 'broken';
-  return (member.membership?.epoch ?? 0) <= formation.epoch;
+  // The outcome of an order in progress decides.
+  return isFree(member) || view.instancesWithPendingOrder.has(member.id);
 }
 
 /** Whether no member of the group is silent. */
--- a/tests/serving/formationPlanner.test.ts
+++ b/tests/serving/formationPlanner.test.ts
@@ -306,10 +306,37 @@
   ...instance,
   membership: { group: 'large.300001', epoch: 300_001, rank, state },
 });
+const inOlderGroup = (instance: TargetInstance, rank: number, state: 'ready' | 'open' | 'closing') => ({
+  ...instance,
+  membership: { group: 'large.200009', epoch: 200_009, rank, state },
+});
 const allJoins = ['join large-standby-0', 'join large-standby-1', 'join standby'];
 const allFree: FormationStep = { instances: [formed, formedSecond, standby], orders: allJoins };
 
 const formationCases: readonly { readonly name: string; readonly steps: readonly FormationStep[] }[] = [
+  // A member that was free when the formation began was joined whatever it turned out to be.
+  ...(['open', 'closing', 'ready'] as const).map((state) => ({
+    name: `a formation ends if a member turns out to be the ${state} head of an older group`,
+    steps: [
+      { ...allFree, view: { isListSettled: true } },
+      {
+        instances: [formed, inOlderGroup(formedSecond, 0, state), standby],
+        view: { instancesWithPendingOrder: new Set([formed.id, standby.id]) },
+        orders: state === 'ready' ? [`leave ${formedSecond.id}`] : [],
+      },
+    ],
+  })),
+  {
+    name: 'a formation ends if a member turns out to be a member of an older group',
+    steps: [
+      allFree,
+      {
+        instances: [formed, inOlderGroup(formedSecond, 1, 'ready'), standby],
+        view: { instancesWithPendingOrder: new Set([formed.id, standby.id]) },
+        orders: [],
+      },
+    ],
+  },
   {
     name: 'a formation goes on while the outcome of an order to a member is not known',
     steps: [
