Planner: an order rests on the state that it was decided on

Cause: an order is sent on condition of the number of orders that the instance has begun, but that number was taken from the latest report or order, whatever state of the instance the order had been decided on. Where the list showed an older group, the decision was made on that and the condition taken from what is newer, so that the condition protected nothing. An entry was also taken for newer than a report if it was read later, though a late write or a read through a peer can bring an older one; and the effect of an order was dropped after 1.3 s if the list did not show it, though an instance can be cut off from the store for longer.

Change: the number of orders is known for a state, and an order is sent only if it was decided on that state; otherwise the instance is asked, and the order decided anew. An entry with another group counts only if it must be newer: by its epoch, or as it changed long after; otherwise the instance is asked once the list should have shown the change. The state of an instance that is no longer listed is kept: it was forgotten before each order, so that a head that serves while it is cut off from the store was asked again and again and never closed. Reports to the checks of silent members count too.

A test expected that the effect of an order ends when the list does not show it for long. It is replaced: the effect stays, and the instance is asked.

--- a/packages/core/src/serving/instanceStateOverlay.ts
+++ b/packages/core/src/serving/instanceStateOverlay.ts
@@ -5,18 +5,22 @@
 export const MAX_REPORT_LAG_MS = 300;
 /** Maximum time until the list shows the effect of an order, in milliseconds: its refresh interval plus its lag. */
 const LIST_LAG_MS = 1_300;
+/** Time for which the state of an instance that is not listed is kept, in milliseconds; longer than a partition. */
+const UNLISTED_TTL_MS = 60_000;
 
 /** Where a state comes from: the instance's own report, or an order that it has started. */
 export type StateSource = 'report' | InstanceOrder['kind'];
 
-/** State of an instance that may be newer than its entry in the list. */
-interface OverlayEntry {
+/** State of an instance at a number of orders. */
+interface KnownState {
   readonly source: StateSource;
   readonly instance: TargetInstance;
-  /** Number of orders that the instance has started so far. */
+  /** Number of orders that the instance had started in this state. */
   readonly orderCount: number;
+  /** Highest epoch of the groups that this incarnation is known to have joined; -1 if it joined none. */
+  readonly highestEpoch: number;
   readonly recordedAtMs: number;
-  /** Until when a state predicted from an order overrides the list; `open` does not expire. */
+  /** Time by which the list should show this state. */
   readonly expiresAtMs: number;
 }
 
@@ -30,20 +34,27 @@
 }
 
 /**
- * Overlays the instance list with newer state: from the instances' own reports and the orders that they have started.
- * List and reports both lag: where either may be older, a head that one of them shows as serving counts as serving.
+ * Overlays the instance list with what is known at a number of orders: from the instances' own reports, and from the
+ * orders that they have started. An instance changes its group only by starting an order, so an order that is sent on
+ * condition of that number finds the instance in the group that the order was decided on, or does nothing.
+ *
+ * Entries name no number of orders. An entry with another group counts only if it must be newer, and then no order can
+ * be sent before the instance was asked.
  */
 export class InstanceStateOverlay {
-  private readonly _entries = new Map<string, OverlayEntry>();
+  private readonly _states = new Map<string, KnownState>();
 
   /** Records that the instance has started the order, its `orderCount`th. */
   recordOrderStart(order: InstanceOrder, orderCount: number, nowMs: number): void {
+    const { instance } = order;
     // The list does not show a model as staged until its weights are loaded.
     const lagMs = LIST_LAG_MS + (order.kind === 'stage' ? order.model.loadMs : 0);
-    this._entries.set(order.instance.id, {
+    const joinedEpoch = order.kind === 'join' ? order.epoch : -1;
+    this._states.set(instance.id, {
       source: order.kind,
       instance: predictEffect(order),
       orderCount,
+      highestEpoch: Math.max(joinedEpoch, getEpoch(instance), this._getHighestEpoch(instance)),
       recordedAtMs: nowMs,
       expiresAtMs: nowMs + lagMs,
     });
@@ -51,48 +62,81 @@
 
   /** Records an instance's own report. */
   recordReport(instance: TargetInstance, orderCount: number, nowMs: number): void {
-    const previous = this._entries.get(instance.id);
-    const isSameIncarnation = previous?.instance.startedAtMs === instance.startedAtMs;
-    // The report predates an order that the instance has started since.
-    if (previous && isSameIncarnation && previous.orderCount > orderCount) return;
-    const isOpening = previous?.source === 'open' && isSameIncarnation && previous.orderCount === orderCount;
+    const previous = this._states.get(instance.id);
+    if (previous && isOlder(instance, orderCount, previous)) return;
+    const isOpening =
+      previous?.source === 'open' &&
+      isSameIncarnation(previous, instance) &&
+      previous.orderCount === orderCount;
     const reported = isOpening ? keepServing(instance, previous.instance) : instance;
     const source = isOpening && reported !== instance ? 'open' : 'report';
-    this._entries.set(instance.id, {
+    this._states.set(instance.id, {
       source,
       instance: reported,
       orderCount,
+      highestEpoch: Math.max(getEpoch(reported), this._getHighestEpoch(instance)),
       recordedAtMs: nowMs,
       expiresAtMs: nowMs + LIST_LAG_MS,
     });
   }
 
-  /** Number of orders that this incarnation of the instance has started; undefined if unknown. */
+  /**
+   * Number of orders that the instance has started in this state, as the condition of an order that is decided on it;
+   * undefined if it is not known for the instance's group.
+   */
   getOrderCount(instance: TargetInstance): number | undefined {
-    const overlay = this._entries.get(instance.id);
-    return overlay?.instance.startedAtMs === instance.startedAtMs ? overlay.orderCount : undefined;
+    const known = this._states.get(instance.id);
+    return known && isSameIncarnation(known, instance) && isSameGroup(known.instance, instance)
+      ? known.orderCount
+      : undefined;
   }
 
   /** Where the overlay's state of an instance comes from; undefined if it has none. */
   getSource(id: string): StateSource | undefined {
-    return this._entries.get(id)?.source;
+    return this._states.get(id)?.source;
   }
 
   /** Membership state from the overlay alone; undefined if unknown. */
   getMemberState(id: string): MemberState | undefined {
-    return this._entries.get(id)?.instance.membership?.state;
+    return this._states.get(id)?.instance.membership?.state;
   }
 
   /** Returns the listed instances, with the overlay's state where that is newer. */
   merge(entries: InstanceEntries): ReadonlyMap<string, TargetInstance> {
     const merged = new Map(entries.instances);
-    for (const [id, overlay] of this._entries) {
+    for (const [id, known] of this._states) {
       const entry = entries.instances.get(id);
-      if (!entry || entry.startedAtMs !== overlay.instance.startedAtMs) this._entries.delete(id);
-      else merged.set(id, mergeEntry(overlay, entry, entries.changedAtMs(id), entries.currentAtMs));
+      if (!entry) {
+        if (entries.currentAtMs - known.recordedAtMs > UNLISTED_TTL_MS) this._states.delete(id);
+      } else if (entry.startedAtMs > known.instance.startedAtMs) this._states.delete(id);
+      else merged.set(id, mergeEntry(known, entry, entries.changedAtMs(id), entries.currentAtMs));
     }
     return merged;
   }
+
+  /** Ids of the listed instances whose entry still shows another group than is known, so that they have to be asked. */
+  listContradicted(entries: InstanceEntries): readonly string[] {
+    return [...this._states].flatMap(([id, known]) => {
+      const entry = entries.instances.get(id);
+      const isContradicted =
+        entry !== undefined &&
+        entry.startedAtMs === known.instance.startedAtMs &&
+        !isSameGroup(entry, known.instance) &&
+        entries.currentAtMs >= known.expiresAtMs;
+      return isContradicted ? [id] : [];
+    });
+  }
+
+  private _getHighestEpoch(instance: TargetInstance): number {
+    const known = this._states.get(instance.id);
+    return known && isSameIncarnation(known, instance) ? known.highestEpoch : -1;
+  }
+}
+
+/** Whether a report shows the instance before the known state. */
+function isOlder({ startedAtMs }: TargetInstance, orderCount: number, known: KnownState): boolean {
+  if (startedAtMs !== known.instance.startedAtMs) return startedAtMs < known.instance.startedAtMs;
+  return orderCount < known.orderCount;
 }
 
 /** Predicts the state that an instance announces once it has started an order. */
@@ -120,39 +164,43 @@
 }
 
 function mergeEntry(
-  overlay: OverlayEntry,
+  known: KnownState,
   entry: TargetInstance,
   entryChangedAtMs: number,
   /** While the list cannot be read, it does not show the effect of an order either. */
   listAtMs: number,
 ): TargetInstance {
-  const newer = { ...overlay.instance, state: entry.state };
-  switch (overlay.source) {
+  const newer = { ...known.instance, state: entry.state };
+  if (entry.startedAtMs < known.instance.startedAtMs) return newer;
+  if (!isSameGroup(entry, known.instance))
+    return isEntryNewer(known, entry, entryChangedAtMs) ? entry : newer;
+  switch (known.source) {
     case 'report':
-      if (entryChangedAtMs >= overlay.recordedAtMs) return entry;
+      if (entryChangedAtMs >= known.recordedAtMs) return entry;
       // Either of the two may be older.
-      if (entryChangedAtMs >= overlay.recordedAtMs - MAX_REPORT_LAG_MS) return keepServing(newer, entry);
+      if (entryChangedAtMs >= known.recordedAtMs - MAX_REPORT_LAG_MS) return keepServing(newer, entry);
       return newer;
     case 'open':
       // Only the planner closes a head, so it serves until the list shows a state that follows the opening.
-      return isBeforeOpen(entry, overlay.instance) ? newer : entry;
-    case 'join':
-      return listAtMs < overlay.expiresAtMs && getEpoch(entry) < getEpoch(overlay.instance) ? newer : entry;
+      return isBeforeOpen(entry, known.instance) ? newer : entry;
     case 'close':
-      return listAtMs < overlay.expiresAtMs && isServing(entry) && isSameGroup(entry, overlay.instance)
-        ? newer
-        : entry;
+      return listAtMs < known.expiresAtMs && isServing(entry) ? newer : entry;
+    case 'join':
     case 'leave':
-      return listAtMs < overlay.expiresAtMs &&
-        entry.membership &&
-        entryChangedAtMs < overlay.recordedAtMs + MAX_REPORT_LAG_MS
-        ? newer
-        : entry;
+      return entry;
     case 'stage':
-      return listAtMs < overlay.expiresAtMs && !isStaged(overlay.instance, entry) ? newer : entry;
+      return listAtMs < known.expiresAtMs && !isStaged(known.instance, entry) ? newer : entry;
   }
 }
 
+/** Whether an entry with another group must have been written after the known state. */
+function isEntryNewer(known: KnownState, entry: TargetInstance, entryChangedAtMs: number): boolean {
+  const lagMs = known.source === 'report' ? MAX_REPORT_LAG_MS : 0;
+  if (entryChangedAtMs < known.recordedAtMs - lagMs) return false;
+  if (entry.membership) return entry.membership.epoch > known.highestEpoch;
+  return entryChangedAtMs >= known.recordedAtMs + LIST_LAG_MS;
+}
+
 /** Returns `preferred`, with the membership of `other` if that shows the group open and `preferred` the state before. */
 function keepServing(preferred: TargetInstance, other: TargetInstance): TargetInstance {
   return isServing(other) && isBeforeOpen(preferred, other)
@@ -169,6 +217,10 @@
   return membership?.state === 'open' || membership?.state === 'closing';
 }
 
+function isSameIncarnation(known: KnownState, { startedAtMs }: TargetInstance): boolean {
+  return known.instance.startedAtMs === startedAtMs;
+}
+
 function isSameGroup(a: TargetInstance, b: TargetInstance): boolean {
   return a.membership?.epoch === b.membership?.epoch && a.membership?.group === b.membership?.group;
 }
--- a/packages/node/src/orderSender.ts
+++ b/packages/node/src/orderSender.ts
@@ -63,11 +63,19 @@
     return this._overlay.merge(this._options.list);
   }
 
+  /** Ids of the instances whose entry in the list still contradicts what this node knows. */
+  listContradicted(): readonly string[] {
+    return this._overlay.listContradicted(this._options.list);
+  }
+
   stop(): void {
     this._abortController.abort();
   }
 
-  /** Sends an order unless the instance's number of orders has to be asked for first. */
+  /**
+   * Sends an order, on condition that the instance has begun no other since the state that the order was decided on.
+   * Sends nothing if the number of orders in that state is not known: the instance is asked, and the order decided anew.
+   */
   async send(order: InstanceOrder): Promise<void> {
     const { clock, counters, log, findTerm } = this._options;
     const { id, fabricDomain } = order.instance;
@@ -99,26 +107,31 @@
 
   /** Reads the state from the instance itself, when the effect of an order is not known or the list is out of date. */
   async refresh(instance: TargetInstance): Promise<void> {
+    const { id } = instance;
+    if (await this.readState(instance, REPORT_TIMEOUT_MS)) this._pendingOrders.delete(id);
+    else this._pendingOrders.set(id, this._options.clock.monotonic() + ORDER_TIMEOUT_MS);
+  }
+
+  /** Records the instance's own report; returns false if none arrives in time. */
+  async readState(instance: TargetInstance, timeoutMs: number): Promise<boolean> {
     const { clock, counters, list, onReportResult } = this._options;
     const { id } = instance;
     try {
-      const { state, orderCount } = await readReport(instance, REPORT_TIMEOUT_MS);
+      const { state, orderCount } = await readReport(instance, timeoutMs);
       this._overlay.recordReport({ ...(list.get(id) ?? instance), ...state }, orderCount, clock.monotonic());
-      this._pendingOrders.delete(id);
       onReportResult(id, true);
+      return true;
     } catch (error) {
       if (!(error instanceof ReportError)) throw error;
       counters.add('monsoonreach_reports_missed_total');
-      this._pendingOrders.set(id, clock.monotonic() + ORDER_TIMEOUT_MS);
       onReportResult(id, false);
+      return false;
+    } finally {
+      this.version++;
     }
-    this.version++;
   }
 
-  /**
-   * Returns how many orders the instance has begun. Returns undefined when that is not known: then the instance is
-   * asked for its report, and no order is sent before it arrives, as another owner may just have sent one.
-   */
+  /** Number of orders that the instance has begun in its state; undefined if it has to be asked. */
   private _findOrderCount(instance: TargetInstance): number | undefined {
     const orderCount = this._overlay.getOrderCount(instance);
     if (orderCount !== undefined) return orderCount;
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -8,7 +8,6 @@
   pause,
   type ServingConfiguration,
 } from '@monsoonreach/core';
-import { readReport, ReportError } from '@monsoonreach/platform';
 import type { DecisionLog } from './decisionLog.js';
 import type { HeadMonitor } from './headMonitor.js';
 import type { InstanceList } from './instanceList.js';
@@ -111,7 +110,7 @@
     const current = configuration();
     if (!current) return;
     this._checkMembers();
-    this._refreshFormingInstances();
+    this._refreshInstances();
     const nowMs = clock.monotonic();
     const version = `${list.version}/${this._orders.version}/${ownership.stamp}/${[...this._checks.getLostMembers()].join()}`;
     const isIdle =
@@ -136,33 +135,29 @@
   }
 
   private async _checkMember(id: string): Promise<void> {
-    const { list, counters, log } = this._options;
+    const { list, log } = this._options;
     const instance = list.get(id);
     if (!instance) return;
     const wasLost = this._checks.getLostMembers().has(id);
-    try {
-      await readReport(instance, CHECK_TIMEOUT_MS);
-      this._checks.recordResult(id, true);
-    } catch (error) {
-      if (!(error instanceof ReportError)) throw error;
-      counters.add('monsoonreach_reports_missed_total');
-      this._checks.recordResult(id, false);
-    }
+    await this._orders.readState(instance, CHECK_TIMEOUT_MS);
     const isLost = this._checks.getLostMembers().has(id);
     if (isLost !== wasLost) log.info(isLost ? 'member lost' : 'member responds again', { target: id });
   }
 
-  /** Asks the members of forming groups themselves while the store is out, so that the groups still open. */
-  private _refreshFormingInstances(): void {
+  /** Asks the instances themselves where the list does not tell their state in time. */
+  private _refreshInstances(): void {
     const { clock, list } = this._options;
     const nowMs = clock.monotonic();
-    if (nowMs - list.currentAtMs < OUTDATED_LIST_MS) return;
     if (nowMs - this._refreshedAtMs < REFRESH_INTERVAL_MS) return;
     this._refreshedAtMs = nowMs;
+    // While the store is out, groups that are forming still open.
+    const isOutdated = nowMs - list.currentAtMs >= OUTDATED_LIST_MS;
+    const ids = isOutdated ? this._planner.listFormingInstances() : this._orders.listContradicted();
     const pending = this._orders.listPending();
-    for (const id of this._planner.listFormingInstances()) {
+    for (const id of ids) {
       const instance = list.get(id);
-      if (instance && !pending.has(id)) void this._orders.refresh(instance);
+      if (!instance || pending.has(id) || this._findTerm(instance.fabricDomain) === undefined) continue;
+      void this._orders.refresh(instance);
     }
   }
 
--- a/tests/serving/instanceKnowledge.test.ts
+++ b/tests/serving/instanceKnowledge.test.ts
@@ -144,7 +144,167 @@
   const instances = new Map([['head', idle]]);
   const findGroup = (currentAtMs: number) =>
     knowledge.merge({ instances, changedAtMs: () => 500, currentAtMs }).get('head')?.membership?.group;
+  const listContradicted = (currentAtMs: number) =>
+    knowledge.listContradicted({ instances, changedAtMs: () => 500, currentAtMs });
   t.equal(findGroup(900), GROUP, 'the list was last read before the order');
-  t.equal(findGroup(10_000), undefined, 'the list was read long after the order and does not show it');
+  t.same(listContradicted(900), []);
+  t.equal(findGroup(10_000), GROUP, 'an entry that was read before the order does not show its effect');
+  t.same(listContradicted(10_000), ['head'], 'the instance is asked once the list should show it');
+  t.end();
+});
+
+/** The instance in a group of this epoch, or in no group. */
+const inGroup = (epoch: number | undefined): TargetInstance =>
+  epoch === undefined
+    ? { ...createHead('ready'), membership: undefined }
+    : createInstance('head', {
+        stagedModels: [LARGE_MODEL.name],
+        models: [LARGE_MODEL.name],
+        membership: { group: `group-${epoch}`, epoch, rank: 1, state: 'ready' },
+      });
+
+interface OtherGroupCase {
+  readonly name: string;
+  /** How the state was learnt, at 1,000 ms; the instance has begun four orders then. */
+  readonly known:
+    | { readonly kind: 'joined'; readonly from: number | undefined; readonly epoch: number }
+    | { readonly kind: 'left'; readonly epoch: number }
+    | { readonly kind: 'reported'; readonly epoch: number | undefined };
+  /** Epoch of the group in the entry of the list; undefined for none. */
+  readonly listed: number | undefined;
+  readonly listChangedAtMs: number;
+  /** Epoch of the group that counts. */
+  readonly epoch: number | undefined;
+  /** Whether an order that is decided on it may be sent at once. */
+  readonly isBound: boolean;
+}
+
+// Orders were decided on one state of an instance and sent with the condition of another one.
+const otherGroupCases: readonly OtherGroupCase[] = [
+  {
+    name: 'an entry that shows the group before a join is older, whenever it arrives',
+    known: { kind: 'joined', from: 7, epoch: 8 },
+    listed: 7,
+    listChangedAtMs: 9_000,
+    epoch: 8,
+    isBound: true,
+  },
+  {
+    name: 'an entry that shows the group that was left is older, whenever it arrives',
+    known: { kind: 'left', epoch: 8 },
+    listed: 8,
+    listChangedAtMs: 9_000,
+    epoch: undefined,
+    isBound: true,
+  },
+  {
+    name: 'an entry without a group soon after a join may be older',
+    known: { kind: 'joined', from: undefined, epoch: 8 },
+    listed: undefined,
+    listChangedAtMs: 2_000,
+    epoch: 8,
+    isBound: true,
+  },
+  {
+    name: 'an entry without a group long after a join is newer, and says nothing of the number of orders',
+    known: { kind: 'joined', from: undefined, epoch: 8 },
+    listed: undefined,
+    listChangedAtMs: 2_400,
+    epoch: undefined,
+    isBound: false,
+  },
+  {
+    name: 'an entry of a group of a higher epoch is newer, and says nothing of the number of orders',
+    known: { kind: 'left', epoch: 8 },
+    listed: 9,
+    listChangedAtMs: 1_100,
+    epoch: 9,
+    isBound: false,
+  },
+  {
+    name: 'an entry that was read before a report is older',
+    known: { kind: 'reported', epoch: undefined },
+    listed: 8,
+    listChangedAtMs: 600,
+    epoch: undefined,
+    isBound: true,
+  },
+  {
+    name: 'an entry that changed after a report counts, and the instance is asked again',
+    known: { kind: 'reported', epoch: undefined },
+    listed: 8,
+    listChangedAtMs: 1_100,
+    epoch: 8,
+    isBound: false,
+  },
+  {
+    name: 'an entry of a lower epoch than reported is older, whenever it arrives',
+    known: { kind: 'reported', epoch: 8 },
+    listed: 7,
+    listChangedAtMs: 9_000,
+    epoch: 8,
+    isBound: true,
+  },
+];
+
+function learn(knowledge: InstanceStateOverlay, known: OtherGroupCase['known']): void {
+  switch (known.kind) {
+    case 'joined': {
+      const order = { kind: 'join' as const, instance: inGroup(known.from), members: ['other', 'head'] };
+      const group = { group: `group-${known.epoch}`, epoch: known.epoch, model: LARGE_MODEL };
+      knowledge.recordOrderStart({ ...order, ...group }, 4, 1_000);
+      return;
+    }
+    case 'left':
+      knowledge.recordOrderStart(
+        { kind: 'leave', instance: inGroup(known.epoch), group: `group-${known.epoch}`, epoch: known.epoch },
+        4,
+        1_000,
+      );
+      return;
+    case 'reported':
+      knowledge.recordReport(inGroup(known.epoch), 4, 1_000);
+  }
+}
+
+for (const { name, known, listed, listChangedAtMs, epoch, isBound } of otherGroupCases) {
+  void t.test(name, (t) => {
+    const knowledge = new InstanceStateOverlay();
+    learn(knowledge, known);
+    const merged = knowledge
+      .merge({
+        instances: new Map([['head', inGroup(listed)]]),
+        changedAtMs: () => listChangedAtMs,
+        currentAtMs: 9_000,
+      })
+      .get('head');
+    t.equal(merged?.membership?.epoch, epoch);
+    t.equal(merged && knowledge.getOrderCount(merged), isBound ? 4 : undefined);
+    t.end();
+  });
+}
+
+// A head that is cut off from the store was never closed: the number of its orders was forgotten before each order.
+void t.test('the state of an instance that is no longer listed is kept for orders to it', (t) => {
+  const knowledge = new InstanceStateOverlay();
+  knowledge.recordReport(createHead('open'), 4, 1_000);
+  knowledge.merge({ instances: new Map(), changedAtMs: () => -Infinity, currentAtMs: 5_000 });
+  t.equal(knowledge.getOrderCount(createHead('open')), 4);
+  knowledge.merge({ instances: new Map(), changedAtMs: () => -Infinity, currentAtMs: 70_000 });
+  t.equal(knowledge.getOrderCount(createHead('open')), undefined);
+  t.end();
+});
+
+void t.test('an entry of a start before the reported one is older', (t) => {
+  const knowledge = new InstanceStateOverlay();
+  const restarted = { ...createHead('ready'), startedAtMs: 2, membership: undefined };
+  knowledge.recordReport(restarted, 0, 1_000);
+  const merged = knowledge.merge({
+    instances: new Map([['head', createHead('open')]]),
+    changedAtMs: () => 1_200,
+    currentAtMs: 1_300,
+  });
+  t.equal(merged.get('head')?.membership, undefined);
+  t.equal(merged.get('head')?.startedAtMs, 2);
   t.end();
 });
