Node: a group whose member has left gets no requests

A head that was silent while its members left goes on accepting requests that cannot run, until it is told to leave; they stall and go on elsewhere.

Cause: a node took each listed open head for a target, whatever its members show.

Change: the nodes remember who holds which rank of a group, as the planner does, and send nothing to a group of which an instance shows that it has left. A member that is only missing from the list may be cut off from the store, and its group serves.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -113,7 +113,7 @@
       ({ fabricDomain }) => view.findTerm(fabricDomain) !== undefined,
     );
     const groups = observeGroups(service, owned);
-    for (const group of groups.values()) this._roster.record(group, listRanks(group));
+    for (const group of groups.values()) this._roster.record(group, group.members);
     this._removeEndedFormations(view, service);
     const orders: InstanceOrder[] = [];
     for (const group of groups.values()) orders.push(...this._planGroup(view, group));
@@ -293,7 +293,7 @@
     const term = view.findTerm(members[0]?.fabricDomain ?? '') ?? 0;
     const epoch = this._takeEpoch(term);
     const name = createGroupName(model.name, epoch);
-    this._roster.record({ name, epoch }, members.entries());
+    this._roster.recordFormation({ name, epoch }, members);
     this._formations.set(name, {
       name,
       term,
@@ -371,10 +371,6 @@
   return groupId({ group: name, epoch });
 }
 
-function listRanks({ members }: ObservedGroup): readonly (readonly [number, TargetInstance])[] {
-  return members.flatMap((member) => (member.membership ? [[member.membership.rank, member] as const] : []));
-}
-
 /** Whether the instance may join a group: it is in none, or in its own standby group, which never opens. */
 function isFree({ membership }: TargetInstance): boolean {
   if (!membership) return true;
--- a/packages/core/src/serving/groupRoster.ts
+++ b/packages/core/src/serving/groupRoster.ts
@@ -14,12 +14,16 @@
 export class GroupRoster {
   private readonly _holders = new Map<string, Map<number, RankHolder>>();
 
-  /** Records who holds the ranks of a group. */
-  record({ name, epoch }: GroupEpoch, members: Iterable<readonly [number, RankHolder]>): void {
-    const id = groupId({ group: name, epoch });
-    const holders = this._holders.get(id) ?? new Map<number, RankHolder>();
-    this._holders.set(id, holders);
-    for (const [rank, { id: holder, startedAtMs }] of members) holders.set(rank, { id: holder, startedAtMs });
+  /** Records the instances that are to form a group, by rank. */
+  recordFormation(group: GroupEpoch, members: readonly RankHolder[]): void {
+    const holders = this._getOrCreateHolders(group);
+    for (const [rank, holder] of members.entries()) holders.set(rank, holder);
+  }
+
+  /** Records the members that a group has now. */
+  record(group: GroupEpoch, members: readonly TargetInstance[]): void {
+    const holders = this._getOrCreateHolders(group);
+    for (const member of members) if (member.membership) holders.set(member.membership.rank, member);
   }
 
   /** Forgets the groups that are not among `ids`, as returned by `groupId`. */
@@ -27,6 +31,13 @@
     for (const id of this._holders.keys()) if (!ids.has(id)) this._holders.delete(id);
   }
 
+  /** Forgets the groups that none of the instances is in. */
+  retainGroupsOf(instances: Iterable<TargetInstance>): void {
+    this.retain(
+      new Set([...instances].flatMap(({ membership }) => (membership ? [groupId(membership)] : []))),
+    );
+  }
+
   /** Whether the head shows that it is no longer in the group; false while it is not known or not listed. */
   hasHeadLeft(group: GroupEpoch, instances: ReadonlyMap<string, TargetInstance>): boolean {
     const head = this._getHolders(group)?.get(0);
@@ -39,6 +50,13 @@
     return [...holders].some((holder) => hasLeft(group, holder, instances.get(holder.id)));
   }
 
+  private _getOrCreateHolders({ name, epoch }: GroupEpoch): Map<number, RankHolder> {
+    const id = groupId({ group: name, epoch });
+    const holders = this._holders.get(id) ?? new Map<number, RankHolder>();
+    this._holders.set(id, holders);
+    return holders;
+  }
+
   private _getHolders({ name, epoch }: GroupEpoch): ReadonlyMap<number, RankHolder> | undefined {
     return this._holders.get(groupId({ group: name, epoch }));
   }
--- a/packages/node/src/targetDirectory.ts
+++ b/packages/node/src/targetDirectory.ts
@@ -1,6 +1,7 @@
 import {
   getIncarnationKey,
   groupBy,
+  GroupRoster,
   type LoadTracker,
   observeGroups,
   type OwnerOption,
@@ -29,6 +30,7 @@
   private _keysByAddress = new Map<string, string>();
   private _ownersById = new Map<string, readonly OwnerOption[]>();
   private _ownershipStamp = -1;
+  private readonly _roster = new GroupRoster();
 
   constructor(
     private readonly _list: InstanceList,
@@ -123,6 +125,7 @@
     for (const service of configuration.services.values()) {
       for (const [id, targets] of this._findTargets(service)) this._targetsById.set(id, targets);
     }
+    this._roster.retainGroupsOf(this._list.instances.values());
     this._targetsByKey = new Map(
       [...this._targetsById.values()].flatMap((targets) => targets.map((target) => [target.key, target])),
     );
@@ -152,8 +155,11 @@
     const byModel = new Map<string, KnownTarget[]>();
     for (const [key, group] of observeGroups(service, this._list.instances.values())) {
       const { head, model } = group;
+      this._roster.record(group, group.members);
       if (!head || !model || head.state !== 'ready') continue;
       if (head.membership?.state !== 'open') continue;
+      // A head whose members have left, while it was silent, goes on accepting requests that cannot run.
+      if (this._roster.hasMemberLeft(group, this._list.instances)) continue;
       const id = toTargetsId(service.name, model.name);
       const target = { key, instance: head, slots: engine.slots, engine: { profile: engine, model } };
       byModel.set(id, [...(byModel.get(id) ?? []), target]);
--- /dev/null
+++ b/tests/node/targetDirectory.test.ts
@@ -0,0 +1,68 @@
+import { Counters, LoadTracker, systemClock, type TargetInstance } from '@monsoonreach/core';
+import { DecisionLog, InstanceList, type ShardOwnership, TargetDirectory } from '@monsoonreach/node';
+import { decodeConfiguration } from '@monsoonreach/platform';
+import t from 'tap';
+import { createConfiguration } from '../platform/platformFleet.js';
+
+type Entry = Partial<TargetInstance['membership']> & { readonly born?: number };
+
+/** The entry of an instance that is in a group, or in none. */
+function createEntry(id: string, { born = 1, ...group }: Entry): readonly [string, unknown] {
+  return [
+    id,
+    {
+      service: 'engines',
+      address: '127.0.0.1:1',
+      zone: 'zone-1',
+      state: 'ready',
+      staged: ['model-a'],
+      models: [{ name: 'model-a' }],
+      born,
+      ...('group' in group ? { group: { ...group, name: group.group } } : {}),
+    },
+  ];
+}
+
+const head = createEntry('head', { group: 'model-a.5', epoch: 5, rank: 0, state: 'open' });
+const member = createEntry('member', { group: 'model-a.5', epoch: 5, rank: 1, state: 'ready' });
+
+const cases = [
+  { name: 'all members are in the group', listed: [head, member], isTarget: true },
+  { name: 'a member has left', listed: [head, createEntry('member', {})], isTarget: false },
+  {
+    name: 'a member is in a later group',
+    listed: [head, createEntry('member', { group: 'model-a.9', epoch: 9, rank: 1, state: 'joining' })],
+    isTarget: false,
+  },
+  { name: 'a member has restarted', listed: [head, createEntry('member', { born: 2 })], isTarget: false },
+  {
+    name: 'a member is not listed, as it may be cut off from the store only',
+    listed: [head],
+    isTarget: true,
+  },
+  {
+    name: 'an older entry of a member is read',
+    listed: [head, createEntry('member', { group: 'model-a.3', epoch: 3, rank: 0, state: 'ready' })],
+    isTarget: true,
+  },
+];
+
+// A head that was silent while its members left got requests again, which could not run.
+for (const { name, listed, isTarget } of cases) {
+  void t.test(`a group ${isTarget ? 'takes' : 'gets no'} requests if ${name}`, (t) => {
+    const counters = new Counters();
+    const log = new DecisionLog('node-1', 'hidden', systemClock, counters);
+    const contact = { reconnectedAtMs: -Infinity, restoredAtMs: -Infinity, currentAtMs: 0 };
+    const list = new InstanceList(systemClock, log, counters, contact);
+    const ownership = { stamp: 0 } as ShardOwnership;
+    const directory = new TargetDirectory(list, new LoadTracker(() => undefined), ownership);
+    const configuration = decodeConfiguration(Buffer.from(JSON.stringify(createConfiguration(1))));
+    const countTargets = (entries: readonly (readonly [string, unknown])[]) => {
+      list.replaceAll(entries.map(([key, value]) => ({ key, value: Buffer.from(JSON.stringify(value)) })));
+      return directory.findCandidates(configuration, 'engines', 'model-a').length;
+    };
+    t.equal(countTargets([head, member]), 1);
+    t.equal(countTargets(listed), isTarget ? 1 : 0);
+    t.end();
+  });
+}
