Planner: what waits for an acknowledged order follows at once

Seen: a group was out of service for longer than the orders took that form it anew.

Cause: an order that waits for another one was planned at the next cycle, up to 100 ms later. Since members leave after their head and join after they have left, that is two such waits.

Change: an acknowledged order brings the next cycle forward.

--- a/packages/node/src/orderSender.ts
+++ b/packages/node/src/orderSender.ts
@@ -31,6 +31,8 @@
   readonly findTerm: (fabricDomain: string) => number | undefined;
   /** Called when an instance follows an owner with a higher term. */
   readonly onFenced: (order: InstanceOrder, term: number) => void;
+  /** Called when an instance has acknowledged an order. */
+  readonly onAcknowledged: () => void;
   /** Called with whether an instance answered a request for its report. */
   readonly onReportResult: (id: string, isAnswered: boolean) => void;
 }
@@ -183,11 +185,11 @@
   }
 
   private _recordBegun(order: InstanceOrder, orderCount: number): void {
-    const { id } = order.instance;
-    const nowMs = this._options.clock.monotonic();
-    this._overlay.recordOrderStart(order, orderCount, nowMs);
-    if (order.kind !== 'open') this._pendingOrders.delete(id);
+    const { clock, onAcknowledged } = this._options;
+    this._overlay.recordOrderStart(order, orderCount, clock.monotonic());
+    if (order.kind !== 'open') this._pendingOrders.delete(order.instance.id);
     if (order.kind === 'close') void this._pollUntilClosed(order.instance);
+    onAcknowledged();
   }
 
   /** Polls a head until it has closed, because the instance list shows that late. */
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -16,6 +16,8 @@
 
 /** Interval between two planning cycles, in milliseconds; a rejoin takes 200 ms. */
 const PLANNING_INTERVAL_MS = 100;
+/** Delay of the cycle that follows an acknowledged order, in milliseconds; the orders to a group end together. */
+const FOLLOW_UP_DELAY_MS = 10;
 /** Interval of the cycles in which nothing has changed, in milliseconds. */
 const IDLE_INTERVAL_MS = 500;
 /** Nodes that must report a group as silent before the members of its silent head are used without it. */
@@ -49,6 +51,7 @@
   private readonly _orders: OrderSender;
   private readonly _checks = new MemberProbes();
   private readonly _abortController = new AbortController();
+  private _followUp: NodeJS.Timeout | undefined;
   private _plannedAtMs = -Infinity;
   private _plannedVersion = '';
   private _refreshedAtMs = -Infinity;
@@ -70,6 +73,9 @@
           known: ownership.findOwnTerm(instance.fabricDomain),
         });
       },
+      onAcknowledged: () => {
+        this._scheduleFollowUp();
+      },
       onReportResult: (id, isAnswered) => {
         this._checks.recordResult(id, isAnswered);
       },
@@ -89,13 +95,14 @@
   async run(): Promise<void> {
     const { signal } = this._abortController;
     while (!signal.aborted) {
-      if (this._options.ownership.isOwner) this._runCycle();
+      this._runCycle();
       await pause(PLANNING_INTERVAL_MS, signal);
     }
   }
 
   stop(): void {
     this._abortController.abort();
+    clearTimeout(this._followUp);
     this._orders.stop();
   }
 
@@ -105,10 +112,19 @@
       : this._options.ownership.findOwnTerm(fabricDomain);
   }
 
+  /** An order often waits for another one: members leave after their head, and join after they have left. */
+  private _scheduleFollowUp(): void {
+    if (this._abortController.signal.aborted) return;
+    this._followUp ??= setTimeout(() => {
+      this._followUp = undefined;
+      this._runCycle();
+    }, FOLLOW_UP_DELAY_MS);
+  }
+
   private _runCycle(): void {
     const { configuration, clock, list, ownership } = this._options;
     const current = configuration();
-    if (!current) return;
+    if (!current || !ownership.isOwner) return;
     this._checkMembers();
     this._refreshInstances();
     const nowMs = clock.monotonic();
