Planner: members wait for the head of a formation in progress

Cause: a formation records at its start who is to hold which rank. A head that was in no group and had not begun its own join yet thus looked like one that had left the formation's group, so that the members that had joined were told to leave, and joined again, until the head's order came through. That takes 0.7 s if its answer is lost, and longer if it is asked first; each round costs two orders for each member, and a join that loads weights starts the load again.

Ruled out: a formation whose head is lost. It ends first, and its members leave as those of a formation given up.

Change: the members of a formation in progress stay.

Evidence: the new case of tests/serving/formationPlanner gave `leave` for both members before.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -184,6 +184,8 @@
 
   /** Whether the group has no head that serves, or could be told to end. */
   private _hasNoHead(view: FormationView, group: ObservedGroup): boolean {
+    // The head of a formation in progress has yet to join.
+    if (this._formations.has(group.name)) return false;
     const isNeverOpened = !group.head && this._abandonedGroups.has(toGroupId(group));
     return isNeverOpened || this._roster.hasHeadLeft(group, view.instances) || isHeadLost(view, group);
   }
--- a/tests/serving/formationPlanner.test.ts
+++ b/tests/serving/formationPlanner.test.ts
@@ -379,6 +379,22 @@
       },
     ],
   },
+  // A head whose join order took longer than its members' counted as one that had left, so that they were told to leave.
+  {
+    name: 'members stay in the group of a formation in progress that its head has not joined yet',
+    steps: [
+      allFree,
+      {
+        instances: [withoutGroup(formed), joinedNow(formedSecond, 1), joinedNow(standby, 2)],
+        view: { instancesWithPendingOrder: new Set([formed.id]) },
+        orders: [],
+      },
+      {
+        instances: [withoutGroup(formed), joinedNow(formedSecond, 1), joinedNow(standby, 2)],
+        orders: [`join ${formed.id}`],
+      },
+    ],
+  },
   // A head that answered again after its members had left counted as free while it was open.
   {
     name: 'a head that answers again without its members leaves its group before it is used',
