Planner: a late entry without a group does not end a sound group

Cause: an entry without a group counted as newer than a join or a report if it changed here more than 1.3 s after it. An instance is in no group between two, and while the store is out that entry can be read seconds after the join: the store is reached again, and the next entry of the instance follows up to two seconds later. The member then counted as one that has left, and the head of its open group was told to leave it. Orders to the member itself were safe, as it is asked first; the order to the head rests on the head's own state, which is true.

Ruled out: the same by an entry of another group. Epochs only rise, so an older one is told by its epoch.

Change: nothing in an entry without a group shows that it is newer, so it never counts as such. Once the list should have shown the group, the instance is asked.

--- a/packages/core/src/serving/instanceStateOverlay.ts
+++ b/packages/core/src/serving/instanceStateOverlay.ts
@@ -197,8 +197,8 @@
 function isEntryNewer(known: KnownState, entry: TargetInstance, entryChangedAtMs: number): boolean {
   const lagMs = known.source === 'report' ? MAX_REPORT_LAG_MS : 0;
   if (entryChangedAtMs < known.recordedAtMs - lagMs) return false;
-  if (entry.membership) return entry.membership.epoch > known.highestEpoch;
-  return entryChangedAtMs >= known.recordedAtMs + LIST_LAG_MS;
+  // One without a group may have been written before the join, whenever it arrives.
+  return getEpoch(entry) > known.highestEpoch;
 }
 
 /** Returns `preferred`, with the membership of `other` if that shows the group open and `preferred` the state before. */
