Planner: who was in a group is remembered while no instance of it is listed

Cause: which instance held which rank, and that a formation was given up, was forgotten in the cycle in which the last listed instance left the group. A head that is cut off from the store for longer than its entry lives is not listed while its members leave; when it came back, still open, the group looked like one whose other members are merely not listed. The head stayed open and got requests that cannot run until several nodes had found the group stalled. An order to join that was carried out seconds late, after the formation was given up, left its member in a group without a head for 12 s.

Change: both are kept for 60 s after the group was last listed, in one place (GroupRoster). Names and epochs of groups are not used again, so what is kept cannot be taken for another group's.

Evidence: two new cases of tests/serving/formationPlanner gave no order before; now the head, or the late member, leaves.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -79,8 +79,6 @@
   private readonly _formations = new Map<string, Formation>();
   private readonly _assignments = new Map<string, ModelAssignment>();
   private readonly _roster = new GroupRoster();
-  /** Ids of the groups whose formation was given up before the group was opened, while instances are in them. */
-  private readonly _abandonedGroups = new Set<string>();
   private _sequence = 0;
   private _availableWeightLoads = WEIGHT_LOAD_BURST;
   private _refilledAtMs: number | undefined;
@@ -101,9 +99,7 @@
     for (const service of view.services) {
       if (service.engine) orders.push(...this._planService(view, service));
     }
-    const groups = this._listGroups(view);
-    this._roster.retain(groups);
-    for (const id of this._abandonedGroups) if (!groups.has(id)) this._abandonedGroups.delete(id);
+    this._roster.retain(this._listGroups(view), view.nowMs);
     return orders;
   }
 
@@ -161,7 +157,7 @@
       const isLost = members.some((member) => !member || !canComplete(view, member, formation));
       if (!isOpen && !isLost) continue;
       this._formations.delete(id);
-      if (!isOpen) this._abandonedGroups.add(toGroupId(formation));
+      if (!isOpen) this._roster.recordGivenUp(formation);
     }
   }
 
@@ -186,7 +182,7 @@
   private _hasNoHead(view: FormationView, group: ObservedGroup): boolean {
     // The head of a formation in progress has yet to join.
     if (this._formations.has(group.name)) return false;
-    const isNeverOpened = !group.head && this._abandonedGroups.has(toGroupId(group));
+    const isNeverOpened = !group.head && this._roster.isGivenUp(group);
     return isNeverOpened || this._roster.hasHeadLeft(group, view.instances) || isHeadLost(view, group);
   }
 
--- a/packages/core/src/serving/groupRoster.ts
+++ b/packages/core/src/serving/groupRoster.ts
@@ -1,46 +1,80 @@
 import { groupId, type ObservedGroup } from './observedGroups.js';
 import type { TargetInstance } from './targetInstance.js';
 
+/**
+ * Time for which a group that no listed instance is in is remembered, in milliseconds: its head may be cut off from the
+ * store meanwhile, and orders to join it may be carried out late.
+ */
+const UNLISTED_TTL_MS = 60_000;
+
 /** Identifies an epoch of a group. */
 type GroupEpoch = Pick<ObservedGroup, 'name' | 'epoch'>;
 
 /** The start of an instance that holds a rank of a group. */
 type RankHolder = Pick<TargetInstance, 'id' | 'startedAtMs'>;
 
+interface KnownGroup {
+  readonly holders: Map<number, RankHolder>;
+  /** Monotonic time at which it was last listed, in milliseconds; undefined until it is retained first. */
+  listedAtMs?: number;
+  /** Whether its formation was given up before it was opened. */
+  isGivenUp: boolean;
+}
+
 /**
  * Remembers which instance holds which rank of a group, so that a rank that no listed instance shows can be told from
  * one whose instance has left. Whether it has left is derived from what that instance shows now.
  */
 export class GroupRoster {
-  private readonly _holders = new Map<string, Map<number, RankHolder>>();
+  private readonly _groups = new Map<string, KnownGroup>();
 
   /** Records who holds the ranks of a group. */
-  record({ name, epoch }: GroupEpoch, members: Iterable<readonly [number, RankHolder]>): void {
-    const id = groupId({ group: name, epoch });
-    const holders = this._holders.get(id) ?? new Map<number, RankHolder>();
-    this._holders.set(id, holders);
-    for (const [rank, { id: holder, startedAtMs }] of members) holders.set(rank, { id: holder, startedAtMs });
+  record(group: GroupEpoch, members: Iterable<readonly [number, RankHolder]>): void {
+    const { holders } = this._getOrAdd(group);
+    for (const [rank, { id, startedAtMs }] of members) holders.set(rank, { id, startedAtMs });
   }
 
-  /** Forgets the groups that are not among `ids`, as returned by `groupId`. */
-  retain(ids: ReadonlySet<string>): void {
-    for (const id of this._holders.keys()) if (!ids.has(id)) this._holders.delete(id);
+  /** Records that the formation of a group was given up before it was opened. */
+  recordGivenUp(group: GroupEpoch): void {
+    this._getOrAdd(group).isGivenUp = true;
+  }
+
+  /** Forgets the groups that have not been among `ids`, as returned by `groupId`, for long. */
+  retain(ids: ReadonlySet<string>, nowMs: number): void {
+    for (const [id, group] of this._groups) {
+      if (ids.has(id)) group.listedAtMs = nowMs;
+      else group.listedAtMs ??= nowMs;
+      if (nowMs - group.listedAtMs > UNLISTED_TTL_MS) this._groups.delete(id);
+    }
+  }
+
+  /** Whether the group's formation was given up before it was opened. */
+  isGivenUp(group: GroupEpoch): boolean {
+    return this._find(group)?.isGivenUp ?? false;
   }
 
   /** Whether the head shows that it is no longer in the group; false while it is not known or not listed. */
   hasHeadLeft(group: GroupEpoch, instances: ReadonlyMap<string, TargetInstance>): boolean {
-    const head = this._getHolders(group)?.get(0);
+    const head = this._find(group)?.holders.get(0);
     return head !== undefined && hasLeft(group, head, instances.get(head.id));
   }
 
   /** Whether any member shows that it is no longer in the group. */
   hasMemberLeft(group: GroupEpoch, instances: ReadonlyMap<string, TargetInstance>): boolean {
-    const holders = this._getHolders(group)?.values() ?? [];
+    const holders = this._find(group)?.holders.values() ?? [];
     return [...holders].some((holder) => hasLeft(group, holder, instances.get(holder.id)));
   }
 
-  private _getHolders({ name, epoch }: GroupEpoch): ReadonlyMap<number, RankHolder> | undefined {
-    return this._holders.get(groupId({ group: name, epoch }));
+  private _find({ name, epoch }: GroupEpoch): KnownGroup | undefined {
+    return this._groups.get(groupId({ group: name, epoch }));
+  }
+
+  private _getOrAdd(group: GroupEpoch): KnownGroup {
+    const known = this._find(group);
+    if (known) return known;
+    const added: KnownGroup = { holders: new Map(), isGivenUp: false };
+    this._groups.set(groupId({ group: group.name, epoch: group.epoch }), added);
+    return added;
   }
 }
 
--- a/tests/serving/formationPlanner.test.ts
+++ b/tests/serving/formationPlanner.test.ts
@@ -411,6 +411,46 @@
       },
     ],
   },
+  // Who was in a group was forgotten with its last listed member, so that a head that came back alone stayed open.
+  {
+    name: 'the same if the head was not listed meanwhile, and none of its members is in the group any more',
+    steps: [
+      { instances: [head, second, third], orders: [] },
+      {
+        instances: [second, third],
+        view: { isHeadGone: () => true },
+        orders: ['leave a-1', 'leave a-2'],
+      },
+      {
+        instances: [withoutGroup(second), withoutGroup(third)],
+        orders: ['join a-1', 'join a-2'],
+      },
+      {
+        instances: [head, withoutGroup(second), withoutGroup(third)],
+        view: { nowMs: 10_000, instancesWithPendingOrder: new Set(['a-1', 'a-2']) },
+        orders: ['leave a-0'],
+      },
+    ],
+  },
+  {
+    name: 'a member that joins a group late, after the formation was given up, leaves it as its head is elsewhere',
+    steps: [
+      {
+        instances: [withoutGroup(formed), withoutGroup(formedSecond), withoutGroup(standby)],
+        orders: allJoins,
+      },
+      {
+        instances: [withoutGroup(formed), withoutGroup(formedSecond)],
+        view: { instancesWithPendingOrder: new Set([formed.id, formedSecond.id]) },
+        orders: [],
+      },
+      {
+        instances: [withoutGroup(formed), joinedNow(formedSecond, 1)],
+        view: { nowMs: 10_000, instancesWithPendingOrder: new Set([formed.id]) },
+        orders: [`leave ${formedSecond.id}`],
+      },
+    ],
+  },
   {
     name: 'a member that answers again after its head has left leaves the group before it is used',
     steps: [
