Node: groups without a listed head are tracked across all services

Cause: the heads that are not listed were updated once for each service with engines, and each update forgot the groups that were not of its service. With two such services, the wait for a head that no node has seen (12 s) began anew with each change of the list, so that members of such a group were not used for as long as the list changed.

Change: one update with the groups of all services.

--- a/packages/node/src/headMonitor.ts
+++ b/packages/node/src/headMonitor.ts
@@ -79,9 +79,9 @@
     const nowMs = clock.monotonic();
     if (this._updatedVersion !== list.version) {
       this._updatedVersion = list.version;
-      for (const service of configuration()?.services.values() ?? []) {
-        if (service.engine) this._heads.update(observeGroups(service, list.instances.values()), nowMs);
-      }
+      const services = [...(configuration()?.services.values() ?? [])].filter(({ engine }) => engine);
+      const groups = services.flatMap((service) => [...observeGroups(service, list.instances.values())]);
+      this._heads.update(new Map(groups), nowMs);
     }
     if (nowMs - this._askedAtMs < ASK_INTERVAL_MS) return;
     this._askedAtMs = nowMs;
