Planner: an instance whose report and entry disagree is asked again

Cause: a report is as of some 200 ms before it arrives. Where the entry that was read just before it shows another state of the same group, either may be older, and the report counted; it went on to count for as long as the entry did not change. An instance reported as joining whose entry already showed it ready stayed joining to the planner, so that its group was never opened; a head reported as open whose entry already showed it broken was never told to leave.

Change: such an instance is asked again, until the report is known to be the newer one.

--- a/packages/core/src/serving/instanceStateOverlay.ts
+++ b/packages/core/src/serving/instanceStateOverlay.ts
@@ -114,15 +114,17 @@
     return merged;
   }
 
-  /** Ids of the listed instances whose entry still shows another group than is known, so that they have to be asked. */
+  /**
+   * Ids of the listed instances that have to be asked: their entry still shows another group than is known, or another
+   * state than a report of about the same time, and either may be older.
+   */
   listContradicted(entries: InstanceEntries): readonly string[] {
     return [...this._states].flatMap(([id, known]) => {
       const entry = entries.instances.get(id);
-      const isContradicted =
-        entry !== undefined &&
-        entry.startedAtMs === known.instance.startedAtMs &&
-        !isSameGroup(entry, known.instance) &&
-        entries.currentAtMs >= known.expiresAtMs;
+      if (entry?.startedAtMs !== known.instance.startedAtMs) return [];
+      const isContradicted = isSameGroup(entry, known.instance)
+        ? isUndecided(known, entry, entries.changedAtMs(id))
+        : entries.currentAtMs >= known.expiresAtMs;
       return isContradicted ? [id] : [];
     });
   }
@@ -201,6 +203,14 @@
   return getEpoch(entry) > known.highestEpoch;
 }
 
+/** Whether an entry of the same group shows another state than a report, and neither is known to be newer. */
+function isUndecided(known: KnownState, entry: TargetInstance, entryChangedAtMs: number): boolean {
+  const sinceMs = known.recordedAtMs - entryChangedAtMs;
+  if (known.source !== 'report' || sinceMs <= 0 || sinceMs > MAX_REPORT_LAG_MS) return false;
+  const { membership, stagedModels } = known.instance;
+  return entry.membership?.state !== membership?.state || entry.stagedModels.join() !== stagedModels.join();
+}
+
 /** Returns `preferred`, with the membership of `other` if that shows the group open and `preferred` the state before. */
 function keepServing(preferred: TargetInstance, other: TargetInstance): TargetInstance {
   return isServing(other) && isBeforeOpen(preferred, other)
--- a/tests/serving/instanceKnowledge.test.ts
+++ b/tests/serving/instanceKnowledge.test.ts
@@ -316,6 +316,38 @@
   t.end();
 });
 
+// A report that lagged behind an entry counted for as long as the entry did not change, so that a group was never opened.
+for (const [reported, listed] of [
+  ['joining', 'ready'],
+  ['open', 'broken'],
+  ['closing', 'ready'],
+] as const) {
+  void t.test(`an instance is asked again if it may be ${reported} or ${listed}`, (t) => {
+    const knowledge = new InstanceStateOverlay();
+    const entries = {
+      instances: new Map([['head', createHead(listed)]]),
+      changedAtMs: () => 900,
+      currentAtMs: 1_100,
+    };
+    const findState = () => knowledge.merge(entries).get('head')?.membership?.state;
+    knowledge.recordReport(createHead(reported), 4, 1_000);
+    t.equal(findState(), reported);
+    t.same(knowledge.listContradicted(entries), ['head']);
+    knowledge.recordReport(createHead(listed), 4, 1_300);
+    t.equal(findState(), listed);
+    t.same(knowledge.listContradicted(entries), []);
+    t.end();
+  });
+}
+
+void t.test('an instance is not asked again if its report is newer than an entry with another state', (t) => {
+  const knowledge = new InstanceStateOverlay();
+  knowledge.recordReport(createHead('ready'), 4, 1_000);
+  const instances = new Map([['head', createHead('joining')]]);
+  t.same(knowledge.listContradicted({ instances, changedAtMs: () => 600, currentAtMs: 1_100 }), []);
+  t.end();
+});
+
 // A head that is cut off from the store was never closed: the number of its orders was forgotten before each order.
 void t.test('the state of an instance that is no longer listed is kept for orders to it', (t) => {
   const knowledge = new InstanceStateOverlay();
