--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -79,8 +79,6 @@
   private readonly _formations = new Map<string, Formation>();
   private readonly _assignments = new Map<string, ModelAssignment>();
   private readonly _roster = new GroupRoster();
-  /** Ids of the groups whose formation was given up before the group was opened, while instances are in them. */
-  private readonly _abandonedGroups = new Set<string>();
   private _sequence = 0;
   private _availableWeightLoads = WEIGHT_LOAD_BURST;
   private _refilledAtMs: number | undefined;
@@ -101,9 +99,7 @@
     for (const service of view.services) {
       if (service.engine) orders.push(...this._planService(view, service));
     }
-    const groups = this._listGroups(view);
-    this._roster.retain(groups);
-    for (const id of this._abandonedGroups) if (!groups.has(id)) this._abandonedGroups.delete(id);
+    this._roster.retainGroupsOf(view.instances.values(), view.nowMs);
     return orders;
   }
 
@@ -143,14 +139,6 @@
     this._refilledAtMs = view.nowMs;
   }
 
-  /** Ids of the groups that any instance is in or is to join. */
-  private _listGroups(view: FormationView): ReadonlySet<string> {
-    const ids = new Set<string>();
-    for (const { membership } of view.instances.values()) if (membership) ids.add(groupId(membership));
-    for (const { name, epoch } of this._formations.values()) ids.add(groupId({ group: name, epoch }));
-    return ids;
-  }
-
   /** Removes formations that have opened, or can no longer become whole. */
   private _removeEndedFormations(view: FormationView, service: ServingService): void {
     for (const [id, formation] of this._formations) {
@@ -161,7 +149,7 @@
       const isLost = members.some((member) => !member || !canComplete(view, member, formation));
       if (!isOpen && !isLost) continue;
       this._formations.delete(id);
-      if (!isOpen) this._abandonedGroups.add(toGroupId(formation));
+      if (!isOpen) this._roster.recordGivenUp(formation);
     }
   }
 
@@ -184,7 +172,9 @@
 
   /** Whether the group has no head that serves, or could be told to end. */
   private _hasNoHead(view: FormationView, group: ObservedGroup): boolean {
-    const isNeverOpened = !group.head && this._abandonedGroups.has(toGroupId(group));
+    // The head of a formation in progress has yet to join.
+    if (this._formations.has(group.name)) return false;
+    const isNeverOpened = !group.head && this._roster.isGivenUp(group);
     return isNeverOpened || this._roster.hasHeadLeft(group, view.instances) || isHeadLost(view, group);
   }
 
--- a/packages/node/src/targetDirectory.ts
+++ b/packages/node/src/targetDirectory.ts
@@ -125,7 +125,7 @@
     for (const service of configuration.services.values()) {
       for (const [id, targets] of this._findTargets(service)) this._targetsById.set(id, targets);
     }
-    this._roster.retainGroupsOf(this._list.instances.values());
+    this._roster.retainGroupsOf(this._list.instances.values(), this._list.currentAtMs);
     this._targetsByKey = new Map(
       [...this._targetsById.values()].flatMap((targets) => targets.map((target) => [target.key, target])),
     );
