Planner: an instance that refuses an order is known by its next report

Cause: an order that is already in progress is acknowledged like one that has begun, and is not counted: an order to open that two owners send one after the other, for example. The sender then knew one order too many; reports with fewer were taken for older and ignored, and each further order was refused, so that the instance could not be moved any more.

Change: a refused order shows that the known number is wrong, so it is forgotten; the next report counts.

Evidence: tests/node/orderSender; before, the second order was refused as well.

--- a/packages/core/src/serving/instanceStateOverlay.ts
+++ b/packages/core/src/serving/instanceStateOverlay.ts
@@ -60,6 +60,14 @@
     });
   }
 
+  /**
+   * Forgets an instance that has refused an order since it has begun another number of orders. Its next report counts,
+   * also with a lower number: an order that is already in progress is acknowledged without being counted.
+   */
+  forget(id: string): void {
+    this._states.delete(id);
+  }
+
   /** Records an instance's own report. */
   recordReport(instance: TargetInstance, orderCount: number, nowMs: number): void {
     const previous = this._states.get(instance.id);
--- a/packages/node/src/orderSender.ts
+++ b/packages/node/src/orderSender.ts
@@ -160,7 +160,7 @@
     outcome: OrderOutcome,
     sent: { readonly term: number; readonly expectedOrderCount: number },
   ): Promise<void> {
-    const { clock, onFenced } = this._options;
+    const { onFenced } = this._options;
     const { id } = order.instance;
     switch (outcome.kind) {
       case 'begun':
@@ -177,13 +177,23 @@
         onFenced(order, sent.term);
         return;
       case 'conflict':
+        this._overlay.forget(id);
+        await this._refreshLater(order);
+        return;
       case 'unknown':
-        await pause(MAX_REPORT_LAG_MS, this._abortController.signal);
-        await this.refresh(order.instance);
-        if (order.kind === 'stage') this._pendingOrders.set(id, clock.monotonic() + ORDER_EFFECT_MS);
+        await this._refreshLater(order);
     }
   }
 
+  /** Asks the instance what became of an order, once its report shows that. */
+  private async _refreshLater(order: InstanceOrder): Promise<void> {
+    const { clock } = this._options;
+    await pause(MAX_REPORT_LAG_MS, this._abortController.signal);
+    await this.refresh(order.instance);
+    if (order.kind === 'stage')
+      this._pendingOrders.set(order.instance.id, clock.monotonic() + ORDER_EFFECT_MS);
+  }
+
   private _recordBegun(order: InstanceOrder, orderCount: number): void {
     const { clock, onAcknowledged } = this._options;
     this._overlay.recordOrderStart(order, orderCount, clock.monotonic());
