Tests: the stand-in of an instance judges joins and answers orders as engines do

Cause: the stand-in excused a head that joins elsewhere itself, and every member whose head was silent at that moment. A head that has no answer for a while, or that lost a member, serves on until it is broken. Its orders differed from those of engines as well, so that the soak exercised neither `leave` answered with 200, nor a head that is closing or broken.

Change: a join of another group counts as a violation while the head of the present one, which may be the instance itself, is open or closing, silent or not. A crash takes the group away at once, so that only what can come back counts as silent. Orders: `leave` is answered with 200 and counts, and with 200 without counting for any other group; an order that holds is answered with 200, one that is in progress with 202 without counting; the same group and epoch with other members is 412; only heads open and close. `open` serves after 100 ms, `close` waits for the streams, a rejoin takes 200 ms, a load stages the model at its end, a head that stalls is broken after 2 s. Members answer requests with 421, engines in no group with 503.

Ruled out: that old faults break the stricter check by themselves.

--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -3,13 +3,20 @@
 import { listen, readText, sendJson, sleep } from '../standins/http.js';
 import type { StoreStandin } from './storeStandin.js';
 
+/** Service whose instances run requests in groups only. */
+const ENGINE_SERVICE = 'engines';
 /** Default interval between two events of a stream. */
 const EVENT_INTERVAL_MS = 15;
 /** Time for which an instance in mode `refuses-late` holds a request, in milliseconds. */
 const REFUSAL_DELAY_MS = 1_200;
-/** Time from a join order until the member is ready. */
+/** Time from a join order until the member is ready, with a staged model; and if it was that of the last group. */
 const JOIN_DURATION_MS = 30;
-/** Time from the loss of a member until the head detects it and breaks off its streams; none makes progress meanwhile. */
+const REJOIN_DURATION_MS = 200;
+/** Time that a join takes in addition if the model is not staged. */
+const LOAD_DURATION_MS = 50;
+/** Time from an order to open until the head serves. */
+const FORM_DURATION_MS = 100;
+/** Time from the loss of a member until a head with requests is broken; none makes progress meanwhile. */
 const BREAK_DETECTION_MS = 2_000;
 /** Delay before an instance in mode `late-orders` executes an order, whose sender has timed out by then. */
 const ORDER_DELAY_MS = 2_500;
@@ -29,6 +36,19 @@
   | 'resets-unframed'
   | 'late-orders';
 
+/** What an order did. Those that began, or were done at once, count. */
+type OrderEffect = 'begun' | 'in progress' | 'done' | 'holds' | 'conflict' | 'outdated' | 'unknown';
+
+const EFFECT_STATUSES: Readonly<Record<OrderEffect, number>> = {
+  begun: 202,
+  'in progress': 202,
+  done: 200,
+  holds: 200,
+  conflict: 409,
+  outdated: 412,
+  unknown: 400,
+};
+
 /** A request that an instance has started to run. */
 export interface RunRecord {
   readonly requestId: string;
@@ -99,10 +119,13 @@
   private readonly _stagedModels: string[] = [];
   private _server: Server | undefined;
   private _group: Membership | undefined;
+  /** Group that the instance has been ordered to open and does not serve yet. */
+  private _opening: Membership | undefined;
   private _model: string | undefined;
   private _orderCount = 0;
   private _announcementCount = 0;
   private _highestEpoch = 0;
+  private _runningStreams = 0;
   private _state: 'ready' | 'draining' = 'ready';
 
   constructor(
@@ -138,11 +161,13 @@
     this._highestEpoch = group.epoch;
     this._stagedModels.splice(0, 1, 'model-a');
     this._model = 'model-a';
+    if (group.state !== 'joining') this._fleet.readyMembers.add(toMemberKey(this.id, group));
   }
 
-  /** Stops answering. Its entry expires after `expiryMs`, as that of a crashed instance does. */
+  /** Crashes: it no longer answers or has a group. Its entry expires after `expiryMs`. */
   stopAnswering(expiryMs: number): void {
     this.mode = 'dark';
+    this._group = undefined;
     const startCount = this._startCount;
     setTimeout(() => {
       if (this._startCount === startCount) this._fleet.store.put('keyed.servers', this.id, undefined);
@@ -155,7 +180,6 @@
     this._server?.closeAllConnections();
     await sleep(downtimeMs);
     this._startCount++;
-    this._group = undefined;
     this._model = undefined;
     this._orderCount = 0;
     this._fencingToken = 0;
@@ -184,7 +208,7 @@
 
   /** Writes the instance's entry to the store. */
   announce(): void {
-    if (this.mode === 'dark' || this.isDisconnectedFromStore) return;
+    if (this.mode === 'dark' || this.isDisconnectedFromStore || !this._server?.listening) return;
     this._announcementCount++;
     this._fleet.store.put('keyed.servers', this.id, this.describeEntry());
   }
@@ -245,74 +269,109 @@
       response.writeHead(409).end();
       return;
     }
-    const status = this._executeOrder(order);
-    if (status === 202) this._orderCount++;
-    response.writeHead(status).end();
+    const effect = this._executeOrder(order);
+    if (effect === 'begun' || effect === 'done') this._orderCount++;
+    response.writeHead(EFFECT_STATUSES[effect]).end();
     this.announce();
   }
 
-  private _executeOrder(order: Readonly<Record<string, unknown>>): number {
+  private _executeOrder(order: Readonly<Record<string, unknown>>): OrderEffect {
     const epoch = Number(order.epoch ?? 0);
-    const isCurrentGroup = this._group?.epoch === epoch && this._group.name === order.group;
+    const isCurrent = this._group?.epoch === epoch && this._group.name === order.group;
+    const group = isCurrent ? this._group : undefined;
     switch (order.operation) {
       case 'stage':
         this._stagedModels.splice(0, 1, String(order.model));
-        return 202;
-      case 'join':
-        if (epoch < this._highestEpoch) return 412;
+        return 'begun';
+      case 'join': {
+        if (epoch < this._highestEpoch) return 'outdated';
+        const members = order.members as readonly string[];
+        if (group && group.members.join() !== members.join()) return 'outdated';
+        if (group) return group.state === 'joining' ? 'in progress' : 'holds';
         this._join(order, epoch);
-        return 202;
+        return 'begun';
+      }
       case 'open':
-        if (!isCurrentGroup || this._group?.state !== 'ready') return 409;
-        this._group.state = 'open';
-        return 202;
+        if (group?.rank !== 0) return 'conflict';
+        if (group.state === 'open') return 'holds';
+        if (group.state !== 'ready') return 'conflict';
+        if (this._opening === group) return 'in progress';
+        this._open(group);
+        return 'begun';
       case 'close':
-        if (!isCurrentGroup || this._group?.state !== 'open') return 409;
-        this._group.state = 'ready';
-        return 202;
+        if (group?.rank !== 0) return 'conflict';
+        if (group.state === 'ready') return 'holds';
+        if (group.state === 'closing') return 'in progress';
+        if (group.state !== 'open') return 'conflict';
+        group.state = 'closing';
+        this._finishClosing();
+        return 'begun';
       case 'leave':
-        if (!isCurrentGroup) return 409;
+        if (!group) return 'holds';
         this._group = undefined;
-        return 202;
+        return 'done';
       default:
-        return 400;
+        return 'unknown';
     }
   }
 
   private _join(order: Readonly<Record<string, unknown>>, epoch: number): void {
     const members = order.members as readonly string[];
+    const model = String(order.model);
     this._checkPreviousGroup(String(order.group), epoch);
     this._highestEpoch = epoch;
-    const group = {
+    const joined: Membership = {
       name: String(order.group),
       epoch,
       rank: members.indexOf(this.id),
       members,
-      state: 'joining' as const,
+      state: 'joining',
     };
-    const joined: Membership = group;
     this._group = joined;
-    this._stagedModels.splice(0, 1, String(order.model));
+    const loadMs = this._stagedModels.includes(model) ? 0 : LOAD_DURATION_MS;
+    setTimeout(
+      () => {
+        this._stagedModels.splice(0, 1, model);
+        if (this._group !== joined) return;
+        joined.state = 'ready';
+        this._model = model;
+        this._fleet.readyMembers.add(toMemberKey(this.id, joined));
+        this.announce();
+      },
+      this._model === model ? REJOIN_DURATION_MS : loadMs + JOIN_DURATION_MS,
+    );
+  }
+
+  private _open(group: Membership): void {
+    this._opening = group;
     setTimeout(() => {
-      if (this._group !== joined) return;
-      joined.state = 'ready';
-      this._model = String(order.model);
-      this._fleet.readyMembers.add(toMemberKey(this.id, joined));
+      if (this._opening === group) this._opening = undefined;
+      if (this._group !== group || group.state !== 'ready') return;
+      group.state = 'open';
       this.announce();
-    }, JOIN_DURATION_MS);
+    }, FORM_DURATION_MS);
   }
 
-  /** Records a violation if the instance joins a group while the head of its current one still serves. */
+  /** A closing head is ready again once its streams have ended. */
+  private _finishClosing(): void {
+    if (this._group?.state !== 'closing' || this._runningStreams > 0) return;
+    this._group.state = 'ready';
+    this.announce();
+  }
+
+  /**
+   * Records a violation if the instance joins another group while the head of its own, which may be the instance itself,
+   * is open or closing. A head that is silent, or stalled because it lost a member, remains open until it is broken.
+   */
   private _checkPreviousGroup(group: string, epoch: number): void {
     const current = this._group;
     if (!current || (current.name === group && current.epoch === epoch)) return;
     const head = this._fleet.instances.get(current.members[0] ?? '');
-    const isSame = head?.group?.name === current.name && head.group.epoch === current.epoch;
-    const isServing = isSame && head.mode !== 'dark' && head.group.state !== 'ready';
-    if (head === this || !isServing || head.group.state === 'joining' || head.group.state === 'broken')
-      return;
+    const headGroup = head?.group;
+    if (headGroup?.name !== current.name || headGroup.epoch !== current.epoch) return;
+    if (headGroup.state !== 'open' && headGroup.state !== 'closing') return;
     this._fleet.violations.push(
-      `${this.id} joined ${group} while ${current.name} of ${head.id} was ${head.group.state}`,
+      `${this.id} joined ${group} while ${current.name} of ${head?.id ?? ''} was ${headGroup.state}`,
     );
   }
 
@@ -321,8 +380,13 @@
     const requestId = String(request.headers['attempt-id']);
     const isRefusingLate = this.mode === 'refuses-late';
     if (isRefusingLate) await sleep(REFUSAL_DELAY_MS);
+    if (this._group && this._group.rank !== 0) {
+      response.writeHead(421, { 'Replica-Id': this.id, 'Attempt-Id': requestId }).end();
+      return;
+    }
+    const isServing = this._group ? this._group.state === 'open' : this._service !== ENGINE_SERVICE;
     // A draining target still runs the requests that reach it: tests must see a node that sends it new ones.
-    if (isRefusingLate || this.mode === 'full' || (this._group && this._group.state !== 'open')) {
+    if (isRefusingLate || this.mode === 'full' || !isServing) {
       response.writeHead(503, { 'Not-Executed': '1', 'Attempt-Id': requestId }).end();
       return;
     }
@@ -343,9 +407,14 @@
     const limit: Readonly<Record<string, string>> =
       this.requestsPerS === undefined ? {} : { 'Server-Limit': String(this.requestsPerS) };
     const head = { 'Attempt-Id': echo, 'Server-Seal': `seal-of-${this.id}`, ...limit };
-    if (this._group)
-      await this._sendEventStream(response, head, Number(request.headers['last-event-id'] ?? 0));
-    else this._sendPlainAnswer(response, head, `${echo}:${body}`);
+    if (!this._group) {
+      this._sendPlainAnswer(response, head, `${echo}:${body}`);
+      return;
+    }
+    this._runningStreams++;
+    await this._sendEventStream(response, head, Number(request.headers['last-event-id'] ?? 0));
+    this._runningStreams--;
+    this._finishClosing();
   }
 
   /** Records a violation if a member of the group has never been ready in it. */
@@ -403,6 +472,7 @@
       if (group && !this._isWhole(group)) {
         await sleep(BREAK_DETECTION_MS);
         response.destroy();
+        this._break(group);
         return;
       }
       if (response.destroyed || (this.mode as InstanceMode) === 'dark') return;
@@ -411,6 +481,13 @@
     response.end();
   }
 
+  /** The head of a group that lost a member detects the loss once its requests have made no progress for a while. */
+  private _break(group: Membership): void {
+    if (this._group !== group || this._isWhole(group)) return;
+    group.state = 'broken';
+    this.announce();
+  }
+
   private _isWhole(group: Membership): boolean {
     if (this._group !== group) return false;
     return group.members.every((id) => {
