Soak: engines that fall silent in waves

It takes two silences within seconds of each other; the soak silenced one engine at a time.

Change: the fault "engines silent in waves" draws two to five waves. In each, a fifth to two fifths of the engines are silent for all nodes for 0.8 to 1.8 s, the next wave comes 0.3 to 1.5 s later, and half of the waves strike the same engines again. Engines keep their groups and their entries in the store, and what was sent meanwhile is delivered afterwards. Silences of one link that overlap end with the last of them; before, the first to end ended all.

--- a/tests/soak/faultProxy.test.ts
+++ b/tests/soak/faultProxy.test.ts
@@ -1,5 +1,6 @@
 import { type AddressInfo, connect, createServer } from 'node:net';
 import t from 'tap';
+import { sleep } from '../standins/http.js';
 import { findFreePorts } from '../support/ports.js';
 import { FaultProxy } from './faultProxy.js';
 
@@ -44,3 +45,38 @@
     server.close();
   });
 }
+
+// Guards against a silence that another fault ends, and against bytes that a silence loses.
+void t.test(
+  'the proxy holds bytes until the last of several silences ends, then delivers them',
+  async (t) => {
+    const server = createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.pipe(socket);
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const [port = 0] = await findFreePorts(1);
+    const proxy = new FaultProxy(() => `127.0.0.1:${(server.address() as AddressInfo).port}`);
+    await proxy.listen(port);
+    const socket = connect(port, '127.0.0.1');
+    let echoed = '';
+    socket.on('data', (chunk) => {
+      echoed += String(chunk);
+    });
+    socket.write('before ');
+    await sleep(100);
+    const short = proxy.silence(100);
+    const long = proxy.silence(400);
+    socket.write('during ');
+    await short;
+    await sleep(100);
+    t.equal(echoed, 'before ');
+    socket.write('later');
+    await long;
+    await sleep(100);
+    t.equal(echoed, 'before during later');
+    socket.destroy();
+    proxy.close();
+    server.close();
+  },
+);
--- a/tests/soak/faultProxy.ts
+++ b/tests/soak/faultProxy.ts
@@ -1,4 +1,5 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
+import { sleep } from '../standins/http.js';
 
 /** What a proxy does with the bytes that it forwards. */
 export type LinkState =
@@ -18,6 +19,7 @@
 export class FaultProxy {
   private readonly _connections = new Set<Connection>();
   private _state: LinkState = { kind: 'passes' };
+  private _silences = 0;
   private readonly _server: Server;
 
   constructor(private readonly _getTargetAddress: () => string) {
@@ -37,6 +39,14 @@
     for (const connection of this._connections) this._apply(connection);
   }
 
+  /** Holds the bytes of all connections for `forMs` milliseconds; silences that overlap end with the last of them. */
+  async silence(forMs: number): Promise<void> {
+    this._silences++;
+    this.setState({ kind: 'silent' });
+    await sleep(forMs);
+    if (--this._silences === 0) this.setState({ kind: 'passes' });
+  }
+
   /** Resets every open connection. */
   resetConnections(): void {
     for (const { caller, server } of this._connections) {
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -15,6 +15,17 @@
 const ROLLING_STOP_INTERVAL_MS = 1_200;
 /** Time for which the store is away before it comes back from a copy, in milliseconds. */
 const RESTORE_MS = 1_000;
+/** Number of waves of silent engines in one fault, and its spread. */
+const MIN_WAVES = 2;
+const WAVES_SPREAD = 4;
+/** Share of the engines that are silent in a wave, and its spread. */
+const MIN_SILENT_SHARE = 0.2;
+const SILENT_SHARE_SPREAD = 0.2;
+/** Duration of a wave, the pause after it, and their spreads, in milliseconds; entries in the store outlive a wave. */
+const MIN_WAVE_MS = 800;
+const WAVE_SPREAD_MS = 1_000;
+const MIN_WAVE_PAUSE_MS = 300;
+const WAVE_PAUSE_SPREAD_MS = 1_200;
 
 /** A fault in the timeline. */
 export interface FaultEvent {
@@ -24,6 +35,13 @@
   readonly forMs: number;
 }
 
+/** Engines that are silent for every node at the same time. */
+interface SilentWave {
+  readonly ids: readonly string[];
+  readonly forMs: number;
+  readonly pauseMs: number;
+}
+
 /** The faults that a soak injects. */
 export const FAULT_NAMES = [
   'kill',
@@ -48,6 +66,7 @@
   'engine cut from store',
   'engine link silent',
   'engine link reset',
+  'engines silent in waves',
   'late orders',
   'plain target resets',
   'plain target full',
@@ -137,6 +156,8 @@
       case 'engine link silent':
       case 'engine link reset':
         return this._injectEngineFault(name, forMs);
+      case 'engines silent in waves':
+        return this._injectSilentWaves(name);
       case 'late orders':
         return this._injectInstanceFault(name, 'engines', 'late-orders', forMs);
       case 'plain target resets':
@@ -273,9 +294,7 @@
         await engine.disconnectFromStore(forMs);
         return;
       case 'engine link silent':
-        link?.setState({ kind: 'silent' });
-        await sleep(forMs);
-        link?.setState({ kind: 'passes' });
+        await link?.silence(forMs);
         return;
       case 'engine link reset':
         link?.resetConnections();
@@ -283,6 +302,36 @@
     }
   }
 
+  /** Lets engines fall silent and go on, a few times; they keep their groups and their entries in the store. */
+  private async _injectSilentWaves(name: FaultName): Promise<void> {
+    for (const { ids, forMs, pauseMs } of this._drawSilentWaves()) {
+      this._record(name, ids.join(' '), forMs);
+      this._fleet.harm(forMs);
+      await Promise.all(ids.map((id) => this._fleet.instanceLinks.get(id)?.silence(forMs)));
+      await sleep(pauseMs);
+    }
+  }
+
+  /** Draws all waves at once, so that they depend on the seed alone. Half of them strike the same engines again. */
+  private _drawSilentWaves(): readonly SilentWave[] {
+    const waves: SilentWave[] = [];
+    const count = MIN_WAVES + this._random.below(WAVES_SPREAD);
+    while (waves.length < count) {
+      const drawn = this._instancesOf('engine')
+        .map(({ id }) => ({ id, order: this._random.next() }))
+        .sort((a, b) => a.order - b.order)
+        .map(({ id }) => id);
+      const share = MIN_SILENT_SHARE + this._random.next() * SILENT_SHARE_SPREAD;
+      const previous = this._random.below(2) === 0 ? waves.at(-1) : undefined;
+      waves.push({
+        ids: previous?.ids ?? drawn.slice(0, Math.round(drawn.length * share)),
+        forMs: MIN_WAVE_MS + this._random.next() * WAVE_SPREAD_MS,
+        pauseMs: MIN_WAVE_PAUSE_MS + this._random.next() * WAVE_PAUSE_SPREAD_MS,
+      });
+    }
+    return waves;
+  }
+
   private async _injectInstanceFault(
     name: FaultName,
     service: 'engines' | 'plain',
