Node: in a stop, an answer that has begun goes on while the last answers leave

Callers saw streams cut a few events before their end. A stop abandons its requests and then waits up to 0.2 s until the answers to them have left.

Requests whose answer has not begun are answered as before, at the same moment. Streams go on for the 0.2 s in which those answers leave, and are broken off at its end; the process ends no later than before. The admission of requests still counts with the earlier moment. Each request is logged and counted when it is given up.

tests/node/stopLastEvents failed before: a stream whose last event came just after another caller had been refused at the end of the stop was cut, and 3 requests were counted instead of 2.

--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
-import { CallerConnections } from '@monsoonreach/callers/connections';
+import { CallerConnections, type OpenRequest } from '@monsoonreach/callers/connections';
 import { type KeyTrust, type RouteTable, type ServingRoute, splitAddress } from '@monsoonreach/core';
 import { type CallerRequest, decodeCallerRequest, encodeRetryAfter } from '@monsoonreach/platform';
 import { RequestRun } from './requestRun.js';
@@ -88,11 +88,9 @@
     this._server.close();
   }
 
-  /** Answers the requests that have not been forwarded to a target as not run. */
-  refuseUnserved(): void {
-    for (const { response, requestId, stage } of this.connections.listOpenRequests()) {
-      if (stage !== 'serving') this._refuseStopping(response, requestId);
-    }
+  /** Answers a request as not run if it has neither been forwarded to a target nor answered. */
+  refuseUnserved({ response, requestId, stage }: OpenRequest): void {
+    if (stage !== 'serving' && !response.headersSent) this._refuseStopping(response, requestId);
   }
 
   /** Headers about the connection that an answer carries: names and values, alternating. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
+import type { OpenRequest } from '@monsoonreach/callers/connections';
 import {
   chooseTarget,
   type Clock,
@@ -228,11 +229,21 @@
     await pause(Math.min(BALANCER_DRAIN_MS, endsAtMs - startedAtMs));
     this._front.close();
     await this._waitUntilClosed(endsAtMs);
-    const unfinished = this._logStop(startedAtMs);
-    this._front.refuseUnserved();
-    for (const run of this._runs) run.abandon();
+    const { connections } = this._front;
+    // An answer that has begun cannot be replaced by another one, so that it may use the time in which those leave.
+    const unanswered = connections.listOpenRequests().filter(({ response }) => !response.headersSent);
+    this._giveUp(unanswered, startedAtMs);
     await this._waitUntilClosed(endsAtMs + FLUSH_TIMEOUT_MS);
-    this._front.connections.resetUnfinished();
+    const givenUp = new Set(unanswered.map(({ response }) => response));
+    const begun = connections.listOpenRequests().filter(({ response }) => !givenUp.has(response));
+    this._giveUp(begun, startedAtMs);
+    const unfinished = unanswered.length + begun.length;
+    this._log.info('stopped', {
+      unfinished,
+      connections: connections.size,
+      ms: Math.round(this._clock.monotonic() - startedAtMs),
+    });
+    connections.resetUnfinished();
     return unfinished;
   }
 
@@ -242,12 +253,11 @@
     while (connections.size > 0 && this._clock.monotonic() < untilMs) await pause(CHECK_INTERVAL_MS);
   }
 
-  /** Logs how the stop ended, and each request whose answer has not been sent completely; returns their number. */
-  private _logStop(stoppingSinceMs: number): number {
+  /** Ends requests because the process ends: each is logged, and answered truthfully unless its answer has begun. */
+  private _giveUp(requests: readonly OpenRequest[], stoppingSinceMs: number): void {
     const nowMs = this._clock.monotonic();
-    const { connections } = this._front;
-    const openRequests = connections.listOpenRequests();
-    for (const request of openRequests) {
+    for (const request of requests) {
+      const run = [...this._runs].find((candidate) => candidate.isAnswering(request.response));
       this._log.warn('request unfinished at the end of the stop', {
         request: request.requestId,
         stage: request.stage,
@@ -256,15 +266,11 @@
         connection: request.connection,
         connectionMs: Math.round(nowMs - request.connectionOpenedAtMs),
         position: request.position,
-        ...[...this._runs].find((run) => run.isAnswering(request.response))?.describeProgress(),
+        ...run?.describeProgress(),
       });
+      if (run) run.abandon();
+      else this._front.refuseUnserved(request);
     }
-    this._log.info('stopped', {
-      unfinished: openRequests.length,
-      connections: connections.size,
-      ms: Math.round(nowMs - stoppingSinceMs),
-    });
-    return openRequests.length;
   }
 
   /** Handles SIGHUP. Only logs, because settings are read only at startup. */
--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -60,7 +60,7 @@
   /** Every instance that became ready in a group, as returned by `toMemberKey`. */
   readonly readyMembers = new Set<string>();
   /** Time before each event of a stream, in milliseconds. */
-  pauseBefore: (requestId: string, eventId: number) => number = () => EVENT_INTERVAL_MS;
+  pauseBefore: (requestId: string, eventId: number) => number | Promise<number> = () => EVENT_INTERVAL_MS;
 
   constructor(
     readonly store: StoreStandin,
@@ -399,7 +399,7 @@
     const framing = isUnframed ? { Connection: 'close' } : {};
     response.writeHead(200, { ...head, ...framing, 'Content-Type': 'text/event-stream' });
     for (let id = lastEventId + 1; id <= this._fleet.eventCount; id++) {
-      await sleep(this._fleet.pauseBefore(head['Attempt-Id'] ?? '', id));
+      await sleep(await this._fleet.pauseBefore(head['Attempt-Id'] ?? '', id));
       if (group && !this._isWhole(group)) {
         await sleep(BREAK_DETECTION_MS);
         response.destroy();
