Node: in a stop, a stream has to fit with a margin where another node accepts its caller

Batches became fuller afterwards: the streams took 1.05 to 1.5 times as long as predicted.

Where another live node of the failure domain is not stopping itself, the balancer sends a refused caller there, and the refusal costs one round trip. There the pace that the target keeps counts with a quarter more. Where there is none, the caller would come back to this node or to another one that stops: nothing changes, and a stream that probably ends in time is taken.

The margin applies to the measured pace, so that a target that is faster than a full batch by more than that is judged as before.

--- a/packages/core/src/serving/streamPace.ts
+++ b/packages/core/src/serving/streamPace.ts
@@ -33,10 +33,13 @@
     });
   }
 
-  /** Factor on the predicted durations of a target's streams, at least 1; 1 if it has shown nothing. */
-  getFactor(target: string, nowMs: number): number {
+  /**
+   * Factor on the predicted durations of a target's streams: the pace that it keeps times `margin`, at least 1. A target
+   * that has shown nothing counts with its published pace.
+   */
+  getFactor(target: string, nowMs: number, margin = 1): number {
     const { durationMs, predictedMs } = this._getShown(target, nowMs);
-    return Math.max(1, (durationMs + PUBLISHED_WEIGHT_MS) / (predictedMs + PUBLISHED_WEIGHT_MS));
+    return Math.max(1, (margin * (durationMs + PUBLISHED_WEIGHT_MS)) / (predictedMs + PUBLISHED_WEIGHT_MS));
   }
 
   /** Removes all targets except these. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -463,7 +463,11 @@
       crashes: this._crashes,
       directory: this._directory,
       placement: this._placement,
-      stop: new StopAdmission({ clock: this._clock, configuration: () => this._table?.configuration }),
+      stop: new StopAdmission({
+        clock: this._clock,
+        configuration: () => this._table?.configuration,
+        hasAlternative: () => this._hasAlternative(),
+      }),
       runs: this._runs,
       configuration: () => this._table?.configuration,
       connectionHeaders: (response) => this._front.connectionHeaders(response),
@@ -476,6 +480,12 @@
     };
   }
 
+  /** Whether the balancer has another node for this one's callers: it stays in their failure domain while it can. */
+  private _hasAlternative(): boolean {
+    const { failureDomain } = this._self;
+    return this._exchange.listLive().some((member) => member.failureDomain === failureDomain);
+  }
+
   private _createPlacement(): Placement {
     return new Placement({
       id: this._self.id,
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -285,10 +285,11 @@
   /** Estimates whether an attempt that begins now ends before the process; undefined if it is to be made in any case. */
   private _estimateFinish(choice?: ChosenTarget): FinishEstimate | undefined {
     const { context, route, caller, startedAtMs } = this._options;
-    if (this._forwardedEvents > 0) return undefined;
+    if (!context.stop.isStopping || this._forwardedEvents > 0) return undefined;
     const request = { route, ...caller, startedAtMs };
     if (!choice) return context.stop.estimate(request);
-    const pace = context.pace.getFactor(choice.candidate.key, context.clock.monotonic());
+    const nowMs = context.clock.monotonic();
+    const pace = context.pace.getFactor(choice.candidate.key, nowMs, context.stop.paceMargin);
     return context.stop.estimate({ ...request, pace, firstEventMs: choice.predictedMs });
   }
 
--- a/packages/node/src/stopAdmission.ts
+++ b/packages/node/src/stopAdmission.ts
@@ -6,6 +6,9 @@
   type StopAdmissionRequest,
 } from '@monsoonreach/core';
 
+/** How much slower than now a target may become while a stream lasts; counts only if its caller can go elsewhere. */
+const PACE_MARGIN = 1.25;
+
 /** A request that may be given to a target. */
 export interface AdmissionCandidate extends Omit<StopAdmissionRequest, 'elapsedMs'> {
   /** Monotonic time at which it arrived, in milliseconds. */
@@ -16,6 +19,8 @@
 export interface StopAdmissionOptions {
   readonly clock: Clock;
   readonly configuration: () => ServingConfiguration | undefined;
+  /** Whether another node accepts the callers that this one refuses. */
+  readonly hasAlternative: () => boolean;
 }
 
 /** Decides, while the process is stopping, which requests may still be given to a target. */
@@ -33,6 +38,14 @@
     return this._stop?.isInRotation === false;
   }
 
+  /**
+   * Factor on the pace that targets keep, for the time that a stream may take. A caller that would only come back to
+   * this node is better served by a stream that probably ends in time than by a refusal.
+   */
+  get paceMargin(): number {
+    return this._options.hasAlternative() ? PACE_MARGIN : 1;
+  }
+
   /**
    * Begins the stop.
    * @param endsAtMs monotonic time at which requests in progress are abandoned, in milliseconds.
--- a/tests/node/requestRun.test.ts
+++ b/tests/node/requestRun.test.ts
@@ -114,7 +114,11 @@
   }
 
   private _createStop(): StopAdmission {
-    return new StopAdmission({ clock: systemClock, configuration: () => CONFIGURATION });
+    return new StopAdmission({
+      clock: systemClock,
+      configuration: () => CONFIGURATION,
+      hasAlternative: () => false,
+    });
   }
 
   private _createContext(): ServingContext {
--- a/tests/serving/streamPace.test.ts
+++ b/tests/serving/streamPace.test.ts
@@ -6,6 +6,8 @@
   /** Events of the target's streams, with the time at which each came. */
   readonly events: readonly (StreamProgress & { readonly atMs: number })[];
   readonly nowMs: number;
+  /** 1 by default. */
+  readonly margin?: number;
   readonly minimum: number;
   readonly maximum: number;
 }
@@ -29,6 +31,38 @@
     minimum: 1,
     maximum: 1,
   },
+  {
+    name: 'a target without streams, with a margin',
+    events: [],
+    nowMs: 0,
+    margin: 1.25,
+    minimum: 1.25,
+    maximum: 1.25,
+  },
+  {
+    name: 'a target that keeps its published pace, with a margin',
+    events: createEvents(40, { startMs: 0, intervalMs: 70 }),
+    nowMs: 2_800,
+    margin: 1.25,
+    minimum: 1.25,
+    maximum: 1.25,
+  },
+  {
+    name: 'a target that is faster than that by more than the margin',
+    events: createEvents(40, { startMs: 0, intervalMs: 20 }),
+    nowMs: 800,
+    margin: 1.25,
+    minimum: 1,
+    maximum: 1,
+  },
+  {
+    name: 'a target that sends two streams at half its pace, with a margin',
+    events: [0, 1].flatMap(() => createEvents(60, { startMs: 0, intervalMs: 140 })),
+    nowMs: 8_400,
+    margin: 1.25,
+    minimum: 2.25,
+    maximum: 2.5,
+  },
   {
     name: 'a target that sends two streams at half its pace',
     events: [0, 1].flatMap(() => createEvents(60, { startMs: 0, intervalMs: 140 })),
@@ -90,12 +124,12 @@
 ];
 
 // Guards against a pace that one event decides, that is not forgotten, or that is better than published.
-for (const { name, events, nowMs, minimum, maximum } of cases) {
+for (const { name, events, nowMs, margin, minimum, maximum } of cases) {
   void t.test(`the pace of ${name}`, (t) => {
     const pace = new StreamPace();
     for (const { atMs, ...progress } of events.toSorted((a, b) => a.atMs - b.atMs))
       pace.record('target', progress, atMs);
-    const factor = pace.getFactor('target', nowMs);
+    const factor = pace.getFactor('target', nowMs, margin);
     t.ok(factor >= minimum && factor <= maximum, `factor ${factor}`);
     t.equal(pace.getFactor('another', nowMs), 1);
     pace.retain(new Set(['another']));
