--- a/tests/serving/simulatedFleet.ts
+++ b/tests/serving/simulatedFleet.ts
@@ -118,6 +118,8 @@
   private _fencingToken = 0;
   private _highestEpoch = -1;
   private _engineModel: string | undefined;
+  /** Group that it was ordered to open and does not serve yet. */
+  private _opening: Group | undefined;
   private _stalledSinceMs: number | undefined;
   group: Group | undefined;
   state: TargetInstance['state'] = 'ready';
@@ -160,6 +162,8 @@
     if (fencingToken < this._fencingToken && this._fleet.isFencing) return 412;
     this._fencingToken = Math.max(this._fencingToken, fencingToken);
     if (expected !== this._orderCount) return 409;
+    // An order that is in progress is acknowledged like one that begins, and not counted.
+    if (order.kind === 'open' && this._opening !== undefined && this._opening === this.group) return 202;
     const status = this._begin(order);
     if (status === 202) {
       this._orderCount++;
@@ -233,6 +237,7 @@
         return this._join(order);
       case 'open':
         if (!isGroupOf(order, group) || group?.state !== 'ready') return 409;
+        this._opening = group;
         this._changeLater(group, 'ready', 'open', OPEN_MS);
         return 202;
       case 'close':
@@ -275,6 +280,7 @@
     this._fleet.schedule.after(delayMs, () => {
       if (this.hasEnded || this.group !== group || group.state !== from) return;
       group.state = to;
+      if (to === 'open') this._opening = undefined;
       onChange();
       if (to === 'open') this._fleet.checkOpening(group);
       this.recordChange();
@@ -438,6 +444,7 @@
       return;
     }
     this._fleet.sendOrder(this, order, term, orderCount, (status) => {
+      if (status === 409) this._overlay.forget(id);
       if (status === 202) this._recordBegun(order, orderCount + 1);
       else if (status === 409 || status === undefined)
         this._fleet.schedule.after(MAX_REPORT_LAG_MS, () => {
