Tests: histories of engines that fall silent in waves

A share of the engines is paused for 0.8 to 1.8 s, in waves that begin 0.3 to 1.5 s after each other; each engine goes on as it was. The checker also reports a group that takes a completion more than twice the lease after a member was ordered to leave it.

--- a/tests/history/checker.test.ts
+++ b/tests/history/checker.test.ts
@@ -90,6 +90,31 @@
     },
     promises: ['no group serves while an instance is missing'],
   },
+  {
+    name: 'a group that got work after a member had left it',
+    histories: {
+      ...EMPTY_HISTORIES,
+      journal: [
+        describeLoad(7, 'g', ['i1', 'i2']),
+        { event: 'order-stop', address: 'i1', boot: 'b', group: 'g', fencing: 8, atMs: 1_000 },
+        { event: 'completion', address: 'i2', epoch: 7, atMs: 9_000 },
+      ],
+    },
+    promises: ['no group serves while an instance is missing'],
+  },
+  {
+    name: 'nothing for a group whose member left and was loaded for it again',
+    histories: {
+      ...EMPTY_HISTORIES,
+      journal: [
+        describeLoad(7, 'g', ['i1', 'i2']),
+        { event: 'order-stop', address: 'i1', boot: 'b', group: 'g', fencing: 6, atMs: 1_000 },
+        describeLoad(7, 'g', ['i1', 'i2'], 2_000),
+        { event: 'completion', address: 'i2', epoch: 7, atMs: 9_000 },
+      ],
+    },
+    promises: [],
+  },
   {
     name: 'an instance loaded for two groups',
     histories: { ...EMPTY_HISTORIES, journal: [describeLoad(7, 'g', ['i1']), describeLoad(9, 'h', ['i1'])] },
--- a/tests/history/checker.ts
+++ b/tests/history/checker.ts
@@ -40,6 +40,7 @@
     ...checkConfigurations(histories),
     ...checkLeaving(histories),
     ...checkBrokenGroups(histories),
+    ...checkAbandonedGroups(histories),
     ...checkGroupMembers(histories),
   ];
 }
@@ -129,6 +130,39 @@
   });
 }
 
+/** A group whose member was ordered to leave it must take no completion after its lease has expired. */
+function checkAbandonedGroups({ journal }: Histories): readonly Violation[] {
+  const members = membersByEpoch(journal);
+  const leftAt = new Map<string, { readonly epoch: number; readonly atMs: number }>();
+  const current = new Map<string, number>();
+  const violations: Violation[] = [];
+  for (const line of journal) {
+    const address = String(line['address']);
+    const atMs = Number(line['atMs']);
+    const epoch = Number(line['fencing']);
+    if (line['event'] === 'order-load') {
+      const previous = current.get(address);
+      if (previous !== undefined && previous !== epoch) leftAt.set(address, { epoch: previous, atMs });
+      if (leftAt.get(address)?.epoch === epoch) leftAt.delete(address);
+      current.set(address, epoch);
+    }
+    if (line['event'] === 'order-stop') {
+      const previous = current.get(address);
+      if (previous !== undefined) leftAt.set(address, { epoch: previous, atMs });
+      current.delete(address);
+    }
+    if (line['event'] !== 'completion') continue;
+    const served = Number(line['epoch']);
+    for (const member of members.get(served) ?? []) {
+      const left = leftAt.get(member);
+      if (left?.epoch !== served || atMs - left.atMs <= BROKEN_GROUP_BOUND_MS) continue;
+      const evidence = `epoch ${served} took a request ${atMs - left.atMs} ms after ${member} had left it`;
+      violations.push({ promise: 'no group serves while an instance is missing', evidence });
+    }
+  }
+  return violations;
+}
+
 function loadedBefore(
   journal: readonly JournalLine[],
   epoch: number,
--- a/tests/history/faults.ts
+++ b/tests/history/faults.ts
@@ -20,6 +20,7 @@
   'crashing-request',
   'leaving',
   'stop-entry',
+  'silent-waves',
 ] as const;
 
 /** Name of a fault. */
@@ -40,6 +41,10 @@
 const PAUSE_MS = 6_000;
 const OUTAGE_MS = 5_000;
 const RESTART_DELAY_MS = 2_500;
+const WAVES_FOR_MS = 8_000;
+const SILENT_SHARE = { min: 0.2, max: 0.5 } as const;
+const SILENCE_MS = { min: 800, max: 1_800 } as const;
+const WAVE_GAP_MS = { min: 300, max: 1_500 } as const;
 
 const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
@@ -65,6 +70,8 @@
       return setLogFaults({ lostAnswerShare: 0.5 }, OUTAGE_MS, context);
     case 'domain-dark':
       return pauseDomain(context);
+    case 'silent-waves':
+      return silenceInWaves(context);
     case 'operator-race':
       return publishConcurrently(context);
     case 'straggler':
@@ -114,6 +121,36 @@
   for (const victim of victims) fleet.sendSignal(victim, 'SIGCONT');
 }
 
+/** Pauses a share of the engines for a second or so, in waves that may overlap: each goes on as it was. */
+async function silenceInWaves(context: FaultContext): Promise<void> {
+  const { fleet, random, notes } = context;
+  const between = ({ min, max }: { readonly min: number; readonly max: number }) =>
+    min + random.next() * (max - min);
+  const silent = new Set<FleetProcess>();
+  const pauses: Promise<void>[] = [];
+  const pauseFor = async (victim: FleetProcess, durationMs: number) => {
+    silent.add(victim);
+    fleet.sendSignal(victim, 'SIGSTOP');
+    await sleep(durationMs);
+    fleet.sendSignal(victim, 'SIGCONT');
+    silent.delete(victim);
+  };
+  const endsAtMs = Date.now() + WAVES_FOR_MS;
+  let waves = 0;
+  for (; Date.now() < endsAtMs; waves++) {
+    const count = Math.max(1, Math.round(between(SILENT_SHARE) * fleet.engines.length));
+    const durationMs = between(SILENCE_MS);
+    const choices = fleet.engines.filter((engine) => !silent.has(engine));
+    for (let chosen = 0; chosen < count && choices.length > 0; chosen++) {
+      const [victim] = choices.splice(random.below(choices.length), 1);
+      if (victim) pauses.push(pauseFor(victim, durationMs));
+    }
+    await sleep(between(WAVE_GAP_MS));
+  }
+  await Promise.all(pauses);
+  notes.push(`silent engines: ${pauses.length} pauses in ${waves} waves`);
+}
+
 async function publishConcurrently({ fleet, notes }: FaultContext): Promise<void> {
   const publish = () =>
     fleet.publish(fleet.createConfiguration('2026-12-1')).then(
