Steward: a release rests on a probe sent after all orders have ended

What callers could see: a member of a new group that still holds the old one.

Cause, for engines that ignore fencing tokens: the release was bound to the assignment at the time of the probe, but not to the orders. - A load order that another steward had sent was answered between the probe and the decision. Its outcome closed the intent, and the older probe, which had found the engine idle, released the instance while the engine loaded. - An open intent counted as settled once the clock was past the last idle probe by the order timeout. While the next probe was unanswered, or the steward paused, nobody had looked at the engine in that time.

Ruled out: a check in the log. The observer knows each load intent before the dissolution that it bases its release on, so the decision can compare them.

Change: an observation carries the open intents of its time. An instance is released only if none of them has been closed since, and the idle time ends at the last answered probe.

Evidence: tests/steward/engineReconciler, three cases that released the instance before: the outcome after the probe, the paused steward, the unanswered next probe.

--- a/packages/steward/src/engineReconciler.ts
+++ b/packages/steward/src/engineReconciler.ts
@@ -22,7 +22,7 @@
   readonly counters: Counters;
   readonly groups: () => Groups;
   readonly configuration: () => Configuration | undefined;
-  readonly prober: Prober;
+  readonly prober: Pick<Prober, 'findObservation' | 'clientOf'>;
   /** Next offset of the control stream; a position made from it is above every position read so far. */
   readonly nextControlOffset: () => number;
   /** Writes a control record and reads it back; undefined if the log did not confirm it. */
@@ -144,23 +144,27 @@
     const body: ControlBody = {
       kind: 'release',
       instance: { address, boot },
-      basis: observation.basis,
+      basis: observation.basis.position,
       settled,
     };
     void this._options.write(body).finally(() => this._busyInstances.delete(address));
   }
 
-  /** Positions of the open intents, or undefined until the instance was idle for longer than any order can be late. */
+  /**
+   * Positions of the open intents, or undefined until a probe shows that no order can be under way any more: it was
+   * sent after every outcome recorded so far, and the instance had been idle for longer than any order can be late.
+   */
   private _findSettledIntents(address: string, observation: Observation): readonly number[] | undefined {
     const intents = this._options.groups().intentsOf(address);
-    const nowMs = this._options.clock.monotonic();
+    const open = new Set(intents.map(({ position }) => position));
+    if (!observation.basis.openIntents.every((position) => open.has(position))) return undefined;
     const waitMs = this._longestOrderTimeoutMs();
-    const isSettled = intents.every((intent) => {
-      const seenAtMs = this._intentSeenAtMs.get(intent.position) ?? nowMs;
-      const sinceMs = Math.max(seenAtMs, observation.idleSinceMs ?? nowMs);
-      return nowMs - sinceMs > waitMs;
+    const isSettled = intents.every(({ position }) => {
+      const seenAtMs = this._intentSeenAtMs.get(position) ?? Infinity;
+      const sinceMs = Math.max(seenAtMs, observation.idleSinceMs ?? Infinity);
+      return observation.probedAtMs - sinceMs > waitMs;
     });
-    return isSettled ? intents.map(({ position }) => position) : undefined;
+    return isSettled ? [...open] : undefined;
   }
 
   private _longestOrderTimeoutMs(): number {
--- a/packages/steward/src/prober.ts
+++ b/packages/steward/src/prober.ts
@@ -4,14 +4,22 @@
 const TICK_MS = 100;
 const PROBE_TIMEOUT_MS = 700;
 
+/** What the control stream tells about an instance. */
+export interface ObservationBasis {
+  /** Position of the record that set the instance's assignment; 0 for none. */
+  readonly position: number;
+  /** Positions of the instance's intents without an outcome. */
+  readonly openIntents: readonly number[];
+}
+
 /** Result of the latest probes of one instance. Times are monotonic, in milliseconds. */
 export interface Observation {
   /** Status in the last answer; undefined if the instance never answered. */
   readonly status: EngineStatus | undefined;
   /** When the probe that read `status` was sent; -Infinity if there was none. */
   readonly probedAtMs: number;
-  /** Log position of the instance's state as known when that probe was sent; 0 for none. */
-  readonly basis: number;
+  /** What was known of the instance from the control stream when that probe was sent. */
+  readonly basis: ObservationBasis;
   /** When the first of the unanswered probes was sent; undefined if the last probe was answered. */
   readonly unreachableSinceMs: number | undefined;
   /** Whether the last probe's connection was refused or reset, as when nothing listens at the address. */
@@ -24,8 +32,7 @@
   readonly clock: Clock;
   /** Probe intervals in milliseconds by address. */
   readonly probeIntervals: () => ReadonlyMap<string, number>;
-  /** Log position of the instance's state; 0 for none. */
-  readonly findBasis: (address: string) => number;
+  readonly findBasis: (address: string) => ObservationBasis;
   /** Called after each probe. */
   readonly onProbed?: (address: string, observation: Observation) => void;
 }
@@ -92,7 +99,7 @@
   private async _readStatus(
     address: string,
     probedAtMs: number,
-    basis: number,
+    basis: ObservationBasis,
     previous: Observation | undefined,
   ): Promise<Observation> {
     try {
@@ -115,7 +122,7 @@
       return {
         status: previous?.status,
         probedAtMs: previous?.probedAtMs ?? -Infinity,
-        basis: previous?.basis ?? 0,
+        basis: previous?.basis ?? basis,
         unreachableSinceMs: previous?.unreachableSinceMs ?? probedAtMs,
         hasConnectionFailed,
         idleSinceMs: undefined,
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -20,7 +20,7 @@
 import { HttpLiveList, LogWriter, StreamFollower } from '@monsoonreach/log';
 import { type CheckpointedStream, CheckpointWriter } from './checkpointWriter.js';
 import { GroupPlanner } from './groupPlanner.js';
-import { Prober } from './prober.js';
+import { type ObservationBasis, Prober } from './prober.js';
 import { Watcher } from './watcher.js';
 
 type ClaimsFollower = StreamFollower<ClaimBody, ClaimRejection, Claims>;
@@ -52,7 +52,7 @@
     this._prober = new Prober({
       clock: this._clock,
       probeIntervals: () => this._probeTargets(),
-      findBasis: (address) => this._groups().findInstance(address)?.position ?? 0,
+      findBasis: (address) => this._findBasis(address),
     });
     this._watcher = this._createWatcher();
     this._controlWriter = this._createControlWriter();
@@ -108,6 +108,14 @@
     return this._fleet.controlStream.state;
   }
 
+  private _findBasis(address: string): ObservationBasis {
+    const groups = this._groups();
+    return {
+      position: groups.findInstance(address)?.position ?? 0,
+      openIntents: groups.intentsOf(address).map(({ position }) => position),
+    };
+  }
+
   private _stewards(): readonly Candidate[] {
     return this._fleet.membership.candidates('steward');
   }
--- /dev/null
+++ b/tests/steward/engineReconciler.test.ts
@@ -0,0 +1,151 @@
+import { type Configuration, Counters, ManualClock } from '@monsoonreach/core';
+import { EngineReconciler, type Observation } from '@monsoonreach/steward';
+import { EngineClient, type EngineOrder } from '@monsoonreach/targets';
+import t from 'tap';
+import { ControlStream, createConfiguration, IDLE, observe, readyFor } from './stewardFixtures.js';
+
+const ADDRESS = '127.0.0.1:1';
+const OTHER = '127.0.0.1:2';
+const ORDER_TIMEOUT_MS = 1_000;
+
+class RecordingClient extends EngineClient {
+  constructor(private readonly _orders: EngineOrder[]) {
+    super(ADDRESS);
+  }
+
+  override sendOrder(order: EngineOrder): Promise<void> {
+    this._orders.push(order);
+    return Promise.resolve();
+  }
+}
+
+/** A reconciler on a control stream in memory. The last probe of the instance is set by hand. */
+class Bench {
+  readonly clock = new ManualClock();
+  readonly stream = new ControlStream();
+  readonly orders: EngineOrder[] = [];
+  configuration: Configuration;
+  observation: Observation | undefined;
+  private readonly _client = new RecordingClient(this.orders);
+  private readonly _reconciler: EngineReconciler;
+
+  constructor(options: { readonly checksFencing: boolean }) {
+    this.configuration = createConfiguration(options);
+    this._reconciler = new EngineReconciler({
+      clock: this.clock,
+      counters: new Counters(),
+      groups: () => this.stream.groups,
+      configuration: () => this.configuration,
+      prober: { findObservation: () => this.observation, clientOf: () => this._client },
+      nextControlOffset: () => 1_000,
+      write: (body) => Promise.resolve(this.stream.write(body)),
+      onLoaded: () => undefined,
+    });
+  }
+
+  /** Sets the last probe to one that is sent and answered now. */
+  probe(status: Observation['status'], observation: Partial<Observation> = {}): void {
+    const groups = this.stream.groups;
+    if (!status) return;
+    const previous = this.observation;
+    const probedAtMs = this.clock.monotonic();
+    const isIdle = status.phase === 'idle' && status.group === null;
+    this.observation = observe(status, {
+      probedAtMs,
+      basis: {
+        position: groups.findInstance(ADDRESS)?.position ?? 0,
+        openIntents: groups.intentsOf(ADDRESS).map(({ position }) => position),
+      },
+      idleSinceMs: isIdle ? (previous?.idleSinceMs ?? probedAtMs) : undefined,
+      ...observation,
+    });
+  }
+
+  async tick(): Promise<void> {
+    this._reconciler.trackOpenIntents();
+    const instance = { address: ADDRESS, failureDomain: 'a', fabricDomain: 'f', accelerators: 8 };
+    this._reconciler.reconcile([{ ...instance, isLeaving: false, isReachable: true }]);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+
+  isReleased(): boolean {
+    return this.stream.groups.findInstance(ADDRESS)?.kind === 'released';
+  }
+}
+
+/** A group whose instance may still get a load order by another steward, whose intent is open; then dissolved. */
+async function dissolveBesideLoadOrder(): Promise<{ readonly bench: Bench; readonly intent: number }> {
+  const bench = new Bench({ checksFencing: false });
+  bench.stream.form('g', [ADDRESS, OTHER]);
+  const intent = bench.stream.intend(ADDRESS, 'load', 'g');
+  bench.stream.dissolve('g');
+  bench.probe(IDLE);
+  await bench.tick();
+  return { bench, intent };
+}
+
+// An engine that ignores fencing tokens took a late load order behind the probe that its release rested on.
+void t.test('an instance is released only by a probe sent after all its orders have ended', async (t) => {
+  const cases: readonly {
+    readonly name: string;
+    readonly steps: (bench: Bench, intent: number) => Promise<void> | void;
+    readonly isReleased: boolean;
+  }[] = [
+    {
+      name: 'the order was answered after the probe was sent',
+      steps: (bench, intent) => void bench.stream.write({ kind: 'outcome', address: ADDRESS, intent }),
+      isReleased: false,
+    },
+    {
+      name: 'the order was answered before the probe was sent',
+      steps: (bench, intent) => {
+        bench.stream.write({ kind: 'outcome', address: ADDRESS, intent });
+        bench.clock.advance(500);
+        bench.probe(IDLE);
+      },
+      isReleased: true,
+    },
+    {
+      name: 'the steward was paused after the probe',
+      steps: (bench) => {
+        bench.clock.advance(6_000);
+      },
+      isReleased: false,
+    },
+    {
+      name: 'the next probe is still unanswered when the order must have ended',
+      steps: async (bench) => {
+        bench.clock.advance(600);
+        bench.probe(IDLE);
+        bench.clock.advance(600);
+        await bench.tick();
+      },
+      isReleased: false,
+    },
+    {
+      name: 'a probe was sent after the order must have ended',
+      steps: (bench) => {
+        bench.clock.advance(ORDER_TIMEOUT_MS + 1);
+        bench.probe(IDLE);
+      },
+      isReleased: true,
+    },
+    {
+      name: 'the engine was not idle in between',
+      steps: (bench) => {
+        bench.clock.advance(600);
+        bench.probe(readyFor('g', 1));
+        bench.clock.advance(600);
+        bench.probe(IDLE);
+      },
+      isReleased: false,
+    },
+  ];
+  for (const { name, steps, isReleased } of cases) {
+    const { bench, intent } = await dissolveBesideLoadOrder();
+    t.notOk(bench.isReleased(), `${name}: not released while the order may be under way`);
+    await steps(bench, intent);
+    await bench.tick();
+    t.equal(bench.isReleased(), isReleased, name);
+  }
+});
