Steward: instances of a removed model are fenced like all others

What callers could see: an engine that takes up a group while it counts as free.

Cause: whether an engine checks fencing tokens was asked of the group's model. A removed model is the reason for its groups' end, so for these the answer was no, and an instance was released below the number of the dissolution.

Change: without a model the engines of the configuration decide, as they do already for instances outside groups.

Evidence: tests/steward/engineReconciler, 'an instance of a removed model is released only once its engine has the number': before, it was released at number 0 and no order was sent.

--- a/packages/steward/src/engineReconciler.ts
+++ b/packages/steward/src/engineReconciler.ts
@@ -80,12 +80,12 @@
   private _needsFencing(assignment: InstanceAssignment | undefined): boolean {
     const configuration = this._options.configuration();
     if (!assignment || assignment.kind === 'member' || !configuration) return false;
-    if (assignment.kind === 'released') {
-      return Object.values(configuration.engine).every((engine) => engine['checks-fencing']);
-    }
-    const group = this._options.groups().findGroup(assignment.group);
+    const group =
+      assignment.kind === 'stopping' ? this._options.groups().findGroup(assignment.group) : undefined;
     const model = group && configuration.model[group.model];
-    return model !== undefined && engineOf(configuration, model)['checks-fencing'];
+    if (model) return engineOf(configuration, model)['checks-fencing'];
+    // The configuration does not tell which engine this is, as when the group's model was removed.
+    return Object.values(configuration.engine).every((engine) => engine['checks-fencing']);
   }
 
   private _orderStop(address: string, assignment: InstanceAssignment | undefined, groupId: string): void {
--- a/tests/steward/engineReconciler.test.ts
+++ b/tests/steward/engineReconciler.test.ts
@@ -149,3 +149,25 @@
     t.equal(bench.isReleased(), isReleased, name);
   }
 });
+
+// A model that was removed left its instances released below a load order that was still under way.
+void t.test('an instance of a removed model is released only once its engine has the number', async (t) => {
+  const cases = [
+    { name: 'the model stands', isModelRemoved: false },
+    { name: 'the model was removed', isModelRemoved: true },
+  ];
+  for (const { name, isModelRemoved } of cases) {
+    const bench = new Bench({ checksFencing: true });
+    bench.stream.form('g', [ADDRESS, OTHER]);
+    const dissolvedAt = bench.stream.dissolve('g');
+    if (isModelRemoved) bench.configuration = { ...bench.configuration, model: {} };
+    bench.probe(IDLE);
+    await bench.tick();
+    t.notOk(bench.isReleased(), `${name}: not released below the number of the dissolution`);
+    t.match(bench.orders, [{ order: 'stop', fencing: dissolvedAt }], `${name}: the number is raised`);
+    bench.clock.advance(ORDER_TIMEOUT_MS + 1);
+    bench.probe({ ...IDLE, fencing: dissolvedAt });
+    await bench.tick();
+    t.ok(bench.isReleased(), `${name}: released at the number`);
+  }
+});
