Steward: an order is sent only shortly after its intent was written

Cause: others count the age of an intent from when they read it. Its sender acts when it reads it back itself, which the log may allow it up to 5 s later: the order was then sent after others had settled the intent and released the instance.

Change: an order is sent at most a second after its intent was written, else the intent is closed; a release waits for that second and the order timeout.

Evidence: tests/steward/engineReconciler: before, the order that was confirmed late was sent, and the instance was released at the order timeout alone.

--- a/packages/steward/src/engineReconciler.ts
+++ b/packages/steward/src/engineReconciler.ts
@@ -16,6 +16,8 @@
 import type { Observation, Prober } from './prober.js';
 
 const ORDER_INTERVAL_MS = 1_000;
+/** How long after its intent was written an order may still be sent. */
+const MAX_INTENT_AGE_MS = 1_000;
 
 export interface EngineReconcilerOptions {
   readonly clock: Clock;
@@ -102,24 +104,36 @@
     void this._sendOrder(address, order, group).finally(() => this._busyInstances.delete(address));
   }
 
-  /** Orders to engines that ignore fencing tokens are sent only after their intent was read back from the log. */
+  /**
+   * Orders to engines that ignore fencing tokens are sent only after their intent was read back from the log, and only
+   * so soon that others can tell from its age when the order can no longer arrive.
+   */
   private async _sendOrder(address: string, order: EngineOrder, group: Group | undefined): Promise<void> {
     const configuration = this._options.configuration();
     const model = group && configuration?.model[group.model];
     const engine = model && configuration && engineOf(configuration, model);
     const timeoutMs = engine?.['order-timeout'] ?? ORDER_INTERVAL_MS;
     const needsIntent = group !== undefined && engine?.['checks-fencing'] !== true;
+    const announcedAtMs = this._options.clock.monotonic();
     const intent = needsIntent ? await this._writeIntent(address, order, group.id) : undefined;
     if (needsIntent && intent === undefined) return;
+    const isOutdated = needsIntent && this._options.clock.monotonic() - announcedAtMs > MAX_INTENT_AGE_MS;
+    if (isOutdated || (await this._hasOrderEnded(address, order, timeoutMs))) {
+      if (intent !== undefined) await this._options.write({ kind: 'outcome', address, intent });
+    }
+  }
+
+  /** Sends an order; false if it may still be under way. */
+  private async _hasOrderEnded(address: string, order: EngineOrder, timeoutMs: number): Promise<boolean> {
     try {
       await this._options.prober.clientOf(address).sendOrder(order, timeoutMs);
       this._options.counters.add('monsoonreach_orders_total', { order: order.order, result: 'taken' });
     } catch (error) {
       if (!(error instanceof EngineCallError)) throw error;
       this._options.counters.add('monsoonreach_orders_total', { order: order.order, result: error.reason });
-      if (error.reason === 'timeout') return;
+      return error.reason !== 'timeout';
     }
-    if (intent !== undefined) await this._options.write({ kind: 'outcome', address, intent });
+    return true;
   }
 
   private async _writeIntent(
@@ -158,7 +172,7 @@
     const intents = this._options.groups().intentsOf(address);
     const open = new Set(intents.map(({ position }) => position));
     if (!observation.basis.openIntents.every((position) => open.has(position))) return undefined;
-    const waitMs = this._longestOrderTimeoutMs();
+    const waitMs = MAX_INTENT_AGE_MS + this._longestOrderTimeoutMs();
     const isSettled = intents.every(({ position }) => {
       const seenAtMs = this._intentSeenAtMs.get(position) ?? Infinity;
       const sinceMs = Math.max(seenAtMs, observation.idleSinceMs ?? Infinity);
--- a/tests/steward/engineReconciler.test.ts
+++ b/tests/steward/engineReconciler.test.ts
@@ -7,6 +7,8 @@
 const ADDRESS = '127.0.0.1:1';
 const OTHER = '127.0.0.1:2';
 const ORDER_TIMEOUT_MS = 1_000;
+/** How long after its intent was written an order may still be sent. */
+const SEND_WINDOW_MS = 1_000;
 
 class RecordingClient extends EngineClient {
   constructor(private readonly _orders: EngineOrder[]) {
@@ -24,6 +26,8 @@
   readonly clock = new ManualClock();
   readonly stream = new ControlStream();
   readonly orders: EngineOrder[] = [];
+  /** How long the log takes to confirm a record. */
+  confirmationMs = 0;
   configuration: Configuration;
   observation: Observation | undefined;
   private readonly _client = new RecordingClient(this.orders);
@@ -38,7 +42,11 @@
       configuration: () => this.configuration,
       prober: { findObservation: () => this.observation, clientOf: () => this._client },
       nextControlOffset: () => 1_000,
-      write: (body) => Promise.resolve(this.stream.write(body)),
+      write: (body) => {
+        const verdict = this.stream.write(body);
+        this.clock.advance(this.confirmationMs);
+        return Promise.resolve(verdict);
+      },
       onLoaded: () => undefined,
     });
   }
@@ -125,11 +133,19 @@
     {
       name: 'a probe was sent after the order must have ended',
       steps: (bench) => {
-        bench.clock.advance(ORDER_TIMEOUT_MS + 1);
+        bench.clock.advance(SEND_WINDOW_MS + ORDER_TIMEOUT_MS + 1);
         bench.probe(IDLE);
       },
       isReleased: true,
     },
+    {
+      name: 'a probe was sent while an order could be late whose intent was read back late',
+      steps: (bench) => {
+        bench.clock.advance(ORDER_TIMEOUT_MS + 1);
+        bench.probe(IDLE);
+      },
+      isReleased: false,
+    },
     {
       name: 'the engine was not idle in between',
       steps: (bench) => {
@@ -150,6 +166,23 @@
   }
 });
 
+// An order was sent seconds after its intent, when the log confirmed it late, and others held it for settled.
+void t.test('an order is sent only shortly after its intent was written', async (t) => {
+  const cases = [
+    { name: 'confirmed in time', confirmationMs: SEND_WINDOW_MS, orders: 1 },
+    { name: 'confirmed late', confirmationMs: SEND_WINDOW_MS + 1, orders: 0 },
+  ];
+  for (const { name, confirmationMs, orders } of cases) {
+    const bench = new Bench({ checksFencing: false });
+    bench.stream.form('g', [ADDRESS, OTHER]);
+    bench.probe(IDLE);
+    bench.confirmationMs = confirmationMs;
+    await bench.tick();
+    t.equal(bench.orders.length, orders, name);
+    t.same(bench.stream.groups.intentsOf(ADDRESS), [], `${name}: the intent is closed`);
+  }
+});
+
 // A model that was removed left its instances released below a load order that was still under way.
 void t.test('an instance of a removed model is released only once its engine has the number', async (t) => {
   const cases = [
