Steward: the intent of an order whose connection was reset stays open

Cause, for engines that ignore fencing tokens: an order that failed because its connection was reset was recorded as ended. The bytes may have been sent, so the engine may still take it, and a release no longer waited for it.

Change: only an order that the engine answered has ended. A refused connection counts with the resets: orders go to engines whose last probe was answered, so it is rare, and costs the wait for the order timeout.

Evidence: tests/steward/engineReconciler, 'the intent of an order that may still arrive stays open': before, the reset order's intent was closed.

--- a/packages/steward/src/engineReconciler.ts
+++ b/packages/steward/src/engineReconciler.ts
@@ -12,7 +12,7 @@
   toPosition,
   type Verdict,
 } from '@monsoonreach/core';
-import { EngineCallError, type EngineOrder } from '@monsoonreach/targets';
+import { EngineCallError, type EngineCallFailureReason, type EngineOrder } from '@monsoonreach/targets';
 import type { Observation, Prober } from './prober.js';
 
 const ORDER_INTERVAL_MS = 1_000;
@@ -131,7 +131,7 @@
     } catch (error) {
       if (!(error instanceof EngineCallError)) throw error;
       this._options.counters.add('monsoonreach_orders_total', { order: order.order, result: error.reason });
-      return error.reason !== 'timeout';
+      return isAnswered(error.reason);
     }
     return true;
   }
@@ -208,6 +208,18 @@
   }
 }
 
+/** Whether the engine answered; without an answer it may still take the order. */
+function isAnswered(reason: EngineCallFailureReason): boolean {
+  switch (reason) {
+    case 'refused':
+    case 'malformed':
+      return true;
+    case 'timeout':
+    case 'unreachable':
+      return false;
+  }
+}
+
 function toLoadOrder(group: Group, address: string): EngineOrder {
   return {
     order: 'load',
--- a/tests/steward/engineReconciler.test.ts
+++ b/tests/steward/engineReconciler.test.ts
@@ -1,6 +1,11 @@
 import { type Configuration, Counters, ManualClock } from '@monsoonreach/core';
 import { EngineReconciler, type Observation } from '@monsoonreach/steward';
-import { EngineClient, type EngineOrder } from '@monsoonreach/targets';
+import {
+  EngineCallError,
+  type EngineCallFailureReason,
+  EngineClient,
+  type EngineOrder,
+} from '@monsoonreach/targets';
 import t from 'tap';
 import { ControlStream, createConfiguration, IDLE, observe, readyFor } from './stewardFixtures.js';
 
@@ -11,12 +16,16 @@
 const SEND_WINDOW_MS = 1_000;
 
 class RecordingClient extends EngineClient {
+  /** How the next orders fail; they are taken without it. */
+  failure: EngineCallFailureReason | undefined;
+
   constructor(private readonly _orders: EngineOrder[]) {
     super(ADDRESS);
   }
 
   override sendOrder(order: EngineOrder): Promise<void> {
     this._orders.push(order);
+    if (this.failure) return Promise.reject(new EngineCallError(this.failure, 'The order failed.'));
     return Promise.resolve();
   }
 }
@@ -30,7 +39,7 @@
   confirmationMs = 0;
   configuration: Configuration;
   observation: Observation | undefined;
-  private readonly _client = new RecordingClient(this.orders);
+  readonly client = new RecordingClient(this.orders);
   private readonly _reconciler: EngineReconciler;
 
   constructor(options: { readonly checksFencing: boolean }) {
@@ -40,7 +49,7 @@
       counters: new Counters(),
       groups: () => this.stream.groups,
       configuration: () => this.configuration,
-      prober: { findObservation: () => this.observation, clientOf: () => this._client },
+      prober: { findObservation: () => this.observation, clientOf: () => this.client },
       nextControlOffset: () => 1_000,
       write: (body) => {
         const verdict = this.stream.write(body);
@@ -183,6 +192,29 @@
   }
 });
 
+// The intent of an order was closed when its connection was reset, though the engine could still take the order.
+void t.test('the intent of an order that may still arrive stays open', async (t) => {
+  const cases: readonly {
+    readonly name: string;
+    readonly failure?: EngineCallFailureReason;
+    readonly isOpen: boolean;
+  }[] = [
+    { name: 'taken', isOpen: false },
+    { name: 'refused by the engine', failure: 'refused', isOpen: false },
+    { name: 'answered with something else', failure: 'malformed', isOpen: false },
+    { name: 'unanswered', failure: 'timeout', isOpen: true },
+    { name: 'connection reset', failure: 'unreachable', isOpen: true },
+  ];
+  for (const { name, failure, isOpen } of cases) {
+    const bench = new Bench({ checksFencing: false });
+    bench.stream.form('g', [ADDRESS, OTHER]);
+    bench.client.failure = failure;
+    bench.probe(IDLE);
+    await bench.tick();
+    t.equal(bench.stream.groups.intentsOf(ADDRESS).length === 1, isOpen, name);
+  }
+});
+
 // A model that was removed left its instances released below a load order that was still under way.
 void t.test('an instance of a removed model is released only once its engine has the number', async (t) => {
   const cases = [
