Steward: a member that went idle ends the lease of its group

What callers could see: requests that fail at the head of a group whose member was stopped by a late order, for up to 2.5 s. Found by reading; no run has shown it.

Cause: an idle or loading member counted as not yet loaded, also in a group that had been whole. The watcher then reported nothing, and the lease ran until its end.

Change: in a group that was whole, such a member no longer serves it: the lease ends at once, and requests under way are sent elsewhere. The planner loads the member again, and the group serves once all its members are seen ready.

Evidence: tests/steward/watcher: before, nothing was reported for the idle and for the loading member; the cases of silence, restart and another group or epoch held.

--- a/packages/steward/src/watcher.ts
+++ b/packages/steward/src/watcher.ts
@@ -134,7 +134,7 @@
     if (isLeaving) return { ...base, remainingMs: 0, missing: [] };
     const wasWhole = this._lastWholeEpochs.get(group.id) === group.epoch;
     const missing = group.members
-      .filter((_, index) => findings[index] === 'wrong')
+      .filter((_, index) => findings[index] === 'wrong' || (wasWhole && findings[index] === 'not-yet'))
       .map(({ address }) => address);
     if (missing.length > 0) return wasWhole ? { ...base, remainingMs: 0, missing } : undefined;
     if (findings.some((finding) => finding !== 'right')) return undefined;
