Steward: a member has diverged only by a status read after it was assigned

What callers could see: a group that is dissolved as it serves.

Cause: the planner compared a member's last status with its present group, also when that status was older. A steward that was paused, or took a lease over, can hold a status of a member's former group or boot; until its next probe is answered, up to 0.7 s for a silent engine, the present group counted as broken by a restart, which has no grace period.

Change: the status counts only if the probe was sent after the record that assigned the member. The rating of a group is a function of its own, so that tests reach it.

Evidence: tests/steward/groupHealth: before, both statuses from before the assignment broke the group; those from after it do so still.

--- /dev/null
+++ b/packages/steward/src/groupHealth.ts
@@ -0,0 +1,41 @@
+import type { Group, GroupHealth } from '@monsoonreach/core';
+import type { Observation } from './prober.js';
+
+export interface GroupHealthView {
+  readonly nowMs: number;
+  readonly findObservation: (address: string) => Observation | undefined;
+}
+
+/** Health of a group by the last probes of its members. */
+export function assessGroup(group: Group, { nowMs, findObservation }: GroupHealthView): GroupHealth {
+  const members = group.members.map(({ address, boot }) => ({
+    address,
+    boot,
+    observation: findObservation(address),
+  }));
+  const missing = members.flatMap(({ address, observation }) =>
+    observation?.unreachableSinceMs === undefined
+      ? []
+      : [{ address, unreachableForMs: nowMs - observation.unreachableSinceMs }],
+  );
+  const reachable = members.filter(({ observation }) => observation?.unreachableSinceMs === undefined);
+  const restarted = reachable
+    .filter(({ boot, observation }) => hasDiverged(group, boot, observation))
+    .map(({ address }) => address);
+  const isReady = ({ observation }: (typeof members)[number]) =>
+    observation?.status?.phase === 'ready' && observation.status.group === group.id;
+  const phase =
+    missing.length + restarted.length > 0 ? 'broken' : members.every(isReady) ? 'whole' : 'loading';
+  return { phase, missing, restarted };
+}
+
+/**
+ * Whether a member runs under another boot id, or for another group or epoch, than the log records. A status read
+ * before it was assigned to the group tells nothing of that.
+ */
+function hasDiverged(group: Group, boot: string, observation: Observation | undefined): boolean {
+  const status = observation?.status;
+  if (!status || observation.basis.position !== group.epoch) return false;
+  if (status.boot !== boot) return true;
+  return status.group !== null && (status.group !== group.id || status.epoch !== group.epoch);
+}
--- a/packages/steward/src/groupPlanner.ts
+++ b/packages/steward/src/groupPlanner.ts
@@ -23,7 +23,8 @@
 import type { ListedInstance, LogWriter } from '@monsoonreach/log';
 import { v7 as uuidv7 } from 'uuid';
 import { EngineReconciler } from './engineReconciler.js';
-import type { Observation, Prober } from './prober.js';
+import { assessGroup } from './groupHealth.js';
+import type { Prober } from './prober.js';
 
 const TICK_MS = 250;
 const PLAN_INTERVAL_MS = 500;
@@ -181,26 +182,10 @@
       const phase = this._options.isReportedWhole(group) ? 'whole' : 'unknown';
       return { phase, missing: [], restarted: [] };
     }
-    const nowMs = this._options.clock.monotonic();
-    const members = group.members.map(({ address, boot }) => ({
-      address,
-      boot,
-      observation: this._options.prober.findObservation(address),
-    }));
-    const missing = members.flatMap(({ address, observation }) =>
-      observation?.unreachableSinceMs === undefined
-        ? []
-        : [{ address, unreachableForMs: nowMs - observation.unreachableSinceMs }],
-    );
-    const reachable = members.filter(({ observation }) => observation?.unreachableSinceMs === undefined);
-    const restarted = reachable
-      .filter(({ boot, observation }) => hasDiverged(group, boot, observation))
-      .map(({ address }) => address);
-    const isReady = ({ observation }: (typeof members)[number]) =>
-      observation?.status?.phase === 'ready' && observation.status.group === group.id;
-    const phase =
-      missing.length + restarted.length > 0 ? 'broken' : members.every(isReady) ? 'whole' : 'loading';
-    return { phase, missing, restarted };
+    return assessGroup(group, {
+      nowMs: this._options.clock.monotonic(),
+      findObservation: (address) => this._options.prober.findObservation(address),
+    });
   }
 
   /** Instances of the live list and of groups, with their last probes; collected at most once per tick interval. */
@@ -287,14 +272,6 @@
   }
 }
 
-/** Whether a member runs under another boot id, or for another group or epoch, than the log records. */
-function hasDiverged(group: Group, boot: string, observation: Observation | undefined): boolean {
-  const status = observation?.status;
-  if (!status) return false;
-  if (status.boot !== boot) return true;
-  return status.group !== null && (status.group !== group.id || status.epoch !== group.epoch);
-}
-
 type PlanBody = Extract<ControlBody, { readonly kind: 'assign' | 'dissolve' }>;
 
 function toPlanBody(step: PlanStep, domain: string, lease: number): PlanBody {
--- /dev/null
+++ b/tests/steward/groupHealth.test.ts
@@ -0,0 +1,59 @@
+import type { GroupHealth } from '@monsoonreach/core';
+import { assessGroup, type Observation } from '@monsoonreach/steward';
+import t from 'tap';
+import { ControlStream, IDLE, observe, readyFor } from './stewardFixtures.js';
+
+const HEAD = '127.0.0.1:1';
+const MEMBER = '127.0.0.1:2';
+
+/** Health of a group of two whose head is ready and whose member's last probe showed this. */
+function assess(toObservation: (epoch: number) => Observation): GroupHealth {
+  const stream = new ControlStream();
+  const epoch = stream.form('g', [HEAD, MEMBER]);
+  const group = stream.groups.findGroup('g');
+  if (!group) throw new Error('The group was not formed.');
+  const head = observe(readyFor('g', epoch), since(epoch));
+  const observations = new Map([
+    [HEAD, head],
+    [MEMBER, toObservation(epoch)],
+  ]);
+  return assessGroup(group, { nowMs: 10_000, findObservation: (address) => observations.get(address) });
+}
+
+function since(position: number): Partial<Observation> {
+  return { basis: { position, openIntents: [] } };
+}
+
+// A planner that took over dissolved a whole group by what it had seen of a member before that group was formed.
+void t.test('a member has diverged only by a status read after it was assigned', (t) => {
+  const cases: readonly {
+    readonly name: string;
+    readonly member: (epoch: number) => Observation;
+    readonly phase: GroupHealth['phase'];
+  }[] = [
+    { name: 'ready', member: (epoch) => observe(readyFor('g', epoch), since(epoch)), phase: 'whole' },
+    { name: 'idle', member: (epoch) => observe(IDLE, since(epoch)), phase: 'loading' },
+    {
+      name: 'ready for another group',
+      member: (epoch) => observe(readyFor('h', epoch - 1), since(epoch)),
+      phase: 'broken',
+    },
+    {
+      name: 'ready for another group before it was assigned',
+      member: (epoch) => observe(readyFor('h', epoch - 1), since(epoch - 1)),
+      phase: 'loading',
+    },
+    {
+      name: 'under another boot id',
+      member: (epoch) => observe({ ...IDLE, boot: 'b2' }, since(epoch)),
+      phase: 'broken',
+    },
+    {
+      name: 'under another boot id before it was assigned',
+      member: (epoch) => observe({ ...IDLE, boot: 'b0' }, since(epoch - 1)),
+      phase: 'loading',
+    },
+  ];
+  for (const { name, member, phase } of cases) t.equal(assess(member).phase, phase, name);
+  t.end();
+});
