Steward: the silence of an engine is counted by its probes alone

What callers could see: groups that are dissolved after a steward was paused. Found by reading; no run has shown it.

Cause: a member counted as missing from the first unanswered probe until now. A steward that was paused with a probe under way, or beside an engine that was silent for a moment, counted its own pause as the member's silence and acted on it before it had probed anew.

Change: a silence reaches from the sending of the first unanswered probe to the end of the last one, at most its timeout. Probes more than 2 s apart are no unbroken series. The grace period so ends up to one probe later, by 0.7 s at most.

--- a/packages/steward/src/engineReconciler.ts
+++ b/packages/steward/src/engineReconciler.ts
@@ -49,7 +49,7 @@
     const groups = this._options.groups();
     for (const instance of instances) {
       const observation = this._options.prober.findObservation(instance.address);
-      if (!observation?.status || observation.unreachableSinceMs !== undefined) continue;
+      if (!observation?.status || observation.silence !== undefined) continue;
       this._reconcileInstance(instance.address, groups.findInstance(instance.address), observation);
     }
   }
--- a/packages/steward/src/groupHealth.ts
+++ b/packages/steward/src/groupHealth.ts
@@ -1,24 +1,22 @@
 import type { Group, GroupHealth } from '@monsoonreach/core';
 import type { Observation } from './prober.js';
 
-export interface GroupHealthView {
-  readonly nowMs: number;
-  readonly findObservation: (address: string) => Observation | undefined;
-}
-
 /** Health of a group by the last probes of its members. */
-export function assessGroup(group: Group, { nowMs, findObservation }: GroupHealthView): GroupHealth {
+export function assessGroup(
+  group: Group,
+  findObservation: (address: string) => Observation | undefined,
+): GroupHealth {
   const members = group.members.map(({ address, boot }) => ({
     address,
     boot,
     observation: findObservation(address),
   }));
   const missing = members.flatMap(({ address, observation }) =>
-    observation?.unreachableSinceMs === undefined
+    observation?.silence === undefined
       ? []
-      : [{ address, unreachableForMs: nowMs - observation.unreachableSinceMs }],
+      : [{ address, unreachableForMs: observation.silence.untilMs - observation.silence.sinceMs }],
   );
-  const reachable = members.filter(({ observation }) => observation?.unreachableSinceMs === undefined);
+  const reachable = members.filter(({ observation }) => observation?.silence === undefined);
   const restarted = reachable
     .filter(({ boot, observation }) => hasDiverged(group, boot, observation))
     .map(({ address }) => address);
--- a/packages/steward/src/groupPlanner.ts
+++ b/packages/steward/src/groupPlanner.ts
@@ -182,10 +182,7 @@
       const phase = this._options.isReportedWhole(group) ? 'whole' : 'unknown';
       return { phase, missing: [], restarted: [] };
     }
-    return assessGroup(group, {
-      nowMs: this._options.clock.monotonic(),
-      findObservation: (address) => this._options.prober.findObservation(address),
-    });
+    return assessGroup(group, (address) => this._options.prober.findObservation(address));
   }
 
   /** Instances of the live list and of groups, with their last probes; collected at most once per tick interval. */
@@ -209,7 +206,7 @@
         fabricDomain: listed.fabricDomain,
         accelerators: listed.accelerators,
         isLeaving: listed.state === 'leaving' || observation?.status?.leaving === true,
-        isReachable: observation?.unreachableSinceMs === undefined,
+        isReachable: observation?.silence === undefined,
       });
     }
     this._addUnlisted(instances);
@@ -221,7 +218,7 @@
     for (const group of this._options.groups().groups()) {
       for (const { address } of group.members) {
         if (instances.has(address)) continue;
-        const isReachable = this._options.prober.findObservation(address)?.unreachableSinceMs === undefined;
+        const isReachable = this._options.prober.findObservation(address)?.silence === undefined;
         const { fabricDomain } = group;
         const place = { failureDomain: '', fabricDomain, accelerators: 0 };
         instances.set(address, { address, ...place, isLeaving: false, isReachable });
@@ -241,7 +238,7 @@
     const assignment = this._options.groups().findInstance(address);
     const observation = this._options.prober.findObservation(address);
     const isSteady =
-      observation?.unreachableSinceMs === undefined &&
+      observation?.silence === undefined &&
       ((assignment?.kind === 'member' && observation?.status?.phase === 'ready') ||
         assignment?.kind === 'released');
     return isSteady ? STEADY_PROBE_INTERVAL_MS : TRANSITION_PROBE_INTERVAL_MS;
--- a/packages/steward/src/prober.ts
+++ b/packages/steward/src/prober.ts
@@ -3,6 +3,8 @@
 
 const TICK_MS = 100;
 const PROBE_TIMEOUT_MS = 700;
+/** A longer gap between two unanswered probes breaks the series. */
+const MAX_PROBE_GAP_MS = 2_000;
 
 /** What the control stream tells about an instance. */
 export interface ObservationBasis {
@@ -12,6 +14,14 @@
   readonly openIntents: readonly number[];
 }
 
+/** An unbroken series of unanswered probes. Times are monotonic, in milliseconds. */
+export interface Silence {
+  /** When the first of them was sent. */
+  readonly sinceMs: number;
+  /** When the last of them was given up. Nothing is known of the time after it. */
+  readonly untilMs: number;
+}
+
 /** Result of the latest probes of one instance. Times are monotonic, in milliseconds. */
 export interface Observation {
   /** Status in the last answer; undefined if the instance never answered. */
@@ -20,8 +30,8 @@
   readonly probedAtMs: number;
   /** What was known of the instance from the control stream when that probe was sent. */
   readonly basis: ObservationBasis;
-  /** When the first of the unanswered probes was sent; undefined if the last probe was answered. */
-  readonly unreachableSinceMs: number | undefined;
+  /** Undefined if the last probe was answered. */
+  readonly silence: Silence | undefined;
   /** Whether the last probe's connection was refused or reset, as when nothing listens at the address. */
   readonly hasConnectionFailed: boolean;
   /** When the first of an unbroken series of probes that found the same boot idle was sent. */
@@ -113,7 +123,7 @@
         status,
         probedAtMs,
         basis,
-        unreachableSinceMs: undefined,
+        silence: undefined,
         hasConnectionFailed: false,
         idleSinceMs,
       };
@@ -123,13 +133,20 @@
         status: previous?.status,
         probedAtMs: previous?.probedAtMs ?? -Infinity,
         basis: previous?.basis ?? basis,
-        unreachableSinceMs: previous?.unreachableSinceMs ?? probedAtMs,
+        silence: this._extendSilence(previous?.silence, probedAtMs),
         hasConnectionFailed,
         idleSinceMs: undefined,
       };
     }
   }
 
+  /** A late timer or a long gap means that this process was paused, which is no silence of the instance. */
+  private _extendSilence(previous: Silence | undefined, probedAtMs: number): Silence {
+    const untilMs = Math.min(this._options.clock.monotonic(), probedAtMs + PROBE_TIMEOUT_MS);
+    const isUnbroken = previous !== undefined && probedAtMs - previous.untilMs <= MAX_PROBE_GAP_MS;
+    return { sinceMs: isUnbroken ? previous.sinceMs : probedAtMs, untilMs };
+  }
+
   private async _removeUnlisted(targets: ReadonlyMap<string, number>): Promise<void> {
     for (const [address, client] of this._clients) {
       if (targets.has(address) || this._probesInFlight.has(address)) continue;
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -262,9 +262,8 @@
     if (!group) return [];
     const members = group.members.map(({ address }) => {
       const observation = this._prober.findObservation(address);
-      const unreachableSinceMs = observation?.unreachableSinceMs;
       const state =
-        unreachableSinceMs === undefined
+        observation?.silence === undefined
           ? (observation?.status?.phase ?? 'not probed here')
           : 'does not answer';
       return `member ${address}: ${state}`;
--- a/tests/steward/groupHealth.test.ts
+++ b/tests/steward/groupHealth.test.ts
@@ -17,7 +17,7 @@
     [HEAD, head],
     [MEMBER, toObservation(epoch)],
   ]);
-  return assessGroup(group, { nowMs: 10_000, findObservation: (address) => observations.get(address) });
+  return assessGroup(group, (address) => observations.get(address));
 }
 
 function since(position: number): Partial<Observation> {
@@ -57,3 +57,14 @@
   for (const { name, member, phase } of cases) t.equal(assess(member).phase, phase, name);
   t.end();
 });
+
+void t.test('a silent member is missing for as long as its probes have shown it', (t) => {
+  const silence = { sinceMs: 1_000, untilMs: 3_500 };
+  const health = assess((epoch) => observe(readyFor('g', epoch), { ...since(epoch), silence }));
+  t.same(health, {
+    phase: 'broken',
+    missing: [{ address: MEMBER, unreachableForMs: 2_500 }],
+    restarted: [],
+  });
+  t.end();
+});
--- a/tests/steward/stewardFixtures.ts
+++ b/tests/steward/stewardFixtures.ts
@@ -118,7 +118,7 @@
     status,
     probedAtMs: 0,
     basis: { position: 0, openIntents: [] },
-    unreachableSinceMs: undefined,
+    silence: undefined,
     hasConnectionFailed: false,
     idleSinceMs: undefined,
     ...observation,
--- a/tests/steward/watcher.test.ts
+++ b/tests/steward/watcher.test.ts
@@ -75,7 +75,7 @@
     },
     {
       name: 'silent since it was ready',
-      member: (epoch) => observe(readyFor('g', epoch), { unreachableSinceMs: 0 }),
+      member: (epoch) => observe(readyFor('g', epoch), { silence: { sinceMs: 0, untilMs: 700 } }),
       afterWhole: whole,
       before: whole,
     },
