Entry: a lost group serves again only when seen whole after the loss

What callers could see: further requests that break at the same group.

Cause: a request that broke, or a steward's report, ended the lease of a group, and the next answer of a steward granted it anew, though the members had been seen before the loss, or the query had even been sent before it. An entry polls twice a second, a steward probes once a second.

Change: a lease tells when its members were seen at the earliest. After a loss only a lease whose members were all seen later is taken. A group that recovers serves up to a second later than before.

Evidence: tests/core/policies, 'a group that was lost serves again only by an observation made after the loss': before, four of its six cases granted the lease. The tests of tests/entry/wholePath and processFailures pass.

--- a/packages/core/src/wholeLease.ts
+++ b/packages/core/src/wholeLease.ts
@@ -32,6 +32,8 @@
  */
 export class WholeLeases {
   private readonly _leases = new Map<string, WholeLease>();
+  /** When each group was last lost, as long as an answer from before that could grant a lease. */
+  private readonly _lostAtMs = new Map<string, number>();
   private _lastTickMs: number;
 
   constructor(
@@ -41,14 +43,22 @@
     this._lastTickMs = _clock.monotonic();
   }
 
-  /** Applies the answer to a query that was sent at monotonic time `querySentAtMs`. */
+  /**
+   * Applies the answer to a query that was sent at monotonic time `querySentAtMs`. A lost group gets a lease again
+   * only if all its members were seen after the loss.
+   */
   renew(querySentAtMs: number, grants: readonly LeaseGrant[]): void {
     const startMs = this._guards.countsFromQuery ? querySentAtMs : this._clock.monotonic();
     for (const grant of grants) {
       const held = this._leases.get(grant.group);
       if (held && held.epoch > grant.epoch) continue;
+      if (grant.remainingMs <= 0) {
+        this.revoke(grant.group);
+        continue;
+      }
       const endsAtMs = startMs + Math.min(grant.remainingMs, WHOLE_LEASE_MS);
-      if (held?.epoch === grant.epoch && held.endsAtMs > endsAtMs && grant.remainingMs > 0) continue;
+      if (endsAtMs - WHOLE_LEASE_MS <= (this._lostAtMs.get(grant.group) ?? -Infinity)) continue;
+      if (held?.epoch === grant.epoch && held.endsAtMs > endsAtMs) continue;
       this._leases.set(grant.group, { group: grant.group, epoch: grant.epoch, endsAtMs });
     }
   }
@@ -56,6 +66,7 @@
   /** Ends a lease at once, for instance because a member is gone. */
   revoke(group: string): void {
     this._leases.delete(group);
+    this._lostAtMs.set(group, this._clock.monotonic());
   }
 
   /**
@@ -82,5 +93,8 @@
     for (const [group, lease] of this._leases) {
       if (lease.endsAtMs <= nowMs) this._leases.delete(group);
     }
+    for (const [group, atMs] of this._lostAtMs) {
+      if (atMs + WHOLE_LEASE_MS <= nowMs) this._lostAtMs.delete(group);
+    }
   }
 }
--- a/tests/core/policies.test.ts
+++ b/tests/core/policies.test.ts
@@ -75,6 +75,66 @@
   t.end();
 });
 
+// A steward's answer that was older than the loss of a group gave the group work again.
+void t.test('a group that was lost serves again only by an observation made after the loss', (t) => {
+  const whole = (remainingMs: number) => ({ group: 'g', epoch: 1, remainingMs });
+  const LOST_AT_MS = 1_000;
+  const cases: readonly {
+    readonly name: string;
+    readonly querySentAtMs: number;
+    readonly remainingMs: number;
+    readonly isServing: boolean;
+  }[] = [
+    {
+      name: 'query sent before the loss',
+      querySentAtMs: LOST_AT_MS - 500,
+      remainingMs: WHOLE_LEASE_MS,
+      isServing: false,
+    },
+    {
+      name: 'query sent after the loss, members seen before it',
+      querySentAtMs: LOST_AT_MS + 100,
+      remainingMs: WHOLE_LEASE_MS - 300,
+      isServing: false,
+    },
+    {
+      name: 'members seen after the loss',
+      querySentAtMs: LOST_AT_MS + 500,
+      remainingMs: WHOLE_LEASE_MS - 300,
+      isServing: true,
+    },
+  ];
+  const losses = [
+    {
+      name: 'found by a request',
+      lose: (leases: WholeLeases) => {
+        leases.revoke('g');
+      },
+    },
+    {
+      name: 'reported by a steward',
+      lose: (leases: WholeLeases) => {
+        leases.renew(LOST_AT_MS, [whole(0)]);
+      },
+    },
+  ];
+  for (const loss of losses) {
+    for (const { name, querySentAtMs, remainingMs, isServing } of cases) {
+      const clock = new ManualClock();
+      const leases = new WholeLeases(clock);
+      leases.renew(0, [whole(WHOLE_LEASE_MS)]);
+      clock.advance(LOST_AT_MS);
+      t.ok(leases.find('g', 1), 'whole at first');
+      loss.lose(leases);
+      t.notOk(leases.find('g', 1), `${loss.name}: ends the lease`);
+      clock.advance(600);
+      leases.renew(querySentAtMs, [whole(remainingMs)]);
+      t.equal(leases.find('g', 1) !== undefined, isServing, `${loss.name}; ${name}`);
+    }
+  }
+  t.end();
+});
+
 void t.test('a paused process drops its leases', (t) => {
   const clock = new ManualClock();
   const leases = new WholeLeases(clock);
