Planner: a spare that restarted or took up a group is no spare

What callers could see: a new group that is dissolved as soon as it is formed.

Cause: what is free was remembered from the release. A spare whose last status showed another boot id was still assigned under the old one, when it was needed before its new boot was released; the next plan dissolved that group as restarted, and all its members had to be stopped and released. When a whole domain loses power, spares restart with members.

Change: a spare counts only while no status read since its release contradicts it.

--- a/packages/core/src/planner.ts
+++ b/packages/core/src/planner.ts
@@ -13,6 +13,8 @@
   readonly isLeaving: boolean;
   /** True when its last status read was answered, or none was made yet. */
   readonly isReachable: boolean;
+  /** True when a status read since its release showed it busy or restarted. */
+  readonly isReleaseOutdated: boolean;
 }
 
 /** Observed health of one group's members. */
@@ -107,7 +109,7 @@
     return [...this._domains];
   }
 
-  /** Released instances of a fabric domain that are reachable and not leaving. */
+  /** Released instances of a fabric domain that are reachable, still free and not leaving. */
   sparesOf(fabricDomain: string): readonly Spare[] {
     return this._spares.get(fabricDomain) ?? [];
   }
@@ -129,6 +131,7 @@
     const [address, { kind }] = spare;
     const instance = this.instances.get(address);
     if (kind !== 'released' || instance?.isReachable !== true || this.isLeaving(address)) return;
+    if (instance.isReleaseOutdated) return;
     addTo(this._spares, instance.fabricDomain, spare);
   }
 }
--- a/packages/steward/src/groupHealth.ts
+++ b/packages/steward/src/groupHealth.ts
@@ -1,4 +1,4 @@
-import type { Group, GroupHealth } from '@monsoonreach/core';
+import type { Group, GroupHealth, InstanceAssignment } from '@monsoonreach/core';
 import type { Observation } from './prober.js';
 
 /** Health of a group by the last probes of its members. */
@@ -37,3 +37,14 @@
   if (status.boot !== boot) return true;
   return status.group !== null && (status.group !== group.id || status.epoch !== group.epoch);
 }
+
+/** Whether a status read since the release of an instance shows that it restarted or is busy. */
+export function isReleaseOutdated(
+  assignment: InstanceAssignment | undefined,
+  observation: Observation | undefined,
+): boolean {
+  const status = observation?.status;
+  if (assignment?.kind !== 'released' || !status) return false;
+  if (observation.basis.position !== assignment.position) return false;
+  return status.boot !== assignment.boot || status.phase !== 'idle' || status.group !== null;
+}
--- a/packages/steward/src/groupPlanner.ts
+++ b/packages/steward/src/groupPlanner.ts
@@ -23,7 +23,7 @@
 import type { ListedInstance, LogWriter } from '@monsoonreach/log';
 import { v7 as uuidv7 } from 'uuid';
 import { EngineReconciler } from './engineReconciler.js';
-import { assessGroup } from './groupHealth.js';
+import { assessGroup, isReleaseOutdated } from './groupHealth.js';
 import type { Prober } from './prober.js';
 
 const TICK_MS = 250;
@@ -207,6 +207,7 @@
         accelerators: listed.accelerators,
         isLeaving: listed.state === 'leaving' || observation?.status?.leaving === true,
         isReachable: observation?.silence === undefined,
+        isReleaseOutdated: this._isReleaseOutdated(listed.address),
       });
     }
     this._addUnlisted(instances);
@@ -221,11 +222,17 @@
         const isReachable = this._options.prober.findObservation(address)?.silence === undefined;
         const { fabricDomain } = group;
         const place = { failureDomain: '', fabricDomain, accelerators: 0 };
-        instances.set(address, { address, ...place, isLeaving: false, isReachable });
+        const state = { isLeaving: false, isReachable, isReleaseOutdated: this._isReleaseOutdated(address) };
+        instances.set(address, { address, ...place, ...state });
       }
     }
   }
 
+  private _isReleaseOutdated(address: string): boolean {
+    const assignment = this._options.groups().findInstance(address);
+    return isReleaseOutdated(assignment, this._options.prober.findObservation(address));
+  }
+
   private _instancesOf(domain: string): readonly PlannedInstance[] {
     return [...this._instances().values()].filter(({ fabricDomain }) => fabricDomain === domain);
   }
@@ -240,7 +247,7 @@
     const isSteady =
       observation?.silence === undefined &&
       ((assignment?.kind === 'member' && observation?.status?.phase === 'ready') ||
-        assignment?.kind === 'released');
+        (assignment?.kind === 'released' && !this._isReleaseOutdated(address)));
     return isSteady ? STEADY_PROBE_INTERVAL_MS : TRANSITION_PROBE_INTERVAL_MS;
   }
 
--- a/tests/steward/engineReconciler.test.ts
+++ b/tests/steward/engineReconciler.test.ts
@@ -81,7 +81,8 @@
   async tick(): Promise<void> {
     this._reconciler.trackOpenIntents();
     const instance = { address: ADDRESS, failureDomain: 'a', fabricDomain: 'f', accelerators: 8 };
-    this._reconciler.reconcile([{ ...instance, isLeaving: false, isReachable: true }]);
+    const state = { isLeaving: false, isReachable: true, isReleaseOutdated: false };
+    this._reconciler.reconcile([{ ...instance, ...state }]);
     await new Promise((resolve) => setImmediate(resolve));
   }
 
--- a/tests/steward/groupHealth.test.ts
+++ b/tests/steward/groupHealth.test.ts
@@ -1,5 +1,5 @@
 import type { GroupHealth } from '@monsoonreach/core';
-import { assessGroup, type Observation } from '@monsoonreach/steward';
+import { assessGroup, isReleaseOutdated, type Observation } from '@monsoonreach/steward';
 import t from 'tap';
 import { ControlStream, IDLE, observe, readyFor } from './stewardFixtures.js';
 
@@ -68,3 +68,29 @@
   });
   t.end();
 });
+
+// A spare that had restarted was assigned under its former boot id, and the new group was dissolved at once.
+void t.test('a release is outdated by a status read after it that shows another boot or a group', (t) => {
+  const cases: readonly {
+    readonly name: string;
+    readonly status: Observation['status'];
+    readonly isReadBefore?: boolean;
+    readonly isOutdated: boolean;
+  }[] = [
+    { name: 'idle', status: IDLE, isOutdated: false },
+    { name: 'restarted', status: { ...IDLE, boot: 'b2' }, isOutdated: true },
+    { name: 'in a group', status: readyFor('h', 1), isOutdated: true },
+    { name: 'loading', status: { ...readyFor('h', 1), phase: 'loading' }, isOutdated: true },
+    { name: 'restarted before', status: { ...IDLE, boot: 'b2' }, isReadBefore: true, isOutdated: false },
+    { name: 'in a group before', status: readyFor('h', 1), isReadBefore: true, isOutdated: false },
+    { name: 'never read', status: undefined, isOutdated: false },
+  ];
+  for (const { name, status, isReadBefore = false, isOutdated } of cases) {
+    const stream = new ControlStream();
+    const { position } = stream.release(MEMBER);
+    const observation = status && observe(status, since(isReadBefore ? position - 1 : position));
+    t.equal(isReleaseOutdated(stream.groups.findInstance(MEMBER), observation), isOutdated, name);
+  }
+  t.notOk(isReleaseOutdated(undefined, observe(IDLE)), 'an instance without a record');
+  t.end();
+});
