Planner: a plan is written at once, and a step only for a second

What callers could see: a group that is dissolved after its silent member has answered again. Found by reading; no run has shown it.

Cause: the steps of a plan were written one after another, each for up to 5 s. Beside a slow or failing log, a step was written seconds after it had been decided, and nothing compared the group with what it was decided on.

Change: all steps of a plan go to the log together, and are given up after a second. The next plan decides anew; a step that is stored late all the same is bound by the lease and the epoch, as before.

Evidence: tests/steward/groupPlanner: before, the second group waited for the first one's record, and a step was written for 5 s.

--- a/packages/steward/src/groupPlanner.ts
+++ b/packages/steward/src/groupPlanner.ts
@@ -29,6 +29,8 @@
 const TICK_MS = 250;
 const PLAN_INTERVAL_MS = 500;
 const WRITE_TIMEOUT_MS = 5_000;
+/** A step that was not stored by then is dropped: what it was decided on may have changed. */
+const STEP_TIMEOUT_MS = 1_000;
 /** Interval of probes of ready members and of released instances. */
 const STEADY_PROBE_INTERVAL_MS = 4_000;
 /** Interval of probes of instances that load, stop or do not answer. */
@@ -51,8 +53,8 @@
   readonly configuration: () => Configuration | undefined;
   /** Instances of the live list by address. */
   readonly listedInstances: () => ReadonlyMap<string, ListedInstance>;
-  readonly prober: Prober;
-  readonly controlWriter: LogWriter<ControlBody, ControlRejection>;
+  readonly prober: Pick<Prober, 'findObservation' | 'clientOf'>;
+  readonly controlWriter: Pick<LogWriter<ControlBody, ControlRejection>, 'write'>;
   /** Whether a steward reports the group as whole; used for groups in other fabric domains. */
   readonly isReportedWhole: (group: Group) => boolean;
 }
@@ -154,14 +156,14 @@
       health: (group) => this._healthOf(group, domain),
       loadMs: this._loadMs,
     });
-    for (const step of steps) await this._writeStep(step, domain);
+    await Promise.all(steps.map((step) => this._writeStep(step, domain)));
   }
 
   private async _writeStep(step: PlanStep, domain: string): Promise<void> {
     const lease = this._leaseOf(domain);
     if (lease === undefined) return;
     const body = toPlanBody(step, domain, lease);
-    const verdict = await this._write(body);
+    const verdict = await this._write(body, STEP_TIMEOUT_MS);
     if (verdict?.kind !== 'accepted') return;
     const reason = step.kind === 'dissolve' ? step.reason : 'planned';
     this._options.counters.add('monsoonreach_plan_steps_total', { step: step.kind, reason });
@@ -251,9 +253,12 @@
     return isSteady ? STEADY_PROBE_INTERVAL_MS : TRANSITION_PROBE_INTERVAL_MS;
   }
 
-  private async _write(body: ControlBody): Promise<Verdict<ControlRejection> | undefined> {
+  private async _write(
+    body: ControlBody,
+    timeoutMs = WRITE_TIMEOUT_MS,
+  ): Promise<Verdict<ControlRejection> | undefined> {
     try {
-      const { verdict } = await this._options.controlWriter.write(body, { timeoutMs: WRITE_TIMEOUT_MS });
+      const { verdict } = await this._options.controlWriter.write(body, { timeoutMs });
       const reason = verdict.kind === 'rejected' ? verdict.reason : 'none';
       const labels = { record: body.kind, verdict: verdict.kind, reason };
       this._options.counters.add('monsoonreach_control_records_total', labels);
--- /dev/null
+++ b/tests/steward/groupPlanner.test.ts
@@ -0,0 +1,63 @@
+import { type ControlBody, Counters, createLogger, ManualClock } from '@monsoonreach/core';
+import type { ListedInstance } from '@monsoonreach/log';
+import { GroupPlanner, type Observation } from '@monsoonreach/steward';
+import { EngineClient } from '@monsoonreach/targets';
+import t from 'tap';
+import { ControlStream, createConfiguration, IDLE, observe } from './stewardFixtures.js';
+
+const WRITER = { address: 's1', incarnation: '1' };
+const SELF = { id: 's1', failureDomain: 'a' };
+const TICK_MS = 250;
+
+const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+
+// Behind a slow record, the next group was dissolved seconds after that had been decided.
+void t.test('all steps of a plan are written at once, and not seconds later', async (t) => {
+  const stream = new ControlStream();
+  const observations = new Map<string, Observation>();
+  const instances = new Map<string, ListedInstance>();
+  for (const [index, group] of ['g', 'h'].entries()) {
+    const addresses = [`127.0.0.1:${index * 2 + 1}`, `127.0.0.1:${index * 2 + 2}`];
+    const epoch = stream.form(group, addresses);
+    for (const address of addresses) {
+      const place = { failureDomain: 'a', fabricDomain: 'f', accelerators: 8 };
+      instances.set(address, { address, kind: 'engine', ...place, state: 'live' });
+      const basis = { position: epoch, openIntents: [] };
+      observations.set(address, observe({ ...IDLE, boot: 'b2' }, { basis }));
+    }
+  }
+  const written: { readonly body: ControlBody; readonly timeoutMs: number }[] = [];
+  const clock = new ManualClock();
+  const client = new EngineClient('127.0.0.1:1');
+  const configuration = createConfiguration({ checksFencing: true });
+  const planner = new GroupPlanner({
+    clock,
+    counters: new Counters(),
+    stateLog: createLogger('test', 'hidden'),
+    writer: WRITER,
+    self: SELF,
+    stewards: () => [SELF],
+    groups: () => stream.groups,
+    isControlStreamReady: () => true,
+    nextControlOffset: () => 1_000,
+    configuration: () => configuration,
+    listedInstances: () => instances,
+    prober: { findObservation: (address) => observations.get(address), clientOf: () => client },
+    controlWriter: {
+      write: (body, { timeoutMs }) => {
+        written.push({ body, timeoutMs });
+        return new Promise(() => undefined);
+      },
+    },
+    isReportedWhole: () => false,
+  });
+  planner.start();
+  await sleep(2 * TICK_MS);
+  const steps = written.filter(({ body }) => body.kind === 'dissolve');
+  t.same(
+    steps.map(({ body }) => body.kind === 'dissolve' && body.group),
+    ['g', 'h'],
+  );
+  for (const { timeoutMs } of steps) t.ok(timeoutMs <= 1_000, `given up after ${timeoutMs} ms`);
+  void planner.stop();
+});
