Models: releases rest on earlier probes, and outcomes of orders are recorded

The groups model read the engine in the step that proposed a release, and knew no outcomes. It so could not show a release that rests on an old probe. In the new explorations a probe is a step of its own, and an answered order records its outcome.

--- a/tests/model/catalogue.ts
+++ b/tests/model/catalogue.ts
@@ -28,6 +28,8 @@
   orders: 3,
 };
 
+const IGNORING = { engines: 'ignores', probes: true } as const;
+
 function eraseTypes<State, Event extends { readonly type: string }>(model: Model<State, Event>): AnyModel {
   return model as unknown as AnyModel;
 }
@@ -84,6 +86,21 @@
         groupsModel({ ...SMALL_BOUNDS, engines: 'ignores', instances: 4, assigns: 2, leases: 1, orders: 1 }),
       ),
   },
+  {
+    name: 'groups: releases by earlier probes, engines that check',
+    length: 'long',
+    model: () => eraseTypes(groupsModel({ ...SMALL_BOUNDS, probes: true, disconnections: 1, orders: 2 })),
+  },
+  {
+    name: 'groups: releases by earlier probes, engines that ignore, one order',
+    length: 'short',
+    model: () => eraseTypes(groupsModel({ ...SMALL_BOUNDS, ...IGNORING, orders: 1 })),
+  },
+  {
+    name: 'groups: releases by earlier probes, engines that ignore',
+    length: 'long',
+    model: () => eraseTypes(groupsModel({ ...SMALL_BOUNDS, ...IGNORING, orders: 2 })),
+  },
   { name: 'configuration', length: 'short', model: () => eraseTypes(configurationModel(ONE_EACH)) },
   {
     name: 'configuration: two publications each',
@@ -200,6 +217,20 @@
     model: () =>
       eraseTypes(groupsModel({ ...SMALL_BOUNDS, engines: 'ignores', orders: 1 }, { skipsIntent: true })),
   },
+  {
+    name: 'groups: release by a probe from before an outcome',
+    length: 'short',
+    mutant: { guard: 'the probe is newer than every outcome', breaks: RELEASED_HOLDS_NO_GROUP },
+    model: () =>
+      eraseTypes(groupsModel({ ...SMALL_BOUNDS, ...IGNORING, orders: 1 }, { ignoresOutcomes: true })),
+  },
+  {
+    name: 'groups: intents settled by the clock alone',
+    length: 'short',
+    mutant: { guard: 'the probe ends the wait', breaks: RELEASED_HOLDS_NO_GROUP },
+    model: () =>
+      eraseTypes(groupsModel({ ...SMALL_BOUNDS, ...IGNORING, orders: 1 }, { settlesByClock: true })),
+  },
   {
     name: 'configuration: publishing without basis',
     length: 'short',
--- a/tests/model/groupsModel.ts
+++ b/tests/model/groupsModel.ts
@@ -19,6 +19,10 @@
   readonly skipsFencing?: boolean;
   /** Sends orders to engines that ignore fencing tokens without first writing an intent to the log. */
   readonly skipsIntent?: boolean;
+  /** Releases by a probe that was sent before the outcome of an order was recorded. */
+  readonly ignoresOutcomes?: boolean;
+  /** Takes intents for settled once no order is under way, whenever the last probe was sent. */
+  readonly settlesByClock?: boolean;
 }
 
 /** Bounds of the explored state space. */
@@ -35,6 +39,8 @@
   readonly disconnections: number;
   /** Maximum number of orders sent. */
   readonly orders: number;
+  /** Whether releases rest on earlier probes, and answered orders are recorded; else on the present state. */
+  readonly probes?: boolean;
 }
 
 const GROUP_SIZE = 2;
@@ -55,6 +61,19 @@
   readonly order: 'load' | 'stop';
   readonly group: string;
   readonly fencing: number;
+  /** Position of its intent; absent if there is none. */
+  readonly intent?: number;
+}
+
+/** The last probe of an instance, as the steward that releases it knows it. */
+interface Probe {
+  readonly boot: number;
+  readonly isIdle: boolean;
+  readonly fencing: number;
+  readonly basis: number;
+  readonly openIntents: readonly number[];
+  /** Whether no order was under way to the instance, which the steward knows by waiting. */
+  readonly isQuiet: boolean;
 }
 
 interface PendingRecord {
@@ -70,6 +89,7 @@
   readonly records: readonly PendingRecord[];
   readonly orders: readonly Order[];
   readonly engines: readonly Engine[];
+  readonly probes: readonly (Probe | null)[];
   readonly assigns: number;
   readonly leases: number;
   readonly restarts: number;
@@ -92,7 +112,8 @@
       readonly group: string;
       readonly fencing: number;
     }
-  | { readonly type: 'arrive'; readonly order: number }
+  | { readonly type: 'arrive'; readonly order: number; readonly isAnswered: boolean }
+  | { readonly type: 'probe'; readonly instance: number }
   | { readonly type: 'lose'; readonly order: number }
   | { readonly type: 'disconnect'; readonly instance: number }
   | { readonly type: 'reconnect'; readonly instance: number }
@@ -165,7 +186,8 @@
     return null;
   }
 
-  function arrive(state: GroupsState, index: number): GroupsState {
+  /** An order arrives; the outcome of an answered one is recorded at once. */
+  function arrive(state: GroupsState, index: number, isAnswered: boolean): GroupsState {
     const order = state.orders[index];
     const orders = state.orders.filter((_, at) => at !== index);
     const engine = order && state.engines[order.instance];
@@ -181,7 +203,33 @@
       orders,
       engines: state.engines.map((other, at) => (at === order.instance ? changed : other)),
     };
-    return { ...next, fault: findFault(next, createReducer(next).state) };
+    const arrived = { ...next, fault: findFault(next, createReducer(next).state) };
+    if (!isAnswered || order.intent === undefined || arrived.fault !== null) return arrived;
+    const body: ControlBody = {
+      kind: 'outcome',
+      address: toAddress(order.instance),
+      intent: order.intent,
+    };
+    return apply(arrived, { writer: 's2', body });
+  }
+
+  function probe(state: GroupsState, instance: number): Probe | null {
+    const engine = state.engines[instance];
+    if (!engine || engine.isDisconnected) return null;
+    const { state: groups } = createReducer(state);
+    const address = toAddress(instance);
+    return {
+      boot: engine.boot,
+      isIdle: engine.group === null,
+      fencing: engine.fencing,
+      basis: groups.findInstance(address)?.position ?? 0,
+      openIntents: groups.intentsOf(address).map(({ position }) => position),
+      isQuiet: isQuiet(state, instance),
+    };
+  }
+
+  function isQuiet(state: GroupsState, instance: number): boolean {
+    return !state.orders.some((order) => order.instance === instance);
   }
 
   function changeEngine(state: GroupsState, instance: number, change: Partial<Engine>): GroupsState {
@@ -207,7 +255,12 @@
       case 'order':
         return sendOrder(state, event);
       case 'arrive':
-        return arrive(state, event.order);
+        return arrive(state, event.order, event.isAnswered);
+      case 'probe': {
+        const latest = probe(state, event.instance);
+        const probes = state.probes.map((other, index) => (index === event.instance ? latest : other));
+        return { ...state, probes };
+      }
       case 'lose':
         return { ...state, orders: state.orders.filter((_, index) => index !== event.order) };
       case 'disconnect':
@@ -233,7 +286,9 @@
     const needsIntent = !checksFencing && variant.skipsIntent !== true;
     if (!needsIntent) return { ...state, orders, sent };
     const body: ControlBody = { kind: 'intent', address: toAddress(instance), order, group, epoch: fencing };
-    return { ...apply(state, { writer: 's1', body }), orders, sent };
+    const announced = apply(state, { writer: 's1', body });
+    const intent = announced.position;
+    return { ...announced, orders: [...state.orders, { instance, order, group, fencing, intent }], sent };
   }
 
   function events(state: GroupsState): readonly GroupsEvent[] {
@@ -243,7 +298,17 @@
       for (const writer of STEWARDS) enabled.push(...proposals(state, groups, writer));
     }
     for (const record of state.records.keys()) enabled.push({ type: 'land', record });
-    for (const order of state.orders.keys()) enabled.push({ type: 'arrive', order }, { type: 'lose', order });
+    for (const order of state.orders.keys()) {
+      enabled.push({ type: 'arrive', order, isAnswered: false }, { type: 'lose', order });
+      if (bounds.probes === true) enabled.push({ type: 'arrive', order, isAnswered: true });
+    }
+    if (bounds.probes === true) {
+      for (const instance of state.engines.keys()) {
+        const latest = probe(state, instance);
+        const isNews = JSON.stringify(latest) !== JSON.stringify(state.probes[instance]);
+        if (latest?.isIdle === true && isNews) enabled.push({ type: 'probe', instance });
+      }
+    }
     if (state.orders.length < MAX_ORDERS && state.sent < bounds.orders)
       enabled.push(...ordersFor(state, groups));
     for (const [instance, engine] of state.engines.entries()) {
@@ -299,6 +364,7 @@
 
   /** The release that the production code writes: the engine is idle and fenced, and its intents are settled. */
   function releaseOf(state: GroupsState, groups: Groups, instance: number): ControlBody | undefined {
+    if (bounds.probes === true) return releaseByProbe(state, groups, instance);
     const engine = state.engines[instance];
     const address = toAddress(instance);
     const assignment = groups.findInstance(address);
@@ -315,6 +381,26 @@
     return { kind: 'release', instance: identity, basis: assignment?.position ?? 0, settled };
   }
 
+  /** As `releaseOf`, by the last probe, which may be older than the engine's state and the log. */
+  function releaseByProbe(state: GroupsState, groups: Groups, instance: number): ControlBody | undefined {
+    const seen = state.probes[instance];
+    const address = toAddress(instance);
+    const assignment = groups.findInstance(address);
+    if (seen?.isIdle !== true || assignment?.kind === 'member') return undefined;
+    if (assignment?.kind === 'released' && assignment.boot === String(seen.boot)) return undefined;
+    if (checksFencing && seen.fencing < (assignment?.position ?? 0)) return undefined;
+    const settled = groups.intentsOf(address).map(({ position }) => position);
+    if (variant.ignoresOutcomes !== true && !seen.openIntents.every((intent) => settled.includes(intent)))
+      return undefined;
+    const isSettled =
+      variant.settlesByClock === true
+        ? isQuiet(state, instance)
+        : seen.isQuiet && settled.every((intent) => seen.openIntents.includes(intent));
+    if (settled.length > 0 && !isSettled) return undefined;
+    const identity = { address, boot: String(seen.boot) };
+    return { kind: 'release', instance: identity, basis: seen.basis, settled };
+  }
+
   /** The release of a steward that does not wait for orders in flight; the log must reject it. */
   function prematureReleaseOf(state: GroupsState, groups: Groups, instance: number): ControlBody | undefined {
     const body = checksFencing ? undefined : releaseOf({ ...state, orders: [] }, groups, instance);
@@ -367,6 +453,7 @@
     records: [],
     orders: [],
     engines: Array.from({ length: bounds.instances }, () => engine),
+    probes: Array.from({ length: bounds.instances }, () => null),
     assigns: 0,
     leases: 0,
     restarts: 0,
@@ -391,7 +478,7 @@
 
   return {
     name: `groups, engines that ${bounds.engines === 'checks' ? 'check' : 'ignore'} fencing tokens`,
-    bounds: `stewards: 2, instances: ${bounds.instances}, groups: ${bounds.assigns} (of ${GROUP_SIZE} instances), leases: ${bounds.leases}, records in flight: ${bounds.records}, orders in flight: ${MAX_ORDERS}, orders in all: ${bounds.orders}, disconnections: ${bounds.disconnections}, restarts: ${bounds.restarts}`,
+    bounds: `stewards: 2, instances: ${bounds.instances}, groups: ${bounds.assigns} (of ${GROUP_SIZE} instances), leases: ${bounds.leases}, records in flight: ${bounds.records}, orders in flight: ${MAX_ORDERS}, orders in all: ${bounds.orders}, disconnections: ${bounds.disconnections}, restarts: ${bounds.restarts}, releases by ${bounds.probes === true ? 'earlier probes' : 'the present state'}`,
     initial: prepare(),
     events,
     next,
