Steward: orders to stop and releases rest on a status read since the last record

What callers could see: a member of a new group that is stopped by an order meant for its former one, with engines that ignore fencing tokens.

Cause: a steward that was paused, or got no answer from an engine, acted on a status from before the release of the instance: it ordered the free or newly assigned engine to stop. Releases on such a status were written too, and only turned down by the log.

Change: outside dissolved groups, whose members are to stop in any case, the status must have been read since the record that set the assignment.

Evidence: tests/steward/engineReconciler, 'an order to stop or a release rests on a status read since the last record': before, the order and both releases were sent.

--- a/packages/steward/src/engineReconciler.ts
+++ b/packages/steward/src/engineReconciler.ts
@@ -69,9 +69,13 @@
       return;
     }
     if (assignment?.kind === 'member') return;
-    const needsFencingRaise = this._needsFencing(assignment) && status.fencing < (assignment?.position ?? 0);
+    const position = assignment?.position ?? 0;
+    const isCurrent = observation.basis.position === position;
+    // A dissolved group's members are to stop in any case; all else depends on what they were seen to do since.
+    if (!isCurrent && assignment?.kind !== 'stopping') return;
+    const needsFencingRaise = this._needsFencing(assignment) && status.fencing < position;
     if (!isIdle || needsFencingRaise) this._orderStop(address, assignment, status.group ?? '');
-    else if (assignment?.kind !== 'released' || assignment.boot !== status.boot)
+    else if (isCurrent && (assignment?.kind !== 'released' || assignment.boot !== status.boot))
       this._release(address, status.boot, observation);
   }
 
--- a/tests/steward/engineReconciler.test.ts
+++ b/tests/steward/engineReconciler.test.ts
@@ -5,6 +5,7 @@
   type EngineCallFailureReason,
   EngineClient,
   type EngineOrder,
+  type EngineStatus,
 } from '@monsoonreach/targets';
 import t from 'tap';
 import { ControlStream, createConfiguration, IDLE, observe, readyFor } from './stewardFixtures.js';
@@ -216,6 +217,89 @@
   }
 });
 
+// By a status read before its release, an instance that had been assigned since was ordered to stop.
+void t.test('an order to stop or a release rests on a status read since the last record', async (t) => {
+  const cases: readonly {
+    readonly name: string;
+    readonly status: EngineStatus;
+    readonly isReadBefore: boolean;
+    readonly record: 'released' | 'stopping';
+    readonly orders: number;
+    readonly releases: number;
+  }[] = [
+    {
+      name: 'busy, read before the release',
+      status: readyFor('g', 1),
+      isReadBefore: true,
+      record: 'released',
+      orders: 0,
+      releases: 0,
+    },
+    {
+      name: 'busy, read since the release',
+      status: readyFor('g', 1),
+      isReadBefore: false,
+      record: 'released',
+      orders: 1,
+      releases: 0,
+    },
+    {
+      name: 'idle under another boot id, read before the release',
+      status: { ...IDLE, boot: 'b0' },
+      isReadBefore: true,
+      record: 'released',
+      orders: 0,
+      releases: 0,
+    },
+    {
+      name: 'idle under another boot id, read since the release',
+      status: { ...IDLE, boot: 'b2' },
+      isReadBefore: false,
+      record: 'released',
+      orders: 0,
+      releases: 1,
+    },
+    {
+      name: 'busy, read before the dissolution',
+      status: readyFor('g', 1),
+      isReadBefore: true,
+      record: 'stopping',
+      orders: 1,
+      releases: 0,
+    },
+    {
+      name: 'idle, read before the dissolution',
+      status: IDLE,
+      isReadBefore: true,
+      record: 'stopping',
+      orders: 0,
+      releases: 0,
+    },
+    {
+      name: 'idle, read since the dissolution',
+      status: IDLE,
+      isReadBefore: false,
+      record: 'stopping',
+      orders: 0,
+      releases: 1,
+    },
+  ];
+  for (const { name, status, isReadBefore, record, orders, releases } of cases) {
+    const bench = new Bench({ checksFencing: false });
+    bench.stream.form('g', [ADDRESS, OTHER]);
+    const before = bench.stream.groups.findInstance(ADDRESS)?.position ?? 0;
+    bench.stream.dissolve('g');
+    if (record === 'released') bench.stream.release(ADDRESS);
+    const basis = { position: before, openIntents: [] };
+    bench.probe(status, isReadBefore ? { basis } : {});
+    const written = bench.stream.written.length;
+    await bench.tick();
+    t.equal(bench.orders.length, orders, `${name}: orders`);
+    const records = bench.stream.written.slice(written).filter(({ kind }) => kind === 'release');
+    t.equal(records.length, releases, `${name}: releases`);
+  }
+});
+
 // A model that was removed left its instances released below a load order that was still under way.
 void t.test('an instance of a removed model is released only once its engine has the number', async (t) => {
   const cases = [
