--- a/packages/steward/src/engineReconciler.ts
+++ b/packages/steward/src/engineReconciler.ts
@@ -12,17 +12,19 @@
   toPosition,
   type Verdict,
 } from '@monsoonreach/core';
-import { EngineCallError, type EngineOrder } from '@monsoonreach/targets';
+import { EngineCallError, type EngineCallFailureReason, type EngineOrder } from '@monsoonreach/targets';
 import type { Observation, Prober } from './prober.js';
 
 const ORDER_INTERVAL_MS = 1_000;
+/** How long after its intent was written an order may still be sent. */
+const MAX_INTENT_AGE_MS = 1_000;
 
 export interface EngineReconcilerOptions {
   readonly clock: Clock;
   readonly counters: Counters;
   readonly groups: () => Groups;
   readonly configuration: () => Configuration | undefined;
-  readonly prober: Prober;
+  readonly prober: Pick<Prober, 'findObservation' | 'clientOf'>;
   /** Next offset of the control stream; a position made from it is above every position read so far. */
   readonly nextControlOffset: () => number;
   /** Writes a control record and reads it back; undefined if the log did not confirm it. */
@@ -47,7 +49,7 @@
     const groups = this._options.groups();
     for (const instance of instances) {
       const observation = this._options.prober.findObservation(instance.address);
-      if (!observation?.status || observation.unreachableSinceMs !== undefined) continue;
+      if (!observation?.status || observation.silence !== undefined) continue;
       this._reconcileInstance(instance.address, groups.findInstance(instance.address), observation);
     }
   }
@@ -67,9 +69,13 @@
       return;
     }
     if (assignment?.kind === 'member') return;
-    const needsFencingRaise = this._needsFencing(assignment) && status.fencing < (assignment?.position ?? 0);
+    const position = assignment?.position ?? 0;
+    const isCurrent = observation.basis.position === position;
+    // A dissolved group's members are to stop in any case; all else depends on what they were seen to do since.
+    if (!isCurrent && assignment?.kind !== 'stopping') return;
+    const needsFencingRaise = this._needsFencing(assignment) && status.fencing < position;
     if (!isIdle || needsFencingRaise) this._orderStop(address, assignment, status.group ?? '');
-    else if (assignment?.kind !== 'released' || assignment.boot !== status.boot)
+    else if (isCurrent && (assignment?.kind !== 'released' || assignment.boot !== status.boot))
       this._release(address, status.boot, observation);
   }
 
@@ -80,12 +86,12 @@
   private _needsFencing(assignment: InstanceAssignment | undefined): boolean {
     const configuration = this._options.configuration();
     if (!assignment || assignment.kind === 'member' || !configuration) return false;
-    if (assignment.kind === 'released') {
-      return Object.values(configuration.engine).every((engine) => engine['checks-fencing']);
-    }
-    const group = this._options.groups().findGroup(assignment.group);
+    const group =
+      assignment.kind === 'stopping' ? this._options.groups().findGroup(assignment.group) : undefined;
     const model = group && configuration.model[group.model];
-    return model !== undefined && engineOf(configuration, model)['checks-fencing'];
+    if (model) return engineOf(configuration, model)['checks-fencing'];
+    // The configuration does not tell which engine this is, as when the group's model was removed.
+    return Object.values(configuration.engine).every((engine) => engine['checks-fencing']);
   }
 
   private _orderStop(address: string, assignment: InstanceAssignment | undefined, groupId: string): void {
@@ -102,24 +108,36 @@
     void this._sendOrder(address, order, group).finally(() => this._busyInstances.delete(address));
   }
 
-  /** Orders to engines that ignore fencing tokens are sent only after their intent was read back from the log. */
+  /**
+   * Orders to engines that ignore fencing tokens are sent only after their intent was read back from the log, and only
+   * so soon that others can tell from its age when the order can no longer arrive.
+   */
   private async _sendOrder(address: string, order: EngineOrder, group: Group | undefined): Promise<void> {
     const configuration = this._options.configuration();
     const model = group && configuration?.model[group.model];
     const engine = model && configuration && engineOf(configuration, model);
     const timeoutMs = engine?.['order-timeout'] ?? ORDER_INTERVAL_MS;
     const needsIntent = group !== undefined && engine?.['checks-fencing'] !== true;
+    const announcedAtMs = this._options.clock.monotonic();
     const intent = needsIntent ? await this._writeIntent(address, order, group.id) : undefined;
     if (needsIntent && intent === undefined) return;
+    const isOutdated = needsIntent && this._options.clock.monotonic() - announcedAtMs > MAX_INTENT_AGE_MS;
+    if (isOutdated || (await this._hasOrderEnded(address, order, timeoutMs))) {
+      if (intent !== undefined) await this._options.write({ kind: 'outcome', address, intent });
+    }
+  }
+
+  /** Sends an order; false if it may still be under way. */
+  private async _hasOrderEnded(address: string, order: EngineOrder, timeoutMs: number): Promise<boolean> {
     try {
       await this._options.prober.clientOf(address).sendOrder(order, timeoutMs);
       this._options.counters.add('monsoonreach_orders_total', { order: order.order, result: 'taken' });
     } catch (error) {
       if (!(error instanceof EngineCallError)) throw error;
       this._options.counters.add('monsoonreach_orders_total', { order: order.order, result: error.reason });
-      if (error.reason === 'timeout') return;
+      return isAnswered(error.reason);
     }
-    if (intent !== undefined) await this._options.write({ kind: 'outcome', address, intent });
+    return true;
   }
 
   private async _writeIntent(
@@ -144,23 +162,27 @@
     const body: ControlBody = {
       kind: 'release',
       instance: { address, boot },
-      basis: observation.basis,
+      basis: observation.basis.position,
       settled,
     };
     void this._options.write(body).finally(() => this._busyInstances.delete(address));
   }
 
-  /** Positions of the open intents, or undefined until the instance was idle for longer than any order can be late. */
+  /**
+   * Positions of the open intents, or undefined until a probe shows that no order can be under way any more: it was
+   * sent after every outcome recorded so far, and the instance had been idle for longer than any order can be late.
+   */
   private _findSettledIntents(address: string, observation: Observation): readonly number[] | undefined {
     const intents = this._options.groups().intentsOf(address);
-    const nowMs = this._options.clock.monotonic();
-    const waitMs = this._longestOrderTimeoutMs();
-    const isSettled = intents.every((intent) => {
-      const seenAtMs = this._intentSeenAtMs.get(intent.position) ?? nowMs;
-      const sinceMs = Math.max(seenAtMs, observation.idleSinceMs ?? nowMs);
-      return nowMs - sinceMs > waitMs;
+    const open = new Set(intents.map(({ position }) => position));
+    if (!observation.basis.openIntents.every((position) => open.has(position))) return undefined;
+    const waitMs = MAX_INTENT_AGE_MS + this._longestOrderTimeoutMs();
+    const isSettled = intents.every(({ position }) => {
+      const seenAtMs = this._intentSeenAtMs.get(position) ?? Infinity;
+      const sinceMs = Math.max(seenAtMs, observation.idleSinceMs ?? Infinity);
+      return observation.probedAtMs - sinceMs > waitMs;
     });
-    return isSettled ? intents.map(({ position }) => position) : undefined;
+    return isSettled ? [...open] : undefined;
   }
 
   private _longestOrderTimeoutMs(): number {
@@ -190,6 +212,18 @@
   }
 }
 
+/** Whether the engine answered; without an answer it may still take the order. */
+function isAnswered(reason: EngineCallFailureReason): boolean {
+  switch (reason) {
+    case 'refused':
+    case 'malformed':
+      return true;
+    case 'timeout':
+    case 'unreachable':
+      return false;
+  }
+}
+
 function toLoadOrder(group: Group, address: string): EngineOrder {
   return {
     order: 'load',
--- a/packages/steward/src/groupPlanner.ts
+++ b/packages/steward/src/groupPlanner.ts
@@ -23,11 +23,14 @@
 import type { ListedInstance, LogWriter } from '@monsoonreach/log';
 import { v7 as uuidv7 } from 'uuid';
 import { EngineReconciler } from './engineReconciler.js';
-import type { Observation, Prober } from './prober.js';
+import { assessGroup, isReleaseOutdated } from './groupHealth.js';
+import type { Prober } from './prober.js';
 
 const TICK_MS = 250;
 const PLAN_INTERVAL_MS = 500;
 const WRITE_TIMEOUT_MS = 5_000;
+/** A step that was not stored by then is dropped: what it was decided on may have changed. */
+const STEP_TIMEOUT_MS = 1_000;
 /** Interval of probes of ready members and of released instances. */
 const STEADY_PROBE_INTERVAL_MS = 4_000;
 /** Interval of probes of instances that load, stop or do not answer. */
@@ -50,8 +53,8 @@
   readonly configuration: () => Configuration | undefined;
   /** Instances of the live list by address. */
   readonly listedInstances: () => ReadonlyMap<string, ListedInstance>;
-  readonly prober: Prober;
-  readonly controlWriter: LogWriter<ControlBody, ControlRejection>;
+  readonly prober: Pick<Prober, 'findObservation' | 'clientOf'>;
+  readonly controlWriter: Pick<LogWriter<ControlBody, ControlRejection>, 'write'>;
   /** Whether a steward reports the group as whole; used for groups in other fabric domains. */
   readonly isReportedWhole: (group: Group) => boolean;
 }
@@ -153,14 +156,14 @@
       health: (group) => this._healthOf(group, domain),
       loadMs: this._loadMs,
     });
-    for (const step of steps) await this._writeStep(step, domain);
+    await Promise.all(steps.map((step) => this._writeStep(step, domain)));
   }
 
   private async _writeStep(step: PlanStep, domain: string): Promise<void> {
     const lease = this._leaseOf(domain);
     if (lease === undefined) return;
     const body = toPlanBody(step, domain, lease);
-    const verdict = await this._write(body);
+    const verdict = await this._write(body, STEP_TIMEOUT_MS);
     if (verdict?.kind !== 'accepted') return;
     const reason = step.kind === 'dissolve' ? step.reason : 'planned';
     this._options.counters.add('monsoonreach_plan_steps_total', { step: step.kind, reason });
@@ -181,26 +184,7 @@
       const phase = this._options.isReportedWhole(group) ? 'whole' : 'unknown';
       return { phase, missing: [], restarted: [] };
     }
-    const nowMs = this._options.clock.monotonic();
-    const members = group.members.map(({ address, boot }) => ({
-      address,
-      boot,
-      observation: this._options.prober.findObservation(address),
-    }));
-    const missing = members.flatMap(({ address, observation }) =>
-      observation?.unreachableSinceMs === undefined
-        ? []
-        : [{ address, unreachableForMs: nowMs - observation.unreachableSinceMs }],
-    );
-    const reachable = members.filter(({ observation }) => observation?.unreachableSinceMs === undefined);
-    const restarted = reachable
-      .filter(({ boot, observation }) => hasDiverged(group, boot, observation))
-      .map(({ address }) => address);
-    const isReady = ({ observation }: (typeof members)[number]) =>
-      observation?.status?.phase === 'ready' && observation.status.group === group.id;
-    const phase =
-      missing.length + restarted.length > 0 ? 'broken' : members.every(isReady) ? 'whole' : 'loading';
-    return { phase, missing, restarted };
+    return assessGroup(group, (address) => this._options.prober.findObservation(address));
   }
 
   /** Instances of the live list and of groups, with their last probes; collected at most once per tick interval. */
@@ -224,7 +208,8 @@
         fabricDomain: listed.fabricDomain,
         accelerators: listed.accelerators,
         isLeaving: listed.state === 'leaving' || observation?.status?.leaving === true,
-        isReachable: observation?.unreachableSinceMs === undefined,
+        isReachable: observation?.silence === undefined,
+        isReleaseOutdated: this._isReleaseOutdated(listed.address),
       });
     }
     this._addUnlisted(instances);
@@ -236,14 +221,20 @@
     for (const group of this._options.groups().groups()) {
       for (const { address } of group.members) {
         if (instances.has(address)) continue;
-        const isReachable = this._options.prober.findObservation(address)?.unreachableSinceMs === undefined;
+        const isReachable = this._options.prober.findObservation(address)?.silence === undefined;
         const { fabricDomain } = group;
         const place = { failureDomain: '', fabricDomain, accelerators: 0 };
-        instances.set(address, { address, ...place, isLeaving: false, isReachable });
+        const state = { isLeaving: false, isReachable, isReleaseOutdated: this._isReleaseOutdated(address) };
+        instances.set(address, { address, ...place, ...state });
       }
     }
   }
 
+  private _isReleaseOutdated(address: string): boolean {
+    const assignment = this._options.groups().findInstance(address);
+    return isReleaseOutdated(assignment, this._options.prober.findObservation(address));
+  }
+
   private _instancesOf(domain: string): readonly PlannedInstance[] {
     return [...this._instances().values()].filter(({ fabricDomain }) => fabricDomain === domain);
   }
@@ -256,15 +247,18 @@
     const assignment = this._options.groups().findInstance(address);
     const observation = this._options.prober.findObservation(address);
     const isSteady =
-      observation?.unreachableSinceMs === undefined &&
+      observation?.silence === undefined &&
       ((assignment?.kind === 'member' && observation?.status?.phase === 'ready') ||
-        assignment?.kind === 'released');
+        (assignment?.kind === 'released' && !this._isReleaseOutdated(address)));
     return isSteady ? STEADY_PROBE_INTERVAL_MS : TRANSITION_PROBE_INTERVAL_MS;
   }
 
-  private async _write(body: ControlBody): Promise<Verdict<ControlRejection> | undefined> {
+  private async _write(
+    body: ControlBody,
+    timeoutMs = WRITE_TIMEOUT_MS,
+  ): Promise<Verdict<ControlRejection> | undefined> {
     try {
-      const { verdict } = await this._options.controlWriter.write(body, { timeoutMs: WRITE_TIMEOUT_MS });
+      const { verdict } = await this._options.controlWriter.write(body, { timeoutMs });
       const reason = verdict.kind === 'rejected' ? verdict.reason : 'none';
       const labels = { record: body.kind, verdict: verdict.kind, reason };
       this._options.counters.add('monsoonreach_control_records_total', labels);
@@ -287,14 +281,6 @@
   }
 }
 
-/** Whether a member runs under another boot id, or for another group or epoch, than the log records. */
-function hasDiverged(group: Group, boot: string, observation: Observation | undefined): boolean {
-  const status = observation?.status;
-  if (!status) return false;
-  if (status.boot !== boot) return true;
-  return status.group !== null && (status.group !== group.id || status.epoch !== group.epoch);
-}
-
 type PlanBody = Extract<ControlBody, { readonly kind: 'assign' | 'dissolve' }>;
 
 function toPlanBody(step: PlanStep, domain: string, lease: number): PlanBody {
--- a/packages/steward/src/prober.ts
+++ b/packages/steward/src/prober.ts
@@ -3,6 +3,24 @@
 
 const TICK_MS = 100;
 const PROBE_TIMEOUT_MS = 700;
+/** A longer gap between two unanswered probes breaks the series. */
+const MAX_PROBE_GAP_MS = 2_000;
+
+/** What the control stream tells about an instance. */
+export interface ObservationBasis {
+  /** Position of the record that set the instance's assignment; 0 for none. */
+  readonly position: number;
+  /** Positions of the instance's intents without an outcome. */
+  readonly openIntents: readonly number[];
+}
+
+/** An unbroken series of unanswered probes. Times are monotonic, in milliseconds. */
+export interface Silence {
+  /** When the first of them was sent. */
+  readonly sinceMs: number;
+  /** When the last of them was given up. Nothing is known of the time after it. */
+  readonly untilMs: number;
+}
 
 /** Result of the latest probes of one instance. Times are monotonic, in milliseconds. */
 export interface Observation {
@@ -10,10 +28,10 @@
   readonly status: EngineStatus | undefined;
   /** When the probe that read `status` was sent; -Infinity if there was none. */
   readonly probedAtMs: number;
-  /** Log position of the instance's state as known when that probe was sent; 0 for none. */
-  readonly basis: number;
-  /** When the first of the unanswered probes was sent; undefined if the last probe was answered. */
-  readonly unreachableSinceMs: number | undefined;
+  /** What was known of the instance from the control stream when that probe was sent. */
+  readonly basis: ObservationBasis;
+  /** Undefined if the last probe was answered. */
+  readonly silence: Silence | undefined;
   /** Whether the last probe's connection was refused or reset, as when nothing listens at the address. */
   readonly hasConnectionFailed: boolean;
   /** When the first of an unbroken series of probes that found the same boot idle was sent. */
@@ -24,8 +42,7 @@
   readonly clock: Clock;
   /** Probe intervals in milliseconds by address. */
   readonly probeIntervals: () => ReadonlyMap<string, number>;
-  /** Log position of the instance's state; 0 for none. */
-  readonly findBasis: (address: string) => number;
+  readonly findBasis: (address: string) => ObservationBasis;
   /** Called after each probe. */
   readonly onProbed?: (address: string, observation: Observation) => void;
 }
@@ -92,7 +109,7 @@
   private async _readStatus(
     address: string,
     probedAtMs: number,
-    basis: number,
+    basis: ObservationBasis,
     previous: Observation | undefined,
   ): Promise<Observation> {
     try {
@@ -106,7 +123,7 @@
         status,
         probedAtMs,
         basis,
-        unreachableSinceMs: undefined,
+        silence: undefined,
         hasConnectionFailed: false,
         idleSinceMs,
       };
@@ -115,14 +132,21 @@
       return {
         status: previous?.status,
         probedAtMs: previous?.probedAtMs ?? -Infinity,
-        basis: previous?.basis ?? 0,
-        unreachableSinceMs: previous?.unreachableSinceMs ?? probedAtMs,
+        basis: previous?.basis ?? basis,
+        silence: this._extendSilence(previous?.silence, probedAtMs),
         hasConnectionFailed,
         idleSinceMs: undefined,
       };
     }
   }
 
+  /** A late timer or a long gap means that this process was paused, which is no silence of the instance. */
+  private _extendSilence(previous: Silence | undefined, probedAtMs: number): Silence {
+    const untilMs = Math.min(this._options.clock.monotonic(), probedAtMs + PROBE_TIMEOUT_MS);
+    const isUnbroken = previous !== undefined && probedAtMs - previous.untilMs <= MAX_PROBE_GAP_MS;
+    return { sinceMs: isUnbroken ? previous.sinceMs : probedAtMs, untilMs };
+  }
+
   private async _removeUnlisted(targets: ReadonlyMap<string, number>): Promise<void> {
     for (const [address, client] of this._clients) {
       if (targets.has(address) || this._probesInFlight.has(address)) continue;
