Tests: releases across a checkpoint and another planner's records

Three more cases of a release that rests on a probe: the outcome is in records that a checkpoint replaced, a checkpoint is loaded while an order may be under way, and another planner released, assigned and dissolved the instance since the probe.

--- a/tests/steward/engineReconciler.test.ts
+++ b/tests/steward/engineReconciler.test.ts
@@ -157,6 +157,36 @@
       },
       isReleased: false,
     },
+    {
+      name: 'the order was answered in records that a checkpoint replaced',
+      steps: (bench, intent) => {
+        bench.stream.write({ kind: 'outcome', address: ADDRESS, intent });
+        bench.stream.loadCheckpoint();
+        bench.clock.advance(SEND_WINDOW_MS + ORDER_TIMEOUT_MS + 1);
+      },
+      isReleased: false,
+    },
+    {
+      name: 'a checkpoint was loaded and a probe was sent after the order must have ended',
+      steps: (bench) => {
+        bench.stream.loadCheckpoint();
+        bench.clock.advance(SEND_WINDOW_MS + ORDER_TIMEOUT_MS + 1);
+        bench.probe(IDLE);
+      },
+      isReleased: true,
+    },
+    {
+      name: 'another planner released and assigned the instance in between',
+      steps: (bench, intent) => {
+        bench.stream.write({ kind: 'outcome', address: ADDRESS, intent });
+        bench.stream.release(ADDRESS);
+        bench.stream.release(OTHER);
+        bench.stream.form('h', [ADDRESS, OTHER]);
+        bench.stream.dissolve('h');
+        bench.clock.advance(SEND_WINDOW_MS + ORDER_TIMEOUT_MS + 1);
+      },
+      isReleased: false,
+    },
     {
       name: 'the engine was not idle in between',
       steps: (bench) => {
--- a/tests/steward/stewardFixtures.ts
+++ b/tests/steward/stewardFixtures.ts
@@ -5,6 +5,7 @@
   type ControlRejection,
   type Groups,
   parseConfiguration,
+  type ReductionSnapshot,
   StreamReducer,
   type Verdict,
 } from '@monsoonreach/core';
@@ -14,7 +15,7 @@
 /** The control stream in memory: a record is applied when it is written. */
 export class ControlStream {
   readonly written: ControlBody[] = [];
-  private readonly _reducer = new StreamReducer(controlDefinition);
+  private _reducer = new StreamReducer(controlDefinition);
   private _position = 0;
 
   get groups(): Groups {
@@ -33,6 +34,12 @@
     });
   }
 
+  /** Goes on from a checkpoint of the present state, as a reader of a trimmed log does. */
+  loadCheckpoint(): void {
+    const snapshot = JSON.parse(JSON.stringify(this._reducer.snapshot())) as ReductionSnapshot;
+    this._reducer = new StreamReducer(controlDefinition, snapshot);
+  }
+
   /** Releases the addresses under boot `b1`, assigns them to a group, and returns its epoch. */
   form(group: string, addresses: readonly string[]): number {
     const lease = this.write({ kind: 'lease', shard: 'f', basis: this._leasePosition() }).position;
