--- a/tests/node/silentTargets.test.ts
+++ b/tests/node/silentTargets.test.ts
@@ -91,6 +91,6 @@
     if (!otherMate) throw new Error('Expected a member.');
     await silenceUntil(otherMate, planning, () => other.group?.name !== otherMate.group?.name);
     await sleep(1_500);
-      t.same(fleet.violations, [], 'no instance was in two groups');
+    t.same(fleet.violations, [], 'no instance was in two groups');
   },
 );
