Planner: groups of owners with the same term have different names

Cause: one record assigns the vacant shards to all owners of a large deployment (four at 875 instances) with one term. Each owner numbers its groups from one within the term, so that two of them name groups of the same model alike, with the same epoch. Nodes find targets by that name: of two open heads only the first was known, and the other one got no requests; loads, findings and reports of silence of the two groups were mixed. The planner of each owner sees its own instances only, so its groups were formed and opened all the same.

Ruled out: an instance that is in two groups by this. Orders go to the instances of the owner's shards.

Change: the name also holds the shard, as a term of a shard has one owner. Names without it are understood as before.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -288,9 +288,10 @@
     model: ModelProfile,
     members: readonly TargetInstance[],
   ): void {
-    const term = view.findTerm(members[0]?.fabricDomain ?? '') ?? 0;
+    const fabricDomain = members[0]?.fabricDomain ?? '';
+    const term = view.findTerm(fabricDomain) ?? 0;
     const epoch = this._takeEpoch(term);
-    const name = createGroupName(model.name, epoch);
+    const name = createGroupName(model.name, epoch, fabricDomain);
     this._roster.record({ name, epoch }, members.entries());
     this._formations.set(name, {
       name,
@@ -349,7 +350,7 @@
     model: ModelProfile,
   ): InstanceOrder {
     const epoch = this._takeEpoch(view.findTerm(instance.fabricDomain) ?? 0);
-    const group = createStandbyName(model.name, epoch);
+    const group = createStandbyName(model.name, epoch, instance.fabricDomain);
     return { kind: 'join', instance, group, epoch, model, members: [instance.id] };
   }
 
--- a/tests/serving/formationPlanner.test.ts
+++ b/tests/serving/formationPlanner.test.ts
@@ -1,12 +1,27 @@
 import {
+  assignVacantShards,
+  createGroupName,
   createStandbyName,
+  findModelOfGroup,
+  findShard,
   FormationPlanner,
   type FormationView,
+  groupId,
   type InstanceOrder,
+  NO_OWNERS,
   type TargetInstance,
 } from '@monsoonreach/core';
 import t from 'tap';
-import { createGroupMembers, createInstance, createView, LARGE_MODEL, SMALL_MODEL } from './fixtures.js';
+import {
+  createGroupMembers,
+  createInstance,
+  createView,
+  LARGE_MODEL,
+  SMALL_MODEL,
+  TERM,
+} from './fixtures.js';
+
+const { fabricDomain: FABRIC_DOMAIN } = createInstance('any');
 
 /** Formats each order as its kind and instance, sorted. */
 function summarize(orders: readonly InstanceOrder[]): readonly string[] {
@@ -25,7 +40,7 @@
 const standby = createInstance('standby', {
   stagedModels: ['large'],
   models: ['large'],
-  membership: { group: createStandbyName('large', 2), epoch: 2, rank: 0, state: 'ready' },
+  membership: { group: createStandbyName('large', 2, FABRIC_DOMAIN), epoch: 2, rank: 0, state: 'ready' },
 });
 
 function withState(member: TargetInstance, state: 'ready' | 'broken' | 'closing'): TargetInstance {
@@ -34,7 +49,12 @@
 
 /** Creates an instance that is loading weights, as its entry shows it until the weights are on the host. */
 function createLoadingStandby(id: string, model: string): TargetInstance {
-  const membership = { group: createStandbyName(model, 2), epoch: 2, rank: 0, state: 'joining' as const };
+  const membership = {
+    group: createStandbyName(model, 2, FABRIC_DOMAIN),
+    epoch: 2,
+    rank: 0,
+    state: 'joining' as const,
+  };
   return createInstance(id, { membership });
 }
 
@@ -44,7 +64,12 @@
     createInstance(`${model}-standby-${index}`, {
       stagedModels: [model],
       models: [model],
-      membership: { group: createStandbyName(model, 10 + index), epoch: 10 + index, rank: 0, state: 'ready' },
+      membership: {
+        group: createStandbyName(model, 10 + index, FABRIC_DOMAIN),
+        epoch: 10 + index,
+        rank: 0,
+        state: 'ready',
+      },
     }),
   );
 }
@@ -250,6 +275,43 @@
   t.end();
 });
 
+// One record gives several owners the same term; their groups had the same names, so that one of two heads got no requests.
+void t.test('owners that were assigned their shards together form groups of different names', (t) => {
+  const ownership = assignVacantShards({
+    ownership: NO_OWNERS,
+    candidates: ['a', 'b'].map((id) => ({ id, address: id })),
+    ownerCount: 2,
+    term: TERM,
+  });
+  const instances = Array.from({ length: 24 }, (_, index) =>
+    createInstance(`i-${index}`, { fabricDomain: `fabric-${index >> 2}`, stagedModels: ['large'] }),
+  );
+  const groups = ['a', 'b'].map((id) => {
+    const findTerm = (fabricDomain: string) => {
+      const owner = ownership?.[findShard(fabricDomain)];
+      return owner?.id === id ? owner.term : undefined;
+    };
+    const orders = new FormationPlanner().plan(createView(instances, { findTerm }));
+    return new Set(orders.flatMap((order) => (order.kind === 'join' ? [groupId(order)] : [])));
+  });
+  const [first = new Set<string>(), second = new Set<string>()] = groups;
+  t.ok(first.size > 1 && second.size > 1);
+  t.same(
+    [...first].filter((id) => second.has(id)),
+    [],
+  );
+  t.end();
+});
+
+void t.test('the name of a group tells its model, also of one that was named without its shard', (t) => {
+  t.equal(findModelOfGroup(createGroupName('model-3.1', 300_001, FABRIC_DOMAIN)), 'model-3.1');
+  t.equal(findModelOfGroup(createStandbyName('model-3.1', 300_001, FABRIC_DOMAIN)), 'model-3.1');
+  t.equal(findModelOfGroup('model-3.1.300001'), 'model-3.1');
+  t.equal(findModelOfGroup('standby.model-3.1.300001'), 'model-3.1');
+  t.equal(findModelOfGroup('other'), undefined);
+  t.end();
+});
+
 void t.test('load pattern: loads from the weight store start no faster than its rate', (t) => {
   const planner = new FormationPlanner();
   const instances = Array.from({ length: 30 }, (_, index) =>
@@ -304,7 +366,7 @@
   state: 'joining' | 'ready' | 'open' = 'joining',
 ) => ({
   ...instance,
-  membership: { group: 'large.300001', epoch: 300_001, rank, state },
+  membership: { group: createGroupName('large', 300_001, FABRIC_DOMAIN), epoch: 300_001, rank, state },
 });
 const inOlderGroup = (instance: TargetInstance, rank: number, state: 'ready' | 'open' | 'closing') => ({
   ...instance,
