Planner: what is known of an instance holds when it refuses an order

Cause: an instance that refused an order was forgotten, with its group. Until its report came, the planner used its entry in the list, which can be older by more than a second: a sound open group whose head or member had just refused an order looked like one that it had left, and was told to end.

Change: a refusal makes only the number of orders unknown; the group holds until the next report.

Evidence: two cases of tests/serving/instanceKnowledge: with the former code the other members, or the head, were told to leave.

--- a/packages/core/src/serving/instanceStateOverlay.ts
+++ b/packages/core/src/serving/instanceStateOverlay.ts
@@ -15,8 +15,8 @@
 interface KnownState {
   readonly source: StateSource;
   readonly instance: TargetInstance;
-  /** Number of orders that the instance had started in this state. */
-  readonly orderCount: number;
+  /** Number of orders that the instance had started in this state; undefined if it is another than was known. */
+  readonly orderCount: number | undefined;
   /** Highest epoch of the groups that this incarnation is known to have joined; -1 if it joined none. */
   readonly highestEpoch: number;
   readonly recordedAtMs: number;
@@ -61,11 +61,13 @@
   }
 
   /**
-   * Forgets an instance that has refused an order since it has begun another number of orders. Its next report counts,
-   * also with a lower number: an order that is already in progress is acknowledged without being counted.
+   * Records that an instance has refused an order since it has begun another number of orders. What is known of its group
+   * holds until its next report, which counts also with a lower number: an order that is already in progress is
+   * acknowledged without being counted.
    */
-  forget(id: string): void {
-    this._states.delete(id);
+  recordRefusal(id: string): void {
+    const known = this._states.get(id);
+    if (known) this._states.set(id, { ...known, orderCount: undefined });
   }
 
   /** Records an instance's own report. */
@@ -146,7 +148,7 @@
 /** Whether a report shows the instance before the known state. */
 function isOlder({ startedAtMs }: TargetInstance, orderCount: number, known: KnownState): boolean {
   if (startedAtMs !== known.instance.startedAtMs) return startedAtMs < known.instance.startedAtMs;
-  return orderCount < known.orderCount;
+  return known.orderCount !== undefined && orderCount < known.orderCount;
 }
 
 /** Predicts the state that an instance announces once it has started an order. */
--- a/packages/node/src/orderSender.ts
+++ b/packages/node/src/orderSender.ts
@@ -177,7 +177,7 @@
         onFenced(order, sent.term);
         return;
       case 'conflict':
-        this._overlay.forget(id);
+        this._overlay.recordRefusal(id);
         await this._refreshLater(order);
         return;
       case 'unknown':
--- a/tests/serving/instanceKnowledge.test.ts
+++ b/tests/serving/instanceKnowledge.test.ts
@@ -348,6 +348,43 @@
   t.end();
 });
 
+// An instance that refused an order was forgotten, so that an older entry of it ended a sound group.
+for (const rank of [0, 1]) {
+  void t.test(
+    `what is known of the group of a member of rank ${rank} holds when it refuses an order`,
+    (t) => {
+      const knowledge = new InstanceStateOverlay();
+      const planner = new FormationPlanner();
+      const group = createGroupMembers('a', EPOCH, LARGE_MODEL, ['open', 'ready', 'ready']);
+      const joined = group[rank] ?? createHead('ready');
+      const idle = { ...joined, membership: undefined };
+      const members = group.map(({ id }) => id);
+      knowledge.recordOrderStart(
+        { kind: 'join', instance: idle, group: 'a', epoch: EPOCH, model: LARGE_MODEL, members },
+        2,
+        1_000,
+      );
+      knowledge.recordReport(joined, 2, 1_300);
+      const entries = {
+        instances: new Map(group.map((member) => [member.id, member === joined ? idle : member])),
+        changedAtMs: () => 900,
+        currentAtMs: 1_400,
+      };
+      const plan = (pending: readonly string[]) =>
+        planner.plan(
+          createView([...knowledge.merge(entries).values()], { instancesWithPendingOrder: new Set(pending) }),
+        );
+      t.same(plan([]), []);
+      knowledge.recordRefusal(joined.id);
+      t.same(plan([joined.id]), []);
+      t.equal(knowledge.getOrderCount(joined), undefined, 'it is asked before it gets another order');
+      knowledge.recordReport(joined, 1, 1_700);
+      t.equal(knowledge.getOrderCount(joined), 1);
+      t.end();
+    },
+  );
+}
+
 // A head that is cut off from the store was never closed: the number of its orders was forgotten before each order.
 void t.test('the state of an instance that is no longer listed is kept for orders to it', (t) => {
   const knowledge = new InstanceStateOverlay();
--- a/tests/serving/simulatedFleet.ts
+++ b/tests/serving/simulatedFleet.ts
@@ -444,7 +444,7 @@
       return;
     }
     this._fleet.sendOrder(this, order, term, orderCount, (status) => {
-      if (status === 409) this._overlay.forget(id);
+      if (status === 409) this._overlay.recordRefusal(id);
       if (status === 202) this._recordBegun(order, orderCount + 1);
       else if (status === 409 || status === undefined)
         this._fleet.schedule.after(MAX_REPORT_LAG_MS, () => {
