Planner: members of a group that is never opened do not wait for a silent head

Cause: a formation that was given up since its head fell silent, after all had joined, left its other members waiting until the head answered or its entry expired.

Change: this planner has not opened the group and never will, so its members leave at once, as they do if the head has not joined.

Evidence: a case of tests/serving/formationPlanner gave no order before.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -174,7 +174,8 @@
   private _hasNoHead(view: FormationView, group: ObservedGroup): boolean {
     // The head of a formation in progress has yet to join.
     if (this._formations.has(group.name)) return false;
-    const isNeverOpened = !group.head && this._roster.isGivenUp(group);
+    const isHeadAway = !group.head || view.silentInstances.has(group.head.id);
+    const isNeverOpened = isHeadAway && this._roster.isGivenUp(group);
     return isNeverOpened || this._roster.hasHeadLeft(group, view.instances) || isHeadLost(view, group);
   }
 
--- a/tests/serving/formationPlanner.test.ts
+++ b/tests/serving/formationPlanner.test.ts
@@ -430,6 +430,18 @@
       },
     ],
   },
+  // Members of a group that is never opened waited for its head, which did not answer.
+  {
+    name: 'the members of a formation that is given up leave its group if its head is silent',
+    steps: [
+      allFree,
+      {
+        instances: [joinedNow(formed, 0), joinedNow(formedSecond, 1), joinedNow(standby, 2)],
+        view: { silentInstances: new Set([formed.id]) },
+        orders: [`leave ${formedSecond.id}`, `leave ${standby.id}`],
+      },
+    ],
+  },
   {
     name: 'the members of a formation that is given up leave its group if its head never joined it',
     steps: [
