Planner: reports of a silence that is over do not count for the next one

A head that was silent for a moment, answered, and did not answer two probes of the planner soon after, lost its members on the former reports: one node that is cut off from the head could so end a sound group.

Change: against a silent head only reports count that came after it last answered.

Evidence: the new test of tests/serving/decisions; before, both former reports counted.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -45,8 +45,11 @@
   readonly silentInstances: ReadonlySet<string>;
   /** Whether the head of a group that is not listed has stopped serving, as far as the nodes that ask it can tell. */
   readonly isHeadGone: (group: string) => boolean;
-  /** Whether several nodes find that a group makes no progress, so that its silent head is not cut off from one only. */
-  readonly isGroupStalled: (group: string) => boolean;
+  /**
+   * Whether several nodes find that a group makes no progress; given a silent head, since that last answered, so that it is
+   * not cut off from one node only.
+   */
+  readonly isGroupStalled: (group: string, silentHead?: string) => boolean;
   /** Heads that are missing from the instance list but still serve. */
   readonly unlistedServingHeads: readonly TargetInstance[];
   /** False while the list may lack running instances, as after an outage of the store. */
@@ -409,7 +412,7 @@
   const { head } = group;
   const id = toGroupId(group);
   if (!head) return view.isListSettled && view.isHeadGone(id);
-  return view.silentInstances.has(head.id) && view.isGroupStalled(id);
+  return view.silentInstances.has(head.id) && view.isGroupStalled(id, head.id);
 }
 
 /** Makes the other members leave a group that has no head or whose head is lost. */
--- a/packages/core/src/serving/memberProbes.ts
+++ b/packages/core/src/serving/memberProbes.ts
@@ -22,6 +22,8 @@
   /** When each node last reported the group as silent, by group and node. */
   private readonly _reporters = new Map<string, Map<string, number>>();
   private readonly _members = new Map<string, Member>();
+  /** When instances last answered, by id. */
+  private readonly _answeredAtMs = new Map<string, number>();
 
   /** Schedules a probe round for a group whose requests make no progress, as a node reports. */
   suspectGroup(group: string, reporter: string, nowMs: number): void {
@@ -32,10 +34,14 @@
     this._groups.set(group, { atMs: nowMs, isProbed: false });
   }
 
-  /** Number of nodes that reported the group as silent lately. */
-  countReporters(group: string, nowMs: number): number {
+  /**
+   * Number of nodes that reported the group as silent lately.
+   * @param head id of a head that is silent: reports from before it last answered are of an earlier silence.
+   */
+  countReporters(group: string, nowMs: number, head?: string): number {
+    const sinceMs = (head === undefined ? undefined : this._answeredAtMs.get(head)) ?? -Infinity;
     const times = [...(this._reporters.get(group)?.values() ?? [])];
-    return times.filter((atMs) => nowMs - atMs < REPORT_TTL_MS).length;
+    return times.filter((atMs) => atMs > sinceMs && nowMs - atMs < REPORT_TTL_MS).length;
   }
 
   /** Whether any member may have to be probed. */
@@ -62,8 +68,9 @@
   }
 
   /** Records whether an instance answered a probe or another request for its state. */
-  recordResult(id: string, isAnswered: boolean): void {
+  recordResult(id: string, isAnswered: boolean, nowMs: number): void {
     if (isAnswered) {
+      this._answeredAtMs.set(id, nowMs);
       this._members.delete(id);
       return;
     }
@@ -82,6 +89,8 @@
   /** Removes members that are no longer listed and groups that are no longer suspect. */
   retain(ids: ReadonlyMap<string, unknown>, nowMs: number): void {
     for (const id of this._members.keys()) if (!ids.has(id)) this._members.delete(id);
+    for (const [id, atMs] of this._answeredAtMs)
+      if (nowMs - atMs >= REPORT_TTL_MS) this._answeredAtMs.delete(id);
     for (const [group, { atMs }] of this._groups) {
       if (nowMs - atMs > ROUND_INTERVAL_MS) this._groups.delete(group);
     }
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -77,7 +77,7 @@
         this._scheduleFollowUp();
       },
       onReportResult: (id, isAnswered) => {
-        this._checks.recordResult(id, isAnswered);
+        this._checks.recordResult(id, isAnswered, clock.monotonic());
       },
     });
   }
@@ -189,8 +189,8 @@
       instancesWithPendingOrder: this._orders.listPending(),
       silentInstances: this._checks.getLostMembers(),
       isHeadGone: (group) => heads.isReleased(group),
-      isGroupStalled: (group) =>
-        this._checks.countReporters(group, nowMs) >= Math.min(MIN_STALL_REPORTERS, countNodes()),
+      isGroupStalled: (group, silentHead) =>
+        this._checks.countReporters(group, nowMs, silentHead) >= Math.min(MIN_STALL_REPORTERS, countNodes()),
       unlistedServingHeads: heads.serving(),
       isListSettled: this._wasListSettled,
       demand: demand(),
--- a/tests/serving/decisions.test.ts
+++ b/tests/serving/decisions.test.ts
@@ -332,14 +332,14 @@
   t.same(checks.takeDueProbes(members, 0), []);
   checks.suspectGroup('g', 'node-1', 0);
   t.same(checks.takeDueProbes(members, 0), ['a', 'b']);
-  checks.recordResult('a', true);
-  checks.recordResult('b', false);
+  checks.recordResult('a', true, 50);
+  checks.recordResult('b', false, 150);
   t.same([...checks.getLostMembers()], []);
   t.same(checks.takeDueProbes(members, 200), ['b']);
-  checks.recordResult('b', false);
+  checks.recordResult('b', false, 350);
   t.same([...checks.getLostMembers()], ['b']);
   t.same(checks.takeDueProbes(members, 400), ['b']);
-  checks.recordResult('b', true);
+  checks.recordResult('b', true, 450);
   t.same([...checks.getLostMembers()], []);
   t.end();
 });
@@ -356,11 +356,25 @@
   t.end();
 });
 
+// Reports of a silence that was over counted for the next one, so that one node's probes ended a group.
+void t.test('reports from before a silent head last answered are of an earlier silence', (t) => {
+  const checks = new MemberProbes();
+  checks.suspectGroup('g', 'node-1', 0);
+  checks.suspectGroup('g', 'node-2', 100);
+  t.equal(checks.countReporters('g', 200, 'head'), 2, 'it has not answered since');
+  checks.recordResult('head', true, 1_000);
+  t.equal(checks.countReporters('g', 2_000, 'head'), 0);
+  t.equal(checks.countReporters('g', 2_000), 2, 'the group may be stalled while its head answers');
+  checks.suspectGroup('g', 'node-2', 2_100);
+  t.equal(checks.countReporters('g', 2_200, 'head'), 1);
+  t.end();
+});
+
 void t.test('an instance that does not answer another request is probed as well', (t) => {
   const checks = new MemberProbes();
-  checks.recordResult('a', false);
+  checks.recordResult('a', false, 0);
   t.same(checks.takeDueProbes([{ id: 'a', group: '' }], 1_000), ['a']);
-  checks.recordResult('a', false);
+  checks.recordResult('a', false, 1_150);
   t.same([...checks.getLostMembers()], ['a']);
   t.end();
 });
--- a/tests/serving/simulatedFleet.ts
+++ b/tests/serving/simulatedFleet.ts
@@ -365,7 +365,7 @@
       silentInstances: this.checks.getLostMembers(),
       isHeadGone: (group) =>
         this.heads.isReleased(group, [this._fleet.findPeer(this).heads.getFindings()], 1, nowMs),
-      isGroupStalled: (group) => this.checks.countReporters(group, nowMs) >= 2,
+      isGroupStalled: (group, silentHead) => this.checks.countReporters(group, nowMs, silentHead) >= 2,
       unlistedServingHeads: this.heads.getServingHeads(),
       isListSettled: true,
       demand: new Map(MODELS.map(({ name }) => [name, 2])),
@@ -421,7 +421,7 @@
   ): void {
     const known = this.list.get(id);
     this._fleet.readReport(this, id, timeoutMs, (report) => {
-      this.checks.recordResult(id, report !== undefined);
+      this.checks.recordResult(id, report !== undefined, this._fleet.schedule.nowMs);
       const listed = this.list.get(id) ?? known;
       if (report) {
         const { orderCount, ...state } = report;
