Planner: owners share the rate of the weight store

More loads than allowed would break the ceiling of the weight store in a deployment with more than 256 instances, which has several owners.

Cause: each owner of shards started loads at the whole rate.

Change: the rate, and the loads that may start at once, are divided by the number of owners.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -56,6 +56,8 @@
   readonly isListSettled: boolean;
   /** Number of groups that the traffic needs, by model; empty before the first request. */
   readonly demand: ReadonlyMap<string, number>;
+  /** Number of planners, which share the rate of the weight store. */
+  readonly plannerCount: number;
   /** Whether requests have been served; from then on the weight store's rate limits the loads. */
   readonly hasTraffic: boolean;
 }
@@ -128,17 +130,15 @@
   }
 
   private _refillWeightLoads(view: FormationView, service: ServingService): void {
-    const rate = service.engine?.loadsPerS ?? 0;
+    const rate = (service.engine?.loadsPerS ?? 0) / view.plannerCount;
+    const burst = Math.max(1, WEIGHT_LOAD_BURST / view.plannerCount);
     if (!view.hasTraffic) {
       this._availableWeightLoads = Infinity;
       return;
     }
-    if (this._availableWeightLoads === Infinity) this._availableWeightLoads = WEIGHT_LOAD_BURST;
+    if (this._availableWeightLoads === Infinity) this._availableWeightLoads = burst;
     const sinceMs = view.nowMs - (this._refilledAtMs ?? view.nowMs);
-    this._availableWeightLoads = Math.min(
-      WEIGHT_LOAD_BURST,
-      this._availableWeightLoads + (rate * sinceMs) / 1_000,
-    );
+    this._availableWeightLoads = Math.min(burst, this._availableWeightLoads + (rate * sinceMs) / 1_000);
     this._refilledAtMs = view.nowMs;
   }
 
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -178,7 +178,7 @@
   }
 
   private _createView(configuration: ServingConfiguration, nowMs: number): FormationView {
-    const { isListSettled, demand, hasTraffic, heads, list, countNodes } = this._options;
+    const { isListSettled, demand, hasTraffic, heads, list, countNodes, ownership } = this._options;
     // While the store is out, the list does not change: what was complete stays so.
     if (nowMs - list.currentAtMs < OUTDATED_LIST_MS) this._wasListSettled = isListSettled();
     return {
@@ -194,6 +194,7 @@
       unlistedServingHeads: heads.serving(),
       isListSettled: this._wasListSettled,
       demand: demand(),
+      plannerCount: Math.max(1, ownership.listAddresses().size),
       hasTraffic: hasTraffic(),
     };
   }
--- a/tests/serving/fixtures.ts
+++ b/tests/serving/fixtures.ts
@@ -98,6 +98,7 @@
     unlistedServingHeads: [],
     isListSettled: true,
     demand: new Map(),
+    plannerCount: 1,
     hasTraffic: true,
     ...options,
   };
--- a/tests/serving/formationPlanner.test.ts
+++ b/tests/serving/formationPlanner.test.ts
@@ -326,6 +326,32 @@
   t.end();
 });
 
+// Each owner of shards used the whole rate of the weight store.
+void t.test('load pattern: several owners together start loads no faster than its rate', (t) => {
+  const ownerCount = 4;
+  const ownership = assignVacantShards({
+    ownership: NO_OWNERS,
+    candidates: Array.from({ length: ownerCount }, (_, index) => ({ id: `${index}`, address: `${index}` })),
+    ownerCount,
+    term: TERM,
+  });
+  const instances = Array.from({ length: 320 }, (_, index) =>
+    createInstance(`i-${index}`, { fabricDomain: `fabric-${index % 24}` }),
+  );
+  let loads = 0;
+  for (let owner = 0; owner < ownerCount; owner++) {
+    const planner = new FormationPlanner();
+    const findTerm = (fabricDomain: string) =>
+      ownership?.[findShard(fabricDomain)]?.id === `${owner}` ? TERM : undefined;
+    for (let nowMs = 0; nowMs <= 5_000; nowMs += 100) {
+      loads += planner.plan(createView(instances, { nowMs, findTerm, plannerCount: ownerCount })).length;
+    }
+  }
+  t.ok(loads <= 5.5 * 5 * 1.1 + 3, `${loads} loads in 5 s`);
+  t.ok(loads >= 5.5 * 5 - ownerCount);
+  t.end();
+});
+
 void t.test('load pattern: the first plan gives each model groups and leaves few instances over', (t) => {
   const planner = new FormationPlanner();
   const instances = Array.from({ length: 4 }, (_, domain) =>
--- a/tests/serving/simulatedFleet.ts
+++ b/tests/serving/simulatedFleet.ts
@@ -365,6 +365,7 @@
       silentInstances: this.checks.getLostMembers(),
       isHeadGone: (group) =>
         this.heads.isReleased(group, [this._fleet.findPeer(this).heads.getFindings()], 1, nowMs),
+      plannerCount: 1,
       isGroupStalled: (group, silentHead) => this.checks.countReporters(group, nowMs, silentHead) >= 2,
       unlistedServingHeads: this.heads.getServingHeads(),
       isListSettled: true,
