Soak: mutants of the guard that an instance joins out of no other group

It now takes every instance as free. The new one, "a head is free once a member has left", brings back what the incident did; it takes silences of heads to show it.

--- a/tests/soak/program.ts
+++ b/tests/soak/program.ts
@@ -79,11 +79,20 @@
   {
     name: 'members are used while their head serves',
     file: 'packages/core/lib/serving/formationPlanner.js',
-    find: 'if (isHeadServing(group) || this._isStale(view, group))\n            return false;',
-    replace: '',
+    find: 'isFree(instance));',
+    replace: 'true);',
     faults: ['engine cut from store', 'member crashes'],
     foundWithinMs: 60_000,
   },
+  {
+    name: 'a head is free once a member has left',
+    file: 'packages/core/lib/serving/formationPlanner.js',
+    find: 'isFree(instance));',
+    replace:
+      '(isFree(instance) || this._roster.hasMemberLeft({ ...instance.membership, name: instance.membership.group }, view.instances)));',
+    faults: ['engines silent in waves'],
+    foundWithinMs: 60_000,
+  },
   {
     name: 'leaving targets get work',
     file: 'packages/node/lib/targetDirectory.js',
