--- a/tests/soak/program.ts
+++ b/tests/soak/program.ts
@@ -84,6 +84,15 @@
     faults: ['engines silent in waves'],
     foundWithinMs: 60_000,
   },
+  {
+    name: 'a head is free once a member has left',
+    file: 'packages/core/lib/serving/formationPlanner.js',
+    find: 'isFree(instance));',
+    replace:
+      '(isFree(instance) || this._roster.hasMemberLeft({ ...instance.membership, name: instance.membership.group }, view.instances)));',
+    faults: ['engines silent in waves'],
+    foundWithinMs: 60_000,
+  },
   {
     name: 'leaving targets get work',
     file: 'packages/node/lib/targetDirectory.js',
