A node that cannot read the store tells the nodes that read through it at once

Callers saw: a key was accepted more than 2 s after its end (CONFIG), when the store turned away both nodes that read it for the others.

Cause: three things added up. A follower waited out its read, up to 1.3 s, at a reader that could no longer read; it accepted an empty answer up to 1.9 s old and waited again; then it did the same at the next reader. The contact of a healthy reader was up to 2.3 s old after a change, as what comes with a change proves no contact after the start of its wait; followers then left a reader that was well.

Ruled out: a delay in the store's answers to the nodes that it served, and in the operator's write: the followers had the change within 20 ms of their first read of the store.

Change: a reader whose read fails, or whose last contact is 1.45 s old, answers waiting and later peers with 503 at once, one that turned to a peer itself with 409. Only a peer that answered last time is asked to wait; after a failure all sources are asked for an immediate answer, 300 ms long, then the store. When all readers are doubted, the next nodes in the order read in their place, so that not all nodes turn to the store. What is known of a peer is kept by topic. A read's wait is shortened by the age of the last contact; the configuration's wait is 1.1 s instead of 1.3 s. Whether the store is out for all is told by the ages that peers report.

The stand-in of the store can let a fault concern waiting reads as well; other tests keep it as it was.

--- a/packages/core/src/serving/topicReaders.ts
+++ b/packages/core/src/serving/topicReaders.ts
@@ -26,24 +26,37 @@
   readonly doubted: ReadonlySet<string>;
 }
 
+/** The peer that a node reads through. */
+export interface ChosenReader extends ReaderCandidate {
+  /** Whether it takes the place of readers that are all doubted, so that it may only now begin to read the store. */
+  readonly isSubstitute: boolean;
+}
+
 /**
  * Chooses the peer that this node reads through; undefined if it reads the store directly, or if no reader is usable.
  *
  * The calls of a large fleet would use up the store's rate limit even without any fault, so only a few nodes read the
- * store, and the others ask one of these, if possible in their own failure domain.
+ * store, and the others ask one of these, if possible in their own failure domain. When all of them are doubted, the
+ * next nodes take their place: all nodes doubt the same ones, as a reader that cannot read tells each that asks. When
+ * these are doubted as well, each node reads the store.
  */
-export function chooseReader(view: ReaderView): ReaderCandidate | undefined {
-  const { self, doubted } = view;
-  const readers = listReaders(view);
-  if (readers.some(({ address }) => address === self.address)) return undefined;
-  const usable = readers.filter(({ address }) => !doubted.has(address));
+export function chooseReader(view: ReaderView): ChosenReader | undefined {
+  const { self, nodes, doubted } = view;
+  const isUsable = ({ address }: ReaderCandidate) => !doubted.has(address);
+  const regular = listReaders(view);
+  const isSubstitute = !regular.some(isUsable);
+  const others = nodes.filter((node) => !regular.includes(node));
+  const substitutes = isSubstitute ? listReaders({ ...view, nodes: others }) : [];
+  if ([...regular, ...substitutes].some(({ address }) => address === self.address)) return undefined;
+  const usable = (isSubstitute ? substitutes : regular).filter(isUsable);
   const near = usable.filter(({ failureDomain }) => failureDomain === self.failureDomain);
   const choices = near.length > 0 ? near : usable;
   const [chosen] = rankByRendezvous(
     self.node,
     choices.map(({ address }) => address),
   );
-  return choices.find(({ address }) => address === chosen);
+  const reader = choices.find(({ address }) => address === chosen);
+  return reader && { ...reader, isSubstitute };
 }
 
 function listReaders({ nodes, owners }: ReaderView): readonly ReaderCandidate[] {
--- a/packages/node/src/keyedFollower.ts
+++ b/packages/node/src/keyedFollower.ts
@@ -113,6 +113,9 @@
       waitMs,
       peerWaitMs,
       signal: this._abortController.signal,
+      onStoreFailed: () => {
+        this.mirror.recordStoreFailure();
+      },
     });
     this._next = { ...from, offset: from.offset + answer.records.length };
     if (answer.records.length > 0) onChanges(answer.records);
@@ -121,7 +124,12 @@
   }
 
   private _getWaits(): Pick<TopicReadOptions, 'waitMs' | 'peerWaitMs'> {
-    return { waitMs: this._options.waitMs(), peerWaitMs: this._options.peerWaitMs() };
+    // What came with a change proves no contact after the start of its wait; the next answer has to come the sooner.
+    const ageMs = this._options.clock.monotonic() - this.mirror.contactAtMs;
+    return {
+      waitMs: Math.max(0, Math.floor(this._options.waitMs() - ageMs)),
+      peerWaitMs: this._options.peerWaitMs(),
+    };
   }
 
   private _recordContact({ contactAtMs, regainedMs, isFromPeer }: TopicReadResult): void {
@@ -147,6 +155,7 @@
 
   private _recordFailure(error: unknown): void {
     this._failures++;
+    this.mirror.recordStoreFailure();
     this._isStoreOut ||= !this._options.sources.hasFreshPeer();
     if (!(error instanceof StoreUnavailableError) || this._failures === 1) {
       this._options.log.warn('store read failed', {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -63,7 +63,7 @@
 import { TopicSources } from './topicSources.js';
 
 /** Long-poll wait of a read of the configuration, in milliseconds; bounds the time between two confirmations of the keys. */
-const CONFIGURATION_WAIT_MS = 1_300;
+const CONFIGURATION_WAIT_MS = 1_100;
 /** Time after the end of a hold of the keys at which a read ends that confirms them, in milliseconds. */
 const HOLD_SLACK_MS = 50;
 /** Pause between two reads of the instance list, in milliseconds; a target that leaves must get no work after two seconds. */
--- a/packages/node/src/topicMirror.ts
+++ b/packages/node/src/topicMirror.ts
@@ -3,6 +3,14 @@
 
 /** Number of changes kept for peers, in records; a peer that is further behind has to read all records again. */
 const MAX_KEPT_CHANGES = 2_000;
+/** Age from which on peers are told to read elsewhere, in milliseconds; the longest wait at the store and a slow answer. */
+const MAX_SERVED_AGE_MS = 1_450;
+
+/**
+ * Whether peers may read this copy. `second-hand`: this node reads through a peer itself. `outdated`: the store did not
+ * answer the last read, or not for long.
+ */
+export type MirrorState = 'readable' | 'second-hand' | 'outdated';
 
 /** Records of a keyed topic, with the age of the source's data. */
 export interface TopicSlice {
@@ -23,6 +31,8 @@
   private _contactAtMs = -Infinity;
   private _reconnectedAtMs: number | undefined;
   private _isFirstHand = false;
+  /** Whether the store failed since it last answered. */
+  private _hasStoreFailed = false;
   private readonly _waiters = new Set<() => void>();
 
   constructor(private readonly _clock: Clock) {}
@@ -37,11 +47,18 @@
     return this._end?.era;
   }
 
-  /** Whether the last read went to the store directly, so that peers may read through this node. */
+  /** Whether the last read that succeeded went to the store directly. */
   get isFirstHand(): boolean {
     return this._isFirstHand;
   }
 
+  /** Whether peers may read through this node now. */
+  get state(): MirrorState {
+    if (!this._isFirstHand) return 'second-hand';
+    const isOutdated = this._hasStoreFailed || this._clock.monotonic() >= this._servedUntilMs;
+    return isOutdated ? 'outdated' : 'readable';
+  }
+
   /** Replaces the copy by all records up to the position `end`. */
   replaceAll(records: readonly KeyedRecord[], end: StorePosition): void {
     this._newestByKey.clear();
@@ -65,9 +82,18 @@
 
   /** Records that this copy was current at the monotonic time `contactAtMs`. */
   confirm(contactAtMs: number, reconnectedAtMs: number | undefined, isFirstHand: boolean): void {
+    const wasFirstHand = this._isFirstHand;
     this._isFirstHand = isFirstHand;
+    this._hasStoreFailed = false;
     this._contactAtMs = Math.max(this._contactAtMs, contactAtMs);
     this._reconnectedAtMs = reconnectedAtMs;
+    if (wasFirstHand && !isFirstHand) this._wakeWaiters();
+  }
+
+  /** Records that the store did not answer a read, so that waiting peers read elsewhere at once. */
+  recordStoreFailure(): void {
+    this._hasStoreFailed = true;
+    this._wakeWaiters();
   }
 
   /** Returns the newest record of each key; undefined until the topic was read. */
@@ -78,18 +104,28 @@
   }
 
   /**
-   * Returns the changes from the position `from` on; waits up to `waitMs` for the first.
+   * Returns the changes from the position `from` on; waits up to `waitMs` for the first, as long as this copy is readable.
    * @throws HistoryGoneError when changes after `from` are no longer kept, or belong to another era of the store.
    */
   async read(from: StorePosition, waitMs: number): Promise<TopicSlice | undefined> {
     if (this._end === undefined) return undefined;
-    if (from.era === this._end.era && from.offset >= this._end.offset) await this._waitForChange(waitMs);
+    const untilMs = this._clock.monotonic() + waitMs;
+    while (from.era === this._end.era && from.offset >= this._end.offset && this.state === 'readable') {
+      const remainingMs = Math.min(untilMs, this._servedUntilMs) - this._clock.monotonic();
+      if (remainingMs <= 0) break;
+      await this._waitForChange(remainingMs);
+    }
     const { era, offset } = this._end;
     const first = offset - this._changes.length;
     if (from.era !== era || from.offset < first) throw new HistoryGoneError({ era, offset: first });
     return this._createSlice(this._changes.slice(from.offset - first), this._end);
   }
 
+  /** Monotonic time until which this copy is recent enough for peers. */
+  private get _servedUntilMs(): number {
+    return this._contactAtMs + MAX_SERVED_AGE_MS;
+  }
+
   private _createSlice(records: readonly KeyedRecord[], end: StorePosition): TopicSlice {
     const nowMs = this._clock.monotonic();
     const regainedMs = this._reconnectedAtMs === undefined ? undefined : nowMs - this._reconnectedAtMs;
--- a/packages/node/src/topicServer.ts
+++ b/packages/node/src/topicServer.ts
@@ -3,7 +3,7 @@
 import { HistoryGoneError } from '@monsoonreach/platform';
 import { decodeMembers, encodeMembers, MAX_MEMBERS_BYTES, MEMBERS_PATH } from './peerDiscovery.js';
 import { encodeSlice, encodeSliceEra, encodeSliceHeaders } from './topicMessages.js';
-import type { TopicMirror, TopicSlice } from './topicMirror.js';
+import type { MirrorState, TopicMirror, TopicSlice } from './topicMirror.js';
 
 /** Maximum wait that a peer may request, in milliseconds. */
 const MAX_WAIT_MS = 5_000;
@@ -16,6 +16,8 @@
 export const TOO_LARGE_STATUS = 413;
 /** Status when this node itself reads through a peer; two nodes that read through each other would get no changes. */
 export const SECOND_HAND_STATUS = 409;
+/** Status when the store has not answered this node lately, so that its peers read elsewhere. */
+export const OUTDATED_STATUS = 503;
 /** Status when the requested offset is older than the changes that are kept, or of another era of the store. */
 export const GONE_STATUS = 410;
 
@@ -97,7 +99,8 @@
     try {
       const slice = await readSlice(mirror, query);
       if (!slice) return { status: 404, body: NO_BODY };
-      if (!mirror.isFirstHand) return { status: SECOND_HAND_STATUS, body: NO_BODY };
+      const { state } = mirror;
+      if (state !== 'readable') return { status: REFUSAL_STATUSES[state], body: NO_BODY };
       const body = this._encode(`${topic}/${query.get('from') ?? ''}`, slice);
       const isTooLarge = body.length > MAX_ANSWER_BYTES && !query.has('whole');
       return isTooLarge
@@ -124,6 +127,11 @@
 
 const NO_BODY = Buffer.alloc(0);
 
+const REFUSAL_STATUSES: Readonly<Record<Exclude<MirrorState, 'readable'>, number>> = {
+  'second-hand': SECOND_HAND_STATUS,
+  outdated: OUTDATED_STATUS,
+};
+
 async function readBody(request: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = [];
   let length = 0;
--- a/packages/node/src/topicSources.ts
+++ b/packages/node/src/topicSources.ts
@@ -1,9 +1,11 @@
 import {
   chooseReader,
+  type ChosenReader,
   type Clock,
   type Counters,
   findFreshestPeer,
   MonsoonreachError,
+  pause,
   type FallbackCandidate,
   type ReaderCandidate,
 } from '@monsoonreach/core';
@@ -29,13 +31,17 @@
 const ANSWER_TIMEOUT_MS = 300;
 /** Time for which a peer that failed is not asked, in milliseconds; about the time in which a lost peer is detected. */
 const PEER_BACKOFF_MS = 2_000;
+/** Time in which a node whose reader failed looks for another one before it reads the store itself, in milliseconds. */
+const SEARCH_MS = 300;
+/** Pause before a substitute is asked for the first time, in milliseconds; it learns as late that it has to read. */
+const SUBSTITUTE_PAUSE_MS = 120;
 /** Time for which a read through a fallback peer waits for the first change, in milliseconds. */
 const FALLBACK_WAIT_MS = 300;
 /** Time for which a store that failed is not asked while a peer can reach it, in milliseconds. */
 const STORE_BACKOFF_MS = 2_000;
 /** Time by which the end of the store's wait may seem early here, in milliseconds; timers are not exact. */
 const WAIT_TOLERANCE_MS = 20;
-/** Maximum age of a peer's data, in milliseconds; a node that reads the store receives an answer at least every 1.3 s. */
+/** Maximum age of a peer's data, in milliseconds; a node that reads the store receives an answer at least every 1.1 s. */
 const MAX_PEER_AGE_MS = 1_900;
 /** Largest answer of a peer that is read, in bytes. */
 const MAX_ANSWER_BYTES = 16_777_216;
@@ -54,6 +60,31 @@
   readonly body: Uint8Array;
 }
 
+interface PeerRequest {
+  readonly path: string;
+  /** How long the peer waits for the first change, in milliseconds. */
+  readonly waitMs: number;
+}
+
+interface SearchResult {
+  /** Undefined if the store has to be read. */
+  readonly answer: TopicReadResult | undefined;
+  /** Whether a reader failed before. */
+  readonly hasFailed: boolean;
+}
+
+interface TopicPeers {
+  /** Addresses of peers that failed, with the monotonic time until which they are not asked. */
+  readonly skipped: Map<string, number>;
+  /** Addresses of the peers that answered when they were last asked. */
+  readonly proven: Set<string>;
+}
+
+interface FallbackAnswer {
+  readonly peer: ReaderCandidate;
+  readonly answer: TopicReadResult;
+}
+
 /** A read of a topic's changes. */
 export interface TopicReadOptions {
   readonly topic: string;
@@ -63,6 +94,8 @@
   /** The same for a read through a peer, in milliseconds; a peer has each change as soon as it has read it. */
   readonly peerWaitMs: number;
   readonly signal: AbortSignal;
+  /** Called when the store did not answer, before the read goes on through a peer. */
+  readonly onStoreFailed?: () => void;
 }
 
 /** Result of a read. */
@@ -97,39 +130,35 @@
  * Reads topics from the store, or through a peer: the one chosen to read for this node, or a fallback peer when the
  * store does not answer. All sources use the store's positions, so that a reader can change its source at any time. What
  * a peer has from before a restore of the store is not used.
+ *
+ * A change of the configuration has to be in force in two seconds, however many sources fail at once. So only a peer that
+ * answered last time is asked to wait for changes; all that is asked after a failure is asked for an immediate answer.
  */
 export class TopicSources {
   private readonly _dispatcher = new Agent({ pipelining: 1, connect: createConnector(CONNECT_TIMEOUT_MS) });
-  /** Peers that failed, with the monotonic time until which they are not asked. */
-  private readonly _skippedPeers = new Map<string, number>();
+  /** What is known of peers by topic: a peer that cannot read one topic may well read another. */
+  private readonly _peersByTopic = new Map<string, TopicPeers>();
   private _storeSkippedUntilMs = -Infinity;
 
   constructor(private readonly _options: TopicSourcesOptions) {}
 
   /** Reads the newest record of each key. @throws StoreUnavailableError when neither the store nor a peer answers. */
   async readNewest(topic: string): Promise<TopicReadResult> {
-    const reader = this._chooseReader();
-    if (reader) {
-      try {
-        return await this._askPeer(reader, `/topics/${topic}`, 0);
-      } catch (error) {
-        if (!(error instanceof PeerReadError)) throw error;
-        if (!(error instanceof LargeAnswerError)) this._skipPeer(reader, error);
-      }
-    }
+    const { answer } = await this._searchReaders(topic, () => ({ path: `/topics/${topic}`, waitMs: 0 }));
+    if (answer) return answer;
     try {
       const contactAtMs = this._options.clock.monotonic();
       const { records, end } = await this._options.store.readNewest(topic);
       if (this._isOutdated(end)) throw new StoreUnavailableError('The answer is older than a restore.', true);
       return { records, end, contactAtMs, isFromPeer: false };
     } catch (error) {
-      return this._readFallback(error, `/topics/${topic}?whole`, 0);
+      return this._readFallback(error, topic, { path: `/topics/${topic}?whole`, waitMs: 0 });
     }
   }
 
-  /** Whether any peer had contact with the store lately. */
+  /** Whether any peer had contact with the store lately, or with a peer that had. */
   hasFreshPeer(): boolean {
-    return this._findFreshestPeer() !== undefined;
+    return this._options.peers().some(({ storeAgeMs }) => storeAgeMs <= MAX_PEER_AGE_MS);
   }
 
   /**
@@ -138,25 +167,53 @@
    * @throws HistoryGoneError when the position is older than the history that the source keeps, or of another era.
    */
   async read(options: TopicReadOptions): Promise<TopicReadResult> {
-    const reader = this._chooseReader();
-    if (reader) {
+    const { topic } = options;
+    const { answer, hasFailed } = await this._searchReaders(topic, (reader, isAfterFailure) => {
+      const isProven = this._getPeers(topic).proven.has(reader.address) && !isAfterFailure;
+      const waitMs = isProven ? options.peerWaitMs : 0;
+      return { path: toPath({ ...options, waitMs }), waitMs };
+    });
+    return answer ?? this._readStore(hasFailed ? { ...options, waitMs: 0 } : options);
+  }
+
+  /** Asks the readers for this node, one after the other, until one answers or it is time to read the store instead. */
+  private async _searchReaders(
+    topic: string,
+    toRequest: (reader: ReaderCandidate, isAfterFailure: boolean) => PeerRequest,
+  ): Promise<SearchResult> {
+    const { clock } = this._options;
+    let endsAtMs = Infinity;
+    let hasPaused = false;
+    for (;;) {
+      const hasFailed = endsAtMs < Infinity;
+      const reader = this._chooseReader(topic);
+      if (!reader) return { answer: undefined, hasFailed };
+      if (reader.isSubstitute && !hasPaused && !this._getPeers(topic).proven.has(reader.address)) {
+        hasPaused = true;
+        await pause(SUBSTITUTE_PAUSE_MS);
+      }
+      const remainingMs = endsAtMs - clock.monotonic();
+      if (remainingMs <= 0) return { answer: undefined, hasFailed };
       try {
-        const { peerWaitMs } = options;
-        return await this._askPeer(reader, toPath({ ...options, waitMs: peerWaitMs }), peerWaitMs);
+        const peerRequest = toRequest(reader, hasFailed);
+        return { answer: await this._askPeer(reader, topic, peerRequest, remainingMs), hasFailed };
       } catch (error) {
         if (!(error instanceof PeerReadError)) throw error;
-        if (!(error instanceof LargeAnswerError)) this._skipPeer(reader, error);
+        if (error instanceof LargeAnswerError) return { answer: undefined, hasFailed };
+        this._skipPeer(reader, topic, error);
+        endsAtMs = Math.min(endsAtMs, clock.monotonic() + SEARCH_MS);
       }
     }
-    return this._readStore(options);
   }
 
   private async _readStore(options: TopicReadOptions): Promise<TopicReadResult> {
     const { store, clock, history } = this._options;
-    const path = `${toPath({ ...options, waitMs: FALLBACK_WAIT_MS })}&whole`;
+    const { topic } = options;
+    const waitMs = FALLBACK_WAIT_MS;
+    const peerRequest = { path: `${toPath({ ...options, waitMs })}&whole`, waitMs };
     if (clock.monotonic() < this._storeSkippedUntilMs) {
-      const peer = this._findFreshestPeer();
-      if (peer) return this._askFallbackPeer(peer, path, FALLBACK_WAIT_MS);
+      const found = await this._askFallbackPeers(topic, peerRequest);
+      if (found) return found.answer;
     }
     try {
       const sentAtMs = clock.monotonic();
@@ -174,39 +231,54 @@
       return { records: keyed, end, contactAtMs, isFromPeer: false };
     } catch (error) {
       if (!(error instanceof StoreUnavailableError) || options.signal.aborted) throw error;
-      return this._readFallback(error, path, FALLBACK_WAIT_MS);
+      options.onStoreFailed?.();
+      return this._readFallback(error, topic, peerRequest);
     }
   }
 
   /** Reads through a peer after the store has failed; rethrows the error when no peer is fresh enough. */
-  private async _readFallback(error: unknown, path: string, waitMs: number): Promise<TopicReadResult> {
+  private async _readFallback(
+    error: unknown,
+    topic: string,
+    peerRequest: PeerRequest,
+  ): Promise<TopicReadResult> {
     if (!(error instanceof StoreUnavailableError)) throw error;
-    const peer = this._findFreshestPeer();
-    if (!peer) throw error;
-    const answer = await this._askFallbackPeer(peer, path, waitMs);
+    const found = await this._askFallbackPeers(topic, peerRequest);
+    if (!found) throw error;
+    const { peer, answer } = found;
     this._storeSkippedUntilMs = this._options.clock.monotonic() + STORE_BACKOFF_MS;
     this._options.log.info('store read through a peer', { peer: peer.node, error: describeError(error) });
     return answer;
   }
 
-  private async _askFallbackPeer(
-    peer: ReaderCandidate,
-    path: string,
-    waitMs: number,
-  ): Promise<TopicReadResult> {
-    try {
-      return await this._askPeer(peer, path, waitMs);
-    } catch (error) {
-      if (!(error instanceof PeerReadError)) throw error;
-      this._skipPeer(peer, error);
-      throw new StoreUnavailableError('Neither the store nor a peer answered.', false, { cause: error });
+  /** Asks peers that lately read the store until one answers; undefined when none does. */
+  private async _askFallbackPeers(
+    topic: string,
+    peerRequest: PeerRequest,
+  ): Promise<FallbackAnswer | undefined> {
+    const { clock } = this._options;
+    const endsAtMs = clock.monotonic() + SEARCH_MS;
+    for (;;) {
+      const peer = this._findFreshestPeer(topic);
+      if (!peer || clock.monotonic() >= endsAtMs) return undefined;
+      try {
+        return { peer, answer: await this._askPeer(peer, topic, peerRequest) };
+      } catch (error) {
+        if (!(error instanceof PeerReadError)) throw error;
+        this._skipPeer(peer, topic, error);
+      }
     }
   }
 
-  private async _askPeer(peer: ReaderCandidate, path: string, waitMs: number): Promise<TopicReadResult> {
+  private async _askPeer(
+    peer: ReaderCandidate,
+    topic: string,
+    { path, waitMs }: PeerRequest,
+    maxMs = Infinity,
+  ): Promise<TopicReadResult> {
     this._options.counters.add('monsoonreach_topic_reads_total', { from: 'peer' });
     const sentAtMs = this._options.clock.monotonic();
-    const answer = await this._fetch(peer, path, waitMs);
+    const answer = await this._fetch(peer, path, Math.min(maxMs, waitMs + ANSWER_TIMEOUT_MS));
     if (answer.status === TOO_LARGE_STATUS)
       throw new LargeAnswerError(
         `The answer of peer ${peer.node} would be too large; the store is read instead.`,
@@ -222,17 +294,19 @@
       decodeSlice(answer.body, answer.headers),
     );
     const contactAtMs = sentAtMs - ageMs;
-    if (ageMs <= MAX_PEER_AGE_MS) return { records, end, contactAtMs, regainedMs, isFromPeer: true };
-    throw new PeerReadError(`Peer ${peer.node} had no contact with the store for ${Math.round(ageMs)} ms.`);
+    if (ageMs > MAX_PEER_AGE_MS)
+      throw new PeerReadError(`Peer ${peer.node} had no contact with the store for ${Math.round(ageMs)} ms.`);
+    this._getPeers(topic).proven.add(peer.address);
+    return { records, end, contactAtMs, regainedMs, isFromPeer: true };
   }
 
-  private async _fetch(peer: ReaderCandidate, path: string, waitMs: number): Promise<PeerAnswer> {
+  private async _fetch(peer: ReaderCandidate, path: string, timeoutMs: number): Promise<PeerAnswer> {
     try {
       const response = await request(`http://${peer.address}${path}`, {
         dispatcher: this._dispatcher,
         headersTimeout: 0,
         bodyTimeout: 0,
-        signal: AbortSignal.timeout(waitMs + ANSWER_TIMEOUT_MS),
+        signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
       });
       const { statusCode: status, headers } = response;
       return { status, headers, body: await readBoundedBody(response.body, MAX_ANSWER_BYTES) };
@@ -251,24 +325,27 @@
     }
   }
 
-  private _skipPeer(peer: ReaderCandidate, error: PeerReadError): void {
+  private _skipPeer(peer: ReaderCandidate, topic: string, error: PeerReadError): void {
     const { clock, counters, log } = this._options;
-    this._skippedPeers.set(peer.address, clock.monotonic() + PEER_BACKOFF_MS);
+    const { proven, skipped } = this._getPeers(topic);
+    proven.delete(peer.address);
+    skipped.set(peer.address, clock.monotonic() + PEER_BACKOFF_MS);
     counters.add('monsoonreach_topic_reads_failed_total');
     log.info('read through a peer failed; peer is skipped', {
       peer: peer.node,
+      topic,
       reason: error.message,
       forMs: PEER_BACKOFF_MS,
     });
   }
 
-  private _chooseReader(): ReaderCandidate | undefined {
+  private _chooseReader(topic: string): ChosenReader | undefined {
     const { self, nodes, owners } = this._options;
-    return chooseReader({ self, nodes: nodes(), owners: owners(), doubted: this._listDoubted() });
+    return chooseReader({ self, nodes: nodes(), owners: owners(), doubted: this._listDoubted(topic) });
   }
 
-  private _findFreshestPeer(): ReaderCandidate | undefined {
-    return findFreshestPeer(this._options.peers(), this._listDoubted(), MAX_PEER_AGE_MS);
+  private _findFreshestPeer(topic: string): ReaderCandidate | undefined {
+    return findFreshestPeer(this._options.peers(), this._listDoubted(topic), MAX_PEER_AGE_MS);
   }
 
   /** Whether an answer is from before a restore of the store that this node already knows of. */
@@ -277,11 +354,20 @@
   }
 
   /** Addresses of the peers that are not asked for now. */
-  private _listDoubted(): ReadonlySet<string> {
+  private _listDoubted(topic: string): ReadonlySet<string> {
+    const { skipped } = this._getPeers(topic);
     const nowMs = this._options.clock.monotonic();
-    for (const [address, untilMs] of this._skippedPeers)
-      if (untilMs <= nowMs) this._skippedPeers.delete(address);
-    return new Set(this._skippedPeers.keys());
+    for (const [address, untilMs] of skipped) if (untilMs <= nowMs) skipped.delete(address);
+    return new Set(skipped.keys());
+  }
+
+  private _getPeers(topic: string): TopicPeers {
+    let peers = this._peersByTopic.get(topic);
+    if (!peers) {
+      peers = { skipped: new Map(), proven: new Set() };
+      this._peersByTopic.set(topic, peers);
+    }
+    return peers;
   }
 }
 
--- a/tests/platform/storeStandin.ts
+++ b/tests/platform/storeStandin.ts
@@ -23,6 +23,8 @@
 /** Stands in for the platform's store: topics with conditional appends, long polling and the newest value of each key. */
 export class StoreStandin {
   mode: StoreMode = 'well';
+  /** Whether a fault also concerns the reads that were waiting when it began. */
+  failsWaitingReads = false;
   /** Number of calls received, including those that got no answer. */
   callCount = 0;
   private _partitions = new Map<string, Partition>();
@@ -142,6 +144,11 @@
     }
     if (from >= this._getEndOffset(topic))
       await this._waitForAppend(Number(url.searchParams.get('waitMs') ?? 0));
+    if (this.failsWaitingReads && this.mode === 'silent') return;
+    if (this.failsWaitingReads && this.mode === 'busy') {
+      response.writeHead(503).end();
+      return;
+    }
     const { first: firstKept, records } = this._getPartition(topic);
     const head = Buffer.alloc(16);
     head.writeBigUInt64BE(BigInt(this._getEndOffset(topic)), 0);
--- a/tests/serving/topicReaders.test.ts
+++ b/tests/serving/topicReaders.test.ts
@@ -72,6 +72,36 @@
   t.end();
 });
 
+const substituteCases = [
+  { nodes: 9, owners: [], readers: 2, substitutes: 2 },
+  { nodes: 9, owners: [4, 5], readers: 2, substitutes: 2 },
+  { nodes: 86, owners: [], readers: 3, substitutes: 3 },
+];
+
+for (const { nodes: size, owners, readers, substitutes } of substituteCases) {
+  void t.test(
+    `load pattern: of ${size} nodes, the same few read in place of readers that are doubted`,
+    (t) => {
+      const fleet = createFleet(size);
+      const regular = fleet.filter((_, index) => findReaders(fleet, { owners })[index] === undefined);
+      const doubted = regular.map(({ address }) => address);
+      const found = findReaders(fleet, { owners, doubted });
+      const reading = fleet.filter((_, index) => found[index] === undefined);
+      t.equal(regular.length, readers);
+      t.equal(reading.length, readers + substitutes);
+      for (const reader of found) {
+        if (!reader) continue;
+        t.ok(reader.isSubstitute);
+        t.ok(reading.some(({ node }) => node === reader.node));
+        t.notOk(doubted.includes(reader.address));
+      }
+      const allDoubted = reading.map(({ address }) => address);
+      t.ok(findReaders(fleet, { owners, doubted: allDoubted }).every((reader) => reader === undefined));
+      t.end();
+    },
+  );
+}
+
 const peerCases: readonly {
   readonly name: string;
   readonly ages: readonly number[];
