--- a/packages/node/src/orderSender.ts
+++ b/packages/node/src/orderSender.ts
@@ -86,6 +86,7 @@
     this._pendingOrders.set(id, clock.monotonic() + ORDER_EFFECT_MS);
     const expectedOrderCount = this._findOrderCount(order.instance);
     if (expectedOrderCount === undefined) return;
+    const basis = this._describeBasis(order.instance);
     const outcome = await sendOrder(order, {
       fencingToken: term,
       expectedOrderCount,
@@ -100,7 +101,7 @@
       group: 'group' in order ? order.group : undefined,
       epoch: 'epoch' in order ? order.epoch : undefined,
       expectedOrderCount,
-      ...this._describeBasis(order.instance),
+      ...basis,
       outcome: outcome.kind,
     });
     await this._handleOutcome(order, outcome, { term, expectedOrderCount });
