Core: one predicate tells whether a head in a state serves

The same comparison with open and closing stood in the planner, the overlay, the observed groups, the unlisted heads and the sender of orders. Behaviour is unchanged; the soak's mutant of the planner names the new text and is found as before.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -5,7 +5,7 @@
 import { groupId, isWhole, type ObservedGroup, observeGroups } from './observedGroups.js';
 import type { ModelProfile, ServingService } from './servingConfiguration.js';
 import { MAX_EPOCHS_PER_TERM } from './shards.js';
-import type { TargetInstance } from './targetInstance.js';
+import { isServingState, type TargetInstance } from './targetInstance.js';
 
 /** Weight loads that may start at once; the weight store tolerates three beyond its steady rate. */
 const WEIGHT_LOAD_BURST = 3;
@@ -369,7 +369,7 @@
 /** Whether the instance may join a group: it is in none, or in its own standby group, which never opens. */
 function isFree({ membership }: TargetInstance): boolean {
   if (!membership) return true;
-  return isStandbyName(membership.group) && membership.state !== 'open' && membership.state !== 'closing';
+  return isStandbyName(membership.group) && !isServingState(membership.state);
 }
 
 function isMemberOf({ membership }: TargetInstance, { name, epoch }: Formation): boolean {
--- a/packages/core/src/serving/instanceStateOverlay.ts
+++ b/packages/core/src/serving/instanceStateOverlay.ts
@@ -1,5 +1,5 @@
 import type { InstanceOrder } from './formationPlanner.js';
-import type { MemberState, TargetInstance } from './targetInstance.js';
+import { isServingState, type MemberState, type TargetInstance } from './targetInstance.js';
 
 /** Maximum lag of a report behind the instance's state, in milliseconds: 200 in the engine, the rest for the call. */
 export const MAX_REPORT_LAG_MS = 300;
@@ -234,7 +234,7 @@
 }
 
 function isServing({ membership }: TargetInstance): boolean {
-  return membership?.state === 'open' || membership?.state === 'closing';
+  return isServingState(membership?.state);
 }
 
 function isSameIncarnation(known: KnownState, { startedAtMs }: TargetInstance): boolean {
--- a/packages/core/src/serving/observedGroups.ts
+++ b/packages/core/src/serving/observedGroups.ts
@@ -1,6 +1,6 @@
 import { findModelOfGroup } from './groupName.js';
 import type { ModelProfile, ServingService } from './servingConfiguration.js';
-import type { TargetInstance } from './targetInstance.js';
+import { isServingState, type TargetInstance } from './targetInstance.js';
 
 /** A replica group as announced by its members. */
 export interface ObservedGroup {
@@ -67,6 +67,5 @@
 
 /** Whether the head accepts requests or still processes some. */
 export function isHeadServing(group: ObservedGroup): boolean {
-  const state = group.head?.membership?.state;
-  return state === 'open' || state === 'closing';
+  return isServingState(group.head?.membership?.state);
 }
--- a/packages/core/src/serving/targetInstance.ts
+++ b/packages/core/src/serving/targetInstance.ts
@@ -1,6 +1,11 @@
 /** A member's state as it announces it. */
 export type MemberState = 'joining' | 'ready' | 'open' | 'closing' | 'broken';
 
+/** Whether a head in this state accepts requests or still processes some. */
+export function isServingState(state: MemberState | undefined): boolean {
+  return state === 'open' || state === 'closing';
+}
+
 /** An instance's membership in a replica group. */
 export interface GroupMembership {
   readonly group: string;
--- a/packages/core/src/serving/unlistedHeads.ts
+++ b/packages/core/src/serving/unlistedHeads.ts
@@ -1,5 +1,5 @@
 import { groupId, isHeadServing, type ObservedGroup } from './observedGroups.js';
-import type { TargetInstance } from './targetInstance.js';
+import { isServingState, type TargetInstance } from './targetInstance.js';
 
 /** Consecutive missed probes after which a head counts as silent. */
 const SILENT_AFTER_MISSES = 3;
@@ -80,7 +80,7 @@
     }
     missing.misses = 0;
     const isSameGroup = answer?.epoch === head.membership.epoch && answer.group === head.membership.group;
-    const isServing = isSameGroup && (answer.state === 'open' || answer.state === 'closing');
+    const isServing = isSameGroup && isServingState(answer.state);
     missing.finding = isServing ? 'serving' : 'idle';
   }
 
--- a/packages/node/src/orderSender.ts
+++ b/packages/node/src/orderSender.ts
@@ -4,6 +4,7 @@
   groupId,
   InstanceStateOverlay,
   type InstanceOrder,
+  isServingState,
   MAX_REPORT_LAG_MS,
   pause,
   type TargetInstance,
@@ -210,8 +211,7 @@
     while (clock.monotonic() < endsAtMs && findTerm(head.fabricDomain) !== undefined) {
       await pause(MAX_REPORT_LAG_MS, this._abortController.signal);
       await this.refresh(head);
-      const state = this._overlay.getMemberState(head.id);
-      if (state !== 'open' && state !== 'closing') return;
+      if (!isServingState(this._overlay.getMemberState(head.id))) return;
     }
   }
 }
--- a/tests/soak/program.ts
+++ b/tests/soak/program.ts
@@ -79,7 +79,7 @@
   {
     name: 'members are used while their head serves',
     file: 'packages/core/lib/serving/formationPlanner.js',
-    find: "return isStandbyName(membership.group) && membership.state !== 'open' && membership.state !== 'closing';",
+    find: 'return isStandbyName(membership.group) && !isServingState(membership.state);',
     replace: 'return true;',
     faults: ['engines silent in waves'],
     foundWithinMs: 60_000,
