Tests: one list of instances and one configuration serve the new tests

Four tests of nodes set up the same list with its log, counters and contact, and a test of the planner of stewards repeated the configuration of their fixtures.

--- a/tests/core/planner.test.ts
+++ b/tests/core/planner.test.ts
@@ -2,29 +2,12 @@
   controlDefinition,
   type ControlBody,
   type Groups,
-  parseConfiguration,
   type PlannedInstance,
   planFabricDomain,
   StreamReducer,
 } from '@monsoonreach/core';
 import t from 'tap';
-
-const CONFIGURATION = parseConfiguration(`[deployment]
-name = test
-[engine.e]
-[model.m]
-version = 1
-engine = e
-groups = 1
-instances-per-group = 2
-group-concurrency = 4
-first-token-timeout = 4s
-token-timeout = 2s
-deadline = 20s
-[workspace.w]
-token-sha256 = ${'0'.repeat(64)}
-models = m
-`);
+import { createConfiguration } from '../steward/stewardFixtures.js';
 
 function releaseAll(addresses: readonly string[]): Groups {
   const reducer = new StreamReducer(controlDefinition);
@@ -60,7 +43,7 @@
     );
     const steps = planFabricDomain({
       groups: releaseAll(addresses),
-      configuration: CONFIGURATION,
+      configuration: createConfiguration({ checksFencing: true }),
       instances,
       fabricDomain: 'f',
       health: () => ({ phase: 'unknown', missing: [], restarted: [] }),
--- a/tests/node/headMonitor.test.ts
+++ b/tests/node/headMonitor.test.ts
@@ -1,9 +1,10 @@
-import { Counters, ManualClock } from '@monsoonreach/core';
-import { DecisionLog, HeadMonitor, InstanceList } from '@monsoonreach/node';
+import { ManualClock } from '@monsoonreach/core';
+import { HeadMonitor } from '@monsoonreach/node';
 import { decodeConfiguration } from '@monsoonreach/platform';
 import t from 'tap';
 import { createConfiguration } from '../platform/platformFleet.js';
 import { SERVICE } from '../serving/fixtures.js';
+import { createInstanceList } from '../support/instanceList.js';
 
 /** Time after which the members of a group whose head no node has ever seen are used, in milliseconds. */
 const UNKNOWN_HEAD_WAIT_MS = 12_000;
@@ -30,16 +31,7 @@
 for (const names of [['engines'], ['engines', 'other'], ['other', 'engines']]) {
   void t.test(`members wait for an unknown head for a limited time, with services ${names.join()}`, (t) => {
     const clock = new ManualClock();
-    const counters = new Counters();
-    const log = new DecisionLog('node-1', 'hidden', clock, counters);
-    const contact = {
-      reconnectedAtMs: -Infinity,
-      restoredAtMs: -Infinity,
-      get currentAtMs() {
-        return clock.monotonic();
-      },
-    };
-    const list = new InstanceList(clock, log, counters, contact);
+    const { list, log } = createInstanceList({ clock });
     const services = new Map(names.map((name) => [name, { ...SERVICE, name }]));
     const heads = new HeadMonitor({
       node: 'node-1',
--- a/tests/node/orderSender.test.ts
+++ b/tests/node/orderSender.test.ts
@@ -1,8 +1,9 @@
-import { Counters, systemClock } from '@monsoonreach/core';
-import { DecisionLog, InstanceList, OrderSender } from '@monsoonreach/node';
+import { systemClock } from '@monsoonreach/core';
+import { OrderSender } from '@monsoonreach/node';
 import t from 'tap';
 import { InstanceFleet } from '../platform/instanceStandin.js';
 import { StoreStandin } from '../platform/storeStandin.js';
+import { createInstanceList, replaceList } from '../support/instanceList.js';
 
 const GROUP = { group: 'old', epoch: 5 };
 const TERM = 1;
@@ -12,10 +13,7 @@
   const store = new StoreStandin();
   const fleet = new InstanceFleet(store, 1);
   const head = await fleet.add('head', 'engines', 'domain-1');
-  const counters = new Counters();
-  const log = new DecisionLog('node-1', 'hidden', systemClock, counters);
-  const contact = { reconnectedAtMs: -Infinity, restoredAtMs: -Infinity, currentAtMs: 0 };
-  const list = new InstanceList(systemClock, log, counters, contact);
+  const { list, log, counters } = createInstanceList();
   const sender = new OrderSender({
     list,
     clock: systemClock,
@@ -32,12 +30,12 @@
   });
   const membership = { name: 'old', epoch: 5, rank: 0, members: ['head', 'member'], state: 'ready' as const };
   const sendLeave = async () => {
-    list.replaceAll([{ key: 'head', value: Buffer.from(JSON.stringify(head.describeEntry())) }]);
+    replaceList(list, [['head', head.describeEntry()]]);
     const instance = sender.listInstances().get('head');
     if (instance) await sender.send({ kind: 'leave', instance, ...GROUP });
   };
   head.setGroup(membership, 3);
-  list.replaceAll([{ key: 'head', value: Buffer.from(JSON.stringify(head.describeEntry())) }]);
+  replaceList(list, [['head', head.describeEntry()]]);
   const listed = list.get('head');
   if (!listed) throw new Error('Expected the head in the list.');
   await sender.refresh(listed);
--- a/tests/node/silentTargets.test.ts
+++ b/tests/node/silentTargets.test.ts
@@ -3,6 +3,7 @@
 import { InstanceFleet, type InstanceStandin } from '../platform/instanceStandin.js';
 import { StoreStandin } from '../platform/storeStandin.js';
 import { sleep } from '../standins/http.js';
+import { replaceList } from '../support/instanceList.js';
 import { createPlanner } from '../support/planner.js';
 
 /** Interval at which the planner's list is read again, in milliseconds. */
@@ -20,11 +21,9 @@
   const engines = [...fleet.instances.values()];
   const planner = await createPlanner('node-1', address, []);
   const readList = () => {
-    planner.list.replaceAll(
-      engines.map((engine) => ({
-        key: engine.id,
-        value: Buffer.from(JSON.stringify(engine.describeEntry())),
-      })),
+    replaceList(
+      planner.list,
+      engines.map((engine) => [engine.id, engine.describeEntry()]),
     );
   };
   readList();
--- a/tests/node/targetDirectory.test.ts
+++ b/tests/node/targetDirectory.test.ts
@@ -1,8 +1,9 @@
-import { Counters, LoadTracker, systemClock, type TargetInstance } from '@monsoonreach/core';
-import { DecisionLog, InstanceList, type ShardOwnership, TargetDirectory } from '@monsoonreach/node';
+import { LoadTracker, type TargetInstance } from '@monsoonreach/core';
+import { type ShardOwnership, TargetDirectory } from '@monsoonreach/node';
 import { decodeConfiguration } from '@monsoonreach/platform';
 import t from 'tap';
 import { createConfiguration } from '../platform/platformFleet.js';
+import { createInstanceList, replaceList } from '../support/instanceList.js';
 
 type Entry = Partial<TargetInstance['membership']> & { readonly born?: number };
 
@@ -50,15 +51,12 @@
 // A head that was silent while its members left got requests again, which could not run.
 for (const { name, listed, isTarget } of cases) {
   void t.test(`a group ${isTarget ? 'takes' : 'gets no'} requests if ${name}`, (t) => {
-    const counters = new Counters();
-    const log = new DecisionLog('node-1', 'hidden', systemClock, counters);
-    const contact = { reconnectedAtMs: -Infinity, restoredAtMs: -Infinity, currentAtMs: 0 };
-    const list = new InstanceList(systemClock, log, counters, contact);
+    const { list } = createInstanceList();
     const ownership = { stamp: 0 } as ShardOwnership;
     const directory = new TargetDirectory(list, new LoadTracker(() => undefined), ownership);
     const configuration = decodeConfiguration(Buffer.from(JSON.stringify(createConfiguration(1))));
     const countTargets = (entries: readonly (readonly [string, unknown])[]) => {
-      list.replaceAll(entries.map(([key, value]) => ({ key, value: Buffer.from(JSON.stringify(value)) })));
+      replaceList(list, entries);
       return directory.findCandidates(configuration, 'engines', 'model-a').length;
     };
     t.equal(countTargets([head, member]), 1);
--- a/tests/support/planner.ts
+++ b/tests/support/planner.ts
@@ -1,15 +1,8 @@
-import { Counters, createMemberId, createRandom, systemClock } from '@monsoonreach/core';
-import {
-  DecisionLog,
-  HeadMonitor,
-  InstanceList,
-  PeerExchange,
-  Planning,
-  ShardOwnership,
-  StoreHistory,
-} from '@monsoonreach/node';
+import { createMemberId, createRandom, systemClock } from '@monsoonreach/core';
+import { HeadMonitor, PeerExchange, Planning, ShardOwnership, StoreHistory } from '@monsoonreach/node';
 import { decodeConfiguration, StoreClient } from '@monsoonreach/platform';
 import { createConfiguration } from '../platform/platformFleet.js';
+import { createInstanceList, replaceList } from './instanceList.js';
 import { findFreePorts } from './ports.js';
 
 /** Creates the planner of one node, with an instance list that holds the given entries. */
@@ -18,19 +11,10 @@
   store: string,
   entries: readonly (readonly [string, unknown])[],
 ) {
-  const counters = new Counters();
-  const log = new DecisionLog(name, 'hidden', systemClock, counters);
+  const { list, log, counters } = createInstanceList({ node: name });
+  replaceList(list, entries);
   const [port = 0] = await findFreePorts(1);
   const configuration = decodeConfiguration(Buffer.from(JSON.stringify(createConfiguration(1))));
-  const contact = {
-    reconnectedAtMs: -Infinity,
-    restoredAtMs: -Infinity,
-    get currentAtMs() {
-      return systemClock.monotonic();
-    },
-  };
-  const list = new InstanceList(systemClock, log, counters, contact);
-  list.replaceAll(entries.map(([key, value]) => ({ key, value: Buffer.from(JSON.stringify(value)) })));
   const self = {
     node: name,
     id: createMemberId(name, '1'),
