--- /dev/null
+++ b/review/standins/replica.mjs
@@ -0,0 +1,64 @@
+/** Stand-in of a replica of a plain service. */
+import { createServer } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+export class Replica {
+  runs = [];
+  _seqNo = 0;
+
+  constructor({ id, service, zone, store, workMs = 15 }) {
+    Object.assign(this, { id, service, zone, workMs });
+    this._store = store;
+    this._born = Date.now();
+    this._server = createServer((request, response) => {
+      void this._handle(request, response);
+    });
+  }
+
+  async start() {
+    await new Promise((resolve) => this._server.listen(0, '127.0.0.1', resolve));
+    this.address = `127.0.0.1:${this._server.address().port}`;
+    this._beat();
+    this._timer = setInterval(() => {
+      this._beat();
+    }, 1200);
+  }
+
+  stop() {
+    clearInterval(this._timer);
+    this._server.closeAllConnections();
+    this._server.close();
+  }
+
+  _beat() {
+    this._store.put('keyed.servers', this.id, {
+      service: this.service,
+      address: this.address,
+      zone: this.zone,
+      version: 'v1',
+      slots: 6,
+      state: 'ready',
+      coldRemainingMs: 0,
+      seqNo: this._seqNo++,
+      born: this._born,
+    });
+  }
+
+  async _handle(request, response) {
+    const id = request.headers['attempt-id'];
+    const expected = request.headers['expect-instance'];
+    if (expected !== undefined && expected !== this.id) {
+      response.writeHead(421, { 'Replica-Id': this.id }).end();
+      return;
+    }
+    if (id === undefined) {
+      response.writeHead(400, { 'Not-Executed': '1' }).end();
+      return;
+    }
+    this.runs.push({ id, tenant: request.headers.tenant, replica: this.id, atMs: Date.now() });
+    request.resume();
+    await sleep(this.workMs);
+    response.writeHead(200, { 'Attempt-Id': id, 'Server-Seal': `seal.${id}` });
+    response.end(`answer of ${id}`);
+  }
+}
