Choose ports of the review cases below those of outgoing connections

Cause: a port that was free when it was chosen could be taken by an outgoing connection of another process before the node listened on it.

--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -1,5 +1,6 @@
 /** Starts the project's node program with the command and the settings template of the deploy file. */
 import { spawn } from 'node:child_process';
+import { createSocket } from 'node:dgram';
 import { mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -18,24 +19,38 @@
   retrySlack: 132,
 };
 
-/** Returns ports that are free for TCP now. */
-export async function findFreePorts(count, host = '127.0.0.1') {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise((resolve, reject) => {
-          const server = createServer();
-          server.once('error', reject);
-          server.listen(0, host, () => {
-            resolve(server);
-          });
-        }),
-    ),
-  );
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
+/** Ports below those that the system gives to outgoing connections, which could take them at any moment. */
+const FIRST_PORT = 18_000;
+const PORT_COUNT = 12_000;
+
+function canListen(port) {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
+function canReceive(port) {
+  return new Promise((resolve) => {
+    const socket = createSocket('udp4');
+    socket.once('error', () => {
+      resolve(false);
+    });
+    socket.bind(port, '127.0.0.1', () => socket.close(() => resolve(true)));
+  });
+}
+
+/** Returns ports that are free for TCP and UDP now. */
+async function findFreePorts(count) {
+  const ports = new Set();
+  while (ports.size < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (!ports.has(port) && (await canListen(port)) && (await canReceive(port))) ports.add(port);
+  }
+  return [...ports];
 }
 
 function fillTemplate(template, fields) {
@@ -58,6 +73,16 @@
   nodes = [];
   _role = readRole();
 
+  constructor() {
+    // Also when the case ends early, no process stays.
+    process.once('exit', () => {
+      for (const { child } of this.nodes) child?.kill('SIGKILL');
+    });
+    for (const signal of ['SIGINT', 'SIGTERM']) {
+      process.once(signal, () => process.exit(2));
+    }
+  }
+
   /** Starts one node; `storeAddress` is where it reaches the platform's store. */
   async start({ name, zone, storeAddress, isFirstStart = true }) {
     const [front, ready, peers, metrics] = await findFreePorts(4);
