Node: mark the end of each answer, whatever the target's framing

Cause: the node copied the target's framing towards the caller, so that only the end of the connection marked the end of the answer; the system closes the connections of a killed process regularly.

Ruled out: the target's own end (it was still sending); a reset that the caller took for an end.

Change: streams are sent in chunks, and the last chunk only after the target's regular end; plain answers, which are buffered, have their length. Answers to callers of HTTP/1.0 that are broken off are reset. The same on the entry's plain answers.

Stand-ins that crash reset answers without a length, as a regular end would complete them.

--- a/packages/callers/src/callerServer.ts
+++ b/packages/callers/src/callerServer.ts
@@ -202,7 +202,11 @@
         this._reportAnswered(requestId, startedAtMs);
         return new Response(Buffer.from(answer.body), {
           status: answer.status,
-          headers: { 'content-type': answer.contentType, 'x-request-id': requestId },
+          headers: {
+            'content-type': answer.contentType,
+            'content-length': String(Buffer.byteLength(answer.body)),
+            'x-request-id': requestId,
+          },
         });
       case 'stream': {
         const onEnd = (isComplete: boolean) => {
@@ -271,6 +275,8 @@
   if (answer.contentType !== undefined) headers['content-type'] = answer.contentType;
   if (answer.isReplayed) headers['idempotency-replayed'] = 'true';
   const hasBody = answer.body.byteLength > 0 && answer.status !== 204 && answer.status !== 304;
+  // Callers of HTTP/1.0 read no chunks: without a length, an answer that is cut looks complete to them.
+  if (hasBody) headers['content-length'] = String(answer.body.byteLength);
   return new Response(hasBody ? Buffer.from(answer.body) : null, { status: answer.status, headers });
 }
 
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -117,8 +117,8 @@
   private _isFinished = false;
   /** Whether a connection brought the answer to another request, so that no other idle one is used. */
   private _isConnectionDoubted = false;
-  /** Whether the answer marks its own end, rather than ending with its connection. */
-  private _isFramed = true;
+  /** Whether the target whose head was forwarded marks the end of its answer. */
+  private _isFirstFramed = true;
 
   constructor(private readonly _options: RequestRunOptions) {
     const { context, caller, request, route, startedAtMs, workspace, body } = _options;
@@ -503,17 +503,19 @@
 
   private _startStream(head: ResponseHead): void {
     if (this._options.response.headersSent) return;
-    this._isFramed = head.isFramed;
-    this._writeHead(head, []);
+    this._isFirstFramed = head.isFramed;
+    this._writeHead(head, undefined);
   }
 
-  /** Writes the head with the framing of the target's answer; `length` is sent only if that answer marks its own end. */
-  private _writeHead(head: ResponseHead, length: readonly string[]): void {
+  /**
+   * Writes the head. Whatever the target's framing, the answer has a length or is sent in chunks: the connection of a
+   * process that is killed ends regularly, as does an answer without either.
+   */
+  private _writeHead(head: ResponseHead, length: number | undefined): void {
     const { response, context } = this._options;
     const headers = dropContentLength(head.forwardedHeaders);
-    if (!head.isFramed) closeAfterAnswer(response);
-    const framing = head.isFramed ? [...length, ...context.connectionHeaders(response)] : CLOSE_HEADERS;
-    response.writeHead(head.status, [...headers, ...framing]);
+    const framing = length === undefined ? [] : ['content-length', String(length)];
+    response.writeHead(head.status, [...headers, ...framing, ...context.connectionHeaders(response)]);
   }
 
   private _handleEnd(attempt: Attempt): void {
@@ -527,21 +529,19 @@
       return;
     }
     const body = Buffer.concat(attempt.buffered);
-    const isHeadRequest = this._options.request.method === 'HEAD';
-    if (head.contentLength !== undefined && head.contentLength !== body.length && !isHeadRequest) {
+    const hasBody = this._options.request.method !== 'HEAD' && !BODILESS_STATUSES.has(head.status);
+    if (head.contentLength !== undefined && head.contentLength !== body.length && hasBody) {
       this._handleFailure(attempt, 'truncated', true);
       return;
     }
     this._completeAttempt(attempt, head.status >= 500);
     this._finish(`answered ${head.status}`);
-    // An answer that ended with its connection may be truncated; a length would make it look complete.
-    const length = isHeadRequest ? head.contentLength : body.length;
-    this._writeHead(head, length === undefined ? [] : ['content-length', String(length)]);
+    this._writeHead(head, hasBody ? body.length : head.contentLength);
     this._options.response.end(body);
   }
 
   private _finishStream(attempt: Attempt, head: ResponseHead): void {
-    const isInDoubt = !head.isFramed && this._options.response.headersSent && this._isFramed;
+    const isInDoubt = !head.isFramed && this._options.response.headersSent && this._isFirstFramed;
     if (attempt.framer.isInsideEvent || isInDoubt) {
       this._handleFailure(attempt, 'truncated', true);
       return;
@@ -684,9 +684,10 @@
   private _breakOff(reason: string): void {
     this._options.context.counters.add('monsoonreach_cuts_total', { reason });
     this._finish(`cut ${reason}`);
-    // The regular close of an unframed answer's connection would mark the answer as complete.
-    if (!this._isFramed) this._options.request.socket.resetAndDestroy();
-    this._options.response.destroy();
+    const { request, response } = this._options;
+    // Callers of HTTP/1.0 read no chunks: the regular close of their connection would mark the answer as complete.
+    if (!response.chunkedEncoding) request.socket.resetAndDestroy();
+    response.destroy();
   }
 
   private _handleTimeout(): void {
@@ -754,14 +755,8 @@
   return isMalformed ? 'malformed' : 'target-lost';
 }
 
-/** Headers of an answer whose end is the end of its connection. */
-const CLOSE_HEADERS = ['Connection', 'close'] as const;
-
-/** Marks the end of the answer only by closing the connection. */
-function closeAfterAnswer(response: ServerResponse): void {
-  response.useChunkedEncodingByDefault = false;
-  response.shouldKeepAlive = false;
-}
+/** Statuses of answers that have no body, whatever their length header says. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 function dropContentLength(headers: readonly string[]): readonly string[] {
   const remaining: string[] = [];
--- a/tests/callers/callerServer.test.ts
+++ b/tests/callers/callerServer.test.ts
@@ -116,3 +116,16 @@
     t.equal(server.inProgress, 0);
   });
 }
+
+// Guards against an answer to a caller of HTTP/1.0 that looks complete when the entry is killed while it is sent.
+void t.test('a plain answer has its length, whatever the version of HTTP', async (t) => {
+  const { server, address } = await startServer();
+  t.teardown(() => server.close());
+  for (const version of ['1.0', '1.1']) {
+    const caller = await RawCaller.connect(address);
+    caller.write(call.replace('HTTP/1.1', `HTTP/${version}`));
+    await caller.waitForText(ANSWER);
+    t.match(caller.received, /content-length: 6\r\n/i, version);
+    caller.close();
+  }
+});
--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -126,6 +126,8 @@
   private _announcementCount = 0;
   private _highestEpoch = 0;
   private _runningStreams = 0;
+  /** Responses in progress whose end is that of their connection. */
+  private readonly _unframed = new Set<ServerResponse>();
   private _state: 'ready' | 'draining' = 'ready';
 
   constructor(
@@ -177,6 +179,8 @@
   /** Crashes, loses its state, and starts again under the same id after `downtimeMs`. */
   async crashAndRestart(downtimeMs: number): Promise<void> {
     this.stopAnswering(ENTRY_EXPIRY_MS);
+    // A regular close would mark these answers as complete.
+    for (const { socket } of this._unframed) socket?.resetAndDestroy();
     this._server?.closeAllConnections();
     await sleep(downtimeMs);
     this._startCount++;
@@ -464,6 +468,8 @@
     if (isUnframed) {
       response.useChunkedEncodingByDefault = false;
       response.shouldKeepAlive = false;
+      this._unframed.add(response);
+      response.once('close', () => this._unframed.delete(response));
     }
     const framing = isUnframed ? { Connection: 'close' } : {};
     response.writeHead(200, { ...head, ...framing, 'Content-Type': 'text/event-stream' });
@@ -471,6 +477,7 @@
       await sleep(await this._fleet.pauseBefore(head['Attempt-Id'] ?? '', id));
       if (group && !this._isWhole(group)) {
         await sleep(BREAK_DETECTION_MS);
+        if (isUnframed) response.socket?.resetAndDestroy();
         response.destroy();
         this._break(group);
         return;
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -15,6 +15,10 @@
 const ROLLING_STOP_INTERVAL_MS = 1_200;
 /** Time for which the store is away before it comes back from a copy, in milliseconds. */
 const RESTORE_MS = 1_000;
+/** Kills while engines answer without a length. */
+const UNFRAMED_KILLS = 2;
+/** Time until a node that was killed for such a case starts again, in milliseconds. */
+const RESTART_MS = 200;
 /** Number of waves of silent engines in one fault, and its spread. */
 const MIN_WAVES = 2;
 const WAVES_SPREAD = 4;
@@ -68,6 +72,7 @@
   'engine link reset',
   'engines silent in waves',
   'late orders',
+  'engines have no length beside kills',
   'plain target resets',
   'plain target full',
   'plain target truncates',
@@ -160,6 +165,8 @@
         return this._injectSilentWaves(name);
       case 'late orders':
         return this._injectInstanceFault(name, 'engines', 'late-orders', forMs);
+      case 'engines have no length beside kills':
+        return this._injectUnframedStreams(name, forMs);
       case 'plain target resets':
         return this._injectInstanceFault(name, 'plain', 'resets', forMs);
       case 'plain target full':
@@ -332,6 +339,21 @@
     return waves;
   }
 
+  /** Lets half of the engines answer without a length, and kills nodes meanwhile. */
+  private async _injectUnframedStreams(name: FaultName, forMs: number): Promise<void> {
+    const engines = this._instancesOf('engine').filter(({ mode }) => mode === 'well');
+    const chosen = engines.filter(() => this._random.below(2) === 0);
+    this._record(name, chosen.map(({ id }) => id).join(' '), forMs);
+    this._fleet.harm(forMs);
+    for (const engine of chosen) engine.mode = 'unframed';
+    for (let kill = 0; kill < UNFRAMED_KILLS; kill++) {
+      await sleep(forMs / (UNFRAMED_KILLS + 1));
+      await this._injectNodeFault('kill', RESTART_MS * 3);
+    }
+    await sleep(forMs / (UNFRAMED_KILLS + 1));
+    for (const engine of chosen) if (engine.mode === 'unframed') engine.mode = 'well';
+  }
+
   private async _injectInstanceFault(
     name: FaultName,
     service: 'engines' | 'plain',
