Node: trust keys by answers to own questions, not by the arrival of digests

Cause: a peer told its contact with the store as an age, and the node counted it from when it handled the datagram. Datagrams that had waited in a frozen process, or on a slow link, counted as fresh.

Ruled out: the store's answers, which count from when they were asked for; a jump of the clocks, which a freeze by signal doesn't cause.

Change: a node whose contact is older than usual asks its freshest peers; the answer repeats the question, and contact counts from when it was asked. Digests confirm nothing. After a suspension only what was asked after it confirms keys. Datagrams that queued during a stall of a second are dropped, but for questions and answers, so that other ages in them aren't taken for younger.

--- a/packages/core/src/serving/keyTrust.ts
+++ b/packages/core/src/serving/keyTrust.ts
@@ -15,6 +15,8 @@
   private _confirmedAtMs = -Infinity;
   /** Monotonic time before which contact with the store proves nothing. */
   private _heldUntilMs = -Infinity;
+  /** Monotonic time at which a suspension was last detected; what was measured from an earlier time on proves nothing. */
+  private _suspendedUntilMs = -Infinity;
   private _clockOffsetMs: number;
 
   constructor(
@@ -24,10 +26,13 @@
     this._clockOffsetMs = _clock.now() - _clock.monotonic();
   }
 
-  /** Records that the configuration was the newest one at this monotonic time, in milliseconds. */
-  confirm(atMs: number): void {
+  /**
+   * Records that the configuration was the newest one at this monotonic time, in milliseconds.
+   * @param measuredFromMs monotonic time on this node from which `atMs` was measured: that at which it sent its question.
+   */
+  confirm(atMs: number, measuredFromMs: number): void {
     this.detectClockJump();
-    if (atMs < this._heldUntilMs) return;
+    if (atMs < this._heldUntilMs || measuredFromMs < this._suspendedUntilMs) return;
     this._confirmedAtMs = Math.max(this._confirmedAtMs, atMs);
   }
 
@@ -70,7 +75,10 @@
     const offsetMs = this._clock.now() - this._clock.monotonic();
     const hasJumped = Math.abs(offsetMs - this._clockOffsetMs) > CLOCK_JUMP_MS;
     this._clockOffsetMs = offsetMs;
-    if (hasJumped) this.revoke();
+    if (hasJumped) {
+      this.revoke();
+      this._suspendedUntilMs = this._clock.monotonic();
+    }
     return hasJumped;
   }
 }
--- a/packages/node/src/keyConfirmation.ts
+++ b/packages/node/src/keyConfirmation.ts
@@ -13,6 +13,15 @@
   readonly isChange: boolean;
 }
 
+/** Contact of a peer with the store; monotonic times of this node. */
+export interface PeerContact {
+  /** The version that the peer had in force. */
+  readonly version: number;
+  readonly atMs: number;
+  /** When this node asked the peer. */
+  readonly measuredFromMs: number;
+}
+
 /** Dependencies of {@link KeyConfirmation}. */
 export interface KeyConfirmationOptions {
   readonly clock: Clock;
@@ -51,16 +60,25 @@
     if (version >= latestVersion) this._latest = { version, offset };
   }
 
+  /** Records a peer's contact with the store while it had this version in force. */
+  recordContact({ version, atMs, measuredFromMs }: PeerContact): void {
+    this.recordPeer(version, this._options.clock.monotonic());
+    if (version === this._latest.version) this.confirm(atMs, measuredFromMs);
+  }
+
   /** Records the version that a peer has in force. */
   recordPeer(version: number, knownAtMs: number): void {
     if (version > this._latestOfPeers.version) this._latestOfPeers = { version, knownAtMs };
   }
 
-  /** Records that the store or a peer showed the latest configuration that was read as the newest one at this time. */
-  confirm(atMs: number): void {
+  /**
+   * Records that the store or a peer showed the latest configuration that was read as the newest one at this time.
+   * @param measuredFromMs monotonic time at which this node asked.
+   */
+  confirm(atMs: number, measuredFromMs: number): void {
     const { trust } = this._options;
     const { version, knownAtMs } = this._latestOfPeers;
-    if (this._latest.version >= version) trust.confirm(atMs);
+    if (this._latest.version >= version) trust.confirm(atMs, measuredFromMs);
     else if (atMs > knownAtMs) trust.revoke();
   }
 }
--- a/packages/node/src/keyedFollower.ts
+++ b/packages/node/src/keyedFollower.ts
@@ -34,8 +34,8 @@
   readonly onSnapshot: (records: readonly KeyedRecord[]) => void;
   /** Called with changes, in order. */
   readonly onChanges: (records: readonly KeyedRecord[]) => void;
-  /** Called after each answer with the monotonic time at which it was known to be current. */
-  readonly onContact?: (atMs: number) => void;
+  /** Called after each answer with the monotonic times at which it was known to be current and at which it was asked for. */
+  readonly onContact?: (atMs: number, askedAtMs: number) => void;
 }
 
 /** Follows a keyed topic: reads the newest record of every key, then the changes. */
@@ -132,7 +132,7 @@
     };
   }
 
-  private _recordContact({ contactAtMs, regainedMs, isFromPeer }: TopicReadResult): void {
+  private _recordContact({ contactAtMs, askedAtMs, regainedMs, isFromPeer }: TopicReadResult): void {
     const { clock, log, topic, onContact } = this._options;
     if (regainedMs !== undefined) {
       this._reconnectedAtMs = Math.max(this._reconnectedAtMs, clock.monotonic() - regainedMs);
@@ -150,7 +150,7 @@
     this._isStoreOut = false;
     const reconnectedAtMs = Number.isFinite(this._reconnectedAtMs) ? this._reconnectedAtMs : undefined;
     this.mirror.confirm(contactAtMs, reconnectedAtMs, !isFromPeer);
-    onContact?.(contactAtMs);
+    onContact?.(contactAtMs, askedAtMs);
   }
 
   private _recordFailure(error: unknown): void {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -127,6 +127,8 @@
   private _hasList = false;
   /** Monotonic time at which the list was first read, in milliseconds. */
   private _listReadAtMs = Infinity;
+  /** Monotonic time at which peers were last asked for their contact with the store, in milliseconds. */
+  private _contactAskedAtMs = -Infinity;
   private _hasTraffic: boolean;
   private _hasPeerTraffic = false;
   private _draining: Promise<number> | undefined;
@@ -375,6 +377,9 @@
       onDigest: (digest, address, receivedAtMs) => {
         this._applyDigest(digest, address, receivedAtMs);
       },
+      onContact: (contact) => {
+        this._keyConfirmation.recordContact(contact);
+      },
       onMessage: (message) => {
         this._handleMessage(message);
       },
@@ -619,8 +624,8 @@
       onChanges: (records) => {
         for (const record of records) this._applyConfiguration(record, true);
       },
-      onContact: (atMs) => {
-        this._keyConfirmation.confirm(atMs);
+      onContact: (atMs, askedAtMs) => {
+        this._keyConfirmation.confirm(atMs, askedAtMs);
       },
     });
   }
@@ -695,10 +700,8 @@
     this._ownership.answerDigest(digest, address);
     this._crashes.receive({ address, evidence: digest.crashes });
     if (digest.hasTraffic) this._hasPeerTraffic = true;
+    // It confirms no keys: it may have waited for long, on its way or while this process stood still.
     this._keyConfirmation.recordPeer(digest.configurationVersion, receivedAtMs);
-    if (digest.configurationVersion === this._table?.configuration.version) {
-      this._keyConfirmation.confirm(receivedAtMs - digest.storeAgeMs - MAX_DATAGRAM_DELAY_MS);
-    }
   }
 
   private _handleMessage(message: Exclude<PeerMessage, MembershipMessage>): void {
@@ -760,12 +763,21 @@
     const nowMs = this._clock.monotonic();
     if (this._trust.detectClockJump()) this._log.warn('clock jump detected; keys are not trusted', {});
     if (this._runs.size > 0) this._hasTraffic = true;
+    this._askContact(nowMs);
     for (const run of this._runs) run.checkProgress(nowMs);
     this._placement.tick(nowMs);
     this._list.removeExpired();
     if (!this._listFollower.isFailing) this._heads.tick();
   }
 
+  /** Asks peers for their contact with the store when this node's own contact is not recent. */
+  private _askContact(nowMs: number): void {
+    const isDue = nowMs - this._contactAskedAtMs >= CONTACT_ASK_INTERVAL_MS;
+    if (!isDue || this._trust.ageMs() < CONTACT_ASK_AGE_MS) return;
+    this._contactAskedAtMs = nowMs;
+    this._exchange.askContact();
+  }
+
   private _listen(
     address: string,
     answer: (path: string) => { readonly status: number; readonly text: string } | undefined,
@@ -791,9 +803,11 @@
 const MAX_FIRST_DISCOVERY_WAIT_MS = 1_500;
 /** Longest age that is sent, in milliseconds; JSON cannot represent infinity. */
 const MAX_STORE_AGE_MS = 1_000_000;
+/** Age of the contact with the store from which on peers are asked for theirs, in milliseconds; above that of usual reads. */
+const CONTACT_ASK_AGE_MS = 1_500;
+/** Interval of these questions, in milliseconds. */
+const CONTACT_ASK_INTERVAL_MS = 200;
 /** Time without a new instance after which the first groups may be planned, in milliseconds; two reads of the list. */
 const START_SETTLE_MS = 1_000;
 /** Age of a target's last bytes up to which a peer's report of silence is ignored, in milliseconds; two steps of a full batch. */
 const RECENT_PROGRESS_MS = 200;
-/** Longest assumed transit time of a datagram, in milliseconds; far above the latency between failure domains. */
-const MAX_DATAGRAM_DELAY_MS = 300;
--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -9,8 +9,10 @@
   pause,
   type Random,
   splitAddress,
+  StallDetector,
 } from '@monsoonreach/core';
 import { type DecisionLog, describeError } from './decisionLog.js';
+import type { PeerContact } from './keyConfirmation.js';
 import {
   decodePeerMessage,
   type Digest,
@@ -41,6 +43,8 @@
 const PROBE_TIMEOUT_MS = 80;
 /** Questions to a node before it counts as lost; a datagram may be lost. */
 const PROBE_ATTEMPTS = 3;
+/** Peers that are asked at once for their contact with the store; a datagram may be lost, a peer be silent. */
+const ASKED_PEERS = 3;
 /** Time for which digests are still sent to a silent peer, in milliseconds. */
 const MIN_PEER_TTL_MS = 60_000;
 
@@ -78,6 +82,8 @@
   readonly owners: () => ReadonlySet<string>;
   readonly describeState: () => OwnState;
   readonly onDigest: (digest: Digest, address: string, receivedAtMs: number) => void;
+  /** Called with the contact of a peer with the store, as it tells when asked. */
+  readonly onContact: (contact: PeerContact) => void;
   /** Called with every message that does not concern membership. */
   readonly onMessage: (message: Exclude<PeerMessage, MembershipMessage>) => void;
 }
@@ -93,6 +99,7 @@
   });
   private readonly _peers = new Map<string, Peer>();
   private readonly _members: FleetMembers;
+  private readonly _stalls: StallDetector;
   /** The last answer of each node that was asked directly. */
   private readonly _answers = new Map<string, { readonly id: string; readonly atMs: number }>();
   private _sequence = 0;
@@ -102,6 +109,7 @@
 
   constructor(private readonly _options: PeerExchangeOptions) {
     this._members = new FleetMembers(_options.self);
+    this._stalls = new StallDetector(_options.clock);
   }
 
   /** Number of other nodes that this one knows. */
@@ -174,7 +182,7 @@
   async probe({ id, address }: Pick<Member, 'id' | 'address'>): Promise<boolean> {
     const startedAtMs = this._options.clock.monotonic();
     for (let attempt = 0; attempt < PROBE_ATTEMPTS; attempt++) {
-      this.send(address, { kind: 'ping', address: this._options.self.address });
+      this._ping(address);
       await pause(PROBE_TIMEOUT_MS);
       const answer = this._answers.get(address);
       if (answer && answer.atMs >= startedAtMs) return answer.id === id;
@@ -183,6 +191,28 @@
     return false;
   }
 
+  /** Asks the peers that seem to have had contact with the store most recently when they had it. */
+  askContact(): void {
+    const nowMs = this._options.clock.monotonic();
+    const freshest = this.listPeers()
+      .map(({ digest, member, receivedAtMs }) => ({
+        address: member.address,
+        storeAgeMs: digest.storeAgeMs + nowMs - receivedAtMs,
+      }))
+      .sort((a, b) => a.storeAgeMs - b.storeAgeMs)
+      .slice(0, ASKED_PEERS);
+    for (const { address } of freshest) this._ping(address);
+  }
+
+  private _ping(address: string): void {
+    const { self, clock } = this._options;
+    this.send(address, {
+      kind: 'ping',
+      address: self.address,
+      question: [self.id, clock.monotonic()],
+    });
+  }
+
   /** Sends a message to one node. */
   send(address: string, message: WithoutVersion<PeerMessage>): void {
     this._sendBytes(address, encodePeerMessage(message));
@@ -210,6 +240,7 @@
 
   private _scheduleDigests(): void {
     this._timer = setTimeout(() => {
+      this._stalls.tick();
       this.sendDigests();
       this._scheduleDigests();
     }, this._rate.intervalMs);
@@ -283,6 +314,11 @@
       this._options.log.warn('invalid datagram dropped', { error: error.message });
       return;
     }
+    if (message.kind !== 'ping' && message.kind !== 'pong' && this._stalls.hasBacklog()) {
+      // Times in it are told as ages; the sender repeats what matters.
+      this._options.counters.add('monsoonreach_datagrams_outdated_total');
+      return;
+    }
     switch (message.kind) {
       case 'digest':
         this._handleDigest(message);
@@ -302,17 +338,31 @@
     }
   }
 
-  private _handlePing({ address }: PingMessage): void {
+  private _handlePing({ address, question }: PingMessage): void {
     const { self, describeState } = this._options;
-    const { isLeaving } = describeState();
-    this.send(address, { kind: 'pong', member: toMemberRow(self), isLeaving });
+    const { isLeaving, storeAgeMs, configurationVersion } = describeState();
+    const state = { isLeaving, storeAgeMs, configurationVersion };
+    this.send(address, { kind: 'pong', member: toMemberRow(self), question, ...state });
   }
 
-  private _handlePong({ member: row, isLeaving }: PongMessage): void {
+  private _handlePong({
+    member: row,
+    isLeaving,
+    question,
+    storeAgeMs,
+    configurationVersion: version,
+  }: PongMessage): void {
+    const { self, clock, onContact } = this._options;
     const member = toMember(row);
-    const atMs = this._options.clock.monotonic();
+    const atMs = clock.monotonic();
     this._answers.set(member.address, { id: member.id, atMs });
     this._members.recordDigest(member, isLeaving, atMs);
+    if (storeAgeMs === undefined || version === undefined) return;
+    const [asker, askedAtMs = Infinity] = question ?? [];
+    // Another start of this node has another clock.
+    if (asker !== self.id || askedAtMs > atMs) return;
+    // The peer told its age after it was asked, however long its answer waited since.
+    onContact({ version, atMs: askedAtMs - storeAgeMs, measuredFromMs: askedAtMs });
   }
 
   private _handleDigest(digest: Digest): void {
--- a/packages/node/src/peerMessages.ts
+++ b/packages/node/src/peerMessages.ts
@@ -68,11 +68,16 @@
   shards: z.array(z.nullable(z.tuple([z.number(), z.number()]))),
 });
 
+/** Identifies a question: id of the start that asks, and its monotonic time when it asked, in milliseconds. */
+const questionSchema = z.tuple([z.string(), z.number()]);
+
 const pingSchema = z.object({
   ...version,
   kind: z.literal('ping'),
   /** Address to which the answer is sent. */
   address: addressSchema,
+  /** Absent from nodes of earlier versions. */
+  question: z.optional(questionSchema),
 });
 
 const pongSchema = z.object({
@@ -80,6 +85,11 @@
   kind: z.literal('pong'),
   member: memberRowSchema,
   isLeaving: z.boolean(),
+  /** That of the ping; absent from nodes of earlier versions, as are the next two. */
+  question: z.optional(questionSchema),
+  /** Milliseconds from the sender's last contact with the store to this answer. */
+  storeAgeMs: z.optional(count),
+  configurationVersion: z.optional(z.number()),
 });
 
 const reportFields = {
--- a/packages/node/src/topicSources.ts
+++ b/packages/node/src/topicSources.ts
@@ -105,6 +105,8 @@
   readonly end: StorePosition;
   /** Monotonic time at which the result was known to be current. */
   readonly contactAtMs: number;
+  /** Monotonic time at which it was asked for. */
+  readonly askedAtMs: number;
   /** Milliseconds since the peer that answered reached the store again after an outage. */
   readonly regainedMs?: number | undefined;
   readonly isFromPeer: boolean;
@@ -147,10 +149,10 @@
     const { answer } = await this._searchReaders(topic, () => ({ path: `/topics/${topic}`, waitMs: 0 }));
     if (answer) return answer;
     try {
-      const contactAtMs = this._options.clock.monotonic();
+      const askedAtMs = this._options.clock.monotonic();
       const { records, end } = await this._options.store.readNewest(topic);
       if (this._isOutdated(end)) throw new StoreUnavailableError('The answer is older than a restore.', true);
-      return { records, end, contactAtMs, isFromPeer: false };
+      return { records, end, contactAtMs: askedAtMs, askedAtMs, isFromPeer: false };
     } catch (error) {
       return this._readFallback(error, topic, { path: `/topics/${topic}?whole`, waitMs: 0 });
     }
@@ -228,7 +230,7 @@
         ...decodeKeyedRecord(record),
         offset: options.from.offset + index,
       }));
-      return { records: keyed, end, contactAtMs, isFromPeer: false };
+      return { records: keyed, end, contactAtMs, askedAtMs: sentAtMs, isFromPeer: false };
     } catch (error) {
       if (!(error instanceof StoreUnavailableError) || options.signal.aborted) throw error;
       options.onStoreFailed?.();
@@ -297,7 +299,7 @@
     if (ageMs > MAX_PEER_AGE_MS)
       throw new PeerReadError(`Peer ${peer.node} had no contact with the store for ${Math.round(ageMs)} ms.`);
     this._getPeers(topic).proven.add(peer.address);
-    return { records, end, contactAtMs, regainedMs, isFromPeer: true };
+    return { records, end, contactAtMs, askedAtMs: sentAtMs, regainedMs, isFromPeer: true };
   }
 
   private async _fetch(peer: ReaderCandidate, path: string, timeoutMs: number): Promise<PeerAnswer> {
--- a/tests/node/keyConfirmation.test.ts
+++ b/tests/node/keyConfirmation.test.ts
@@ -115,14 +115,14 @@
           confirmation.recordPeer(step.version, clock.monotonic());
           break;
         case 'contact':
-          confirmation.confirm(clock.monotonic());
+          confirmation.confirm(clock.monotonic(), clock.monotonic());
           break;
         case 'restore':
           history.observe((history.era ?? 0) + 1);
       }
       clock.advance(1_000);
     }
-    confirmation.confirm(clock.monotonic());
+    confirmation.confirm(clock.monotonic(), clock.monotonic());
     t.equal(trust.isTrusted(), isConfirmed);
     t.end();
   });
--- a/tests/platform/rawFleet.ts
+++ b/tests/platform/rawFleet.ts
@@ -30,6 +30,8 @@
   /** Address for callers. */
   readonly address: string;
   readonly metrics: string;
+  /** Address for other nodes. */
+  readonly peers: string;
   readonly isReady: () => Promise<boolean>;
 }
 
@@ -82,6 +84,7 @@
     return {
       address: `127.0.0.1:${front}`,
       metrics: `http://127.0.0.1:${metrics}/metrics`,
+      peers: `127.0.0.1:${peers}`,
       isReady: async () => (await fetch(`http://127.0.0.1:${readiness}/v1/readyz`)).status === 200,
     };
   }
--- a/tests/platform/restart.test.ts
+++ b/tests/platform/restart.test.ts
@@ -10,7 +10,7 @@
 /** Time until the reads that the store had accepted before it went silent are answered, in milliseconds. */
 const POLL_MS = 1_500;
 
-function send(node: RawNode, key?: string) {
+function send(node: Pick<RawNode, 'address'>, key?: string) {
   const head = fleet.createHead('/status/', key === undefined ? {} : { key });
   return new RawCaller(node.address).exchange(`${head}{}`);
 }
@@ -25,7 +25,7 @@
 
 void t.test('a node that starts while the store is out', async (t) => {
   await fleet.start();
-  const first: RawNode = { address: fleet.address, metrics: '', isReady: () => Promise.resolve(true) };
+  const first = { address: fleet.address };
   const second = await fleet.startNode('node-2');
   t.teardown(() => {
     fleet.store.stop();
--- a/tests/serving/decisions.test.ts
+++ b/tests/serving/decisions.test.ts
@@ -271,10 +271,10 @@
     const clock = new ManualClock();
     const trust = new KeyTrust(clock, 5_000);
     t.notOk(trust.isTrusted(), 'nothing is trusted before the first contact');
-    trust.confirm(clock.monotonic());
+    trust.confirm(clock.monotonic(), clock.monotonic());
     act(clock);
     t.equal(trust.isTrusted(), isTrusted);
-    trust.confirm(clock.monotonic());
+    trust.confirm(clock.monotonic(), clock.monotonic());
     t.ok(trust.isTrusted());
     t.end();
   });
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -19,6 +19,11 @@
 const UNFRAMED_KILLS = 2;
 /** Time until a node that was killed for such a case starts again, in milliseconds. */
 const RESTART_MS = 200;
+/** Time for which a node is frozen that is then cut off, and for which its store and peers stay silent after that. */
+const FREEZE_MS = 3_600;
+const CUT_MS = 5_000;
+/** Time from the freeze to the cut, in milliseconds: two rounds of digests. */
+const CUT_DELAY_MS = 400;
 /** Number of waves of silent engines in one fault, and its spread. */
 const MIN_WAVES = 2;
 const WAVES_SPREAD = 4;
@@ -82,6 +87,7 @@
   'target leaves',
   'configuration',
   'key taken away',
+  'key taken away beside a freeze and a cut',
 ] as const;
 export type FaultName = (typeof FAULT_NAMES)[number];
 
@@ -187,6 +193,8 @@
         return Promise.resolve();
       case 'key taken away':
         return this._replaceKey(name);
+      case 'key taken away beside a freeze and a cut':
+        return this._replaceKeyOfCutNode(name);
     }
   }
 
@@ -384,7 +392,30 @@
     this._fleet.store.put('keyed.servers', target.id, undefined);
   }
 
-  private async _replaceKey(name: FaultName): Promise<void> {
+  /** Takes a key away while one node hears nothing: it is frozen, and its store and peers are silent when it goes on. */
+  private async _replaceKeyOfCutNode(name: FaultName): Promise<void> {
+    const node = this._pick(this._fleet.nodes);
+    if (!node) return;
+    const others = this._fleet.nodes.filter((other) => other !== node);
+    await this._replaceKey(name, async () => {
+      for (const each of this._fleet.nodes) harm(each, FREEZE_MS + CUT_MS);
+      node.child?.kill('SIGSTOP');
+      await sleep(CUT_DELAY_MS);
+      node.storeLink.setState({ kind: 'silent' });
+      for (const { child } of others) child?.kill('SIGSTOP');
+    });
+    await sleep(FREEZE_MS);
+    node.child?.kill('SIGCONT');
+    await sleep(CUT_MS);
+    node.storeLink.setState({ kind: 'passes' });
+    for (const { child } of others) child?.kill('SIGCONT');
+  }
+
+  /** @param beforeRevocation called when the nodes have the next key. */
+  private async _replaceKey(
+    name: FaultName,
+    beforeRevocation: () => Promise<void> = () => Promise.resolve(),
+  ): Promise<void> {
     const [previous = ''] = this._keys;
     const next = `key-${this._fleet.version + 1}`;
     this._record(name, previous, 0);
@@ -392,6 +423,8 @@
     this._fleet.publish(this._keys);
     await sleep(1_500);
     if (this._keys[0] !== previous) return;
+    await beforeRevocation();
+    if (this._keys[0] !== previous) return;
     this._keys = [next];
     this._fleet.publish(this._keys);
     this.keysRevokedAtMs.set(previous, Date.now());
--- a/tests/support/planner.ts
+++ b/tests/support/planner.ts
@@ -39,6 +39,7 @@
     onDigest: (digest, from) => {
       ownership.answerDigest(digest, from);
     },
+    onContact: () => undefined,
     onMessage: (message) => {
       if (message.kind === 'ownership') ownership.receive(message);
     },
