Node, entry: check a key in the configuration in force when the request is complete

Cause: the route table was looked up at a request's head, and the key checked in it once the body had been read, with the trust of that moment. A newer configuration that came into force between the two confirmed the keys of an older one.

Ruled out: a peer's contact that seemed too young (the log shows the node's own read of the store).

Change: route and key are looked up after the body, together with the trust. The entry checks the key again after the body.

--- a/packages/callers/src/callerServer.ts
+++ b/packages/callers/src/callerServer.ts
@@ -150,7 +150,7 @@
     const signal = createCallerSignal(event);
     const result =
       workspace === undefined
-        ? undispatched.refuse('unauthenticated', { detail: 'Send a known bearer token.' })
+        ? refuseUnauthenticated(undispatched)
         : await this._runHandler({ requestId, workspace, signal, undispatched }, handleCall);
     if (result instanceof Response) return result;
     if (result.kind === 'answered')
@@ -174,6 +174,7 @@
 
   private async _complete(event: H3Event, context: CallContext): Promise<Response | Outcome<never>> {
     const body = Buffer.from(await this._readBody(event)).toString('utf8');
+    if (!this._isAuthenticated(event, context)) return refuseUnauthenticated(context.undispatched);
     const parsed = completionSchema.safeParse(parseJson(body));
     if (!parsed.success) {
       const detail = parsed.error.issues
@@ -234,6 +235,8 @@
     const { pathname, search } = event.url;
     const [, , service = '', ...segments] = pathname.split('/');
     const startedAtMs = this._options.clock.monotonic();
+    const body = await this._readBody(event);
+    if (!this._isAuthenticated(event, context)) return refuseUnauthenticated(context.undispatched);
     const outcome = await this._options.handler.callService(
       {
         service,
@@ -241,7 +244,7 @@
         path: `/${segments.join('/')}${search}`,
         contentType: event.req.headers.get('content-type') ?? undefined,
         idempotencyKey: event.req.headers.get('idempotency-key') ?? undefined,
-        body: await this._readBody(event),
+        body,
       },
       context,
     );
@@ -250,6 +253,11 @@
     return toServiceResponse(outcome.answer, context.requestId);
   }
 
+  /** Whether the token still names the workspace: it may have been revoked while the body was read. */
+  private _isAuthenticated(event: H3Event, { workspace }: CallContext): boolean {
+    return this._options.handler.authenticate(readToken(event.req)) === workspace;
+  }
+
   private _reportAnswered(requestId: string, startedAtMs: number): void {
     const durationMs = this._options.clock.monotonic() - startedAtMs;
     this._options.handler.onEnded({
@@ -280,6 +288,10 @@
   return new Response(hasBody ? Buffer.from(answer.body) : null, { status: answer.status, headers });
 }
 
+function refuseUnauthenticated(undispatched: Undispatched): Outcome<never> {
+  return undispatched.refuse('unauthenticated', { detail: 'Send a known bearer token.' });
+}
+
 function readToken(request: Request): string {
   return /^Bearer\s+(.+)$/i.exec(request.headers.get('authorization') ?? '')?.[1] ?? '';
 }
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -128,30 +128,28 @@
     this.connections.startRequest(response, caller.requestId);
     await this._options.gate.pass();
     this.connections.setStage(response, 'reading');
-    const table = this._options.table();
-    if (!table) {
-      this._refuse(
-        response,
-        caller.requestId,
-        503,
-        'no-configuration',
-        encodeRetryAfter(STALE_RETRY_AFTER_MS),
-      );
+    const bounds = this._findBodyBounds(request, caller);
+    if (!bounds) {
+      this._refuseUnconfigured(response, caller.requestId);
       return;
     }
-    const { limits } = table.configuration;
-    const route = table.findRoute(request.headers.host ?? '', request.url ?? '/');
-    const timeoutMs = Math.min(caller.timeoutMs ?? Infinity, route?.timeoutMs ?? limits.headerTimeoutMs);
     const body = await this._readBody(request, response, caller, {
-      maxBytes: limits.maxBodyBytes,
-      remainingMs: startedAtMs + timeoutMs - this._options.context.clock.monotonic(),
+      maxBytes: bounds.maxBytes,
+      remainingMs: startedAtMs + bounds.timeoutMs - this._options.context.clock.monotonic(),
     });
     if (body === 'ended') return;
+    await waitForPendingCloses();
+    // The configuration may have changed while the body was read; the trust in keys concerns the one in force now.
+    const table = this._options.table();
+    if (!table) {
+      this._refuseUnconfigured(response, caller.requestId);
+      return;
+    }
+    const route = table.findRoute(request.headers.host ?? '', request.url ?? '/');
     if (!route) {
       this._refuse(response, caller.requestId, 404, 'no-route');
       return;
     }
-    await waitForPendingCloses();
     const access = this._checkAccess(table, route, caller);
     switch (access.kind) {
       case 'allowed':
@@ -190,6 +188,25 @@
     new RequestRun({ context: this._options.context, urgency, ...rest }).start();
   }
 
+  /** Bounds of a request's body, in bytes and in milliseconds from the request's head; undefined without a configuration. */
+  private _findBodyBounds(
+    request: IncomingMessage,
+    caller: CallerRequest,
+  ): { readonly maxBytes: number; readonly timeoutMs: number } | undefined {
+    const table = this._options.table();
+    if (!table) return undefined;
+    const { maxBodyBytes: maxBytes, headerTimeoutMs } = table.configuration.limits;
+    const route = table.findRoute(request.headers.host ?? '', request.url ?? '/');
+    return {
+      maxBytes,
+      timeoutMs: Math.min(caller.timeoutMs ?? Infinity, route?.timeoutMs ?? headerTimeoutMs),
+    };
+  }
+
+  private _refuseUnconfigured(response: ServerResponse, requestId: string): void {
+    this._refuse(response, requestId, 503, 'no-configuration', encodeRetryAfter(STALE_RETRY_AFTER_MS));
+  }
+
   /** Refuses a request for which this process has no time left; another node can serve it at once. */
   private _refuseStopping(response: ServerResponse, requestId: string): void {
     this._refuse(response, requestId, 503, 'stopping', encodeRetryAfter(0));
--- a/tests/callers/callerServer.test.ts
+++ b/tests/callers/callerServer.test.ts
@@ -21,9 +21,10 @@
 const ANSWER = 'called';
 /** Number of calls of services that the handler got. */
 let calls = 0;
+let isKeyKnown = true;
 
 const handler: CallerHandler = {
-  authenticate: () => 'workspace-1',
+  authenticate: () => (isKeyKnown ? 'workspace-1' : undefined),
   isReady: () => true,
   maxBodyBytes: () => 65_536,
   listModels: () => ['model-a'],
@@ -117,6 +118,26 @@
   });
 }
 
+// Guards against a key that is accepted because it was known at the request's head.
+void t.test('a key that is revoked while the body is read is refused', async (t) => {
+  const { server, address } = await startServer();
+  t.teardown(() => server.close());
+  for (const request of [completion, call]) {
+    isKeyKnown = true;
+    const callsBefore = calls;
+    const caller = await RawCaller.connect(address);
+    caller.write(request.slice(0, -1));
+    await sleep(50);
+    isKeyKnown = false;
+    caller.write(request.slice(-1));
+    await caller.waitForText('\r\n\r\n');
+    t.match(caller.received, /^HTTP\/1\.1 401 /);
+    t.equal(calls, callsBefore);
+    caller.close();
+  }
+  isKeyKnown = true;
+});
+
 // Guards against an answer to a caller of HTTP/1.0 that looks complete when the entry is killed while it is sent.
 void t.test('a plain answer has its length, whatever the version of HTTP', async (t) => {
   const { server, address } = await startServer();
