Node: keep a silent attempt until another target goes on

What callers saw: a stream was cut, or a repeatable request got a 502, though its target was sound and went on after a silence of a second.

Cause: a silent attempt was cancelled as soon as another target was assigned, before that had given a head or an event. If the other target didn't run it (421, full, lost, or silent as well), nothing was left to go back to.

Change: the attempt at the other target is a successor. The attempt that goes on first is kept, the other one is cancelled; a successor that fails ends alone. Plain repeatable requests do the same, and keep the first whole answer.

--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -30,7 +30,7 @@
 const MAX_BUFFERED_BYTES = 1_048_576;
 /** Largest event of a stream, with the comments before it, in bytes; the attempt fails if one is larger. */
 const MAX_EVENT_BYTES = 262_144;
-/** Interval at which another target is asked for while an attempt is silent, in milliseconds. */
+/** Interval at which another target is sought while an attempt is silent, in milliseconds. */
 const MOVE_INTERVAL_MS = 200;
 /** Largest share of the remaining time that Retry-After may ask for; callers do not honour a longer wait. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
@@ -44,6 +44,9 @@
 /** Reason for the failure of a request that may have been run. */
 export type FailureReason = RefusalReason | 'no-answer' | 'timeout' | 'stopping';
 
+/** Why an attempt was given up; `overtaken`: another one went on first. */
+type AttemptEnd = CallOutcomeReason | 'caller-gone' | 'overtaken' | 'stopping' | 'timeout';
+
 interface Attempt {
   readonly candidate: TargetCandidate;
   readonly startedAtMs: number;
@@ -102,6 +105,8 @@
   private readonly _trail: string[] = [];
   private readonly _service: string | undefined;
   private _attempt: Attempt | undefined;
+  /** Attempt at another target while the current one is silent; whichever goes on first is kept. */
+  private _successor: Attempt | undefined;
   /** Attempts that count against the route's limit; those that sent nothing are not counted. */
   private _attempts = 0;
   /** Whether a target may have run the request. */
@@ -164,10 +169,18 @@
     if (engine && model) context.demand.recordRequest(engine, model, caller.size, nowMs);
   }
 
-  /** Retries a repeatable request at another target when its attempt makes no progress. */
+  /** Sends a repeatable request to another target as well when its attempt makes no progress. */
   checkProgress(nowMs: number): void {
     const attempt = this._attempt;
     if (!attempt || attempt.isPaused || !this._isRepeatable()) return;
+    if (this._successor && this._isSilent(this._successor, nowMs))
+      this._giveUpSilentSuccessor(this._successor);
+    if (!this._isSilent(attempt, nowMs) || this._successor) return;
+    if (this._canRetry()) this._seekSuccessor(attempt, nowMs);
+  }
+
+  /** Whether an attempt makes no progress for too long; suspects its target if that makes none at all. */
+  private _isSilent(attempt: Attempt, nowMs: number): boolean {
     const { context, route } = this._options;
     const silence = classifySilence({
       silentMs: nowMs - Math.max(attempt.startedAtMs, attempt.progressAtMs),
@@ -179,7 +192,7 @@
       usualPauseMs: context.health.getUsualPauseMs(attempt.candidate.key),
       isPlainCall: !this._isStream,
     });
-    if (silence === 'wait') return;
+    if (silence === 'wait') return false;
     if (silence === 'target-silent' && context.health.recordSilence(attempt.candidate.key, nowMs)) {
       context.log.warn('target silent', {
         target: attempt.candidate.key,
@@ -188,33 +201,62 @@
       });
       context.onSilentTarget(attempt.candidate);
     }
-    if (this._canRetry()) this._moveSilent(attempt, nowMs);
+    return true;
   }
 
-  /** Retries a silent attempt at another target; the attempt goes on until that target is assigned. */
-  private _moveSilent(attempt: Attempt, nowMs: number): void {
-    const criteria = this._createPlacementCriteria();
-    if (!criteria) {
-      this._retry(attempt, 'silent');
-      return;
-    }
+  /** Seeks another target for a silent attempt, which may go on all the same: a sound target may be silent for a second. */
+  private _seekSuccessor(attempt: Attempt, nowMs: number): void {
     if (nowMs < attempt.movableAtMs) return;
     attempt.movableAtMs = nowMs + MOVE_INTERVAL_MS;
     const { progressAtMs } = attempt;
-    this._options.context.placement.place(criteria, (choice) => {
+    const sendTo = (choice: TargetChoice) => {
       const isSilent = this._attempt === attempt && attempt.progressAtMs === progressAtMs;
-      if (this._isFinished || !isSilent || choice.kind === 'none') return;
+      if (this._isFinished || !isSilent || this._successor || choice.kind === 'none') return;
       if (this._estimateFinish(choice)?.canFinish === false) return;
       if (!this._tryTakeRetry('silent')) return;
-      this._leaveSilent(attempt);
-      this._handleChoice(choice);
-    });
+      this._mayHaveRun = true;
+      this._send(choice.candidate, choice.predictedMs, { role: 'successor' });
+    };
+    const criteria = this._createPlacementCriteria();
+    if (criteria) this._options.context.placement.place(criteria, sendTo);
+    else sendTo(this._choose());
   }
 
-  private _leaveSilent(attempt: Attempt): void {
-    this._mayHaveRun = true;
+  /** Makes room for another successor, if there may be one; otherwise either of the silent attempts may still go on. */
+  private _giveUpSilentSuccessor(successor: Attempt): void {
+    if (this._canRetry()) this._dropSuccessor(successor, 'silent');
+  }
+
+  private _dropSuccessor(successor: Attempt, reason: AttemptEnd): void {
+    this._successor = undefined;
+    if (reason === 'silent') this._recordSilentPause(successor);
+    this._abandonAttempt(successor, reason);
+  }
+
+  /** Lets the successor take the place of the current attempt, which is given up. */
+  private _promoteSuccessor(reason: AttemptEnd): void {
+    const { _attempt: attempt, _successor: successor } = this;
+    if (attempt && reason === 'silent') this._recordSilentPause(attempt);
+    if (attempt) this._abandonAttempt(attempt, reason);
+    this._successor = undefined;
+    this._attempt = successor;
+  }
+
+  /** Keeps the attempt that has gone on, and gives up the other one. */
+  private _keep(attempt: Attempt): void {
+    if (attempt === this._successor) this._promoteSuccessor('silent');
+    else if (this._successor) this._dropSuccessor(this._successor, 'overtaken');
+  }
+
+  private _recordSilentPause(attempt: Attempt): void {
     if (attempt.events > 0) this._recordPause(attempt, this._options.context.clock.monotonic(), 0);
-    this._abandonAttempt(attempt, 'silent');
+  }
+
+  /** Ends all attempts. */
+  private _abandonAttempts(reason: AttemptEnd): void {
+    for (const attempt of [this._successor, this._attempt])
+      if (attempt) this._abandonAttempt(attempt, reason);
+    this._successor = undefined;
   }
 
   /** Whether this run answers with `response`. */
@@ -227,7 +269,10 @@
     return {
       attempts: this._attempts,
       attemptMs: attempt && this._elapsedMs(attempt.startedAtMs),
-      trail: attempt ? [...this._trail, attempt.candidate.key] : this._trail,
+      trail: [
+        ...this._trail,
+        ...[attempt, this._successor].flatMap((current) => current?.candidate.key ?? []),
+      ],
       events: this._forwardedEvents,
       silentMs: this._lastEventAtMs === undefined ? undefined : this._elapsedMs(this._lastEventAtMs),
       limitMs: toLoggedMs(estimate?.limitMs),
@@ -239,10 +284,8 @@
   /** Ends the request because the process ends. */
   abandon(): void {
     if (this._isFinished) return;
-    if (this._attempt) {
-      this._mayHaveRun = true;
-      this._abandonAttempt(this._attempt, 'stopping');
-    }
+    if (this._attempt) this._mayHaveRun = true;
+    this._abandonAttempts('stopping');
     this._giveUp('stopping', 0);
   }
 
@@ -274,7 +317,7 @@
           this._giveUp('stopping', 0);
           return;
         }
-        this._send(choice.candidate, choice.predictedMs, this._options.context.clock.monotonic());
+        this._send(choice.candidate, choice.predictedMs);
         return;
       case 'none':
         this._trail.push(choice.reason);
@@ -325,8 +368,16 @@
     });
   }
 
-  private _send(candidate: TargetCandidate, predictedMs: number, nowMs: number, isFresh = false): void {
+  private _send(
+    candidate: TargetCandidate,
+    predictedMs: number,
+    {
+      role = 'current',
+      isFresh = false,
+    }: { readonly role?: 'current' | 'successor'; readonly isFresh?: boolean } = {},
+  ): void {
     const { context, request, caller, workspace, urgency, body } = this._options;
+    const nowMs = context.clock.monotonic();
     const size: RequestSize = caller.size;
     const attempt: Attempt = {
       candidate,
@@ -345,12 +396,13 @@
       isPaused: false,
       movableAtMs: -Infinity,
     };
-    this._attempt = attempt;
+    if (role === 'current') this._attempt = attempt;
+    else this._successor = attempt;
     this._attempts++;
     this._tried.add(candidate.key);
     context.limits.recordRequest(getIncarnationKey(candidate.instance));
     const ifCurrent = (handle: () => void) => {
-      if (this._attempt === attempt && !this._isFinished) handle();
+      if (this._isCurrent(attempt)) handle();
     };
     const call = context.connections.open(
       {
@@ -392,7 +444,11 @@
         },
       },
     );
-    if (this._attempt === attempt) attempt.call = call;
+    if (this._isCurrent(attempt)) attempt.call = call;
+  }
+
+  private _isCurrent(attempt: Attempt): boolean {
+    return !this._isFinished && (this._attempt === attempt || this._successor === attempt);
   }
 
   private _handleHead(attempt: Attempt, head: ResponseHead): void {
@@ -411,13 +467,18 @@
       this._handleFailure(attempt, 'unconfirmed-refusal', true);
     } else if (!head.isSealed || head.isEncoded) {
       this._handleFailure(attempt, 'not-an-answer', true);
-    } else if (head.status >= 500 && this._isRepeatable() && this._canRetry()) {
+    } else if (head.status >= 500 && this._isRepeatable() && this._hasAlternative(attempt)) {
       this._handleFailure(attempt, 'failed-by-target', true);
     } else if (this._forwardedEvents > 0 && head.status !== 200) {
       this._handleFailure(attempt, 'failed-by-target', true);
     }
   }
 
+  /** Whether the request may still be answered if the attempt is given up. */
+  private _hasAlternative(attempt: Attempt): boolean {
+    return this._successor !== undefined || attempt !== this._attempt || this._canRetry();
+  }
+
   /** Whether the head answers this request: the id identifies it, and on a new connection nothing else can come. */
   private _isOwnAnswer(attempt: Attempt, { requestId }: ResponseHead): boolean {
     if (requestId === undefined) return attempt.call?.isReused === false;
@@ -455,6 +516,7 @@
       this._handleFailure(attempt, 'failed-by-target', true);
       return;
     }
+    this._keep(attempt);
     if (attempt.events > 0) this._recordPause(attempt, nowMs, batch.eventCount);
     this._recordProgress(attempt, nowMs);
     attempt.load.endPrefill();
@@ -534,6 +596,7 @@
       this._handleFailure(attempt, 'truncated', true);
       return;
     }
+    this._keep(attempt);
     this._completeAttempt(attempt, head.status >= 500);
     this._finish(`answered ${head.status}`);
     this._writeHead(head, hasBody ? body.length : head.contentLength);
@@ -546,6 +609,7 @@
       this._handleFailure(attempt, 'truncated', true);
       return;
     }
+    this._keep(attempt);
     this._startStream(head);
     this._completeAttempt(attempt, false);
     this._finish('streamed');
@@ -567,7 +631,8 @@
     this._trail.push(`${candidate.key} stale ${this._elapsedMs(attempt.startedAtMs)}ms`);
     attempt.load.endRequest();
     this._attempts--;
-    this._send(candidate, predictedMs, this._options.context.clock.monotonic(), true);
+    const role = attempt === this._successor ? 'successor' : 'current';
+    this._send(candidate, predictedMs, { role, isFresh: true });
   }
 
   /** Handles an attempt without an answer that can be forwarded: retries, or ends the request. */
@@ -580,13 +645,14 @@
       const isNew = context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
       if (isNew) context.onSilentTarget(attempt.candidate);
     }
-    if (!LOSSES.has(reason)) {
-      this._retryOrGiveUp(attempt, reason, mayHaveRun);
-      return;
-    }
-    void this._witness.examineLoss(attempt, reason).then(() => {
-      if (this._attempt === attempt && !this._isFinished) this._retryOrGiveUp(attempt, reason, mayHaveRun);
-    });
+    const examined = LOSSES.has(reason) ? this._witness.examineLoss(attempt, reason) : undefined;
+    if (attempt === this._successor) this._dropSuccessor(attempt, reason);
+    else if (this._successor) this._promoteSuccessor(reason);
+    else if (!examined) this._retryOrGiveUp(attempt, reason, mayHaveRun);
+    else
+      void examined.then(() => {
+        if (this._isCurrent(attempt)) this._retryOrGiveUp(attempt, reason, mayHaveRun);
+      });
   }
 
   private _retryOrGiveUp(attempt: Attempt, reason: CallOutcomeReason, mayHaveRun: boolean): void {
@@ -626,18 +692,17 @@
 
   private _retry(attempt: Attempt, reason: CallOutcomeReason): void {
     if (!this._tryTakeRetry(reason)) {
-      if (reason !== 'silent') this._abandonAndGiveUp(attempt, reason);
+      this._abandonAndGiveUp(attempt, reason);
       return;
     }
-    if (reason === 'silent') this._leaveSilent(attempt);
-    else this._abandonAttempt(attempt, reason);
+    this._abandonAttempt(attempt, reason);
     this._dispatch();
   }
 
   /** Ends the attempt and cancels its call. */
-  private _abandonAttempt(attempt: Attempt, reason: string): void {
+  private _abandonAttempt(attempt: Attempt, reason: AttemptEnd): void {
     const { context } = this._options;
-    const isFailure = reason !== 'caller-gone' && reason !== 'refused-by-target' && reason !== 'misdirected';
+    const isFailure = !BLAMELESS_ENDS.has(reason);
     this._trail.push(`${attempt.candidate.key} ${reason} ${this._elapsedMs(attempt.startedAtMs)}ms`);
     if (isFailure) {
       context.counters.add('monsoonreach_attempt_failures_total', { reason });
@@ -692,17 +757,14 @@
 
   private _handleTimeout(): void {
     if (this._isFinished) return;
-    const attempt = this._attempt;
-    if (attempt) {
-      this._mayHaveRun = true;
-      this._abandonAttempt(attempt, 'timeout');
-    }
+    if (this._attempt) this._mayHaveRun = true;
+    this._abandonAttempts('timeout');
     if (this._options.response.headersSent) this._breakOff('timeout');
     else this._answerFailure(504, 'timeout');
   }
 
   private _handleCallerGone(): void {
-    if (this._attempt) this._abandonAttempt(this._attempt, 'caller-gone');
+    this._abandonAttempts('caller-gone');
     this._options.context.counters.add('monsoonreach_callers_gone_total');
     this._finish('caller gone');
   }
@@ -742,6 +804,14 @@
 /** Failures after which a group gets no requests for some time. */
 const CONNECTION_FAILURES: ReadonlySet<CallOutcomeReason> = new Set(['unsent', 'target-lost', 'malformed']);
 
+/** Ends of an attempt that do not count against its target. */
+const BLAMELESS_ENDS: ReadonlySet<AttemptEnd> = new Set([
+  'caller-gone',
+  'refused-by-target',
+  'misdirected',
+  'overtaken',
+]);
+
 /** Failures in which the target closed the connection before its answer was complete. */
 const LOSSES: ReadonlySet<CallOutcomeReason> = new Set(['target-lost', 'truncated']);
 
--- a/tests/node/requestRun.test.ts
+++ b/tests/node/requestRun.test.ts
@@ -176,6 +176,47 @@
 const toChunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
 const toEvent = (id: number) => `id: ${id}\ndata: ${id}\n\n`;
 
+/** What another group does with a stream whose first group goes on after 1.2 s. */
+const successorCases: readonly { readonly name: string; readonly second: RawHandler }[] = [
+  {
+    name: 'another one answered that it is not the head',
+    second: ({ socket, id }) => {
+      socket.write(`HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: ${id}\r\nContent-Length: 0\r\n\r\n`);
+    },
+  },
+  {
+    name: 'another one answered so after a while',
+    second: ({ socket, id }) => {
+      setTimeout(() => {
+        socket.write(`HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: ${id}\r\nContent-Length: 0\r\n\r\n`);
+      }, 400);
+    },
+  },
+  {
+    name: 'another one was full',
+    second: ({ socket, id }) => {
+      const head = `HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: ${id}\r\nNot-Executed: 1\r\n`;
+      socket.write(`${head}Content-Length: 0\r\n\r\n`);
+    },
+  },
+  { name: 'another one was lost', second: ({ socket }) => socket.resetAndDestroy() },
+  { name: 'another one was silent as well', second: () => undefined },
+  {
+    name: 'another one sent its head only',
+    second: ({ socket }) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}`);
+    },
+  },
+  {
+    name: 'another one was late',
+    second: ({ socket }) => {
+      setTimeout(() => {
+        socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}${toChunk(toEvent(2))}`);
+      }, 1_100);
+    },
+  },
+];
+
 const fixture = new GroupFixture();
 
 void t.test('requests for groups', async (t) => {
@@ -219,6 +260,53 @@
     },
   );
 
+  for (const { name, second } of successorCases) {
+    // Guards against a stream that is cut though its target goes on, as it was given up for one that does not run it.
+    await t.test(`a silent stream goes on at its group after ${name}`, async (t) => {
+      let placements = 0;
+      fixture.place = (_criteria, onChoice) => {
+        onChoice(fixture.choose(++placements === 1 ? 0 : 1));
+      };
+      fixture.reset((request) => {
+        if (/^Last-Event-Id: 1$/im.test(request.head)) {
+          second(request);
+          return;
+        }
+        request.socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}${toChunk(toEvent(1))}`);
+        setTimeout(() => request.socket.write(toChunk(toEvent(2))), 1_200);
+        setTimeout(() => request.socket.write(`${toChunk(toEvent(3))}0\r\n\r\n`), 1_300);
+      });
+      const answer = await fixture.caller().exchange(REQUEST);
+      t.equal(answer.body, toEvent(1) + toEvent(2) + toEvent(3));
+      t.ok(answer.isComplete);
+      t.ok(fixture.targets[1].requests.length > 0, 'the other group was asked');
+      await sleep(50);
+      t.ok(
+        fixture.targets[1].requests.every(({ socket }) => socket.destroyed),
+        'its work is cancelled',
+      );
+    });
+  }
+
+  // Guards against a stream that is cut with its first target though another one has taken it over.
+  await t.test('a silent stream goes on at the other group when its first one is lost', async (t) => {
+    let placements = 0;
+    fixture.place = (_criteria, onChoice) => {
+      onChoice(fixture.choose(++placements === 1 ? 0 : 1));
+    };
+    fixture.reset(({ socket, head }) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}`);
+      if (/^Last-Event-Id: 1$/im.test(head)) {
+        for (const { socket: first } of fixture.targets[0].requests) first.resetAndDestroy();
+        setTimeout(() => socket.write(`${toChunk(toEvent(2))}0\r\n\r\n`), 200);
+      } else socket.write(toChunk(toEvent(1)));
+    });
+    const answer = await fixture.caller().exchange(REQUEST);
+    t.equal(answer.body, toEvent(1) + toEvent(2));
+    t.ok(answer.isComplete);
+    t.equal(placements, 2);
+  });
+
   // Guards against work for callers that left while their request waited for a group.
   await t.test('nothing is sent for a caller that left before its group was assigned', async (t) => {
     fixture.place = (_criteria, onChoice) =>
