Node: an attempt that another instance answered does not count against the route

What callers saw: a request was refused, or its stream cut, with attempts left in truth: a target that isn't the head any more answers 421, which says that it has not run the request, and used one of the route's attempts.

Change: as an attempt that was not sent, it doesn't count.

Evidence: the new case in node/requestRun gets 503 before the change and 200 after it.

--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -107,7 +107,7 @@
   private _attempt: Attempt | undefined;
   /** Attempt at another target while the current one is silent; whichever goes on first is kept. */
   private _successor: Attempt | undefined;
-  /** Attempts that count against the route's limit; those that sent nothing are not counted. */
+  /** Attempts that count against the route's limit; not those that were not sent, or not to the instance meant. */
   private _attempts = 0;
   /** Whether a target may have run the request. */
   private _mayHaveRun = false;
@@ -639,7 +639,7 @@
   private _handleFailure(attempt: Attempt, reason: CallOutcomeReason, mayHaveRun: boolean): void {
     if (mayHaveRun) this._mayHaveRun = true;
     const { context } = this._options;
-    if (reason === 'unsent') this._attempts--;
+    if (reason === 'unsent' || reason === 'misdirected') this._attempts--;
     const isGroup = attempt.candidate.engine !== undefined;
     if (isGroup && CONNECTION_FAILURES.has(reason)) {
       const isNew = context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
--- a/tests/node/requestRun.test.ts
+++ b/tests/node/requestRun.test.ts
@@ -54,6 +54,7 @@
 class GroupFixture {
   readonly targets = [new RawTarget(), new RawTarget()] as const;
   place: Placement['place'] = () => undefined;
+  route = ROUTE;
   /** Replaced by tests that let the node stop. */
   stop = this._createStop();
   private readonly _runs = new Set<RequestRun>();
@@ -63,7 +64,7 @@
       request,
       response,
       caller: decodeCallerRequest(request.headers),
-      route: ROUTE,
+      route: this.route,
       workspace: undefined,
       urgency: 5,
       body: undefined,
@@ -176,19 +177,22 @@
 const toChunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
 const toEvent = (id: number) => `id: ${id}\ndata: ${id}\n\n`;
 
+const toMisdirected = (id: string) =>
+  `HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: ${id}\r\nContent-Length: 0\r\n\r\n`;
+
 /** What another group does with a stream whose first group goes on after 1.2 s. */
 const successorCases: readonly { readonly name: string; readonly second: RawHandler }[] = [
   {
     name: 'another one answered that it is not the head',
     second: ({ socket, id }) => {
-      socket.write(`HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: ${id}\r\nContent-Length: 0\r\n\r\n`);
+      socket.write(toMisdirected(id));
     },
   },
   {
     name: 'another one answered so after a while',
     second: ({ socket, id }) => {
       setTimeout(() => {
-        socket.write(`HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: ${id}\r\nContent-Length: 0\r\n\r\n`);
+        socket.write(toMisdirected(id));
       }, 400);
     },
   },
@@ -288,6 +292,24 @@
     });
   }
 
+  // Guards against a request that is refused because the only attempt of its route reached an instance that is no head.
+  await t.test('an attempt that reached another instance than the one meant does not count', async (t) => {
+    fixture.route = { ...ROUTE, maxAttempts: 1 };
+    let placements = 0;
+    fixture.place = (_criteria, onChoice) => {
+      onChoice(fixture.choose(++placements === 1 ? 0 : 1));
+    };
+    fixture.reset(({ socket, id }) => {
+      const isFirst = fixture.targets[1].requests.length === 0;
+      if (isFirst) socket.write(toMisdirected(id));
+      else socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}${toChunk(toEvent(1))}0\r\n\r\n`);
+    });
+    const answer = await fixture.caller().exchange(REQUEST);
+    t.equal(answer.status, 200);
+    t.equal(placements, 2);
+    fixture.route = ROUTE;
+  });
+
   // Guards against a stream that is cut with its first target though another one has taken it over.
   await t.test('a silent stream goes on at the other group when its first one is lost', async (t) => {
     let placements = 0;
