Planner: keep an open group through short silences, and for silences of one node

What callers saw: several streams at once were cut or got a 502 at the same moment, on nodes that were in touch with their target, whose group was sound.

Cause: the planner let the head of an open group leave as soon as one of its members had missed two probes of the planning node, 0.4 s after the first report of a silence. That ends the head's requests on all nodes. A member may be silent for the planning node only, and a sound one for a second or so.

Ruled out: the engines' own detection (no group broke); nodes that moved their requests (the cut is at the target that had gone on).

Change: the head of an open group leaves when nothing listens at a member's address, or another instance does; when a member has been silent for 1.5 s and several nodes find the group stalled; and members leave a head after such a silence only. A silent instance is still not used for a new group at once. The 1.5 s are above the silences of sound targets that users tell of, and below the 4 s of the engines' own detection.

Probes that are refused are told from silent ones.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -43,6 +43,10 @@
   readonly instancesWithPendingOrder: ReadonlySet<string>;
   /** Ids of listed instances that do not respond. */
   readonly silentInstances: ReadonlySet<string>;
+  /** Ids of the silent instances at whose address no such instance runs. */
+  readonly refusingInstances: ReadonlySet<string>;
+  /** Ids of the silent instances that refuse, or have been silent for longer than a sound one is. */
+  readonly goneInstances: ReadonlySet<string>;
   /** Whether the head of a group that is not listed has stopped serving, as far as the nodes that ask it can tell. */
   readonly isHeadGone: (group: string) => boolean;
   /**
@@ -190,11 +194,12 @@
         return view.isListSettled && !this._formations.has(group.name) && !isAssembling(view, group);
       case 'open':
       case 'closing':
-        // A group that lacks a member is stalled. The head leaves before the engines detect the loss.
+        // A group that lost a member is stalled. The head leaves before the engines detect the loss, which ends its
+        // requests: a member that is silent for this node may be sound, and in touch with its head.
         return (
-          !isAnswering(view, group) ||
+          group.members.some(({ id }) => view.refusingInstances.has(id)) ||
           this._roster.hasMemberLeft(group, view.instances) ||
-          (view.isListSettled && isIncomplete(group) && view.isGroupStalled(toGroupId(group)))
+          (hasLostMember(view, group) && view.isGroupStalled(toGroupId(group)))
         );
       case 'broken':
         return true;
@@ -393,6 +398,12 @@
   return members.every(({ id }) => !view.silentInstances.has(id));
 }
 
+/** Whether a member is gone, or not listed though the list is complete. */
+function hasLostMember(view: FormationView, group: ObservedGroup): boolean {
+  const isGone = group.members.some(({ id }) => view.goneInstances.has(id));
+  return isGone || (view.isListSettled && isIncomplete(group));
+}
+
 /** Whether fewer members are listed than the group's model needs. */
 function isIncomplete({ model, members }: ObservedGroup): boolean {
   return model !== undefined && members.length < model.groupSize;
@@ -412,7 +423,7 @@
   const { head } = group;
   const id = toGroupId(group);
   if (!head) return view.isListSettled && view.isHeadGone(id);
-  return view.silentInstances.has(head.id) && view.isGroupStalled(id, head.id);
+  return view.goneInstances.has(head.id) && view.isGroupStalled(id, head.id);
 }
 
 /** Makes the other members leave a group that has no head or whose head is lost. */
--- a/packages/core/src/serving/memberProbes.ts
+++ b/packages/core/src/serving/memberProbes.ts
@@ -1,5 +1,7 @@
 /** Consecutive missed probes after which a member counts as lost. */
 const LOST_AFTER_MISSES = 2;
+/** Silence after which a member counts as gone, in milliseconds; a sound one may be silent for a second or so. */
+const GONE_AFTER_MS = 1_500;
 /** Minimum time between two probes of one member, in milliseconds; longer than a probe's timeout. */
 const PROBE_INTERVAL_MS = 160;
 /** Minimum time between two probe rounds of one group, in milliseconds: a quarter of the engines' detection time. */
@@ -8,9 +10,15 @@
 /** Time for which a node's report that a group is silent counts, in milliseconds. */
 const REPORT_TTL_MS = 4_000;
 
+/** Result of a probe; `refused`: nothing listens at the member's address, or another instance does. */
+export type ProbeResult = 'answered' | 'refused' | 'silent';
+
 interface Member {
   misses: number;
   probedAtMs: number;
+  /** When the first of these misses was found. */
+  missedSinceMs: number;
+  isRefused: boolean;
 }
 
 /**
@@ -60,32 +68,51 @@
       const member = this._members.get(id);
       if (!isDue && (member?.misses ?? 0) === 0) continue;
       if (nowMs - (member?.probedAtMs ?? -Infinity) < PROBE_INTERVAL_MS) continue;
-      this._members.set(id, { misses: member?.misses ?? 0, probedAtMs: nowMs });
+      this._members.set(id, { ...(member ?? UNMISSED), probedAtMs: nowMs });
       ids.push(id);
     }
     for (const round of this._groups.values()) round.isProbed = true;
     return ids;
   }
 
-  /** Records whether an instance answered a probe or another request for its state. */
-  recordResult(id: string, isAnswered: boolean, nowMs: number): void {
-    if (isAnswered) {
+  /** Records the result of a probe or of another request for an instance's state. */
+  recordResult(id: string, result: ProbeResult, nowMs: number): void {
+    if (result === 'answered') {
       this._answeredAtMs.set(id, nowMs);
       this._members.delete(id);
       return;
     }
-    const member = this._members.get(id);
-    if (member) member.misses++;
-    else this._members.set(id, { misses: 1, probedAtMs: -Infinity });
+    const { misses, probedAtMs, missedSinceMs } = this._members.get(id) ?? UNMISSED;
+    this._members.set(id, {
+      misses: misses + 1,
+      probedAtMs,
+      missedSinceMs: Math.min(missedSinceMs, nowMs),
+      isRefused: result === 'refused',
+    });
   }
 
-  /** Returns the ids of members that count as lost. */
+  /** Returns the ids of members that count as lost: they do not respond now, and may soon. */
   getLostMembers(): ReadonlySet<string> {
-    return new Set(
-      [...this._members].filter(([, { misses }]) => misses >= LOST_AFTER_MISSES).map(([id]) => id),
+    return this._listMembers(({ misses }) => misses >= LOST_AFTER_MISSES);
+  }
+
+  /** Returns the ids of the lost members at whose address no such instance runs. */
+  getRefusingMembers(): ReadonlySet<string> {
+    return this._listMembers(({ misses, isRefused }) => misses >= LOST_AFTER_MISSES && isRefused);
+  }
+
+  /** Returns the ids of the lost members that refuse or have been silent for longer than sound ones are. */
+  getGoneMembers(nowMs: number): ReadonlySet<string> {
+    return this._listMembers(
+      ({ misses, isRefused, missedSinceMs }) =>
+        misses >= LOST_AFTER_MISSES && (isRefused || nowMs - missedSinceMs >= GONE_AFTER_MS),
     );
   }
 
+  private _listMembers(matches: (member: Member) => boolean): ReadonlySet<string> {
+    return new Set([...this._members].filter(([, member]) => matches(member)).map(([id]) => id));
+  }
+
   /** Removes members that are no longer listed and groups that are no longer suspect. */
   retain(ids: ReadonlyMap<string, unknown>, nowMs: number): void {
     for (const id of this._members.keys()) if (!ids.has(id)) this._members.delete(id);
@@ -100,3 +127,5 @@
     }
   }
 }
+
+const UNMISSED: Member = { misses: 0, probedAtMs: -Infinity, missedSinceMs: Infinity, isRefused: false };
--- a/packages/node/src/orderSender.ts
+++ b/packages/node/src/orderSender.ts
@@ -7,6 +7,7 @@
   isServingState,
   MAX_REPORT_LAG_MS,
   pause,
+  type ProbeResult,
   type TargetInstance,
 } from '@monsoonreach/core';
 import { type OrderOutcome, readReport, ReportError, sendOrder } from '@monsoonreach/platform';
@@ -35,7 +36,7 @@
   /** Called when an instance has acknowledged an order. */
   readonly onAcknowledged: () => void;
   /** Called with whether an instance answered a request for its report. */
-  readonly onReportResult: (id: string, isAnswered: boolean) => void;
+  readonly onReportResult: (id: string, result: ProbeResult) => void;
 }
 
 /** Sends orders to instances and keeps track of their effects until the instance list shows them. */
@@ -123,12 +124,12 @@
     try {
       const { state, orderCount } = await readReport(instance, timeoutMs);
       this._overlay.recordReport({ ...(list.get(id) ?? instance), ...state }, orderCount, clock.monotonic());
-      onReportResult(id, true);
+      onReportResult(id, 'answered');
       return true;
     } catch (error) {
       if (!(error instanceof ReportError)) throw error;
       counters.add('monsoonreach_reports_missed_total');
-      onReportResult(id, false);
+      onReportResult(id, error.isRefused ? 'refused' : 'silent');
       return false;
     } finally {
       this.version++;
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -76,8 +76,8 @@
       onAcknowledged: () => {
         this._scheduleFollowUp();
       },
-      onReportResult: (id, isAnswered) => {
-        this._checks.recordResult(id, isAnswered, clock.monotonic());
+      onReportResult: (id, result) => {
+        this._checks.recordResult(id, result, clock.monotonic());
       },
     });
   }
@@ -128,7 +128,7 @@
     this._checkMembers();
     this._refreshInstances();
     const nowMs = clock.monotonic();
-    const version = `${list.version}/${this._orders.version}/${ownership.stamp}/${[...this._checks.getLostMembers()].join()}`;
+    const version = `${list.version}/${this._orders.version}/${ownership.stamp}/${[...this._checks.getLostMembers()].join()}/${[...this._checks.getGoneMembers(nowMs)].join()}`;
     const isIdle =
       version === this._plannedVersion && !this._planner.isForming && !this._orders.hasPendingOrders;
     if (isIdle && nowMs - this._plannedAtMs < IDLE_INTERVAL_MS) return;
@@ -188,6 +188,8 @@
       findTerm: (fabricDomain) => this._findTerm(fabricDomain),
       instancesWithPendingOrder: this._orders.listPending(),
       silentInstances: this._checks.getLostMembers(),
+      refusingInstances: this._checks.getRefusingMembers(),
+      goneInstances: this._checks.getGoneMembers(nowMs),
       isHeadGone: (group) => heads.isReleased(group),
       isGroupStalled: (group, silentHead) =>
         this._checks.countReporters(group, nowMs, silentHead) >= Math.min(MIN_STALL_REPORTERS, countNodes()),
--- a/tests/serving/fixtures.ts
+++ b/tests/serving/fixtures.ts
@@ -93,6 +93,8 @@
     findTerm: () => TERM,
     instancesWithPendingOrder: new Set(),
     silentInstances: new Set(),
+    refusingInstances: new Set(),
+    goneInstances: new Set(),
     isHeadGone: () => false,
     isGroupStalled: () => false,
     unlistedServingHeads: [],
