Soak: short silences of engines beside stops and changes

The soak counted each silence of an engine as harm, so that requests cut by a stop beside one were no violation. The new fault stops all nodes in turn and publishes configurations while engines fall silent for up to 1.2 s and go on; neither nodes nor targets count as harmed.

--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -33,6 +33,8 @@
 /** Duration of a wave, the pause after it, and their spreads, in milliseconds; entries in the store outlive a wave. */
 const MIN_WAVE_MS = 800;
 const WAVE_SPREAD_MS = 1_000;
+/** Longest silence of an engine that is sound, in milliseconds. */
+const MAX_SOUND_SILENCE_MS = 1_200;
 const MIN_WAVE_PAUSE_MS = 300;
 const WAVE_PAUSE_SPREAD_MS = 1_200;
 
@@ -76,6 +78,7 @@
   'engine link silent',
   'engine link reset',
   'engines silent in waves',
+  'short silences beside stops and changes',
   'late orders',
   'engines have no length beside kills',
   'plain target resets',
@@ -100,6 +103,7 @@
   private _keys: readonly string[] = ['key-1'];
   private _replacements = 0;
   private _isRestoring = false;
+  private _isSilencing = false;
 
   constructor(
     private readonly _fleet: SoakFleet,
@@ -169,6 +173,8 @@
         return this._injectEngineFault(name, forMs);
       case 'engines silent in waves':
         return this._injectSilentWaves(name);
+      case 'short silences beside stops and changes':
+        return this._injectShortSilences(name);
       case 'late orders':
         return this._injectInstanceFault(name, 'engines', 'late-orders', forMs);
       case 'engines have no length beside kills':
@@ -327,6 +333,30 @@
     }
   }
 
+  /**
+   * Stops all nodes in turn and publishes configurations while engines fall silent and go on. No node or target counts as
+   * harmed: a sound target may be silent for a second. Two series at once would make longer silences.
+   */
+  private async _injectShortSilences(name: FaultName): Promise<void> {
+    if (this._isSilencing) return;
+    this._isSilencing = true;
+    const waves = this._drawSilentWaves().map((wave) => ({
+      ...wave,
+      forMs: Math.min(wave.forMs, MAX_SOUND_SILENCE_MS),
+    }));
+    const stops = this._injectFaultOnAllNodes('stop all in turn', 0);
+    for (const { ids, forMs, pauseMs } of waves) {
+      this._record(name, ids.join(' '), forMs);
+      const silences = ids.map((id) => this._fleet.instanceLinks.get(id)?.silence(forMs));
+      await sleep(forMs / 2);
+      this._fleet.publish(this._keys);
+      await Promise.all(silences);
+      await sleep(pauseMs);
+    }
+    await stops;
+    this._isSilencing = false;
+  }
+
   /** Draws all waves at once, so that they depend on the seed alone. Half of them strike the same engines again. */
   private _drawSilentWaves(): readonly SilentWave[] {
     const waves: SilentWave[] = [];
