Node: bound the memory of all incomplete answers together

Cause: each answer that is kept until it is complete has a bound, all together had none, so that targets that send without end, many at once, fill the memory of the node.

Change: all together may keep 16 MiB. Beyond that the largest answers are given up first, so that the small ones of sound targets are complete.

Evidence: the two new cases of node/requestRun get five answers before the change, and give up the largest two after it.

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,3 +1,4 @@
+export * from './answerBuffers.js';
 export * from './crashMonitor.js';
 export * from './crashWitness.js';
 export * from './decisionLog.js';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -37,6 +37,7 @@
   StoreClient,
   Topic,
 } from '@monsoonreach/platform';
+import { AnswerBuffers } from './answerBuffers.js';
 import { CrashMonitor } from './crashMonitor.js';
 import { DecisionLog } from './decisionLog.js';
 import { FleetReports } from './fleetReports.js';
@@ -465,6 +466,7 @@
         () => this._exchange.size + 1,
       ),
       connections: this._connections,
+      buffers: new AnswerBuffers(MAX_BUFFERED_BYTES),
       crashes: this._crashes,
       directory: this._directory,
       placement: this._placement,
@@ -807,6 +809,8 @@
 const CONTACT_ASK_AGE_MS = 1_500;
 /** Interval of these questions, in milliseconds. */
 const CONTACT_ASK_INTERVAL_MS = 200;
+/** Largest size of all incomplete answers that are kept together, in bytes. */
+const MAX_BUFFERED_BYTES = 16_777_216;
 /** Time without a new instance after which the first groups may be planned, in milliseconds; two reads of the list. */
 const START_SETTLE_MS = 1_000;
 /** Age of a target's last bytes up to which a peer's report of silence is ignored, in milliseconds; two steps of a full batch. */
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -20,6 +20,7 @@
   encodeRetryAfter,
   type ResponseHead,
 } from '@monsoonreach/platform';
+import type { BufferedAnswer } from './answerBuffers.js';
 import { CrashWitness } from './crashWitness.js';
 import type { PlacementCriteria } from './placement.js';
 import type { ServingContext } from './servingContext.js';
@@ -53,6 +54,8 @@
   readonly predictedMs: number;
   readonly load: { readonly endPrefill: () => void; readonly endRequest: () => void };
   readonly framer: EventFramer;
+  /** What is kept of its answer, as the bound on all answers counts it. */
+  readonly answer: BufferedAnswer;
   call: OpenCall | undefined;
   head: ResponseHead | undefined;
   headAtMs: number | undefined;
@@ -385,6 +388,11 @@
       predictedMs,
       load: context.loads.startRequest(candidate.key, size),
       framer: new EventFramer(),
+      answer: {
+        onOverflow: () => {
+          this._handleFailure(attempt, 'answer-too-large', true);
+        },
+      },
       call: undefined,
       head: undefined,
       headAtMs: undefined,
@@ -503,14 +511,17 @@
       attempt.buffered.push(chunk);
       attempt.bufferedBytes += chunk.length;
       if (attempt.bufferedBytes > MAX_BUFFERED_BYTES) this._handleFailure(attempt, 'answer-too-large', true);
+      else context.buffers.record(attempt.answer, attempt.bufferedBytes);
       return;
     }
     const batch = attempt.framer.push(chunk);
     if (!batch) {
       if (attempt.framer.pendingBytes > MAX_EVENT_BYTES)
         this._handleFailure(attempt, 'event-too-large', true);
+      else context.buffers.record(attempt.answer, attempt.framer.pendingBytes);
       return;
     }
+    context.buffers.release(attempt.answer);
     const isContinuation = this._forwardedEvents > 0 && attempt.events === 0;
     if (isContinuation && !isNextEvent(this._lastEventId, batch.firstId)) {
       this._handleFailure(attempt, 'failed-by-target', true);
@@ -630,6 +641,7 @@
     this._mayHaveRun = true;
     this._trail.push(`${candidate.key} stale ${this._elapsedMs(attempt.startedAtMs)}ms`);
     attempt.load.endRequest();
+    this._options.context.buffers.release(attempt.answer);
     this._attempts--;
     const role = attempt === this._successor ? 'successor' : 'current';
     this._send(candidate, predictedMs, { role, isFresh: true });
@@ -709,6 +721,7 @@
       context.health.recordOutcome(attempt.candidate.key, true, context.clock.monotonic());
     }
     attempt.load.endRequest();
+    context.buffers.release(attempt.answer);
     attempt.call?.cancel();
     if (this._attempt === attempt) this._attempt = undefined;
   }
@@ -719,6 +732,7 @@
     this._trail.push(`${attempt.candidate.key} done ${this._elapsedMs(attempt.startedAtMs)}ms`);
     context.health.recordOutcome(attempt.candidate.key, isFailure, context.clock.monotonic());
     attempt.load.endRequest();
+    context.buffers.release(attempt.answer);
     this._attempt = undefined;
   }
 
--- a/packages/node/src/servingContext.ts
+++ b/packages/node/src/servingContext.ts
@@ -13,6 +13,7 @@
   TargetHealth,
   TargetLimits,
 } from '@monsoonreach/core';
+import type { AnswerBuffers } from './answerBuffers.js';
 import type { CrashMonitor } from './crashMonitor.js';
 import type { DecisionLog } from './decisionLog.js';
 import type { Placement } from './placement.js';
@@ -38,6 +39,8 @@
   readonly demand: DemandMeter;
   readonly retries: RetryWindowBudget;
   readonly connections: TargetConnections;
+  /** Bounds what is kept of answers that are not complete. */
+  readonly buffers: AnswerBuffers;
   /** Recognizes requests that crash their targets. */
   readonly crashes: CrashMonitor;
   readonly directory: TargetDirectory;
--- a/tests/node/requestRun.test.ts
+++ b/tests/node/requestRun.test.ts
@@ -17,6 +17,7 @@
   TargetLimits,
 } from '@monsoonreach/core';
 import {
+  AnswerBuffers,
   CrashMonitor,
   DecisionLog,
   type Placement,
@@ -48,6 +49,9 @@
   priority: 1,
 };
 
+/** Bound on all incomplete answers together, in bytes. */
+const MAX_BUFFERED_BYTES = 100_000;
+
 const CONFIGURATION = { services: new Map() } as unknown as ServingConfiguration;
 
 /** One node's requests at two groups, without a store; `place` assigns the groups. */
@@ -131,6 +135,7 @@
       random: createRandom(1),
       counters,
       log,
+      buffers: new AnswerBuffers(MAX_BUFFERED_BYTES),
       crashes: new CrashMonitor({
         address: '127.0.0.1:1',
         clock: systemClock,
@@ -329,6 +334,34 @@
     t.equal(placements, 2);
   });
 
+  for (const [kind, isResumable] of [
+    ['idempotent', false],
+    ['stream', true],
+  ] as const) {
+    // Guards against targets that send without end, many at once, and fill the memory of the node.
+    await t.test(`the largest answers are given up when all together are too large: ${kind}`, async (t) => {
+      fixture.route = { ...ROUTE, kind, isResumable, maxAttempts: 1 };
+      fixture.place = (_criteria, onChoice) => {
+        onChoice(fixture.choose(0));
+      };
+      const begin = 'id: 1\ndata: ';
+      fixture.reset(({ socket, id }) => {
+        const head = `HTTP/1.1 200 OK\r\n${CHUNKED.replace('Attempt-Id: a', `Attempt-Id: ${id}`)}`;
+        socket.write(head + toChunk(begin + 'x'.repeat(id === 'small' ? 100 : 40_000)));
+        setTimeout(() => socket.write(`${toChunk('\n\n')}0\r\n\r\n`), 200);
+      });
+      const answers = await Promise.all(
+        ['large-1', 'large-2', 'small', 'large-3', 'large-4'].map((id) =>
+          fixture.caller().exchange(REQUEST.replace('Attempt-Id: a', `Attempt-Id: ${id}`)),
+        ),
+      );
+      const statuses = answers.map(({ status }) => status);
+      t.equal(statuses[2], 200, 'the small one is complete');
+      t.same([...statuses].sort(), [200, 200, 200, 502, 502]);
+      fixture.route = ROUTE;
+    });
+  }
+
   // Guards against work for callers that left while their request waited for a group.
   await t.test('nothing is sent for a caller that left before its group was assigned', async (t) => {
     fixture.place = (_criteria, onChoice) =>
