Entry, steward: bound what is read of a target's answer

What other operators told of: a replica that sends without end fills the memory of the machine that called it.

Cause: the entry collected the whole answer of a service or completion until the call's timeout, and an event until its end; the steward the status of an engine.

Change: an answer is given up beyond 4 MiB, an event beyond 256 KiB, a status beyond 64 KiB, and its connection closed; the call fails like one whose target was lost. The bounded reader moves from `platform/` to the core, which entry and steward may use.

--- a/platform/src/boundedBody.ts
+++ b/packages/core/src/boundedBody.ts
@@ -1,4 +1,4 @@
-import { MonsoonreachError } from '@monsoonreach/core';
+import { MonsoonreachError } from './errors.js';
 
 /** A response has a larger body than any that the protocol allows. */
 export class BodyTooLargeError extends MonsoonreachError {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 /** Decision logic of the system, without input or output; the clock and the random source are injected. */
 export * from './admission.js';
 export * from './backgroundLoop.js';
+export * from './boundedBody.js';
 export * from './checkpoint.js';
 export * from './claims.js';
 export * from './clock.js';
--- a/packages/entry/src/completionRun.ts
+++ b/packages/entry/src/completionRun.ts
@@ -18,6 +18,7 @@
   type EngineEvent,
   isUnsent,
   readEvents,
+  readWholeBody,
   type TargetAnswer,
   TargetCallError,
 } from '@monsoonreach/targets';
@@ -121,15 +122,14 @@
   ): Promise<Outcome<CompletionAnswer>> {
     const { attempt, answer, dispatched } = started;
     try {
-      const chunks: Uint8Array[] = [];
-      for await (const chunk of answer.body) chunks.push(chunk);
+      const body = await readWholeBody(answer);
       this._recordSuccess(attempt);
       const contentType = answer.headers['content-type'] ?? 'application/json';
       return dispatched.answered({
         kind: 'whole',
         status: answer.status,
         contentType,
-        body: Buffer.concat(chunks),
+        body,
       });
     } catch (error) {
       if (!(error instanceof TargetCallError)) throw error;
@@ -421,7 +421,7 @@
 
 async function drain(answer: TargetAnswer): Promise<void> {
   try {
-    for await (const chunk of answer.body) void chunk;
+    await readWholeBody(answer);
   } catch {
     // The status already says that the call failed.
   }
--- a/packages/entry/src/serviceCalls.ts
+++ b/packages/entry/src/serviceCalls.ts
@@ -10,7 +10,7 @@
   Undispatched,
 } from '@monsoonreach/core';
 import type { CallContext, ServiceAnswer, ServiceRequest } from '@monsoonreach/callers';
-import { isUnsent, TargetCallError } from '@monsoonreach/targets';
+import { isUnsent, readWholeBody, TargetCallError } from '@monsoonreach/targets';
 import type { AtMostOnce } from './atMostOnce.js';
 import type { PreparedCall } from './preparedCall.js';
 import { type EntryContext, refuseStopping, spendRetry } from './entryContext.js';
@@ -174,11 +174,10 @@
         idleTimeoutMs: service.timeout,
         signal: AbortSignal.any([call.signal, AbortSignal.timeout(service.timeout)]),
       });
-      const chunks: Uint8Array[] = [];
-      for await (const chunk of answer.body) chunks.push(chunk);
+      const body = await readWholeBody(answer);
       targets.stragglers.record(target, context.clock.monotonic() - startedAtMs);
       const contentType = answer.headers['content-type'];
-      return { status: answer.status, contentType, body: Buffer.concat(chunks), isReplayed: false };
+      return { status: answer.status, contentType, body, isReplayed: false };
     } catch (error) {
       if (error instanceof TargetCallError && error.reason === 'target-timeout') {
         targets.stragglers.record(target, service.timeout);
--- a/packages/node/src/peerDiscovery.ts
+++ b/packages/node/src/peerDiscovery.ts
@@ -1,11 +1,5 @@
-import { type Member, pause, type Random } from '@monsoonreach/core';
-import {
-  createConnector,
-  readBoundedBody,
-  type StoreClient,
-  StoreUnavailableError,
-  Topic,
-} from '@monsoonreach/platform';
+import { type Member, pause, type Random, readBoundedBody } from '@monsoonreach/core';
+import { createConnector, type StoreClient, StoreUnavailableError, Topic } from '@monsoonreach/platform';
 import { Agent, request } from 'undici';
 import * as z from 'zod/mini';
 import { type DecisionLog, describeError } from './decisionLog.js';
--- a/packages/node/src/topicSources.ts
+++ b/packages/node/src/topicSources.ts
@@ -8,13 +8,13 @@
   pause,
   type FallbackCandidate,
   type ReaderCandidate,
+  readBoundedBody,
 } from '@monsoonreach/core';
 import {
   createConnector,
   decodeKeyedRecord,
   HistoryGoneError,
   type KeyedRecord,
-  readBoundedBody,
   type StoreClient,
   type StorePosition,
   StoreUnavailableError,
--- a/packages/targets/src/engineClient.ts
+++ b/packages/targets/src/engineClient.ts
@@ -1,8 +1,16 @@
-import { MonsoonreachError, splitAddress, type OrderKind } from '@monsoonreach/core';
+import {
+  BodyTooLargeError,
+  MonsoonreachError,
+  type OrderKind,
+  readBoundedBody,
+  splitAddress,
+} from '@monsoonreach/core';
 import { Pool } from 'undici';
 import * as z from 'zod';
 
 const CONNECT_TIMEOUT_MS = 500;
+/** Largest answer that is read, in bytes. */
+const MAX_ANSWER_BYTES = 65_536;
 
 const statusSchema = z.object({
   boot: z.string(),
@@ -88,7 +96,7 @@
     try {
       const headers = { 'content-type': 'application/json' };
       const response = await this._pool.request({ method, path, headers, body: body ?? null, ...timeouts });
-      const text = await response.body.text();
+      const text = (await readBoundedBody(response.body, MAX_ANSWER_BYTES)).toString('utf8');
       if (response.statusCode < 300) return JSON.parse(text) as unknown;
       throw new EngineCallError(
         'refused',
@@ -108,7 +116,7 @@
 const UNREACHABLE_CODES: readonly unknown[] = ['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET'];
 
 function toFailureReason(error: unknown): EngineCallFailureReason {
-  if (error instanceof SyntaxError || error instanceof z.ZodError) return 'malformed';
+  if ([SyntaxError, z.ZodError, BodyTooLargeError].some((type) => error instanceof type)) return 'malformed';
   const code = (error as { readonly code?: unknown }).code;
   return UNREACHABLE_CODES.includes(code) ? 'unreachable' : 'timeout';
 }
--- a/packages/targets/src/engineStream.ts
+++ b/packages/targets/src/engineStream.ts
@@ -3,6 +3,8 @@
 
 /** Data of the event that ends a complete stream. */
 export const TERMINAL_EVENT = '[DONE]';
+/** Largest event, with the comments before it, in bytes. */
+const MAX_EVENT_BYTES = 262_144;
 
 /** One server-sent event of an engine's stream; a resumed stream continues after `id`. */
 export interface EngineEvent {
@@ -17,7 +19,8 @@
 
 /**
  * Yields the events of an engine's stream, excluding the terminal one.
- * @throws TargetCallError with reason `truncated` when the stream ends without its terminal event.
+ * @throws TargetCallError with reason `truncated` when the stream ends without its terminal event, and `target-lost` when an
+ * event has no end.
  */
 export async function* readEvents(
   answer: TargetAnswer,
@@ -30,10 +33,14 @@
       parsedEvents.push(event);
     },
   });
+  let pendingBytes = 0;
   for await (const chunk of answer.body) {
     parser.feed(decoder.decode(chunk, { stream: true }));
     const events = parsedEvents;
     parsedEvents = [];
+    pendingBytes = events.length > 0 ? 0 : pendingBytes + chunk.length;
+    if (pendingBytes > MAX_EVENT_BYTES)
+      throw new TargetCallError('target-lost', false, `An event exceeds ${MAX_EVENT_BYTES} bytes.`);
     for (const event of events) {
       if (event.data === TERMINAL_EVENT) return;
       yield { id: event.id, data: event.data };
--- a/packages/targets/src/targetClient.ts
+++ b/packages/targets/src/targetClient.ts
@@ -1,8 +1,17 @@
-import { type FailedReason, MonsoonreachError, splitAddress, type UnsentEvidence } from '@monsoonreach/core';
+import {
+  BodyTooLargeError,
+  type FailedReason,
+  MonsoonreachError,
+  readBoundedBody,
+  splitAddress,
+  type UnsentEvidence,
+} from '@monsoonreach/core';
 import { buildConnector, type Dispatcher, Pool } from 'undici';
 import { ResetDetector } from './resetDetector.js';
 
 const CONNECT_TIMEOUT_MS = 800;
+/** Largest answer that is read whole, in bytes. */
+const MAX_ANSWER_BYTES = 4_194_304;
 
 /** A call to a target did not yield a complete response. */
 export class TargetCallError extends MonsoonreachError {
@@ -134,6 +143,19 @@
   return new TargetCallError('target-lost', false, `The connection to ${address} was lost.`, options);
 }
 
+/**
+ * Reads the body of an answer to its end.
+ * @throws TargetCallError when it ends early, or is larger than any that is sound.
+ */
+export async function readWholeBody({ body }: TargetAnswer): Promise<Buffer> {
+  try {
+    return await readBoundedBody(body, MAX_ANSWER_BYTES);
+  } catch (error) {
+    if (!(error instanceof BodyTooLargeError)) throw error;
+    throw new TargetCallError('target-lost', false, error.message, { cause: error });
+  }
+}
+
 async function* readBody(address: string, body: AsyncIterable<unknown>): AsyncGenerator<Uint8Array> {
   try {
     for await (const chunk of body) yield chunk as Uint8Array;
