Node, entry: run a request once the answers before it have been sent

Cause: requests were passed on as soon as they were read. The answer of one behind another is lost if the connection ends with an earlier answer: without a length, until that was mended, or broken off.

Change: a request waits for the answers before it, which its own has to wait for in any case. If the connection ends meanwhile it has not been run; if its time passes, it is refused as not run. The entry does the same. A request whose caller left while it waited is no longer counted as open.

--- a/packages/callers/src/callerConnections.ts
+++ b/packages/callers/src/callerConnections.ts
@@ -32,6 +32,8 @@
   readonly openedAtMs: number;
   requestCount: number;
   openRequests: number;
+  /** Called when a request ends, or the connection. */
+  readonly waiters: Set<() => void>;
 }
 
 /**
@@ -78,11 +80,23 @@
       openedAtMs: this._clock.monotonic(),
       requestCount: 0,
       openRequests: 0,
+      waiters: new Set(),
+    });
+    socket.once('close', () => {
+      this._remove(socket);
     });
-    socket.once('close', () => this._connections.delete(socket));
     if (this._isClosingIdle) socket.destroySoon();
   }
 
+  private _remove(socket: Socket): void {
+    const connection = this._connections.get(socket);
+    this._connections.delete(socket);
+    // A response that has waited for another one does not tell that its connection is closed.
+    for (const { response } of this._requests.values())
+      if (response.req.socket === socket) this._requests.delete(response);
+    if (connection) wake(connection);
+  }
+
   /** Tracks a request until its answer has been sent or its connection is closed. */
   startRequest(response: ServerResponse, requestId = ''): void {
     // A response has no socket of its own until the one before it on the connection has ended.
@@ -103,6 +117,7 @@
     response.once('close', () => {
       this._requests.delete(response);
       connection.openRequests--;
+      wake(connection);
       if (this._isClosingAfterAnswers) this._closeSoon(socket, connection);
     });
   }
@@ -121,6 +136,14 @@
     );
   }
 
+  /** Resolves when the answers to the earlier requests on the connection have been sent, or the connection is closed. */
+  async waitForTurn(response: ServerResponse): Promise<void> {
+    const connection = this._connections.get(response.req.socket);
+    while (connection && this.isBehindAnother(response)) {
+      await new Promise<void>((resolve) => connection.waiters.add(resolve));
+    }
+  }
+
   /** Whether a request on the connection is being served. */
   isServing(socket: Socket): boolean {
     return [...this._requests.values()].some(
@@ -155,3 +178,8 @@
     }
   }
 }
+
+function wake({ waiters }: Connection): void {
+  for (const resolve of waiters) resolve();
+  waiters.clear();
+}
--- a/packages/callers/src/callerServer.ts
+++ b/packages/callers/src/callerServer.ts
@@ -49,7 +49,10 @@
         if (this._isClosing && !this._prepareLaterRequest(response)) return;
         this._connections.startRequest(response);
         if (this._isClosing) this._announceClose(response);
-        void handle(request, response);
+        // Run at once, a request would be lost with its answer if the connection ends with an earlier one.
+        void this._connections.waitForTurn(response).then(() => {
+          if (!request.socket.destroyed) void handle(request, response);
+        });
       },
     );
     this._server.maxConnections = MAX_CONNECTIONS;
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -138,7 +138,14 @@
       remainingMs: startedAtMs + bounds.timeoutMs - this._options.context.clock.monotonic(),
     });
     if (body === 'ended') return;
+    if (this._isStoppingBehindAnother(response)) {
+      this._refuseStopping(response, caller.requestId);
+      return;
+    }
+    // Run at once, it would be lost with its answer if the connection ends with an earlier one.
+    await this.connections.waitForTurn(response);
     await waitForPendingCloses();
+    if (request.socket.destroyed) return;
     // The configuration may have changed while the body was read; the trust in keys concerns the one in force now.
     const table = this._options.table();
     if (!table) {
@@ -176,10 +183,12 @@
     const { priority, ...rest } = options;
     const { caller, route, response, startedAtMs } = rest;
     if (response.writableEnded || response.destroyed) return;
-    const { stop } = this._options.context;
-    // An answer that has to wait for another one may be ready in time and yet not be sent.
-    const mayWait = stop.hasLeftRotation && this.connections.isBehindAnother(response);
-    if (mayWait || stop.estimate({ route, ...caller, startedAtMs })?.canFinish === false) {
+    const { stop, clock } = this._options.context;
+    if (clock.monotonic() - startedAtMs >= Math.min(caller.timeoutMs ?? Infinity, route.timeoutMs)) {
+      this._refuse(response, caller.requestId, 503, 'timeout', encodeRetryAfter(0));
+      return;
+    }
+    if (stop.estimate({ route, ...caller, startedAtMs })?.canFinish === false) {
       this._refuseStopping(response, caller.requestId);
       return;
     }
@@ -207,6 +216,11 @@
     this._refuse(response, requestId, 503, 'no-configuration', encodeRetryAfter(STALE_RETRY_AFTER_MS));
   }
 
+  /** Whether an answer would have to wait for another one so late in a stop that it may not be sent in time. */
+  private _isStoppingBehindAnother(response: ServerResponse): boolean {
+    return this._options.context.stop.hasLeftRotation && this.connections.isBehindAnother(response);
+  }
+
   /** Refuses a request for which this process has no time left; another node can serve it at once. */
   private _refuseStopping(response: ServerResponse, requestId: string): void {
     this._refuse(response, requestId, 503, 'stopping', encodeRetryAfter(0));
--- a/tests/callers/callerServer.test.ts
+++ b/tests/callers/callerServer.test.ts
@@ -138,6 +138,27 @@
   isKeyKnown = true;
 });
 
+// Guards against a call that is run and never answered, as the connection ends with the answer before it.
+void t.test('a call behind another answer is not run before that has been sent', async (t) => {
+  const { server, address } = await startServer();
+  t.teardown(() => server.close());
+  const callsBefore = calls;
+  const caller = await RawCaller.connect(address);
+  caller.write(completion + call);
+  await caller.waitForText('data: 0');
+  await sleep(EVENT_INTERVAL_MS * 3);
+  t.equal(calls, callsBefore, 'not run behind an answer in progress');
+  await caller.waitForText(ANSWER);
+  t.equal(calls, callsBefore + 1);
+  caller.close();
+  const leaving = await RawCaller.connect(address);
+  leaving.write(completion + call);
+  await leaving.waitForText('data: 0');
+  leaving.close();
+  await sleep(EVENT_INTERVAL_MS * EVENTS_PER_STREAM);
+  t.equal(calls, callsBefore + 1, 'not run for a caller that left');
+});
+
 // Guards against an answer to a caller of HTTP/1.0 that looks complete when the entry is killed while it is sent.
 void t.test('a plain answer has its length, whatever the version of HTTP', async (t) => {
   const { server, address } = await startServer();
