Tests: write the older version once all nodes have applied the newer one

A node that had not regained the store by then read all records anew, found only the older version, and rightly trusted no key.

Change: the test waits until each node refuses the old key, and then checks as before that none goes back to the version that it has applied.

--- a/tests/platform/restart.test.ts
+++ b/tests/platform/restart.test.ts
@@ -67,6 +67,8 @@
 
   // Guards against a node that goes back to an older version after it has applied a newer one.
   await t.test('keeps the newest version that it has applied', async (t) => {
+    for (const node of [first, second, third])
+      t.ok(await until(async () => (await send(node)).status === 401));
     fleet.store.put('keyed.op', 'config', createConfiguration(1));
     await sleep(1_500);
     for (const node of [first, second, third]) {
