--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -194,8 +194,8 @@
         return view.isListSettled && !this._formations.has(group.name) && !isAssembling(view, group);
       case 'open':
       case 'closing':
-        // A group that lost a member is stalled. The head leaves before the engines detect the loss, which ends its
-        // requests: a member that is silent for this node may be sound, and in touch with its head.
+        // A group that lost a member is stalled, and its head leaves before the engines detect that. As this ends the
+        // head's requests, silence for this node alone does not suffice: the member may be in touch with its head.
         return (
           group.members.some(({ id }) => view.refusingInstances.has(id)) ||
           this._roster.hasMemberLeft(group, view.instances) ||
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -47,7 +47,7 @@
 import { KeyConfirmation } from './keyConfirmation.js';
 import { KeyedFollower } from './keyedFollower.js';
 import { PeerDiscovery } from './peerDiscovery.js';
-import { type MembershipMessage, type OwnState, PeerExchange } from './peerExchange.js';
+import { estimateStoreAgeMs, type MembershipMessage, type OwnState, PeerExchange } from './peerExchange.js';
 import { type Digest, type PeerMessage, type ReportMessage } from './peerMessages.js';
 import { type LocalPlacementCriteria, Placement } from './placement.js';
 import { Planning } from './planning.js';
@@ -320,10 +320,10 @@
       log: this._log,
       nodes: () => insertByPreference(this._exchange.listLive(), this._self),
       peers: () =>
-        this._exchange.listPeers().map(({ digest, member, receivedAtMs }) => ({
-          ...member,
-          storeAgeMs: digest.storeAgeMs + this._clock.monotonic() - receivedAtMs,
-          isFirstHand: digest.isFirstHand,
+        this._exchange.listPeers().map((peer) => ({
+          ...peer.member,
+          storeAgeMs: estimateStoreAgeMs(peer, this._clock.monotonic()),
+          isFirstHand: peer.digest.isFirstHand,
         })),
       owners: () => this._ownership.listAddresses(),
     });
@@ -466,7 +466,7 @@
         () => this._exchange.size + 1,
       ),
       connections: this._connections,
-      buffers: new AnswerBuffers(MAX_BUFFERED_BYTES),
+      buffers: new AnswerBuffers(MAX_TOTAL_BUFFERED_BYTES),
       crashes: this._crashes,
       directory: this._directory,
       placement: this._placement,
@@ -810,7 +810,7 @@
 /** Interval of these questions, in milliseconds. */
 const CONTACT_ASK_INTERVAL_MS = 200;
 /** Largest size of all incomplete answers that are kept together, in bytes. */
-const MAX_BUFFERED_BYTES = 16_777_216;
+const MAX_TOTAL_BUFFERED_BYTES = 16_777_216;
 /** Time without a new instance after which the first groups may be planned, in milliseconds; two reads of the list. */
 const START_SETTLE_MS = 1_000;
 /** Age of a target's last bytes up to which a peer's report of silence is ignored, in milliseconds; two steps of a full batch. */
--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -68,6 +68,14 @@
   readonly receivedAtMs: number;
 }
 
+/**
+ * Estimates the time since a peer's last contact with the store, in milliseconds. Good enough to choose a peer by; it is too
+ * low by the time for which the digest was on its way.
+ */
+export function estimateStoreAgeMs({ digest, receivedAtMs }: Peer, nowMs: number): number {
+  return digest.storeAgeMs + nowMs - receivedAtMs;
+}
+
 /** Messages by which nodes learn of each other. */
 export type MembershipMessage = Digest | PingMessage | PongMessage;
 
@@ -195,10 +203,7 @@
   askContact(): void {
     const nowMs = this._options.clock.monotonic();
     const freshest = this.listPeers()
-      .map(({ digest, member, receivedAtMs }) => ({
-        address: member.address,
-        storeAgeMs: digest.storeAgeMs + nowMs - receivedAtMs,
-      }))
+      .map((peer) => ({ address: peer.member.address, storeAgeMs: estimateStoreAgeMs(peer, nowMs) }))
       .sort((a, b) => a.storeAgeMs - b.storeAgeMs)
       .slice(0, ASKED_PEERS);
     for (const { address } of freshest) this._ping(address);
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -475,16 +475,16 @@
       this._handleFailure(attempt, 'unconfirmed-refusal', true);
     } else if (!head.isSealed || head.isEncoded) {
       this._handleFailure(attempt, 'not-an-answer', true);
-    } else if (head.status >= 500 && this._isRepeatable() && this._hasAlternative(attempt)) {
+    } else if (head.status >= 500 && this._isRepeatable() && this._hasAlternative()) {
       this._handleFailure(attempt, 'failed-by-target', true);
     } else if (this._forwardedEvents > 0 && head.status !== 200) {
       this._handleFailure(attempt, 'failed-by-target', true);
     }
   }
 
-  /** Whether the request may still be answered if the attempt is given up. */
-  private _hasAlternative(attempt: Attempt): boolean {
-    return this._successor !== undefined || attempt !== this._attempt || this._canRetry();
+  /** Whether the request may still be answered if an attempt is given up. */
+  private _hasAlternative(): boolean {
+    return this._successor !== undefined || this._canRetry();
   }
 
   /** Whether the head answers this request: the id identifies it, and on a new connection nothing else can come. */
@@ -640,8 +640,7 @@
     const { candidate, predictedMs } = attempt;
     this._mayHaveRun = true;
     this._trail.push(`${candidate.key} stale ${this._elapsedMs(attempt.startedAtMs)}ms`);
-    attempt.load.endRequest();
-    this._options.context.buffers.release(attempt.answer);
+    this._releaseAttempt(attempt);
     this._attempts--;
     const role = attempt === this._successor ? 'successor' : 'current';
     this._send(candidate, predictedMs, { role, isFresh: true });
@@ -720,19 +719,23 @@
       context.counters.add('monsoonreach_attempt_failures_total', { reason });
       context.health.recordOutcome(attempt.candidate.key, true, context.clock.monotonic());
     }
-    attempt.load.endRequest();
-    context.buffers.release(attempt.answer);
+    this._releaseAttempt(attempt);
     attempt.call?.cancel();
     if (this._attempt === attempt) this._attempt = undefined;
   }
 
+  /** Frees what an attempt that has ended held: its place at the target, and what was kept of its answer. */
+  private _releaseAttempt({ load, answer }: Attempt): void {
+    load.endRequest();
+    this._options.context.buffers.release(answer);
+  }
+
   private _completeAttempt(attempt: Attempt, isFailure: boolean): void {
     const { context } = this._options;
     if (!isFailure) this._witness.recordSurvival(attempt);
     this._trail.push(`${attempt.candidate.key} done ${this._elapsedMs(attempt.startedAtMs)}ms`);
     context.health.recordOutcome(attempt.candidate.key, isFailure, context.clock.monotonic());
-    attempt.load.endRequest();
-    context.buffers.release(attempt.answer);
+    this._releaseAttempt(attempt);
     this._attempt = undefined;
   }
 
