--- a/tests/node/latePeers.test.ts
+++ b/tests/node/latePeers.test.ts
@@ -4,7 +4,7 @@
 import { type RawNode, RawFleet } from '../platform/rawFleet.js';
 import { sleep } from '../standins/http.js';
 import { findFreePorts } from '../support/ports.js';
-import { RawCaller } from '../support/rawHttp.js';
+import { answerShortly, RawCaller } from '../support/rawHttp.js';
 
 const fleet = new RawFleet();
 /** Time from the silence of the store to the request, in milliseconds: 4.2 s after the last contact that any case proves. */
@@ -89,11 +89,7 @@
     setTimeout(() => process.exit(), 100);
   });
   await fleet.start();
-  await fleet.setHandler(({ socket, id }) => {
-    socket.end(
-      `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok`,
-    );
-  });
+  await fleet.setHandler(answerShortly);
   const node = await fleet.startNode('node-2');
   while (!(await node.isReady())) await sleep(50);
   for (const { name, pongs, status } of cases) {
--- a/tests/node/stalls.test.ts
+++ b/tests/node/stalls.test.ts
@@ -11,6 +11,17 @@
 /** Time after a stall from which on what arrives is fresh, in milliseconds. */
 const RESUMED_MS = 500;
 
+/** What both nodes tell of themselves. */
+const STATE = {
+  storeAgeMs: 0,
+  isFirstHand: true,
+  configurationVersion: 1,
+  isLeaving: false,
+  hasTraffic: true,
+  ownershipStamp: 0,
+  crashes: [],
+};
+
 const cases: readonly {
   readonly name: string;
   /** By how much the clocks have gone on when the process runs again, in milliseconds. */
@@ -53,15 +64,7 @@
       counters,
       log,
       owners: () => new Set(),
-      describeState: () => ({
-        storeAgeMs: 0,
-        isFirstHand: true,
-        configurationVersion: 1,
-        isLeaving: false,
-        hasTraffic: true,
-        ownershipStamp: 0,
-        crashes: [],
-      }),
+      describeState: () => STATE,
       onDigest: ({ sequence }) => received.push(sequence),
       onContact: () => undefined,
       onMessage: () => undefined,
@@ -73,12 +76,7 @@
         kind: 'digest',
         member: ['node-2', 'start-1', `127.0.0.1:${peerPort}`, 'zone-1', 1],
         sequence,
-        storeAgeMs: 0,
-        isFirstHand: true,
-        configurationVersion: 1,
-        isLeaving: false,
-        hasTraffic: true,
-        ownershipStamp: 0,
+        ...STATE,
         heard: [],
         members: [],
       };
--- a/tests/platform/changesInRequests.test.ts
+++ b/tests/platform/changesInRequests.test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import { sleep } from '../standins/http.js';
-import { RawCaller } from '../support/rawHttp.js';
+import { answerShortly, RawCaller } from '../support/rawHttp.js';
 import { createConfiguration, RawFleet } from './rawFleet.js';
 
 const fleet = new RawFleet();
@@ -34,11 +34,7 @@
     setTimeout(() => process.exit(), 100);
   });
   await fleet.start();
-  await fleet.setHandler(({ socket, id }) => {
-    socket.end(
-      `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok`,
-    );
-  });
+  await fleet.setHandler(answerShortly);
   let version = 1;
   for (const { name, framing, parts } of cases) {
     // Guards against a key that is accepted as an older configuration has it, because that was in force at the head.
--- a/tests/platform/restoredKeys.test.ts
+++ b/tests/platform/restoredKeys.test.ts
@@ -1,7 +1,7 @@
 import { systemClock } from '@monsoonreach/core';
 import t from 'tap';
 import { sleep } from '../standins/http.js';
-import { RawCaller, type RawHandler } from '../support/rawHttp.js';
+import { answerShortly, RawCaller } from '../support/rawHttp.js';
 import { createConfiguration, RawFleet } from './rawFleet.js';
 
 /** Time after which a read that waits for changes has ended, in milliseconds. */
@@ -17,12 +17,6 @@
 /** Time in which a node reads a change, in milliseconds. */
 const READ_MS = 1_200;
 
-const answer: RawHandler = ({ socket, id }) => {
-  socket.end(
-    `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok`,
-  );
-};
-
 const fleet = new RawFleet();
 const ENDED_KEY = 'key-1';
 const NEXT_KEY = 'key-2';
@@ -39,7 +33,7 @@
 // Guards against keys that are accepted after their end, because a restored store seems to confirm them.
 void t.test('a key ends in time on a node that had not read its end when the store lost it', async (t) => {
   await fleet.start();
-  await fleet.setHandler(answer);
+  await fleet.setHandler(answerShortly);
   t.equal(await send(ENDED_KEY), 200);
   fleet.store.mode = 'busy';
   await sleep(LONG_POLL_MS);
--- a/tests/support/rawHttp.ts
+++ b/tests/support/rawHttp.ts
@@ -12,6 +12,13 @@
 /** Answers a request by writing to its socket. */
 export type RawHandler = (request: RawRequest) => void;
 
+/** Answers with a short body and closes the connection. */
+export const answerShortly: RawHandler = ({ socket, id }) => {
+  socket.end(
+    `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok`,
+  );
+};
+
 /** A target that writes any bytes as its answers, whether they are HTTP or not. */
 export class RawTarget {
   handle: RawHandler = ({ socket }) => socket.destroy();
