Planner, node: log why a group is ended and who reported it as silent

Cause: an order named neither its reason nor the member it was decided on, and of three ways in which a request reports its target as silent only one was logged, so that a leave that ends sound requests looked like one that follows a loss. Ruled out: a change of logic; the conditions and their order are the same.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -10,9 +10,31 @@
 /** Weight loads that may start at once; the weight store tolerates three beyond its steady rate. */
 const WEIGHT_LOAD_BURST = 3;
 
+/** Why an order ends a group or an instance's membership of it. */
+export type GroupEndReason =
+  | 'broken'
+  | 'incomplete-before-opening'
+  | 'member-refuses'
+  | 'member-left'
+  | 'member-gone'
+  | 'member-unlisted'
+  | 'member-leaving'
+  | 'head-left'
+  | 'head-lost'
+  | 'head-unlisted'
+  | 'never-opened';
+
+/** Why an order ends a group, with the members that it was decided on as far as they are known. */
+export interface GroupEnd {
+  readonly reason: GroupEndReason;
+  readonly members: readonly string[];
+}
+
 /** An order that the planner sends to one instance. */
 export type InstanceOrder = {
   readonly instance: TargetInstance;
+  /** Set for the orders that end a group. */
+  readonly cause?: GroupEnd;
 } & (
   | {
       readonly kind: 'join';
@@ -163,51 +185,73 @@
   private _planGroup(view: FormationView, group: ObservedGroup): readonly InstanceOrder[] {
     if (isStandbyName(group.name)) return [];
     const { head } = group;
-    if (this._hasNoHead(view, group)) return planMemberLeaves(view, group);
+    const headless = this._findHeadLoss(view, group);
+    if (headless) return planMemberLeaves(view, group, headless);
     if (!head || view.instancesWithPendingOrder.has(head.id) || view.silentInstances.has(head.id)) return [];
     const order = { instance: head, group: group.name, epoch: group.epoch };
     const state = head.membership?.state;
     if (state === 'ready' && isWhole(group) && isAnswering(view, group)) return [{ ...order, kind: 'open' }];
     // The others follow once the head has left, except in a broken group, which does not serve any more.
-    if (this._isEnded(view, group)) {
-      const leave = { ...order, kind: 'leave' as const };
-      return state === 'broken' ? [leave, ...planMemberLeaves(view, group)] : [leave];
+    const cause = this._findEnd(view, group);
+    if (cause) {
+      const leave = { ...order, kind: 'leave' as const, cause };
+      return state === 'broken' ? [leave, ...planMemberLeaves(view, group, cause)] : [leave];
     }
-    const isLeaving = group.members.some((member) => member.state === 'leaving');
-    return state === 'open' && isLeaving ? [{ ...order, kind: 'close' }] : [];
+    const leaving = listIds(group.members.filter((member) => member.state === 'leaving'));
+    return state === 'open' && leaving.length > 0
+      ? [{ ...order, kind: 'close', cause: { reason: 'member-leaving', members: leaving } }]
+      : [];
   }
 
-  /** Whether the group has no head that serves, or could be told to end. */
-  private _hasNoHead(view: FormationView, group: ObservedGroup): boolean {
+  /** Returns why the group has no head that serves, or could be told to end; undefined if it has one. */
+  private _findHeadLoss(view: FormationView, group: ObservedGroup): GroupEnd | undefined {
     // The head of a formation in progress has yet to join.
-    if (this._formations.has(group.name)) return false;
+    if (this._formations.has(group.name)) return undefined;
+    const members = group.head ? [group.head.id] : [];
     const isHeadAway = !group.head || view.silentInstances.has(group.head.id);
-    const isNeverOpened = isHeadAway && this._roster.isGivenUp(group);
-    return isNeverOpened || this._roster.hasHeadLeft(group, view.instances) || isHeadLost(view, group);
+    if (isHeadAway && this._roster.isGivenUp(group)) return { reason: 'never-opened', members };
+    if (this._roster.hasHeadLeft(group, view.instances)) return { reason: 'head-left', members };
+    return isHeadLost(view, group) ? { reason: 'head-lost', members } : undefined;
   }
 
-  /** Whether a group whose head answers serves no more, or will never serve. */
-  private _isEnded(view: FormationView, group: ObservedGroup): boolean {
+  /** Returns why a group whose head answers serves no more, or will never serve; undefined if it does or may. */
+  private _findEnd(view: FormationView, group: ObservedGroup): GroupEnd | undefined {
     switch (group.head?.membership?.state) {
       case 'joining':
-      case 'ready':
-        return view.isListSettled && !this._formations.has(group.name) && !isAssembling(view, group);
+      case 'ready': {
+        const isGivenUp =
+          view.isListSettled && !this._formations.has(group.name) && !isAssembling(view, group);
+        return isGivenUp ? { reason: 'incomplete-before-opening', members: [] } : undefined;
+      }
       case 'open':
       case 'closing':
-        // A group that lost a member is stalled, and its head leaves before the engines detect that. As this ends the
-        // head's requests, silence for this node alone does not suffice: the member may be in touch with its head.
-        return (
-          group.members.some(({ id }) => view.refusingInstances.has(id)) ||
-          this._roster.hasMemberLeft(group, view.instances) ||
-          (hasLostMember(view, group) && view.isGroupStalled(toGroupId(group)))
-        );
+        return this._findLoss(view, group);
       case 'broken':
-        return true;
+        return { reason: 'broken', members: [] };
       case undefined:
-        return false;
+        return undefined;
     }
   }
 
+  /**
+   * Returns why an open group is stalled, so that its head leaves before the engines detect that. As this ends the head's
+   * requests, silence for this node alone does not suffice: the member may be in touch with its head.
+   */
+  private _findLoss(view: FormationView, group: ObservedGroup): GroupEnd | undefined {
+    const refusing = group.members.filter(({ id }) => view.refusingInstances.has(id));
+    if (refusing.length > 0) return { reason: 'member-refuses', members: listIds(refusing) };
+    const left = this._roster.listLeftMembers(group, view.instances);
+    if (left.length > 0) return { reason: 'member-left', members: left };
+    if (!view.isGroupStalled(toGroupId(group))) return undefined;
+    const gone = group.members.filter(({ id }) => view.goneInstances.has(id));
+    if (gone.length > 0) return { reason: 'member-gone', members: listIds(gone) };
+    if (!view.isListSettled || !isIncomplete(group)) return undefined;
+    return {
+      reason: 'member-unlisted',
+      members: this._roster.listUnlistedMembers(group, view.instances),
+    };
+  }
+
   private _findFreeInstances(
     view: FormationView,
     service: ServingService,
@@ -398,10 +442,8 @@
   return members.every(({ id }) => !view.silentInstances.has(id));
 }
 
-/** Whether a member is gone, or not listed though the list is complete. */
-function hasLostMember(view: FormationView, group: ObservedGroup): boolean {
-  const isGone = group.members.some(({ id }) => view.goneInstances.has(id));
-  return isGone || (view.isListSettled && isIncomplete(group));
+function listIds(instances: readonly TargetInstance[]): readonly string[] {
+  return instances.map(({ id }) => id);
 }
 
 /** Whether fewer members are listed than the group's model needs. */
@@ -430,6 +472,7 @@
 function planMemberLeaves(
   view: FormationView,
   { name, epoch, members }: ObservedGroup,
+  cause: GroupEnd,
 ): readonly InstanceOrder[] {
   return members
     .filter(
@@ -439,7 +482,7 @@
         !view.silentInstances.has(id) &&
         !view.instancesWithPendingOrder.has(id),
     )
-    .map((instance) => ({ kind: 'leave' as const, instance, group: name, epoch }));
+    .map((instance) => ({ kind: 'leave' as const, instance, group: name, epoch, cause }));
 }
 
 /** A head that is cut off from the store gets no requests; closing it makes its members available. */
@@ -452,7 +495,8 @@
       !view.instancesWithPendingOrder.has(head.id);
     if (!isOrderable || !head.membership) return [];
     const { group, epoch } = head.membership;
-    return [{ kind: 'close' as const, instance: head, group, epoch }];
+    const cause = { reason: 'head-unlisted' as const, members: [head.id] };
+    return [{ kind: 'close' as const, instance: head, group, epoch, cause }];
   });
 }
 
--- a/packages/core/src/serving/groupRoster.ts
+++ b/packages/core/src/serving/groupRoster.ts
@@ -69,8 +69,25 @@
 
   /** Whether any member shows that it is no longer in the group. */
   hasMemberLeft(group: GroupEpoch, instances: ReadonlyMap<string, TargetInstance>): boolean {
-    const holders = this._find(group)?.holders.values() ?? [];
-    return [...holders].some((holder) => hasLeft(group, holder, instances.get(holder.id)));
+    return this.listLeftMembers(group, instances).length > 0;
+  }
+
+  /** Ids of the members that show that they are no longer in the group. */
+  listLeftMembers(group: GroupEpoch, instances: ReadonlyMap<string, TargetInstance>): readonly string[] {
+    return this._listHolders(group)
+      .filter((holder) => hasLeft(group, holder, instances.get(holder.id)))
+      .map(({ id }) => id);
+  }
+
+  /** Ids of the instances that held a rank of the group and are not listed. */
+  listUnlistedMembers(group: GroupEpoch, instances: ReadonlyMap<string, TargetInstance>): readonly string[] {
+    return this._listHolders(group)
+      .map(({ id }) => id)
+      .filter((id) => !instances.has(id));
+  }
+
+  private _listHolders(group: GroupEpoch): readonly RankHolder[] {
+    return [...(this._find(group)?.holders.values() ?? [])];
   }
 
   private _find({ name, epoch }: GroupEpoch): KnownGroup | undefined {
--- a/packages/core/src/serving/memberProbes.ts
+++ b/packages/core/src/serving/memberProbes.ts
@@ -33,13 +33,18 @@
   /** When instances last answered, by id. */
   private readonly _answeredAtMs = new Map<string, number>();
 
-  /** Schedules a probe round for a group whose requests make no progress, as a node reports. */
-  suspectGroup(group: string, reporter: string, nowMs: number): void {
+  /**
+   * Schedules a probe round for a group whose requests make no progress, as a node reports.
+   * @returns whether the node had not reported it lately.
+   */
+  suspectGroup(group: string, reporter: string, nowMs: number): boolean {
     const reporters = this._reporters.get(group) ?? new Map<string, number>();
+    const isNew = nowMs - (reporters.get(reporter) ?? -Infinity) >= REPORT_TTL_MS;
     this._reporters.set(group, reporters.set(reporter, nowMs));
     const round = this._groups.get(group);
-    if (round && nowMs - round.atMs < ROUND_INTERVAL_MS) return;
-    this._groups.set(group, { atMs: nowMs, isProbed: false });
+    if (!round || nowMs - round.atMs >= ROUND_INTERVAL_MS)
+      this._groups.set(group, { atMs: nowMs, isProbed: false });
+    return isNew;
   }
 
   /**
--- a/packages/node/src/orderSender.ts
+++ b/packages/node/src/orderSender.ts
@@ -89,6 +89,7 @@
     const expectedOrderCount = this._findOrderCount(order.instance);
     if (expectedOrderCount === undefined) return;
     const basis = this._describeBasis(order.instance);
+    const sentAtMs = clock.monotonic();
     const outcome = await sendOrder(order, {
       fencingToken: term,
       expectedOrderCount,
@@ -104,6 +105,9 @@
       epoch: 'epoch' in order ? order.epoch : undefined,
       expectedOrderCount,
       ...basis,
+      cause: order.cause?.reason,
+      causeMembers: order.cause?.members,
+      sentMs: Math.round(clock.monotonic() - sentAtMs),
       outcome: outcome.kind,
     });
     await this._handleOutcome(order, outcome, { term, expectedOrderCount });
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -89,7 +89,9 @@
 
   /** Schedules checks of a group's members because its requests make no progress. */
   suspectGroup(group: string, reporter: string): void {
-    this._checks.suspectGroup(group, reporter, this._options.clock.monotonic());
+    const { clock, log, ownership } = this._options;
+    const isNew = this._checks.suspectGroup(group, reporter, clock.monotonic());
+    if (isNew && ownership.isOwner) log.info('group reported silent', { group, reporter });
   }
 
   async run(): Promise<void> {
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -197,16 +197,21 @@
     });
     if (silence === 'wait') return false;
     if (silence === 'target-silent' && context.health.recordSilence(attempt.candidate.key, nowMs)) {
-      context.log.warn('target silent', {
-        target: attempt.candidate.key,
-        request: this._options.caller.requestId,
-        silentMs: Math.round(nowMs - attempt.progressAtMs),
+      this._logSilence(attempt, {
+        reason: 'no-progress',
+        silentMs: Math.round(nowMs - Math.max(attempt.startedAtMs, attempt.progressAtMs)),
       });
       context.onSilentTarget(attempt.candidate);
     }
     return true;
   }
 
+  /** Logs what made the target suspect. */
+  private _logSilence({ candidate }: Attempt, evidence: Readonly<Record<string, unknown>>): void {
+    const { context, caller } = this._options;
+    context.log.warn('target silent', { target: candidate.key, request: caller.requestId, ...evidence });
+  }
+
   /** Seeks another target for a silent attempt, which may go on all the same: a sound target may be silent for a second. */
   private _seekSuccessor(attempt: Attempt, nowMs: number): void {
     if (nowMs < attempt.movableAtMs) return;
@@ -497,7 +502,13 @@
   private _handleRefusal(attempt: Attempt, head: ResponseHead): void {
     const { context } = this._options;
     if (head.faultyInstance !== undefined) {
-      context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
+      const isNew = context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
+      if (isNew)
+        this._logSilence(attempt, {
+          reason: 'refused',
+          status: head.status,
+          faultyInstance: head.faultyInstance,
+        });
       context.onSilentTarget(attempt.candidate);
     }
     this._handleFailure(attempt, head.status === 421 ? 'misdirected' : 'refused-by-target', false);
@@ -654,7 +665,10 @@
     const isGroup = attempt.candidate.engine !== undefined;
     if (isGroup && CONNECTION_FAILURES.has(reason)) {
       const isNew = context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
-      if (isNew) context.onSilentTarget(attempt.candidate);
+      if (isNew) {
+        this._logSilence(attempt, { reason });
+        context.onSilentTarget(attempt.candidate);
+      }
     }
     const examined = LOSSES.has(reason) ? this._witness.examineLoss(attempt, reason) : undefined;
     if (attempt === this._successor) this._dropSuccessor(attempt, reason);
