Node: a refusal of a full target is no report that its group is stalled

Cause: a 503 or 421 names the instance at fault in At-Server, and a head that is full, closing or no head any more names itself, by its address. The node took any named instance for a lost member and reported the group as silent to its planner; two such refusals within 4 s are the findings of several nodes, on which the planner ends the group of a member that is not listed or silent. Ruled out: the member's exit (the leave is sent 11 ms before the streams end, and the group serves until then); an older report of the head. Change: only a refusal that names another instance than the head is reported. The node itself still avoids a head that has refused. Evidence: node/requestRun failed in 3 of 5 cases before.

--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -501,15 +501,13 @@
   /** Handles an answer in which the target states that it has not run the request. */
   private _handleRefusal(attempt: Attempt, head: ResponseHead): void {
     const { context } = this._options;
+    const { candidate } = attempt;
     if (head.faultyInstance !== undefined) {
-      const isNew = context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
-      if (isNew)
-        this._logSilence(attempt, {
-          reason: 'refused',
-          status: head.status,
-          faultyInstance: head.faultyInstance,
-        });
-      context.onSilentTarget(attempt.candidate);
+      const isNew = context.health.recordSilence(candidate.key, context.clock.monotonic());
+      const { status, faultyInstance } = head;
+      if (isNew) this._logSilence(attempt, { reason: 'refused', status, faultyInstance });
+      // A head that is full, closing or no head any more names itself; its group need not be stalled.
+      if (isOtherInstance(faultyInstance, candidate.instance)) context.onSilentTarget(candidate);
     }
     this._handleFailure(attempt, head.status === 421 ? 'misdirected' : 'refused-by-target', false);
   }
@@ -835,6 +833,11 @@
 /** Failures after which a group gets no requests for some time. */
 const CONNECTION_FAILURES: ReadonlySet<CallOutcomeReason> = new Set(['unsent', 'target-lost', 'malformed']);
 
+/** Whether a target's answer names another instance than the target. */
+function isOtherInstance(named: string, { id, address }: TargetCandidate['instance']): boolean {
+  return named !== address && named !== id;
+}
+
 /** Ends of an attempt that do not count against its target. */
 const BLAMELESS_ENDS: ReadonlySet<AttemptEnd> = new Set([
   'caller-gone',
--- a/tests/node/requestRun.test.ts
+++ b/tests/node/requestRun.test.ts
@@ -57,6 +57,8 @@
 /** One node's requests at two groups, without a store; `place` assigns the groups. */
 class GroupFixture {
   readonly targets = [new RawTarget(), new RawTarget()] as const;
+  /** Keys of the groups that were reported as silent. */
+  readonly reported: string[] = [];
   place: Placement['place'] = () => undefined;
   route = ROUTE;
   /** Replaced by tests that let the node stop. */
@@ -167,7 +169,9 @@
       runs: this._runs,
       configuration: () => CONFIGURATION,
       connectionHeaders: () => [],
-      onSilentTarget: () => undefined,
+      onSilentTarget: ({ key }) => {
+        this.reported.push(key);
+      },
       sendProblem: (response, status, body, headers) => {
         sendProblem([], response, status, body, headers);
       },
@@ -226,6 +230,20 @@
   },
 ];
 
+/** Refusals of a head that answers, by the instance that it names as the cause. */
+const refusalCases: readonly {
+  readonly name: string;
+  readonly status: string;
+  readonly cause: (head: string) => string | undefined;
+  readonly isReported: boolean;
+}[] = [
+  { name: 'names itself', status: '503 Full', cause: (head) => head, isReported: false },
+  { name: 'names its own id', status: '503 Full', cause: () => 'head-0', isReported: false },
+  { name: 'names none', status: '503 Full', cause: () => undefined, isReported: false },
+  { name: 'is no head and names itself', status: '421 Other', cause: (head) => head, isReported: false },
+  { name: 'names a member', status: '503 Broken', cause: () => '127.0.0.1:9', isReported: true },
+];
+
 const fixture = new GroupFixture();
 
 void t.test('requests for groups', async (t) => {
@@ -249,6 +267,29 @@
     t.ok(placements < 10, `${placements} groups were asked for`);
   });
 
+  // Guards against a full head that counts as stalled, whose sound streams the planner then ends.
+  await t.test('only a refusal that names another member is reported as a silent group', async (t) => {
+    for (const { name, status, cause, isReported } of refusalCases) {
+      let placements = 0;
+      fixture.place = (_criteria, onChoice) => {
+        onChoice(fixture.choose(++placements === 1 ? 0 : 1));
+      };
+      const [first, second] = fixture.targets;
+      const named = cause(first.address);
+      first.reset(({ socket, id }) => {
+        const head = `HTTP/1.1 ${status}\r\nAttempt-Id: ${id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n`;
+        socket.write(`${head}${named === undefined ? '' : `At-Server: ${named}\r\n`}\r\n`);
+      });
+      second.reset(({ socket }) => {
+        socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}${toChunk(toEvent(1))}0\r\n\r\n`);
+      });
+      fixture.reported.length = 0;
+      const answer = await fixture.caller().exchange(REQUEST);
+      t.equal(answer.body, toEvent(1), `${name}: another group answers`);
+      t.same(fixture.reported, isReported ? ['group-0'] : [], name);
+    }
+  });
+
   await t.test(
     'a silent stream moves once another group is assigned, and its work is cancelled',
     async (t) => {
