Tests: engines refuse by name, run out of slots and leave unlisted

Their refusals named no instance, a group took any number of streams, and every instance that left said so in its entry first.

Change: 421 and 503 carry `At-Server`: the lost member of a broken group, else the instance itself, by address. `slots` bounds the streams of a group. `leaveUnlisted` removes the entry at once, serves on, stays up to 10 s while the head of its group runs requests, and then refuses connections; the head refuses new requests from then on. Every instance answers its health path: 503 while it leaves; a full head refuses the check as any request.

--- a/tests/platform/instanceStandin.test.ts
+++ b/tests/platform/instanceStandin.test.ts
@@ -48,8 +48,25 @@
   return ((await response.json()) as { readonly seqNo: number }).seqNo;
 }
 
-async function startStream(instance: InstanceStandin): Promise<Response> {
-  return fetch(`http://${instance.address}/stream/1`, { method: 'POST', headers: { 'Attempt-Id': '1' } });
+async function startStream(
+  instance: InstanceStandin,
+  headers: Readonly<Record<string, string>> = {},
+): Promise<Response> {
+  return fetch(`http://${instance.address}/stream/1`, {
+    method: 'POST',
+    headers: { 'Attempt-Id': '1', ...headers },
+  });
+}
+
+function checkHealth(instance: InstanceStandin): Promise<Response> {
+  return fetch(`http://${instance.address}/healthz`);
+}
+
+async function isRefusingConnections(instance: InstanceStandin): Promise<boolean> {
+  return checkHealth(instance).then(
+    () => false,
+    () => true,
+  );
 }
 
 const joinCases: readonly {
@@ -207,3 +224,82 @@
   await sleep(20);
   t.equal(head.group?.state, 'ready');
 });
+
+const refusalCases: readonly {
+  readonly name: string;
+  readonly to?: keyof Pair;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly prepare?: (pair: Pair) => unknown;
+  readonly status: number;
+  readonly atFault: keyof Pair;
+}[] = [
+  { name: 'a head that is full', prepare: ({ head }) => (head.slots = 0), status: 503, atFault: 'head' },
+  {
+    name: 'a head that is not open',
+    prepare: ({ head }) => send(head, CLOSE),
+    status: 503,
+    atFault: 'head',
+  },
+  { name: 'a member', to: 'member', status: 421, atFault: 'member' },
+  { name: 'another instance', headers: { 'Expect-Instance': 'other' }, status: 421, atFault: 'head' },
+  {
+    name: 'a head whose member has left and exited',
+    prepare: ({ member }) => member.leaveUnlisted(0),
+    status: 503,
+    atFault: 'member',
+  },
+  {
+    name: 'a head whose group is broken',
+    prepare: async ({ head, member }) => {
+      member.stopAnswering(10);
+      await startStream(head).catch(() => undefined);
+    },
+    status: 503,
+    atFault: 'member',
+  },
+];
+
+// Guards against tests in which a refusal names no instance, so that one that names the head itself is never tried.
+void t.test('the stand-in names the instance at fault when it refuses a request', async (t) => {
+  for (const { name, to = 'head', headers, prepare, status, atFault } of refusalCases) {
+    await t.test(name, async (t) => {
+      const pair = await createPair(t, 'open');
+      await prepare?.(pair);
+      const response = await startStream(pair[to], headers);
+      t.equal(response.status, status);
+      t.equal(response.headers.get('At-Server'), pair[atFault].publicAddress);
+    });
+  }
+});
+
+void t.test('a member leaves unlisted: it serves on while its head has requests, then exits', async (t) => {
+  const { fleet, head, member } = await createPair(t, 'open');
+  member.announce();
+  t.equal((await checkHealth(member)).status, 200);
+  fleet.pauseBefore = () => 60;
+  const stream = await startStream(head);
+  const left = member.leaveUnlisted(100);
+  t.notOk(fleet.store.listKeys('keyed.servers').includes('member'));
+  const health = await checkHealth(member);
+  t.equal(health.status, 503);
+  t.equal(health.headers.get('Replica-Id'), 'member');
+  t.equal(health.headers.get('Connection'), 'close');
+  await sleep(200);
+  t.equal(await readOrderCount(member), 1, 'it still answers reports');
+  t.equal((await stream.text()).match(/^id:/gm)?.length, EVENTS_PER_STREAM, 'the stream is complete');
+  await left;
+  t.ok(await isRefusingConnections(member));
+  t.notOk(fleet.store.listKeys('keyed.servers').includes('member'));
+});
+
+void t.test(
+  'a health check of a full head is refused as a request, and that of its member is not',
+  async (t) => {
+    const { head, member } = await createPair(t, 'open');
+    head.slots = 0;
+    const response = await checkHealth(head);
+    t.equal(response.status, 503);
+    t.equal(response.headers.get('Not-Executed'), '1');
+    t.equal((await checkHealth(member)).status, 200);
+  },
+);
--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -20,6 +20,12 @@
 const BREAK_DETECTION_MS = 2_000;
 /** Delay before an instance in mode `late-orders` executes an order, whose sender has timed out by then. */
 const ORDER_DELAY_MS = 2_500;
+/** Longest time for which an instance that leaves waits for the requests of its head, in milliseconds. */
+const MAX_LEAVE_MS = 10_000;
+/** Interval at which it looks at its head meanwhile, in milliseconds. */
+const LEAVE_CHECK_INTERVAL_MS = 20;
+/** Path of the health checks of both services. */
+const HEALTH_PATH = '/healthz';
 /** Time without an announcement after which an instance's entry in the store expires. */
 const ENTRY_EXPIRY_MS = 3_600;
 
@@ -111,6 +117,8 @@
   mode: InstanceMode = 'well';
   /** Requests per second that it takes, as it tells in its answers; it names no limit by default. */
   requestsPerS: number | undefined;
+  /** Number of streams that its group runs at the same time; it refuses others. */
+  slots = Infinity;
   /** Whether the instance cannot reach the store. Its entry expires, but requests still reach it. */
   isDisconnectedFromStore = false;
   /** Number of starts, announced as the start time so that each start has another one. */
@@ -118,6 +126,7 @@
   private _fencingToken = 0;
   private readonly _stagedModels: string[] = [];
   private _server: Server | undefined;
+  private _address = '';
   private _group: Membership | undefined;
   /** Group that the instance has been ordered to open and does not serve yet. */
   private _opening: Membership | undefined;
@@ -129,6 +138,8 @@
   /** Responses in progress whose end is that of their connection. */
   private readonly _unframed = new Set<ServerResponse>();
   private _state: 'ready' | 'draining' = 'ready';
+  private _isLeavingUnlisted = false;
+  private _hasExited = false;
 
   constructor(
     private readonly _fleet: InstanceFleet,
@@ -144,6 +155,7 @@
 
   async start(): Promise<void> {
     this._server = await listen((request, response, url) => this._handleRequest(request, response, url), 0);
+    this._address = `127.0.0.1:${(this._server.address() as AddressInfo).port}`;
     this.announce();
   }
 
@@ -153,7 +165,17 @@
   }
 
   get address(): string {
-    return `127.0.0.1:${(this._server?.address() as AddressInfo).port}`;
+    return this._address;
+  }
+
+  /** Address that the instance announces. */
+  get publicAddress(): string {
+    return this._publicAddress ?? this._address;
+  }
+
+  /** Whether the instance is about to exit, with or without an entry that says so. */
+  get isLeaving(): boolean {
+    return this._isLeavingUnlisted || this._state === 'draining';
   }
 
   /** Sets the instance's group and the number of orders that it has executed. */
@@ -210,8 +232,33 @@
     this.announce();
   }
 
+  /**
+   * Leaves without ever announcing it: its entry is removed at once. It serves for `durationMs` more, and while the head of
+   * its group has requests, then exits.
+   */
+  async leaveUnlisted(durationMs: number): Promise<void> {
+    const startedAtMs = Date.now();
+    this._isLeavingUnlisted = true;
+    this._fleet.store.put('keyed.servers', this.id, undefined);
+    await sleep(durationMs);
+    while (this._hasBusyHead() && Date.now() - startedAtMs < MAX_LEAVE_MS) {
+      await sleep(LEAVE_CHECK_INTERVAL_MS);
+    }
+    this.mode = 'dark';
+    this._hasExited = true;
+    this._group = undefined;
+    this.stop();
+  }
+
+  /** Whether the head of the instance's group, which may be the instance itself, runs requests. */
+  private _hasBusyHead(): boolean {
+    const head = this._fleet.instances.get(this._group?.members[0] ?? '');
+    return head?._group?.name === this._group?.name && (head?._runningStreams ?? 0) > 0;
+  }
+
   /** Writes the instance's entry to the store. */
   announce(): void {
+    if (this._isLeavingUnlisted) return;
     if (this.mode === 'dark' || this.isDisconnectedFromStore || !this._server?.listening) return;
     this._announcementCount++;
     this._fleet.store.put('keyed.servers', this.id, this.describeEntry());
@@ -221,7 +268,7 @@
   describeEntry(): Readonly<Record<string, unknown>> {
     return {
       service: this._service,
-      address: this._publicAddress ?? this.address,
+      address: this.publicAddress,
       zone: 'zone-1',
       version: 'v1',
       slots: 4,
@@ -247,15 +294,52 @@
   private async _handleRequest(request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> {
     if (this.mode === 'dark') return;
     const expected = request.headers['expect-instance'];
+    if (this.isLeaving) response.shouldKeepAlive = false;
     if (expected !== undefined && expected !== this.id) {
-      response.writeHead(421, { 'Replica-Id': this.id }).end();
+      response.writeHead(421, { 'Replica-Id': this.id, 'At-Server': this.publicAddress }).end();
       return;
     }
     if (url.pathname === '/v1/report') sendJson(response, 200, { ...this._describeState(), busy: false });
     else if (url.pathname === '/v1/order') await this._handleOrder(request, response);
+    else if (url.pathname === HEALTH_PATH) this._handleHealthCheck(request, response);
     else await this._runRequest(request, response);
   }
 
+  /** A health check waits for a slot or is refused as requests are; members run none, so that theirs are free. */
+  private _handleHealthCheck(request: IncomingMessage, response: ServerResponse): void {
+    if (this._isFull()) this._refuse(response, String(request.headers['attempt-id']));
+    else response.writeHead(this.isLeaving ? 503 : 200, { 'Replica-Id': this.id }).end();
+  }
+
+  private _isFull(): boolean {
+    return this.mode === 'full' || this._runningStreams >= this.slots;
+  }
+
+  /** States that a request was not run, and the instance at fault: the lost member of a broken group, or the instance. */
+  private _refuse(response: ServerResponse, requestId: string): void {
+    const isMemberAtFault = this._group?.state === 'broken' || this._hasExitedMember();
+    const atFault = isMemberAtFault ? this._findLostMember() : undefined;
+    response
+      .writeHead(503, {
+        'Not-Executed': '1',
+        'Attempt-Id': requestId,
+        'Replica-Id': this.id,
+        'At-Server': (atFault ?? this).publicAddress,
+      })
+      .end();
+  }
+
+  private _findLostMember(): InstanceStandin | undefined {
+    const group = this._group;
+    const lost = group?.members.find((id) => !this._isPresent(id, group));
+    return this._fleet.instances.get(lost ?? '');
+  }
+
+  /** Whether a member has left and exited, unlike one that crashed; the head notices that at once. */
+  private _hasExitedMember(): boolean {
+    return this._findLostMember()?._hasExited ?? false;
+  }
+
   private async _handleOrder(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const order = JSON.parse(await readText(request)) as Readonly<Record<string, unknown>>;
     if (this.mode === 'late-orders') {
@@ -385,13 +469,21 @@
     const isRefusingLate = this.mode === 'refuses-late';
     if (isRefusingLate) await sleep(REFUSAL_DELAY_MS);
     if (this._group && this._group.rank !== 0) {
-      response.writeHead(421, { 'Replica-Id': this.id, 'Attempt-Id': requestId }).end();
+      response
+        .writeHead(421, {
+          'Replica-Id': this.id,
+          'Attempt-Id': requestId,
+          'At-Server': this.publicAddress,
+        })
+        .end();
       return;
     }
-    const isServing = this._group ? this._group.state === 'open' : this._service !== ENGINE_SERVICE;
+    const isServing = this._group
+      ? this._group.state === 'open' && !this._hasExitedMember()
+      : this._service !== ENGINE_SERVICE;
     // A draining target still runs the requests that reach it: tests must see a node that sends it new ones.
-    if (isRefusingLate || this.mode === 'full' || !isServing) {
-      response.writeHead(503, { 'Not-Executed': '1', 'Attempt-Id': requestId }).end();
+    if (isRefusingLate || this._isFull() || !isServing) {
+      this._refuse(response, requestId);
       return;
     }
     this._fleet.runs.push({
@@ -497,10 +589,12 @@
 
   private _isWhole(group: Membership): boolean {
     if (this._group !== group) return false;
-    return group.members.every((id) => {
-      const member = this._fleet.instances.get(id);
-      return member?.mode !== 'dark' && member?.group?.name === group.name;
-    });
+    return group.members.every((id) => this._isPresent(id, group));
+  }
+
+  private _isPresent(id: string, group: Membership): boolean {
+    const member = this._fleet.instances.get(id);
+    return member?.mode !== 'dark' && member?.group?.name === group.name;
   }
 }
 
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -41,6 +41,7 @@
     services: [
       {
         name: 'engines',
+        healthCheckPath: '/healthz',
         maxConnections: 100,
         engine: {
           slots: 8,
@@ -56,7 +57,7 @@
           loads_at_once: 8,
         },
       },
-      { name: 'plain', maxConnections: 50 },
+      { name: 'plain', healthCheckPath: '/healthz', maxConnections: 50 },
     ],
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
     tenants: [{ name: 'workspace-1', apiKeys: keys, priority: 1 }],
