Planner: close the group of a member that leaves without having announced it

What callers saw: streams that end in the middle, or move to another group and begin to wait anew, seconds after a target was replaced in planned work. Cause: the planner closes a head only if a member's entry says that it leaves. Some members never say so: their entry is removed, and they serve on for a while. Their group stayed open until it stalled, and was then told to leave, which ends what runs in it. Class: a decision rests on an entry that is not there, which does not tell leaving from being cut off from the store. Ruled out: closing as soon as an entry is missing: the second case of platform/unlistedMembers, a member that is cut off from the store only, would lose a sound group. Change: the planner asks such members at the service's health path. One that leaves or has gone lets its group be closed; one that serves keeps it open, also while several nodes find the group silent for a moment. The head leaves once the group is stalled and the member answers no more. The last entries of removed members are those of the instance list, so that a planner that takes over asks them as well.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -6,6 +6,7 @@
 import type { ModelProfile, ServingService } from './servingConfiguration.js';
 import { MAX_EPOCHS_PER_TERM } from './shards.js';
 import { isServingState, type TargetInstance } from './targetInstance.js';
+import type { UnlistedMember } from './unlistedMembers.js';
 
 /** Weight loads that may start at once; the weight store tolerates three beyond its steady rate. */
 const WEIGHT_LOAD_BURST = 3;
@@ -17,7 +18,8 @@
   | 'member-refuses'
   | 'member-left'
   | 'member-gone'
-  | 'member-unlisted'
+  | 'member-lost'
+  | 'member-unknown'
   | 'member-leaving'
   | 'head-left'
   | 'head-lost'
@@ -78,6 +80,8 @@
   readonly isGroupStalled: (group: string, silentHead?: string) => boolean;
   /** Heads that are missing from the instance list but still serve. */
   readonly unlistedServingHeads: readonly TargetInstance[];
+  /** Members of a serving group that are missing from the instance list, as they answer. */
+  readonly findUnlistedMembers: (group: string) => readonly UnlistedMember[];
   /** False while the list may lack running instances, as after an outage of the store. */
   readonly isListSettled: boolean;
   /** Number of groups that the traffic needs, by model; empty before the first request. */
@@ -197,9 +201,9 @@
       const leave = { ...order, kind: 'leave' as const, cause };
       return state === 'broken' ? [leave, ...planMemberLeaves(view, group, cause)] : [leave];
     }
-    const leaving = listIds(group.members.filter((member) => member.state === 'leaving'));
-    return state === 'open' && leaving.length > 0
-      ? [{ ...order, kind: 'close', cause: { reason: 'member-leaving', members: leaving } }]
+    const departing = listDepartingMembers(view, group);
+    return state === 'open' && departing.length > 0
+      ? [{ ...order, kind: 'close', cause: { reason: 'member-leaving', members: departing } }]
       : [];
   }
 
@@ -245,11 +249,12 @@
     if (!view.isGroupStalled(toGroupId(group))) return undefined;
     const gone = group.members.filter(({ id }) => view.goneInstances.has(id));
     if (gone.length > 0) return { reason: 'member-gone', members: listIds(gone) };
-    if (!view.isListSettled || !isIncomplete(group)) return undefined;
-    return {
-      reason: 'member-unlisted',
-      members: this._roster.listUnlistedMembers(group, view.instances),
-    };
+    const unlisted = view.findUnlistedMembers(toGroupId(group));
+    const lost = unlisted.filter(({ state }) => state === 'lost');
+    if (lost.length > 0) return { reason: 'member-lost', members: listIds(lost) };
+    // A member that this node has never seen cannot be asked.
+    const isMemberUnknown = view.isListSettled && isIncomplete(group, unlisted.length);
+    return isMemberUnknown ? { reason: 'member-unknown', members: [] } : undefined;
   }
 
   private _findFreeInstances(
@@ -442,13 +447,21 @@
   return members.every(({ id }) => !view.silentInstances.has(id));
 }
 
-function listIds(instances: readonly TargetInstance[]): readonly string[] {
+/** Ids of the members that are leaving or have left; some never say so in the list, and are removed from it. */
+function listDepartingMembers(view: FormationView, group: ObservedGroup): readonly string[] {
+  const unlisted = view
+    .findUnlistedMembers(toGroupId(group))
+    .filter(({ state }) => state === 'leaving' || state === 'lost');
+  return listIds([...group.members.filter(({ state }) => state === 'leaving'), ...unlisted]);
+}
+
+function listIds(instances: readonly { readonly id: string }[]): readonly string[] {
   return instances.map(({ id }) => id);
 }
 
-/** Whether fewer members are listed than the group's model needs. */
-function isIncomplete({ model, members }: ObservedGroup): boolean {
-  return model !== undefined && members.length < model.groupSize;
+/** Whether fewer members are known than the group's model needs. */
+function isIncomplete({ model, members }: ObservedGroup, unlistedCount: number): boolean {
+  return model !== undefined && members.length + unlistedCount < model.groupSize;
 }
 
 /** Whether all members are present and not broken; such a group, also of an earlier term, may still become ready. */
--- a/packages/core/src/serving/groupRoster.ts
+++ b/packages/core/src/serving/groupRoster.ts
@@ -79,13 +79,6 @@
       .map(({ id }) => id);
   }
 
-  /** Ids of the instances that held a rank of the group and are not listed. */
-  listUnlistedMembers(group: GroupEpoch, instances: ReadonlyMap<string, TargetInstance>): readonly string[] {
-    return this._listHolders(group)
-      .map(({ id }) => id)
-      .filter((id) => !instances.has(id));
-  }
-
   private _listHolders(group: GroupEpoch): readonly RankHolder[] {
     return [...(this._find(group)?.holders.values() ?? [])];
   }
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -32,3 +32,4 @@
 export * from './targetLimits.js';
 export * from './topicReaders.js';
 export * from './unlistedHeads.js';
+export * from './unlistedMembers.js';
--- a/packages/core/src/serving/servingConfiguration.ts
+++ b/packages/core/src/serving/servingConfiguration.ts
@@ -76,6 +76,8 @@
   readonly name: string;
   /** Connections that one target accepts from all callers together. */
   readonly maxConnections: number;
+  /** Path at which a target answers whether it serves; undefined when it has none. */
+  readonly healthPath: string | undefined;
   /** Only for services whose targets form groups. */
   readonly engine: EngineProfile | undefined;
 }
--- a/packages/node/src/instanceList.ts
+++ b/packages/node/src/instanceList.ts
@@ -93,6 +93,11 @@
     return this._instances.get(id);
   }
 
+  /** Instances that were removed lately, as their last entries show them. */
+  listRemoved(): readonly TargetInstance[] {
+    return [...this._removed.values()].map(({ entry }) => entry.instance);
+  }
+
   /** Replaces the list by the newest entry of every instance. */
   replaceAll(records: readonly KeyedRecord[]): void {
     const keys = new Set(records.map(({ key }) => key));
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -5,9 +5,13 @@
   type FormationView,
   groupId,
   MemberProbes,
+  observeGroups,
   pause,
+  type TargetInstance,
   type ServingConfiguration,
+  UnlistedMembers,
 } from '@monsoonreach/core';
+import { readHealth } from '@monsoonreach/platform';
 import type { DecisionLog } from './decisionLog.js';
 import type { HeadMonitor } from './headMonitor.js';
 import type { InstanceList } from './instanceList.js';
@@ -50,6 +54,7 @@
   private readonly _planner = new FormationPlanner();
   private readonly _orders: OrderSender;
   private readonly _checks = new MemberProbes();
+  private readonly _unlisted = new UnlistedMembers();
   private readonly _abortController = new AbortController();
   private _followUp: NodeJS.Timeout | undefined;
   private _plannedAtMs = -Infinity;
@@ -128,9 +133,10 @@
     const current = configuration();
     if (!current || !ownership.isOwner) return;
     this._checkMembers();
+    this._checkUnlistedMembers(current);
     this._refreshInstances();
     const nowMs = clock.monotonic();
-    const version = `${list.version}/${this._orders.version}/${ownership.stamp}/${[...this._checks.getLostMembers()].join()}/${[...this._checks.getGoneMembers(nowMs)].join()}`;
+    const version = `${list.version}/${this._orders.version}/${ownership.stamp}/${this._unlisted.version}/${[...this._checks.getLostMembers()].join()}/${[...this._checks.getGoneMembers(nowMs)].join()}`;
     const isIdle =
       version === this._plannedVersion && !this._planner.isForming && !this._orders.hasPendingOrders;
     if (isIdle && nowMs - this._plannedAtMs < IDLE_INTERVAL_MS) return;
@@ -152,6 +158,32 @@
     for (const id of this._checks.takeDueProbes(members, nowMs)) void this._checkMember(id);
   }
 
+  /** Asks members that have disappeared from the list, while their group serves, whether they leave. */
+  private _checkUnlistedMembers(configuration: ServingConfiguration): void {
+    const { clock, list } = this._options;
+    const nowMs = clock.monotonic();
+    const removed = list
+      .listRemoved()
+      .filter(({ fabricDomain }) => this._findTerm(fabricDomain) !== undefined);
+    const services = [...configuration.services.values()].filter(({ engine }) => engine);
+    const instances = removed.length > 0 ? [...this._orders.listInstances().values()] : [];
+    const groups = services.flatMap((service) => [...observeGroups(service, instances)]);
+    this._unlisted.update(new Map(groups), removed, nowMs);
+    for (const instance of this._unlisted.takeDue(nowMs)) {
+      const path = configuration.services.get(instance.service)?.healthPath;
+      if (path !== undefined) void this._askHealth(instance, path);
+    }
+  }
+
+  private async _askHealth(instance: TargetInstance, path: string): Promise<void> {
+    const { clock, log } = this._options;
+    const { version } = this._unlisted;
+    const health = await readHealth(instance, { path, timeoutMs: CHECK_TIMEOUT_MS });
+    this._unlisted.recordHealth(instance, health, clock.monotonic());
+    if (this._unlisted.version !== version)
+      log.info('unlisted member answered', { target: instance.id, health });
+  }
+
   private async _checkMember(id: string): Promise<void> {
     const { list, log } = this._options;
     const instance = list.get(id);
@@ -196,6 +228,7 @@
       isGroupStalled: (group, silentHead) =>
         this._checks.countReporters(group, nowMs, silentHead) >= Math.min(MIN_STALL_REPORTERS, countNodes()),
       unlistedServingHeads: heads.serving(),
+      findUnlistedMembers: (group) => this._unlisted.list(group, nowMs),
       isListSettled: this._wasListSettled,
       demand: demand(),
       plannerCount: Math.max(1, ownership.listAddresses().size),
--- a/tests/serving/fixtures.ts
+++ b/tests/serving/fixtures.ts
@@ -42,7 +42,12 @@
   crossDomainFactor: 2.5,
 };
 
-export const SERVICE: ServingService = { name: 'engines', maxConnections: 400, engine: ENGINE_PROFILE };
+export const SERVICE: ServingService = {
+  name: 'engines',
+  maxConnections: 400,
+  healthPath: undefined,
+  engine: ENGINE_PROFILE,
+};
 
 /** Creates an instance of the service `engines`. */
 export function createInstance(id: string, options: Partial<TargetInstance> = {}): TargetInstance {
@@ -98,6 +103,7 @@
     isHeadGone: () => false,
     isGroupStalled: () => false,
     unlistedServingHeads: [],
+    findUnlistedMembers: () => [],
     isListSettled: true,
     demand: new Map(),
     plannerCount: 1,
--- a/tests/serving/formationPlanner.test.ts
+++ b/tests/serving/formationPlanner.test.ts
@@ -10,6 +10,7 @@
   type InstanceOrder,
   NO_OWNERS,
   type TargetInstance,
+  type UnlistedMemberState,
 } from '@monsoonreach/core';
 import t from 'tap';
 import {
@@ -79,6 +80,11 @@
   return { ...member, membership: undefined, models: [] };
 }
 
+/** The third member is missing from the list. */
+function withUnlisted(state: UnlistedMemberState, isStalled = false): Partial<FormationView> {
+  return { findUnlistedMembers: () => [{ id: 'a-2', state }], isGroupStalled: () => isStalled };
+}
+
 interface Case {
   readonly name: string;
   readonly instances: readonly TargetInstance[];
@@ -166,6 +172,50 @@
     instances: [head, second, standby],
     orders: [],
   },
+  // Guards against a group that is cut off in its work since a member left without having announced it.
+  {
+    name: 'an open group is closed once a member without an entry leaves',
+    instances: [head, second],
+    view: withUnlisted('leaving'),
+    orders: ['close a-0'],
+  },
+  {
+    name: 'a closing group goes on with its requests while a member without an entry leaves',
+    instances: [withState(head, 'closing'), second],
+    view: withUnlisted('leaving', true),
+    orders: [],
+  },
+  {
+    name: 'an open group is closed once a member without an entry is lost',
+    instances: [head, second],
+    view: withUnlisted('lost'),
+    orders: ['close a-0'],
+  },
+  {
+    name: 'the head leaves once a member without an entry is lost and the group is stalled',
+    instances: [withState(head, 'closing'), second],
+    view: withUnlisted('lost', true),
+    orders: ['leave a-0'],
+  },
+  // Guards against a sound group that ends on a short silence since a member is cut off from the store.
+  {
+    name: 'an open group stays open, also while it is silent, while a member without an entry serves',
+    instances: [head, second],
+    view: withUnlisted('serving', true),
+    orders: [],
+  },
+  {
+    name: 'an open group stays open while it is not known what a member without an entry does',
+    instances: [head, second],
+    view: withUnlisted('unknown', true),
+    orders: [],
+  },
+  {
+    name: 'the head leaves once the group is stalled and a member was never known',
+    instances: [head, second],
+    view: { isGroupStalled: () => true },
+    orders: ['leave a-0'],
+  },
   {
     name: 'members of a closing group are not used elsewhere',
     instances: [withState(head, 'closing'), second, third, standby],
--- a/tests/serving/simulatedFleet.ts
+++ b/tests/serving/simulatedFleet.ts
@@ -370,6 +370,7 @@
       plannerCount: 1,
       isGroupStalled: (group, silentHead) => this.checks.countReporters(group, nowMs, silentHead) >= 2,
       unlistedServingHeads: this.heads.getServingHeads(),
+      findUnlistedMembers: () => [],
       isListSettled: true,
       demand: new Map(MODELS.map(({ name }) => [name, 2])),
       hasTraffic: true,
--- a/tests/serving/stopAdmission.test.ts
+++ b/tests/serving/stopAdmission.test.ts
@@ -21,7 +21,7 @@
   routes: [ROUTE],
   services: new Map([
     [SERVICE.name, SERVICE],
-    ['plain', { name: 'plain', maxConnections: 10, engine: undefined }],
+    ['plain', { name: 'plain', maxConnections: 10, healthPath: undefined, engine: undefined }],
   ]),
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   workspaces: undefined,
