Planner: tell a head that is not listed to close only while it is open

What callers saw: nothing; the orders are priced, and one that is refused makes the planner ask the head again. Cause: the heads to be closed were all that serve without being listed, also those that are closing already. Each cycle sent another order, as the list can't show the effect on a head that isn't listed, and an acknowledged close frees the head for the next order. Change: a head is told to close if its last answer was that it is open, and if it has not begun to close since. Evidence: node/planning failed before with 5 orders to one head in 1.25 s, 2 of them refused, and passes with 1; serving/decisions shows that a closing head is not to be closed. Both pass, as does serving/formationPlanner.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -78,8 +78,8 @@
    * not cut off from one node only.
    */
   readonly isGroupStalled: (group: string, silentHead?: string) => boolean;
-  /** Heads that are missing from the instance list but still serve. */
-  readonly unlistedServingHeads: readonly TargetInstance[];
+  /** Heads that are missing from the instance list but accept requests. */
+  readonly unlistedOpenHeads: readonly TargetInstance[];
   /** Members of a serving group that are missing from the instance list, as they answer. */
   readonly findUnlistedMembers: (group: string) => readonly UnlistedMember[];
   /** False while the list may lack running instances, as after an outage of the store. */
@@ -501,7 +501,7 @@
 /** A head that is cut off from the store gets no requests; closing it makes its members available. */
 function planUnlistedHeadCloses(view: FormationView, service: ServingService): readonly InstanceOrder[] {
   if (!view.isListSettled) return [];
-  return view.unlistedServingHeads.flatMap((head) => {
+  return view.unlistedOpenHeads.flatMap((head) => {
     const isOrderable =
       head.service === service.name &&
       view.findTerm(head.fabricDomain) !== undefined &&
--- a/packages/core/src/serving/unlistedHeads.ts
+++ b/packages/core/src/serving/unlistedHeads.ts
@@ -1,5 +1,5 @@
 import { groupId, isHeadServing, type ObservedGroup } from './observedGroups.js';
-import { isServingState, type TargetInstance } from './targetInstance.js';
+import { isServingState, type MemberState, type TargetInstance } from './targetInstance.js';
 
 /** Consecutive missed probes after which a head counts as silent. */
 const SILENT_AFTER_MISSES = 3;
@@ -18,6 +18,8 @@
   readonly sinceMs: number;
   misses: number;
   finding: HeadFinding | undefined;
+  /** State that it last reported; undefined while it has not answered, or is no longer in the group. */
+  state: MemberState | undefined;
 }
 
 /**
@@ -43,7 +45,7 @@
       if (!this._headlessSinceMs.has(id)) this._headlessSinceMs.set(id, nowMs);
       const head = this._listedHeads.get(id);
       if (head && !this._missingHeads.has(id)) {
-        this._missingHeads.set(id, { head, sinceMs: nowMs, misses: 0, finding: undefined });
+        this._missingHeads.set(id, { head, sinceMs: nowMs, misses: 0, finding: undefined, state: undefined });
       }
     }
     for (const id of this._headlessSinceMs.keys()) {
@@ -80,8 +82,8 @@
     }
     missing.misses = 0;
     const isSameGroup = answer?.epoch === head.membership.epoch && answer.group === head.membership.group;
-    const isServing = isSameGroup && isServingState(answer.state);
-    missing.finding = isServing ? 'serving' : 'idle';
+    missing.state = isSameGroup ? answer.state : undefined;
+    missing.finding = isServingState(missing.state) ? 'serving' : 'idle';
   }
 
   /** Returns this node's findings by group id, to be sent to its peers. */
@@ -91,10 +93,10 @@
     return found;
   }
 
-  /** Returns the heads that still serve although they are not listed, to be closed. */
-  getServingHeads(): readonly TargetInstance[] {
+  /** Returns the heads that accept requests although they are not listed, to be closed. */
+  getOpenHeads(): readonly TargetInstance[] {
     return [...this._missingHeads.values()]
-      .filter(({ finding }) => finding === 'serving')
+      .filter(({ finding, state }) => finding === 'serving' && state === 'open')
       .map(({ head }) => head);
   }
 
--- a/packages/node/src/headMonitor.ts
+++ b/packages/node/src/headMonitor.ts
@@ -60,9 +60,9 @@
     else this._peerFindings.set(peer, { findings, atMs: this._options.clock.monotonic() });
   }
 
-  /** Heads that are not listed but still serve. */
-  serving(): readonly TargetInstance[] {
-    return this._heads.getServingHeads();
+  /** Heads that are not listed but accept requests. */
+  open(): readonly TargetInstance[] {
+    return this._heads.getOpenHeads();
   }
 
   /** Whether a group whose head is not listed has stopped serving, as far as the nodes that asked can tell. */
--- a/packages/node/src/orderSender.ts
+++ b/packages/node/src/orderSender.ts
@@ -67,6 +67,11 @@
     return this._overlay.merge(this._options.list);
   }
 
+  /** Whether the head has begun to close, which the instance list does not show of one that is not listed. */
+  isClosing({ id }: TargetInstance): boolean {
+    return this._overlay.getMemberState(id) === 'closing';
+  }
+
   /** Ids of the instances whose entry in the list still contradicts what this node knows. */
   listContradicted(): readonly string[] {
     return this._overlay.listContradicted(this._options.list);
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -227,7 +227,7 @@
       isHeadGone: (group) => heads.isReleased(group),
       isGroupStalled: (group, silentHead) =>
         this._checks.countReporters(group, nowMs, silentHead) >= Math.min(MIN_STALL_REPORTERS, countNodes()),
-      unlistedServingHeads: heads.serving(),
+      unlistedOpenHeads: heads.open().filter((head) => !this._orders.isClosing(head)),
       findUnlistedMembers: (group) => this._unlisted.list(group, nowMs),
       isListSettled: this._wasListSettled,
       demand: demand(),
--- a/tests/node/planning.test.ts
+++ b/tests/node/planning.test.ts
@@ -4,6 +4,7 @@
 import { sleep } from '../standins/http.js';
 import { InstanceFleet } from '../platform/instanceStandin.js';
 import { StoreStandin } from '../platform/storeStandin.js';
+import { replaceList } from '../support/instanceList.js';
 import { createPlanner } from '../support/planner.js';
 
 function createEntry(
@@ -56,6 +57,46 @@
   );
 }
 
+// Guards against a head that is told to close again and again while it finishes its requests.
+void t.test('a head that serves without being listed is told to close once', async (t) => {
+  const store = new StoreStandin();
+  const address = await store.start();
+  const fleet = new InstanceFleet(store, 20);
+  fleet.pauseBefore = () => 100;
+  const head = await fleet.add('head', 'engines', 'domain-1');
+  const member = await fleet.add('member', 'engines', 'domain-1');
+  const members = ['head', 'member'];
+  head.setGroup({ name: 'old', epoch: 5, rank: 0, members, state: 'open' }, 2);
+  member.setGroup({ name: 'old', epoch: 5, rank: 1, members, state: 'ready' }, 1);
+  const memberEntry = ['member', createEntry('member', member.address, { rank: 1 })] as const;
+  const planner = await createPlanner('node-1', address, [
+    ['head', createEntry('head', head.address, { rank: 0, state: 'open' })],
+    memberEntry,
+  ]);
+  const { ownership, list, heads, counters } = planner;
+  t.teardown(() => {
+    planner.stop();
+    fleet.stop();
+    store.stop();
+  });
+  await planner.start();
+  while (!ownership.isOwner) await sleep(50);
+  heads.tick();
+  const stream = fetch(`http://${head.address}/`, { headers: { 'Attempt-Id': 'a' } });
+  await sleep(200);
+  replaceList(list, [memberEntry]);
+  for (let ticks = 0; ticks < 25; ticks++) {
+    heads.tick();
+    await sleep(50);
+  }
+  t.equal(head.group?.state, 'closing');
+  const closes = counters.expose().match(/^monsoonreach_orders_total\{.*kind="close".*\} \d+$/gm) ?? [];
+  t.match(closes.join(), / 1$/, 'one order');
+  t.equal(closes.length, 1);
+  const answer = await stream;
+  t.equal((await answer.text()).match(/^id: /gm)?.length, 20, 'the stream is complete');
+});
+
 /** Creates nodes that know each other, with a store. */
 async function createFleet(size: number) {
   const store = new StoreStandin();
--- a/tests/serving/decisions.test.ts
+++ b/tests/serving/decisions.test.ts
@@ -446,6 +446,23 @@
   });
 }
 
+// Guards against a head that is told to close again and again while it finishes its requests.
+void t.test('a head that is not listed is to be closed only while it is open', (t) => {
+  const watch = new UnlistedHeads();
+  watch.update(observeGroups(SERVICE, [head, ...members]), 0);
+  watch.update(observeGroups(SERVICE, members), 100);
+  t.same(watch.getOpenHeads(), [], 'before its answer');
+  for (const [state, isToBeClosed] of [
+    ['open', true],
+    ['closing', false],
+    ['ready', false],
+  ] as const) {
+    watch.recordAnswer(head, head.membership && { ...head.membership, state });
+    t.same(watch.getOpenHeads(), isToBeClosed ? [head] : [], state);
+  }
+  t.end();
+});
+
 void t.test('a head that is listed again is no longer asked', (t) => {
   const watch = new UnlistedHeads();
   watch.update(observeGroups(SERVICE, [head, ...members]), 0);
--- a/tests/serving/fixtures.ts
+++ b/tests/serving/fixtures.ts
@@ -102,7 +102,7 @@
     goneInstances: new Set(),
     isHeadGone: () => false,
     isGroupStalled: () => false,
-    unlistedServingHeads: [],
+    unlistedOpenHeads: [],
     findUnlistedMembers: () => [],
     isListSettled: true,
     demand: new Map(),
--- a/tests/serving/formationPlanner.test.ts
+++ b/tests/serving/formationPlanner.test.ts
@@ -274,7 +274,7 @@
   {
     name: 'a head that serves without being listed is closed first',
     instances: [second, third, standby],
-    view: { unlistedServingHeads: [head] },
+    view: { unlistedOpenHeads: [head] },
     orders: ['close a-0'],
   },
   {
--- a/tests/serving/simulatedFleet.ts
+++ b/tests/serving/simulatedFleet.ts
@@ -369,7 +369,7 @@
         this.heads.isReleased(group, [this._fleet.findPeer(this).heads.getFindings()], 1, nowMs),
       plannerCount: 1,
       isGroupStalled: (group, silentHead) => this.checks.countReporters(group, nowMs, silentHead) >= 2,
-      unlistedServingHeads: this.heads.getServingHeads(),
+      unlistedOpenHeads: this.heads.getOpenHeads(),
       findUnlistedMembers: () => [],
       isListSettled: true,
       demand: new Map(MODELS.map(({ name }) => [name, 2])),
--- a/tests/support/planner.ts
+++ b/tests/support/planner.ts
@@ -84,5 +84,5 @@
     ownership.stop();
     exchange.stop();
   };
-  return { self, planning, ownership, exchange, list, start, stop };
+  return { self, planning, ownership, exchange, list, heads, counters, start, stop };
 }
