Planner: a member that leaves and stops listening has not left its group

Cause: a member that drains stops listening, but remains in its group while the head has requests. The planner took its refusals for those of a member that is gone: on two refused checks of a listed one it told the head to leave at once, and with one that isn't listed as soon as two nodes found the group silent, which a sound one may be for a second. Class: a decision on what an instance says to the planner, not on what its group does. Ruled out: that such a member is lost after all: then its group stalls, the engines declare the head broken, and the planner ends it for that. Change: refusals of a member that is known to leave don't end its group; they close it. One that is silent for long still counts as lost, as does one that refuses and never said that it leaves.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -242,12 +242,13 @@
    * requests, silence for this node alone does not suffice: the member may be in touch with its head.
    */
   private _findLoss(view: FormationView, group: ObservedGroup): GroupEnd | undefined {
-    const refusing = group.members.filter(({ id }) => view.refusingInstances.has(id));
+    const expected = group.members.filter((member) => !isDraining(view, member));
+    const refusing = expected.filter(({ id }) => view.refusingInstances.has(id));
     if (refusing.length > 0) return { reason: 'member-refuses', members: listIds(refusing) };
     const left = this._roster.listLeftMembers(group, view.instances);
     if (left.length > 0) return { reason: 'member-left', members: left };
     if (!view.isGroupStalled(toGroupId(group))) return undefined;
-    const gone = group.members.filter(({ id }) => view.goneInstances.has(id));
+    const gone = expected.filter(({ id }) => view.goneInstances.has(id));
     if (gone.length > 0) return { reason: 'member-gone', members: listIds(gone) };
     const unlisted = view.findUnlistedMembers(toGroupId(group));
     const lost = unlisted.filter(({ state }) => state === 'lost');
@@ -447,6 +448,11 @@
   return members.every(({ id }) => !view.silentInstances.has(id));
 }
 
+/** Whether a member that leaves has stopped listening: it remains in its group while the head has requests. */
+function isDraining(view: FormationView, { id, state }: TargetInstance): boolean {
+  return state === 'leaving' && view.refusingInstances.has(id);
+}
+
 /** Ids of the members that are leaving or have left; some never say so in the list, and are removed from it. */
 function listDepartingMembers(view: FormationView, group: ObservedGroup): readonly string[] {
   const unlisted = view
--- a/packages/core/src/serving/unlistedMembers.ts
+++ b/packages/core/src/serving/unlistedMembers.ts
@@ -94,7 +94,7 @@
     answeredAtMs: nowMs,
     askedAtMs: -Infinity,
     health: undefined,
-    isLeaving: false,
+    isLeaving: instance.state === 'leaving',
   };
 }
 
@@ -105,7 +105,8 @@
 function getState({ health, isLeaving, answeredAtMs }: TrackedMember, nowMs: number): UnlistedMemberState {
   switch (health) {
     case 'refused':
-      return 'lost';
+      // One that leaves stops listening, but remains in its group while the head has requests.
+      return isLeaving ? 'leaving' : 'lost';
     case 'silent':
       if (nowMs - answeredAtMs >= LOST_AFTER_MS) return 'lost';
       return isLeaving ? 'leaving' : 'unknown';
--- a/tests/serving/unlistedMembers.test.ts
+++ b/tests/serving/unlistedMembers.test.ts
@@ -108,6 +108,17 @@
     state: 'leaving',
   },
   { name: 'one that refuses is lost', answers: [[100, 'refused']], atMs: 200, state: 'lost' },
+  // Guards against a group that is cut off in its work since a member that drains has stopped listening.
+  {
+    name: 'one that leaves and stops listening leaves',
+    answers: [
+      [100, 'leaving'],
+      [600, 'refused'],
+      [3_000, 'refused'],
+    ],
+    atMs: 3_100,
+    state: 'leaving',
+  },
 ];
 
 for (const { name, answers, atMs, state } of stateCases) {
@@ -120,6 +131,14 @@
   });
 }
 
+void t.test('a member whose last entry says that it leaves leaves once it has stopped listening', (t) => {
+  const leaving = { ...third, state: 'leaving' as const };
+  const members = track([head, second], [leaving]);
+  members.recordHealth(leaving, 'refused', 100);
+  t.same(members.list(GROUP, 200), [{ id: 'a-2', state: 'leaving' }]);
+  t.end();
+});
+
 void t.test('a member is asked again after a while, and no longer once it is listed', (t) => {
   const members = track([head, second], [third]);
   t.equal(members.takeDue(0).length, 1);
