Steward: a dissolved group finishes its requests before it is stopped

A group that is dissolved as planned (a member leaves or is drained, a new version, a removed model, a surplus group) was ordered to stop within half a second. Its engine then cuts what it runs: streams broke in the middle, went on elsewhere only where the engine can resume and the retry budget allowed it, and each of them counted as a strike against its request.

Cause: the reconciler orders every member of a dissolved group to stop that is not idle, whatever the reason of the dissolution and the requests in progress at the head.

Such a group is now left alone while all its members may still serve it: until no entry can hold a lease any more and a probe sent after that shows no request at the head, or until the deadline of the model has passed. A member that restarted, refuses connections, holds something else or has been silent for 2.5 s ends that at once, as nothing can finish there.

Ruled out: the entry ends no request when it reads a dissolution, and the watcher reports no loss for it; the order to stop was all that cut.

--- a/packages/steward/src/engineReconciler.ts
+++ b/packages/steward/src/engineReconciler.ts
@@ -13,6 +13,7 @@
   type Verdict,
 } from '@monsoonreach/core';
 import { EngineCallError, type EngineCallFailureReason, type EngineOrder } from '@monsoonreach/targets';
+import { GroupDrain } from './groupDrain.js';
 import type { Observation, Prober } from './prober.js';
 
 const ORDER_INTERVAL_MS = 1_000;
@@ -41,12 +42,18 @@
   private readonly _lastOrderMs = new Map<string, number>();
   private readonly _intentSeenAtMs = new Map<number, number>();
   private readonly _busyInstances = new Set<string>();
+  private readonly _drain: GroupDrain;
 
-  constructor(private readonly _options: EngineReconcilerOptions) {}
+  constructor(private readonly _options: EngineReconcilerOptions) {
+    const { clock, configuration, prober } = _options;
+    const findObservation = (address: string) => prober.findObservation(address);
+    this._drain = new GroupDrain({ clock, configuration, findObservation });
+  }
 
   /** Starts the orders and releases that are due for these instances, without waiting for them. */
   reconcile(instances: Iterable<PlannedInstance>): void {
     const groups = this._options.groups();
+    this._drain.retain(groups.groups());
     for (const instance of instances) {
       const observation = this._options.prober.findObservation(instance.address);
       if (!observation?.status || observation.silence !== undefined) continue;
@@ -68,7 +75,7 @@
       if (group && status.phase === 'ready' && status.group === group.id) this._options.onLoaded(group);
       return;
     }
-    if (assignment?.kind === 'member') return;
+    if (assignment?.kind === 'member' || this._isDraining(assignment)) return;
     const position = assignment?.position ?? 0;
     const isCurrent = observation.basis.position === position;
     // A dissolved group's members are to stop in any case; all else depends on what they were seen to do since.
@@ -79,6 +86,12 @@
       this._release(address, status.boot, observation);
   }
 
+  private _isDraining(assignment: InstanceAssignment | undefined): boolean {
+    if (assignment?.kind !== 'stopping') return false;
+    const group = this._options.groups().findGroup(assignment.group);
+    return group !== undefined && this._drain.isDraining(group);
+  }
+
   /**
    * Whether the engine's fencing token has to reach the instance's log position before a release. A late order may
    * still arrive at an idle engine; the raised number makes the engine refuse it.
--- a/tests/steward/engineReconciler.test.ts
+++ b/tests/steward/engineReconciler.test.ts
@@ -1,4 +1,4 @@
-import { type Configuration, Counters, ManualClock } from '@monsoonreach/core';
+import { type Configuration, Counters, ManualClock, WHOLE_LEASE_MS } from '@monsoonreach/core';
 import { EngineReconciler, type Observation } from '@monsoonreach/steward';
 import {
   EngineCallError,
@@ -40,6 +40,8 @@
   confirmationMs = 0;
   configuration: Configuration;
   observation: Observation | undefined;
+  /** The last probe of the other member, if it differs. */
+  otherObservation: Observation | undefined;
   readonly client = new RecordingClient(this.orders);
   private readonly _reconciler: EngineReconciler;
 
@@ -50,7 +52,10 @@
       counters: new Counters(),
       groups: () => this.stream.groups,
       configuration: () => this.configuration,
-      prober: { findObservation: () => this.observation, clientOf: () => this.client },
+      prober: {
+        findObservation: (address) => (address === OTHER && this.otherObservation) || this.observation,
+        clientOf: () => this.client,
+      },
       nextControlOffset: () => 1_000,
       write: (body) => {
         const verdict = this.stream.write(body);
@@ -351,3 +356,79 @@
     t.ok(bench.isReleased(), `${name}: released at the number`);
   }
 });
+
+// A group that was dissolved for a leaving member or a new version was stopped at once, and its streams were cut.
+void t.test('a dissolved group is stopped once its requests have ended', async (t) => {
+  const leaseMs = WHOLE_LEASE_MS;
+  const deadlineMs = 20_000;
+  const cases: readonly {
+    readonly name: string;
+    /** Requests in progress at the head, by the probe that is sent `probedAfterMs` after the dissolution was seen. */
+    readonly inFlight: number;
+    readonly probedAfterMs: number;
+    readonly waitedMs?: number;
+    readonly status?: Partial<EngineStatus>;
+    readonly orders: number;
+  }[] = [
+    { name: 'requests in progress', inFlight: 1, probedAfterMs: leaseMs, orders: 0 },
+    { name: 'no request, and an entry may still send one', inFlight: 0, probedAfterMs: 500, orders: 0 },
+    {
+      name: 'no request when probed, and one may have come since',
+      inFlight: 0,
+      probedAfterMs: 500,
+      waitedMs: leaseMs,
+      orders: 0,
+    },
+    { name: 'no request, and none can come', inFlight: 0, probedAfterMs: leaseMs, orders: 1 },
+    {
+      name: 'requests within their deadline',
+      inFlight: 1,
+      probedAfterMs: leaseMs + deadlineMs - 1,
+      orders: 0,
+    },
+    { name: 'requests past their deadline', inFlight: 1, probedAfterMs: leaseMs + deadlineMs, orders: 1 },
+    { name: 'restarted', inFlight: 1, probedAfterMs: 500, status: { boot: 'b2' }, orders: 1 },
+    { name: 'loading', inFlight: 0, probedAfterMs: 500, status: { phase: 'loading' }, orders: 1 },
+    { name: 'at another epoch', inFlight: 1, probedAfterMs: 500, status: { epoch: 1 }, orders: 1 },
+  ];
+  for (const { name, inFlight, probedAfterMs, waitedMs = 0, status, orders } of cases) {
+    const bench = new Bench({ checksFencing: true });
+    const epoch = bench.stream.form('g', [ADDRESS, OTHER]);
+    const serving = { ...readyFor('g', epoch), inFlight };
+    bench.probe(serving);
+    bench.stream.dissolve('g');
+    await bench.tick();
+    t.equal(bench.orders.length, 0, `${name}: no order at the dissolution`);
+    bench.clock.advance(probedAfterMs);
+    bench.probe({ ...serving, ...status });
+    bench.clock.advance(waitedMs);
+    await bench.tick();
+    t.equal(bench.orders.length, orders, name);
+  }
+});
+
+void t.test('a dissolved group that lost a member is stopped at once', async (t) => {
+  const cases: readonly {
+    readonly name: string;
+    readonly member: Partial<Observation>;
+    readonly orders: number;
+  }[] = [
+    { name: 'silent for a moment', member: { silence: { sinceMs: 0, untilMs: 700 } }, orders: 0 },
+    { name: 'silent for long', member: { silence: { sinceMs: 0, untilMs: 3_000 } }, orders: 1 },
+    {
+      name: 'connections refused',
+      member: { silence: { sinceMs: 0, untilMs: 1 }, hasConnectionFailed: true },
+      orders: 1,
+    },
+  ];
+  for (const { name, member, orders } of cases) {
+    const bench = new Bench({ checksFencing: true });
+    const epoch = bench.stream.form('g', [ADDRESS, OTHER]);
+    const serving = { ...readyFor('g', epoch), inFlight: 1 };
+    bench.probe(serving);
+    bench.otherObservation = observe(serving, member);
+    bench.stream.dissolve('g');
+    await bench.tick();
+    t.equal(bench.orders.length, orders, name);
+  }
+});
