Entry: one request's broken connection ends no other request of its group

One reset connection, one stream without its final event, or one connection that a head did not take made the entry abort every other call at that group, and give each of them a strike. Callers saw whole streams cut at a sound group; two such events within two minutes quarantined their requests for ten. A head that stops gracefully refuses connections while it finishes what it runs, and an instance at its limit resets what is beyond it.

Cause: `GroupDirectory.markLost` told the same listeners as a steward's report of a missing member, so that what one connection showed counted as the loss of the group.

A lost connection now ends new work at the group until a steward reports it whole again, as before, and nothing else. Its request gets a strike if the group broke it off, by the same rule (a suspect takes the blame for the others); the others are struck by their own loss, which a crash of the head gives them at the same time. A group that is dissolved or has a leaving member tells nothing of the requests that it breaks off.

--- a/packages/core/src/crashSuspects.ts
+++ b/packages/core/src/crashSuspects.ts
@@ -22,7 +22,8 @@
 
 /**
  * Detects requests that break the groups that run them. The loss of a group adds a strike to each suspect
- * it was running, or to every request it was running if none was a suspect. A complete answer clears a
+ * it was running, or to every request it was running if none was a suspect. A request that a group broke off counts
+ * in the same way, but by itself. A complete answer clears a
  * request; `MAX_STRIKES` strikes quarantine it.
  */
 export class CrashSuspects {
@@ -72,6 +73,24 @@
     return blamed.filter((fingerprint) => this._addStrike(fingerprint) >= MAX_STRIKES);
   }
 
+  /**
+   * Records that a group broke off one request, of which it may go on with others; returns the fingerprints to
+   * quarantine. A suspect takes the blame for the others, which get no strike of their own.
+   */
+  recordRequestLoss(fingerprint: string, group: string): readonly string[] {
+    const running = this._inFlight.get(group);
+    if (running?.has(fingerprint) !== true) return [];
+    const isSuspect = this._isSuspect(fingerprint);
+    const hasSuspect = [...running.keys()].some((other) => this._isSuspect(other));
+    running.delete(fingerprint);
+    if (isSuspect) {
+      for (const other of running.keys()) if (!this._isSuspect(other)) running.delete(other);
+    }
+    if (running.size === 0) this._inFlight.delete(group);
+    if (hasSuspect && !isSuspect) return [];
+    return this._addStrike(fingerprint) >= MAX_STRIKES ? [fingerprint] : [];
+  }
+
   /** Merges strikes that another node reported. */
   mergeStrikes(fingerprint: string, strikes: number): void {
     if (strikes < 1) return;
--- a/packages/entry/src/completionRun.ts
+++ b/packages/entry/src/completionRun.ts
@@ -363,6 +363,8 @@
     switch (cause.reason) {
       case 'target-lost':
       case 'truncated':
+        this._recordLoss(group);
+        return cause.reason;
       case 'group-broken':
         context.directory.markLost(group);
         return cause.reason;
@@ -383,6 +385,14 @@
     }
   }
 
+  /** A group that is being ended may break off what it runs; that tells nothing of the request. */
+  private _recordLoss(group: string): void {
+    const { context } = this._options;
+    if (context.directory.isEnding(group)) context.suspects.endUnanswered(this.fingerprint, group);
+    else context.recordRequestLoss(this.fingerprint, group);
+    context.directory.markLost(group);
+  }
+
   /** Spends a retry of the workspace's budget and waits for the backoff; false if no retry is allowed. */
   private async _prepareRetry(reason: RetryReason | undefined): Promise<boolean> {
     const { context, call } = this._options;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -217,7 +217,7 @@
       regionOf: () => this._settings.node.region,
     });
     directory.onLost((group) => {
-      this._handleGroupLost(group);
+      this._quarantine(this._suspects.recordGroupLoss(group));
     });
     return directory;
   }
@@ -255,6 +255,9 @@
       fleet: this._fleet,
       drainWindow: this._drainWindow,
       configuration: () => this._configuration(),
+      recordRequestLoss: (fingerprint, group) => {
+        this._quarantine(this._suspects.recordRequestLoss(fingerprint, group));
+      },
     };
   }
 
@@ -264,12 +267,11 @@
     return new LogWriter({ stream: 'control', log, writer, clock: this._clock, counters, subscribe: listen });
   }
 
-  private _handleGroupLost(group: string): void {
-    const quarantined = this._suspects.recordGroupLoss(group);
-    if (quarantined.length === 0) return;
-    this._fleet.counters.add('monsoonreach_quarantines_total', {}, quarantined.length);
+  private _quarantine(fingerprints: readonly string[]): void {
+    if (fingerprints.length === 0) return;
+    this._fleet.counters.add('monsoonreach_quarantines_total', {}, fingerprints.length);
     void this._fleet.exchange.exchangeUrgently();
-    for (const fingerprint of quarantined) this._publishQuarantine(fingerprint);
+    for (const fingerprint of fingerprints) this._publishQuarantine(fingerprint);
   }
 
   private _publishQuarantine(fingerprint: string): void {
--- a/packages/entry/src/entryContext.ts
+++ b/packages/entry/src/entryContext.ts
@@ -33,6 +33,8 @@
   readonly fleet: FleetNode;
   readonly drainWindow: DrainWindow;
   readonly configuration: () => Configuration | undefined;
+  /** Records that a group broke off a request, by the request's fingerprint. */
+  readonly recordRequestLoss: (fingerprint: string, group: string) => void;
 }
 
 /** Refuses a request that may not be answered before the entry stops. */
--- a/packages/entry/src/groupDirectory.ts
+++ b/packages/entry/src/groupDirectory.ts
@@ -37,7 +37,7 @@
     this._leases = new WholeLeases(_options.clock);
   }
 
-  /** Calls the listener with the id of each group that is found to be broken. */
+  /** Calls the listener with the id of each group that a steward reports as broken. */
   onLost(listener: (group: string) => void): void {
     this._lostListeners.add(listener);
   }
@@ -61,7 +61,8 @@
     if (remainingMs > 0) this._reportedBroken.delete(group);
     if (missing.length === 0 || this._reportedBroken.has(group)) return;
     this._reportedBroken.add(group);
-    this._notifyLost(group);
+    this.recentLosses.recordLoss(group);
+    for (const listener of this._lostListeners) listener(group);
   }
 
   /** Call it on a steady timer. A late call, as after a pause of the process, drops all leases and returns true. */
@@ -78,10 +79,13 @@
     return this._leases.tick();
   }
 
-  /** Revokes the lease of a group that broke during a request; it serves again once a steward reports it whole. */
+  /**
+   * Revokes the lease of a group that broke off a request, or refused its connection; it serves again once a steward
+   * reports it whole. One connection tells nothing of the group's other requests: they go on.
+   */
   markLost(group: string): void {
     this._leases.revoke(group);
-    this._notifyLost(group);
+    this.recentLosses.recordLoss(group);
   }
 
   /** Groups of the model that can take requests now. */
@@ -101,20 +105,24 @@
 
   /** Whether the group can take requests now; checked again right before each dispatch. */
   isServing(group: Group): boolean {
-    if (group.dissolvedAt !== undefined) return false;
-    const groups = this._options.groups();
-    const isLeaving = group.members.some(
-      ({ address }) => this._options.isLeaving(address) || groups.isDraining(address),
-    );
-    return !isLeaving && this._leases.find(group.id, group.epoch) !== undefined;
+    return !this._isEnding(group) && this._leases.find(group.id, group.epoch) !== undefined;
+  }
+
+  /** Whether the group is being dissolved, or is gone, or a member is leaving. */
+  isEnding(id: string): boolean {
+    const group = this.findGroup(id);
+    return group === undefined || this._isEnding(group);
   }
 
   findGroup(id: string): Group | undefined {
     return this._options.groups().findGroup(id);
   }
 
-  private _notifyLost(group: string): void {
-    this.recentLosses.recordLoss(group);
-    for (const listener of this._lostListeners) listener(group);
+  private _isEnding(group: Group): boolean {
+    if (group.dissolvedAt !== undefined) return true;
+    const groups = this._options.groups();
+    return group.members.some(
+      ({ address }) => this._options.isLeaving(address) || groups.isDraining(address),
+    );
   }
 }
--- a/tests/core/policies.test.ts
+++ b/tests/core/policies.test.ts
@@ -162,6 +162,66 @@
   t.end();
 });
 
+// A connection reset of one request gave a strike to each request that its group was running.
+void t.test('a request that a group broke off gets a strike, and the others only for their own', (t) => {
+  const cases: readonly {
+    readonly name: string;
+    /** Requests that are suspects before they run. */
+    readonly suspects?: readonly string[];
+    readonly running: readonly string[];
+    readonly brokenOff: readonly string[];
+    readonly quarantined: readonly string[];
+    readonly strikes: Readonly<Record<string, number>>;
+  }[] = [
+    { name: 'one of two', running: ['a', 'b'], brokenOff: ['a'], quarantined: [], strikes: { a: 1 } },
+    { name: 'all', running: ['a', 'b'], brokenOff: ['a', 'b'], quarantined: [], strikes: { a: 1, b: 1 } },
+    {
+      name: 'two of the same',
+      running: ['a', 'a'],
+      brokenOff: ['a', 'a'],
+      quarantined: [],
+      strikes: { a: 1 },
+    },
+    { name: 'none of its own', running: ['a'], brokenOff: ['b'], quarantined: [], strikes: {} },
+    {
+      name: 'a suspect first',
+      suspects: ['s'],
+      running: ['a', 's'],
+      brokenOff: ['s', 'a'],
+      quarantined: ['s'],
+      strikes: { s: 2 },
+    },
+    {
+      name: 'a suspect last',
+      suspects: ['s'],
+      running: ['a', 's'],
+      brokenOff: ['a', 's'],
+      quarantined: ['s'],
+      strikes: { s: 2 },
+    },
+    {
+      name: 'another than the suspect',
+      suspects: ['s'],
+      running: ['a', 's'],
+      brokenOff: ['a'],
+      quarantined: [],
+      strikes: { s: 1 },
+    },
+  ];
+  for (const { name, suspects: known = [], running, brokenOff, quarantined, strikes } of cases) {
+    const suspects = new CrashSuspects(new ManualClock());
+    for (const fingerprint of known) suspects.mergeStrikes(fingerprint, 1);
+    for (const fingerprint of running) suspects.begin(fingerprint, 'g');
+    t.same(
+      brokenOff.flatMap((fingerprint) => suspects.recordRequestLoss(fingerprint, 'g')),
+      quarantined,
+      name,
+    );
+    t.same(Object.fromEntries(suspects.strikes()), strikes, `${name}: strikes`);
+  }
+  t.end();
+});
+
 void t.test('a request whose first-choice group was just lost is held back for a while', (t) => {
   const clock = new ManualClock();
   const losses = new RecentLosses(clock);
