Entry: an engine's error to a streaming request reaches its caller

A caller whose streaming request an engine answered with 400, 413 or 429 got a stream that failed, or a 502, instead of that answer; the entry sent no new request to the group until the next report of a steward, and the request got a strike. Two of them within two minutes quarantined it.

Cause: an answer below 500 counts as accepted, and a streaming request read its body as events: without a final event it was a stream that broke off, which is evidence of a loss.

Only a success is read as a stream. Another answer is passed on whole, as for a request that is not streamed; when a stream is resumed it is a refusal, as its caller has the status already.

Evidence: `entry/completions`, before: `failed`, a strike and no candidate left for each status; the resumed stream found no group to go on (timed out).

Ruled out: an answer of 503 or 409; it was a refusal already, and counts against neither the request nor the group.

--- a/packages/entry/src/completionRun.ts
+++ b/packages/entry/src/completionRun.ts
@@ -85,8 +85,8 @@
       this._release(permit);
       return started.outcome;
     }
-    if (!this._options.request.isStreaming) return this._readWholeAnswer(started, permit);
-    return this._startStream(started, permit);
+    const isStream = this._options.request.isStreaming && isSuccess(started.answer);
+    return isStream ? this._startStream(started, permit) : this._readWholeAnswer(started, permit);
   }
 
   /** Tries groups until one accepts the request. */
@@ -104,8 +104,7 @@
       try {
         const answer = await this._call(attempt);
         if (isAccepted(answer)) return { kind: 'begun', attempt, answer, dispatched };
-        await drain(answer);
-        throw new TargetCallError('target-refused', false, `The group answered ${answer.status}.`);
+        await failRefused(answer);
       } catch (error) {
         if (!(error instanceof TargetCallError)) throw error;
         const reason = this._recordFailure(attempt, error);
@@ -203,6 +202,7 @@
   private async *_forward(
     started: Extract<StartResult, { kind: 'begun' }>,
   ): AsyncGenerator<StreamPart, void> {
+    if (!isSuccess(started.answer)) await failRefused(started.answer);
     for await (const event of readEvents(started.answer)) {
       this._recordEvent(event, started.attempt);
       yield { kind: 'event', data: event.data };
@@ -429,12 +429,17 @@
   return answer.status < 500 && answer.status !== 409;
 }
 
-async function drain(answer: TargetAnswer): Promise<void> {
+function isSuccess({ status }: TargetAnswer): boolean {
+  return status < 300;
+}
+
+async function failRefused(answer: TargetAnswer): Promise<never> {
   try {
     await readWholeBody(answer);
   } catch {
     // The status already says that the call failed.
   }
+  throw new TargetCallError('target-refused', false, `The group answered ${answer.status}.`);
 }
 
 function toOutcome(dispatchState: Undispatched | Dispatched, error: TargetCallError): Outcome<never> {
--- a/tests/entry/completions.test.ts
+++ b/tests/entry/completions.test.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from 'node:net';
 import type { CompletionAnswer } from '@monsoonreach/callers';
 import {
-  type Clock,
+  type Configuration,
   Counters,
   CrashSuspects,
   createRandom,
@@ -60,6 +60,14 @@
   }
 }
 
+function createEngineConfiguration(resumes: boolean): Configuration {
+  const configuration = createConfiguration({ checksFencing: true });
+  const engines = Object.entries(configuration.engine).map(
+    ([name, engine]) => [name, { ...engine, resumes }] as const,
+  );
+  return { ...configuration, engine: Object.fromEntries(engines) };
+}
+
 /** Completions at one group of two, whose head is real. */
 class Bench {
   readonly head = new Head();
@@ -68,9 +76,11 @@
   readonly directory: GroupDirectory;
   private readonly _targets = new TargetClients();
   private readonly _completions: Completions;
+  private _epoch = 0;
 
-  constructor(clock: Clock = systemClock) {
-    const configuration = createConfiguration({ checksFencing: true });
+  constructor(options: { readonly resumes: boolean } = { resumes: false }) {
+    const clock = systemClock;
+    const configuration = createEngineConfiguration(options.resumes);
     this.suspects = new CrashSuspects(clock);
     this.directory = new GroupDirectory({
       clock,
@@ -99,10 +109,15 @@
   }
 
   async start(): Promise<void> {
-    const epoch = this.stream.form('g', [await this.head.start(), OTHER_MEMBER]);
+    this._epoch = this.stream.form('g', [await this.head.start(), OTHER_MEMBER]);
+    this.reportWhole();
+  }
+
+  /** Applies a steward's report that all members have just been seen. */
+  reportWhole(): void {
     const lease = {
       group: 'g',
-      epoch: BigInt(epoch),
+      epoch: BigInt(this._epoch),
       remainingMs: WHOLE_LEASE_MS,
       inFlight: 0,
       loadAgeMs: 0,
@@ -165,6 +180,16 @@
       fail: async ({ head }) => void (await head.awaitAnswer('b')).writeHead(503).end(),
       struck: 0,
     },
+    {
+      name: 'refused as one too many',
+      fail: async ({ head }) => void (await head.awaitAnswer('b')).writeHead(429).end(),
+      struck: 0,
+    },
+    {
+      name: 'refused as invalid',
+      fail: async ({ head }) => void (await head.awaitAnswer('b')).writeHead(400).end(),
+      struck: 0,
+    },
   ];
   for (const { name, fail, struck } of cases) {
     const bench = new Bench();
@@ -241,3 +266,44 @@
     await bench.stop();
   }
 });
+
+// An engine's refusal of a streaming request was read as a stream that broke off, and its group as lost.
+void t.test('an error that a head answers to a streaming request reaches the caller', async (t) => {
+  for (const status of [400, 413, 422, 429]) {
+    const bench = new Bench();
+    await bench.start();
+    const outcome = bench.complete('a');
+    const answer = await bench.head.awaitAnswer('a');
+    answer.writeHead(status, { 'content-type': 'application/json' }).end('{"error":"no"}');
+    t.match(await outcome, { kind: 'answered', answer: { kind: 'whole', status } }, `status ${status}`);
+    t.same(bench.suspects.strikes(), [], `status ${status}: no strike`);
+    t.equal(bench.directory.candidates('m').length, 1, `status ${status}: the group serves`);
+    await bench.stop();
+  }
+});
+
+void t.test(
+  'a head that refuses to resume a stream is not lost, and the stream ends as failed',
+  async (t) => {
+    const bench = new Bench({ resumes: true });
+    await bench.start();
+    const first = bench.complete('a');
+    const answer = await bench.head.awaitAnswer('a');
+    bench.head.answers.clear();
+    answer.write(EVENT(0));
+    const parts = readParts(await first);
+    answer.destroy();
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    bench.reportWhole();
+    const strikes = bench.suspects.strikes();
+    for (let attempt = 2; attempt <= 4; attempt++) {
+      const refusal = await bench.head.awaitAnswer('a');
+      bench.head.answers.clear();
+      refusal.writeHead(400).end();
+    }
+    t.same(await parts, ['{"n":0}', 'failed']);
+    t.same(bench.suspects.strikes(), strikes, 'no further strike');
+    t.equal(bench.directory.candidates('m').length, 1, 'the group serves');
+    await bench.stop();
+  },
+);
