--- a/packages/entry/src/completionRun.ts
+++ b/packages/entry/src/completionRun.ts
@@ -85,8 +85,8 @@
       this._release(permit);
       return started.outcome;
     }
-    if (!this._options.request.isStreaming) return this._readWholeAnswer(started, permit);
-    return this._startStream(started, permit);
+    const isStream = this._options.request.isStreaming && isSuccess(started.answer);
+    return isStream ? this._startStream(started, permit) : this._readWholeAnswer(started, permit);
   }
 
   /** Tries groups until one accepts the request. */
@@ -104,8 +104,7 @@
       try {
         const answer = await this._call(attempt);
         if (isAccepted(answer)) return { kind: 'begun', attempt, answer, dispatched };
-        await drain(answer);
-        throw new TargetCallError('target-refused', false, `The group answered ${answer.status}.`);
+        await failRefused(answer);
       } catch (error) {
         if (!(error instanceof TargetCallError)) throw error;
         const reason = this._recordFailure(attempt, error);
@@ -203,6 +202,7 @@
   private async *_forward(
     started: Extract<StartResult, { kind: 'begun' }>,
   ): AsyncGenerator<StreamPart, void> {
+    if (!isSuccess(started.answer)) await failRefused(started.answer);
     for await (const event of readEvents(started.answer)) {
       this._recordEvent(event, started.attempt);
       yield { kind: 'event', data: event.data };
@@ -363,6 +363,8 @@
     switch (cause.reason) {
       case 'target-lost':
       case 'truncated':
+        this._recordLoss(group);
+        return cause.reason;
       case 'group-broken':
         context.directory.markLost(group);
         return cause.reason;
@@ -383,6 +385,14 @@
     }
   }
 
+  /** A group that is being ended may break off what it runs; that tells nothing of the request. */
+  private _recordLoss(group: string): void {
+    const { context } = this._options;
+    if (context.directory.isEnding(group)) context.suspects.endUnanswered(this.fingerprint, group);
+    else context.recordRequestLoss(this.fingerprint, group);
+    context.directory.markLost(group);
+  }
+
   /** Spends a retry of the workspace's budget and waits for the backoff; false if no retry is allowed. */
   private async _prepareRetry(reason: RetryReason | undefined): Promise<boolean> {
     const { context, call } = this._options;
@@ -419,12 +429,17 @@
   return answer.status < 500 && answer.status !== 409;
 }
 
-async function drain(answer: TargetAnswer): Promise<void> {
+function isSuccess({ status }: TargetAnswer): boolean {
+  return status < 300;
+}
+
+async function failRefused(answer: TargetAnswer): Promise<never> {
   try {
     await readWholeBody(answer);
   } catch {
     // The status already says that the call failed.
   }
+  throw new TargetCallError('target-refused', false, `The group answered ${answer.status}.`);
 }
 
 function toOutcome(dispatchState: Undispatched | Dispatched, error: TargetCallError): Outcome<never> {
