Node: a pause between two reads of the list ends when the planner becomes busy

What callers saw: after a member crashed, its group's substitute was ready, but the new group opened up to 0.6 s later than it could have. In platform/wholePath one group instead of two was open after 2 s.

Cause: the list is read every 600 ms, and every 150 ms while the planner forms groups. A pause that had begun before the planner formed the group kept its 600 ms, so that its members, ready after 200 ms, were seen as ready only by the next read.

Ruled out: the reports of a stall (one node suffices there), the interval of probe rounds, the substitute (a standby group had prepared it).

Change: the follower compares its pause with the interval every 50 ms, as that may have become shorter.

--- a/packages/node/src/keyedFollower.ts
+++ b/packages/node/src/keyedFollower.ts
@@ -13,6 +13,9 @@
 const INITIAL_BACKOFF_MS = 100;
 const MAX_BACKOFF_MS = 800;
 
+/** Maximum time until a pause follows an interval that has become shorter, in milliseconds. */
+const INTERVAL_CHECK_MS = 50;
+
 const NO_WAIT = { waitMs: 0, peerWaitMs: 0 } as const;
 
 /** Dependencies of {@link KeyedFollower}. */
@@ -26,7 +29,7 @@
   readonly waitMs: () => number;
   /** The same for a read through a peer, in milliseconds. */
   readonly peerWaitMs: () => number;
-  /** Pause between two reads of the store, in milliseconds. */
+  /** Pause between two reads of the store, in milliseconds; may become shorter during a pause. */
   readonly intervalMs: () => number;
   /** The same for reads through a peer, in milliseconds; 0 by default. */
   readonly peerIntervalMs?: number;
@@ -65,8 +68,8 @@
   async run(): Promise<void> {
     const { signal } = this._abortController;
     while (!signal.aborted) {
-      const pauseMs = await this._poll();
-      await pause(pauseMs, signal);
+      const intervalMs = await this._poll();
+      await this._pause(intervalMs);
     }
   }
 
@@ -74,23 +77,35 @@
     this._abortController.abort();
   }
 
+  /** Pauses until the interval has passed as it is then, not as it was at the start. */
+  private async _pause(intervalMs: () => number): Promise<void> {
+    const { signal } = this._abortController;
+    const startedAtMs = this._options.clock.monotonic();
+    while (!signal.aborted) {
+      const remainingMs = startedAtMs + intervalMs() - this._options.clock.monotonic();
+      if (remainingMs <= 0) return;
+      await pause(Math.min(remainingMs, INTERVAL_CHECK_MS), signal);
+    }
+  }
+
   /** Reads once. @returns the pause before the next read, in milliseconds. */
-  private async _poll(): Promise<number> {
+  private async _poll(): Promise<() => number> {
     try {
       const answer = await (this._next === undefined ? this._readAll() : this._readChanges(this._next));
       this._recordContact(answer);
-      return answer.isFromPeer ? (this._options.peerIntervalMs ?? 0) : this._options.intervalMs();
+      return answer.isFromPeer ? () => this._options.peerIntervalMs ?? 0 : this._options.intervalMs;
     } catch (error) {
-      if (this._abortController.signal.aborted) return 0;
+      if (this._abortController.signal.aborted) return () => 0;
       if (error instanceof HistoryGoneError) {
         this._options.log.warn('history gone; reading all records again', {
           topic: this._options.topic,
         });
         this._next = undefined;
-        return 0;
+        return () => 0;
       }
       this._recordFailure(error);
-      return this._drawBackoffMs();
+      const backoffMs = this._drawBackoffMs();
+      return () => backoffMs;
     }
   }
 
--- a/tests/node/topicFleet.ts
+++ b/tests/node/topicFleet.ts
@@ -18,6 +18,8 @@
   readonly values = new Map<string, string>();
   peers: () => readonly FallbackCandidate[] = () => [];
   contactAtMs = -Infinity;
+  /** Pause between two reads of the store, in milliseconds. */
+  intervalMs = 0;
   readonly counters = new Counters();
   /** Passes on the requests of peers. */
   readonly link: FaultProxy;
@@ -61,7 +63,7 @@
       log,
       waitMs: () => waitMs,
       peerWaitMs: () => waitMs,
-      intervalMs: () => 0,
+      intervalMs: () => this.intervalMs,
       onSnapshot: applyRecords,
       onChanges: applyRecords,
       onContact: (atMs) => {
