Soak: the end of one outage of the store does not end another

The mutant "keys are trusted for ever" was not found in its 120 s. Its guard matters only if the store is out from before a revocation until 5 s after it. Outages overlapped, and the first to end let the store answer again for all, so that hardly one lasted that long.

Now a fault that ends leaves the store in the state of the latest one in progress.

--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -104,6 +104,8 @@
   private _replacements = 0;
   private _isRestoring = false;
   private _isSilencing = false;
+  /** Store faults in progress, the latest last. */
+  private readonly _storeModes: { readonly mode: StoreMode }[] = [];
 
   constructor(
     private readonly _fleet: SoakFleet,
@@ -272,9 +274,13 @@
   private async _injectStoreFault(name: FaultName, mode: StoreMode, forMs: number): Promise<void> {
     this._record(name, 'store', forMs);
     this._fleet.harm(forMs);
+    const fault = { mode };
+    this._storeModes.push(fault);
     this._fleet.store.mode = mode;
     await sleep(forMs);
-    this._fleet.store.mode = 'well';
+    this._storeModes.splice(this._storeModes.indexOf(fault), 1);
+    // The end of one fault does not end the others: a key counts as ended only after an outage of several seconds.
+    this._fleet.store.mode = this._storeModes.at(-1)?.mode ?? 'well';
   }
 
   /** Lets the store come back from a copy that is `copyAgeMs` old. */
