Planner: count a member's silence from when it was first asked in vain

What callers saw: a group whose member crashed without refusing connections stayed stalled for 1.65 s and more after the planner's first probe, though a member counts as gone after 1.5 s of silence.

Cause: the silence was counted from the time at which the first probe was given up, which is 150 ms after it was sent. The member had been silent for these 150 ms as well.

Ruled out: that a shorter bound is needed; GONE_AFTER_MS is unchanged. A member is first asked after a request has found its group silent for 250 ms, so a silence that is shorter than the bound is over more than 0.2 s before the member could count as gone. One node's word still ends no open group.

Change: the wait of the first missed answer counts, but no more than its timeout, as a suspension of this process is no silence of the member, and nothing from before the member last answered.

Tests: serving/decisions, three cases; the first fails before the change, the others are its counterparts.

--- a/packages/core/src/serving/memberProbes.ts
+++ b/packages/core/src/serving/memberProbes.ts
@@ -16,7 +16,7 @@
 interface Member {
   misses: number;
   probedAtMs: number;
-  /** When the first of these misses was found. */
+  /** Since when the member has been silent: when it was asked what it first did not answer. */
   missedSinceMs: number;
   isRefused: boolean;
 }
@@ -80,18 +80,22 @@
     return ids;
   }
 
-  /** Records the result of a probe or of another request for an instance's state. */
-  recordResult(id: string, result: ProbeResult, nowMs: number): void {
+  /**
+   * Records the result of a probe or of another request for an instance's state.
+   * @param waitedMs time for which the answer was awaited, in milliseconds.
+   */
+  recordResult(id: string, result: ProbeResult, nowMs: number, waitedMs = 0): void {
     if (result === 'answered') {
       this._answeredAtMs.set(id, nowMs);
       this._members.delete(id);
       return;
     }
     const { misses, probedAtMs, missedSinceMs } = this._members.get(id) ?? UNMISSED;
+    const silentSinceMs = Math.max(nowMs - waitedMs, this._answeredAtMs.get(id) ?? -Infinity);
     this._members.set(id, {
       misses: misses + 1,
       probedAtMs,
-      missedSinceMs: Math.min(missedSinceMs, nowMs),
+      missedSinceMs: Math.min(missedSinceMs, silentSinceMs),
       isRefused: result === 'refused',
     });
   }
--- a/packages/node/src/orderSender.ts
+++ b/packages/node/src/orderSender.ts
@@ -35,8 +35,8 @@
   readonly onFenced: (order: InstanceOrder, term: number) => void;
   /** Called when an instance has acknowledged an order. */
   readonly onAcknowledged: () => void;
-  /** Called with whether an instance answered a request for its report. */
-  readonly onReportResult: (id: string, result: ProbeResult) => void;
+  /** Called with whether an instance answered a request for its report, and for how many milliseconds it was awaited. */
+  readonly onReportResult: (id: string, result: ProbeResult, waitedMs: number) => void;
 }
 
 /** Sends orders to instances and keeps track of their effects until the instance list shows them. */
@@ -125,15 +125,18 @@
   async readState(instance: TargetInstance, timeoutMs: number): Promise<boolean> {
     const { clock, counters, list, onReportResult } = this._options;
     const { id } = instance;
+    const askedAtMs = clock.monotonic();
+    // A suspension of this process is no silence of the instance.
+    const getWaitedMs = () => Math.min(clock.monotonic() - askedAtMs, timeoutMs);
     try {
       const { state, orderCount } = await readReport(instance, timeoutMs);
       this._overlay.recordReport({ ...(list.get(id) ?? instance), ...state }, orderCount, clock.monotonic());
-      onReportResult(id, 'answered');
+      onReportResult(id, 'answered', getWaitedMs());
       return true;
     } catch (error) {
       if (!(error instanceof ReportError)) throw error;
       counters.add('monsoonreach_reports_missed_total');
-      onReportResult(id, error.isRefused ? 'refused' : 'silent');
+      onReportResult(id, error.isRefused ? 'refused' : 'silent', getWaitedMs());
       return false;
     } finally {
       this.version++;
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -76,8 +76,8 @@
       onAcknowledged: () => {
         this._scheduleFollowUp();
       },
-      onReportResult: (id, result) => {
-        this._checks.recordResult(id, result, clock.monotonic());
+      onReportResult: (id, result, waitedMs) => {
+        this._checks.recordResult(id, result, clock.monotonic(), waitedMs);
       },
     });
   }
--- a/tests/serving/decisions.test.ts
+++ b/tests/serving/decisions.test.ts
@@ -458,7 +458,8 @@
 // Guards against groups that are given up for a member that is silent for a second and goes on.
 const goneCases: readonly {
   readonly name: string;
-  readonly results: readonly (readonly [number, 'answered' | 'refused' | 'silent'])[];
+  /** Time of each result, and how long it was awaited, in milliseconds. */
+  readonly results: readonly (readonly [number, 'answered' | 'refused' | 'silent', number?])[];
   readonly isLost: boolean;
   readonly isGone: boolean;
 }[] = [
@@ -492,6 +493,36 @@
     isLost: true,
     isGone: false,
   },
+  // Guards against a member that counts as sound for longer than it may be silent, as the first probe's wait was left out.
+  {
+    name: 'a member that is silent for longer, the wait for its first answer included',
+    results: [
+      [150, 'silent', 150],
+      [900, 'silent', 150],
+      [1_500, 'silent', 150],
+    ],
+    isLost: true,
+    isGone: true,
+  },
+  {
+    name: 'a member that is silent for almost as long, the wait for its first answer included',
+    results: [
+      [150, 'silent', 150],
+      [1_499, 'silent', 150],
+    ],
+    isLost: true,
+    isGone: false,
+  },
+  {
+    name: 'a member that answered another request during the wait for its first missed answer',
+    results: [
+      [100, 'answered', 10],
+      [150, 'silent', 150],
+      [1_599, 'silent', 150],
+    ],
+    isLost: true,
+    isGone: false,
+  },
   {
     name: 'a member at whose address nothing listens',
     results: [
@@ -506,7 +537,7 @@
 for (const { name, results, isLost, isGone } of goneCases) {
   void t.test(`probes of ${name}`, (t) => {
     const checks = new MemberProbes();
-    for (const [atMs, result] of results) checks.recordResult('a', result, atMs);
+    for (const [atMs, result, waitedMs] of results) checks.recordResult('a', result, atMs, waitedMs);
     t.equal(checks.getLostMembers().has('a'), isLost);
     t.equal(checks.getGoneMembers(results.at(-1)?.[0] ?? 0).has('a'), isGone);
     t.end();
--- a/tests/serving/simulatedFleet.ts
+++ b/tests/serving/simulatedFleet.ts
@@ -424,7 +424,8 @@
   ): void {
     const known = this.list.get(id);
     this._fleet.readReport(this, id, timeoutMs, (report) => {
-      this.checks.recordResult(id, report ? 'answered' : 'silent', this._fleet.schedule.nowMs);
+      const { nowMs } = this._fleet.schedule;
+      this.checks.recordResult(id, report ? 'answered' : 'silent', nowMs, report ? 0 : timeoutMs);
       const listed = this.list.get(id) ?? known;
       if (report) {
         const { orderCount, ...state } = report;
