Node: a head that is not listed is not lost after less than a second's silence

Cause: three questions without an answer, 0.3 s apart, made such a head silent, and three nodes that agree release its members. A sound server may be silent for a second or so, which all nodes see. A node asks no more once it has found a head silent, so that the finding stays. Class: that of the other limits of 1.5 s: a short silence beside an entry that is not there. Ruled out: heads that refuse: nothing runs there, and three refusals still suffice. Change: a head counts as silent 1.5 s after its first missed answer. Evidence: a case of serving/decisions, three nodes that ask a head that is silent for a second, failed without the time and passes, as do node/ headMonitor, node/planning and serving/groupExclusion. The existing cases keep their misses, now 0.8 s apart. Not measured: how much later the members of a head that went dark are used; a cost of up to 0.9 s is expected.

--- a/packages/core/src/serving/unlistedHeads.ts
+++ b/packages/core/src/serving/unlistedHeads.ts
@@ -1,8 +1,11 @@
+import type { ProbeResult } from './memberProbes.js';
 import { groupId, isHeadServing, type ObservedGroup } from './observedGroups.js';
 import { isServingState, type MemberState, type TargetInstance } from './targetInstance.js';
 
 /** Consecutive missed probes after which a head counts as silent. */
 const SILENT_AFTER_MISSES = 3;
+/** Time since the first of them unless it refuses, in milliseconds; a sound head may be silent for a second or so. */
+const SILENT_AFTER_MS = 1_500;
 /** How long a missing head is probed, in milliseconds; longer than engines take to declare a member lost. */
 const PROBE_DURATION_MS = 15_000;
 /** How long members wait for a head that no node has ever seen, in milliseconds: the length of a long partition. */
@@ -17,6 +20,8 @@
   readonly head: TargetInstance;
   readonly sinceMs: number;
   misses: number;
+  /** Monotonic time of the first of these misses, in milliseconds. */
+  missedSinceMs: number;
   finding: HeadFinding | undefined;
   /** State that it last reported; undefined while it has not answered, or is no longer in the group. */
   state: MemberState | undefined;
@@ -45,7 +50,14 @@
       if (!this._headlessSinceMs.has(id)) this._headlessSinceMs.set(id, nowMs);
       const head = this._listedHeads.get(id);
       if (head && !this._missingHeads.has(id)) {
-        this._missingHeads.set(id, { head, sinceMs: nowMs, misses: 0, finding: undefined, state: undefined });
+        this._missingHeads.set(id, {
+          head,
+          sinceMs: nowMs,
+          misses: 0,
+          missedSinceMs: Infinity,
+          finding: undefined,
+          state: undefined,
+        });
       }
     }
     for (const id of this._headlessSinceMs.keys()) {
@@ -70,17 +82,24 @@
       .map(({ head }) => head);
   }
 
-  /** Records the membership that a head reported, or `'none'` if it did not answer. */
-  recordAnswer(head: TargetInstance, answer: TargetInstance['membership'] | 'none'): void {
+  /** Records the membership that a head reported, or why there is no report. */
+  recordAnswer(
+    head: TargetInstance,
+    answer: TargetInstance['membership'] | Exclude<ProbeResult, 'answered'>,
+    nowMs: number,
+  ): void {
     if (!head.membership) return;
     const missing = this._missingHeads.get(groupId(head.membership));
     if (!missing) return;
-    if (answer === 'none') {
+    if (answer === 'silent' || answer === 'refused') {
       missing.misses++;
-      if (missing.misses >= SILENT_AFTER_MISSES) missing.finding = 'silent';
+      missing.missedSinceMs = Math.min(missing.missedSinceMs, nowMs);
+      const isLong = answer === 'refused' || nowMs - missing.missedSinceMs >= SILENT_AFTER_MS;
+      if (missing.misses >= SILENT_AFTER_MISSES && isLong) missing.finding = 'silent';
       return;
     }
     missing.misses = 0;
+    missing.missedSinceMs = Infinity;
     const isSameGroup = answer?.epoch === head.membership.epoch && answer.group === head.membership.group;
     missing.state = isSameGroup ? answer.state : undefined;
     missing.finding = isServingState(missing.state) ? 'serving' : 'idle';
--- a/packages/node/src/headMonitor.ts
+++ b/packages/node/src/headMonitor.ts
@@ -100,13 +100,15 @@
   }
 
   private async _ask(head: TargetInstance): Promise<void> {
+    const { clock } = this._options;
     const previous = this._getFinding(head);
     try {
       const { state } = await readReport(head, ANSWER_TIMEOUT_MS);
-      this._heads.recordAnswer(head, state.startedAtMs === head.startedAtMs ? state.membership : undefined);
+      const membership = state.startedAtMs === head.startedAtMs ? state.membership : undefined;
+      this._heads.recordAnswer(head, membership, clock.monotonic());
     } catch (error) {
       if (!(error instanceof ReportError)) throw error;
-      this._heads.recordAnswer(head, 'none');
+      this._heads.recordAnswer(head, error.isRefused ? 'refused' : 'silent', clock.monotonic());
     }
     const finding = this._getFinding(head);
     if (finding === previous) return;
--- a/tests/serving/decisions.test.ts
+++ b/tests/serving/decisions.test.ts
@@ -4,9 +4,11 @@
   DemandMeter,
   EventFramer,
   classifySilence,
+  type HeadFinding,
   KeyTrust,
   ManualClock,
   MemberProbes,
+  type MemberState,
   observeGroups,
   predictFirstEventMs,
   RetryWindowBudget,
@@ -385,7 +387,13 @@
   'ready',
   'ready',
 ]);
-const headCases = [
+const headCases: readonly {
+  readonly name: string;
+  /** This node's questions: the state that the head reports, or that there is none. */
+  readonly own: readonly (MemberState | 'silent')[];
+  readonly peers: readonly (HeadFinding | undefined)[];
+  readonly isReleased: boolean;
+}[] = [
   { name: 'its members stay reserved before any node has asked it', own: [], peers: [], isReleased: false },
   {
     name: 'its members stay reserved while it serves, cut off from the store',
@@ -395,7 +403,7 @@
   },
   {
     name: 'its members stay reserved while a peer finds it serving, though it is silent here',
-    own: ['none', 'none', 'none'],
+    own: ['silent', 'silent', 'silent'],
     peers: ['serving', 'silent'],
     isReleased: false,
   },
@@ -408,23 +416,23 @@
   },
   {
     name: 'its members stay reserved while only one of two peers finds it silent too',
-    own: ['none', 'none', 'none'],
+    own: ['silent', 'silent', 'silent'],
     peers: ['silent', undefined],
     isReleased: false,
   },
   {
     name: 'its members are released once three nodes find it silent',
-    own: ['none', 'none', 'none'],
+    own: ['silent', 'silent', 'silent'],
     peers: ['silent', 'silent'],
     isReleased: true,
   },
   {
     name: 'its members stay reserved after a single missed answer',
-    own: ['none'],
+    own: ['silent'],
     peers: ['silent'],
     isReleased: false,
   },
-] as const;
+];
 for (const { name, own, peers, isReleased } of headCases) {
   void t.test(`a head that is not listed any more: ${name}`, (t) => {
     const watch = new UnlistedHeads();
@@ -432,16 +440,37 @@
     watch.update(listed([head, ...members]), 0);
     watch.update(listed(members), 100);
     t.same(watch.getHeadsToProbe(), [head]);
-    for (const answer of own) {
+    for (const [index, answer] of own.entries()) {
       watch.recordAnswer(
         head,
-        answer === 'none' ? 'none' : head.membership && { ...head.membership, state: answer },
+        answer === 'silent' ? answer : head.membership && { ...head.membership, state: answer },
+        100 + index * 800,
       );
     }
     const findings = peers.map(
       (finding) => new Map(finding === undefined ? [] : [[GROUP, finding] as const]),
     );
-    t.equal(watch.isReleased(GROUP, findings, findings.length, 200), isReleased);
+    t.equal(watch.isReleased(GROUP, findings, findings.length, 2_000), isReleased);
+    t.end();
+  });
+}
+
+// Guards against the members of a sound head that are used elsewhere since it was silent for a second.
+for (const { name, answer, questions, isReleased } of [
+  { name: 'is silent for a second', answer: 'silent', questions: 4, isReleased: false },
+  { name: 'is silent for longer', answer: 'silent', questions: 6, isReleased: true },
+  { name: 'refuses several times', answer: 'refused', questions: 3, isReleased: true },
+] as const) {
+  void t.test(`three nodes ask a head that is not listed and ${name}`, (t) => {
+    const nodes = [new UnlistedHeads(), new UnlistedHeads(), new UnlistedHeads()] as const;
+    for (const node of nodes) {
+      node.update(observeGroups(SERVICE, [head, ...members]), 0);
+      node.update(observeGroups(SERVICE, members), 100);
+      for (let index = 0; index < questions; index++) node.recordAnswer(head, answer, 100 + index * 300);
+    }
+    const [own, ...peers] = nodes;
+    const findings = peers.map((peer) => peer.getFindings());
+    t.equal(own.isReleased(GROUP, findings, findings.length, 2_000), isReleased);
     t.end();
   });
 }
@@ -457,7 +486,7 @@
     ['closing', false],
     ['ready', false],
   ] as const) {
-    watch.recordAnswer(head, head.membership && { ...head.membership, state });
+    watch.recordAnswer(head, head.membership && { ...head.membership, state }, 200);
     t.same(watch.getOpenHeads(), isToBeClosed ? [head] : [], state);
   }
   t.end();
--- a/tests/serving/simulatedFleet.ts
+++ b/tests/serving/simulatedFleet.ts
@@ -346,7 +346,8 @@
     for (const head of this.heads.getHeadsToProbe()) {
       this._fleet.readReport(this, head.id, REPORT_TIMEOUT_MS, (report) => {
         const isSame = report?.startedAtMs === head.startedAtMs;
-        this.heads.recordAnswer(head, report ? (isSame ? report.membership : undefined) : 'none');
+        const answer = report ? (isSame ? report.membership : undefined) : 'silent';
+        this.heads.recordAnswer(head, answer, this._fleet.schedule.nowMs);
       });
     }
   }
