Node: a refusal does not hide that its target stands still

What callers saw: nothing yet, by test only. Streams would wait longer at a group that lost a member. Cause: a refusal makes its target suspect, and a silence counts only if the target isn't suspect already. Since a head that is full is no longer reported as silent, its refusals hid the stall of its group from the planner for 0.7 to 4 s on that node; the head of a stalled group is full soon. Ruled out: to report such a refusal again: it says nothing of the group. Change: the target's health tells a suspicion for silence from one for a refusal. Only the former answers the next silence. Evidence: the new case of node/requestRun failed before (no report in the 0.7 s for which the head is avoided) and passes; its other cases pass in both. serving/decisions and node/silentTargets pass.

--- a/packages/core/src/serving/targetHealth.ts
+++ b/packages/core/src/serving/targetHealth.ts
@@ -14,6 +14,8 @@
   failureAtMs: number;
   consecutiveSuspicions: number;
   suspectUntilMs: number;
+  /** Until when it is suspect because it sends nothing, and not only because it refuses. */
+  silentUntilMs: number;
   progressAtMs: number;
   usualPauseMs: number;
 }
@@ -32,6 +34,7 @@
     const health = this._getHealth(target);
     health.progressAtMs = nowMs;
     health.suspectUntilMs = 0;
+    health.silentUntilMs = 0;
   }
 
   /** Records the time between two events of a stream, or since its last event when it was left. */
@@ -49,16 +52,20 @@
     if (!isFailure) health.consecutiveSuspicions = 0;
   }
 
-  /** Makes the target suspect because it sends nothing. Returns false if it already was. */
+  /** Makes the target suspect because it sends nothing. Returns false if it already was for that reason. */
   recordSilence(target: string, nowMs: number): boolean {
     const health = this._getHealth(target);
-    if (health.suspectUntilMs > nowMs) return false;
-    const suspicionMs = Math.min(MAX_SUSPICION_MS, INITIAL_SUSPICION_MS * 2 ** health.consecutiveSuspicions);
-    health.consecutiveSuspicions++;
-    health.suspectUntilMs = nowMs + suspicionMs;
+    if (health.silentUntilMs > nowMs) return false;
+    suspect(health, nowMs);
+    health.silentUntilMs = health.suspectUntilMs;
     return true;
   }
 
+  /** Makes the target suspect because it refuses. Returns false if it already was suspect. */
+  recordRefusal(target: string, nowMs: number): boolean {
+    return suspect(this._getHealth(target), nowMs);
+  }
+
   isSuspect(target: string, nowMs: number): boolean {
     return (this._targets.get(target)?.suspectUntilMs ?? 0) > nowMs;
   }
@@ -99,6 +106,7 @@
         failureAtMs: 0,
         consecutiveSuspicions: 0,
         suspectUntilMs: 0,
+        silentUntilMs: 0,
         progressAtMs: -Infinity,
         usualPauseMs: 0,
       };
@@ -108,6 +116,15 @@
   }
 }
 
+/** Begins a suspicion, unless one lasts; each is longer than the one before. Returns whether it began. */
+function suspect(health: Health, nowMs: number): boolean {
+  if (health.suspectUntilMs > nowMs) return false;
+  const suspicionMs = Math.min(MAX_SUSPICION_MS, INITIAL_SUSPICION_MS * 2 ** health.consecutiveSuspicions);
+  health.consecutiveSuspicions++;
+  health.suspectUntilMs = nowMs + suspicionMs;
+  return true;
+}
+
 function decay(health: Health, nowMs: number): number {
   return health.failureRate * 0.5 ** ((nowMs - health.failureAtMs) / FAILURE_HALF_LIFE_MS);
 }
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -503,7 +503,7 @@
     const { context } = this._options;
     const { candidate } = attempt;
     if (head.faultyInstance !== undefined) {
-      const isNew = context.health.recordSilence(candidate.key, context.clock.monotonic());
+      const isNew = context.health.recordRefusal(candidate.key, context.clock.monotonic());
       const { status, faultyInstance } = head;
       if (isNew) this._logSilence(attempt, { reason: 'refused', status, faultyInstance });
       // A head that is full, closing or no head any more names itself; its group need not be stalled.
--- a/tests/node/requestRun.test.ts
+++ b/tests/node/requestRun.test.ts
@@ -503,4 +503,34 @@
     t.ok(fixture.targets.every(({ requests }) => requests.length === 0));
     fixture.endStop();
   });
+
+  // Guards against a group that stands still and is not reported since its head, whose queue is full, has just refused.
+  await t.test('a silent group is reported also after its head has refused another request', async (t) => {
+    // The others have taught their fixture that its groups are slow.
+    const own = new GroupFixture();
+    await own.start();
+    own.place = (_criteria, onChoice) => {
+      onChoice(own.choose(0));
+    };
+    const [first] = own.targets;
+    first.reset(({ socket, id }) => {
+      if (id === 'a') {
+        socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}${toChunk(toEvent(1))}`);
+        setTimeout(() => socket.write(`${toChunk(toEvent(2))}0\r\n\r\n`), 1_500);
+        return;
+      }
+      const head = `HTTP/1.1 503 Full\r\nAttempt-Id: ${id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n`;
+      socket.write(`${head}At-Server: ${first.address}\r\n\r\n`);
+    });
+    own.reported.length = 0;
+    own.route = { ...ROUTE, maxAttempts: 1 };
+    const stream = own.caller().exchange(REQUEST);
+    await sleep(200);
+    const refused = await own.caller().exchange(REQUEST.replace('Attempt-Id: a', 'Attempt-Id: b'));
+    t.equal(refused.status, 503);
+    t.same(own.reported, []);
+    await sleep(400);
+    t.same(own.reported, ['group-0'], 'in the 700 ms for which the head is avoided');
+    t.ok((await stream).isComplete);
+  });
 });
