Steward: a reset probe is no sign that an engine has ended

One probe whose connection an engine reset made the watcher report the member as missing, and each entry that heard it aborted all streams of the group. Engines reset idle connections, and those beyond their limit.

Cause: the engine's client told a reset and a refused connection alike, and the prober took both for an address at which nothing listens.

A reset is a reason of its own. The prober then reads once more over a new connection, so that a process that has ended is still found within the same probe: its address refuses that connection. Two resets are a silence.

Evidence: `targets/engineClient`, with real sockets: two of four cases were told as `unreachable` before, none after. `steward/prober`: the new cases wait in vain for a second read before (timed out), and pass after.

Ruled out: a later discovery of an engine that has ended.

--- a/packages/steward/src/engineReconciler.ts
+++ b/packages/steward/src/engineReconciler.ts
@@ -232,6 +232,7 @@
     case 'malformed':
       return true;
     case 'timeout':
+    case 'reset':
     case 'unreachable':
       return false;
   }
--- a/packages/steward/src/prober.ts
+++ b/packages/steward/src/prober.ts
@@ -32,7 +32,7 @@
   readonly basis: ObservationBasis;
   /** Undefined if the last probe was answered. */
   readonly silence: Silence | undefined;
-  /** Whether the last probe's connection was refused or reset, as when nothing listens at the address. */
+  /** Whether the last probe's connection was refused, as when nothing listens at the address. */
   readonly hasConnectionFailed: boolean;
   /** When the first of an unbroken series of probes that found the same boot idle was sent. */
   readonly idleSinceMs: number | undefined;
@@ -113,7 +113,7 @@
     previous: Observation | undefined,
   ): Promise<Observation> {
     try {
-      const status = await this.clientOf(address).readStatus(PROBE_TIMEOUT_MS);
+      const status = await this._readWithRetry(address);
       const isIdle = status.phase === 'idle' && status.group === null;
       const isSameBoot = previous?.status?.boot === status.boot;
       const idleSinceMs = isIdle
@@ -140,6 +140,20 @@
     }
   }
 
+  /**
+   * Reads the status, and once more if the connection was reset: engines reset idle connections and those beyond their
+   * limit. Only a refused connection shows that an engine has ended.
+   */
+  private async _readWithRetry(address: string): Promise<EngineStatus> {
+    const client = this.clientOf(address);
+    try {
+      return await client.readStatus(PROBE_TIMEOUT_MS);
+    } catch (error) {
+      if (!(error instanceof EngineCallError) || error.reason !== 'reset') throw error;
+      return client.readStatus(PROBE_TIMEOUT_MS);
+    }
+  }
+
   /** A late timer or a long gap means that this process was paused, which is no silence of the instance. */
   private _extendSilence(previous: Silence | undefined, probedAtMs: number): Silence {
     const untilMs = Math.min(this._options.clock.monotonic(), probedAtMs + PROBE_TIMEOUT_MS);
--- a/packages/targets/src/engineClient.ts
+++ b/packages/targets/src/engineClient.ts
@@ -42,8 +42,8 @@
   readonly members?: readonly string[];
 }
 
-/** Why a call to an engine failed. */
-export type EngineCallFailureReason = 'unreachable' | 'timeout' | 'refused' | 'malformed';
+/** Why a call to an engine failed; `unreachable` means that nothing listens at its address. */
+export type EngineCallFailureReason = 'unreachable' | 'reset' | 'timeout' | 'refused' | 'malformed';
 
 /** A call to an engine failed, for the reason in `reason`. */
 export class EngineCallError extends MonsoonreachError {
@@ -113,10 +113,11 @@
   }
 }
 
-const UNREACHABLE_CODES: readonly unknown[] = ['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET'];
+const RESET_CODES: readonly unknown[] = ['ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET'];
 
 function toFailureReason(error: unknown): EngineCallFailureReason {
   if ([SyntaxError, z.ZodError, BodyTooLargeError].some((type) => error instanceof type)) return 'malformed';
   const code = (error as { readonly code?: unknown }).code;
-  return UNREACHABLE_CODES.includes(code) ? 'unreachable' : 'timeout';
+  if (code === 'ECONNREFUSED') return 'unreachable';
+  return RESET_CODES.includes(code) ? 'reset' : 'timeout';
 }
