Steward: a group that another steward sees whole is not ended as missing

A planner that had lost its own path to a member dissolved the member's group after some seconds and stopped its head, while the group's watcher saw all members and entries sent it requests: callers saw streams cut at a group that served.

Cause: the planner decided `instance-missing` by its own probes alone.

A member that is only silent, and not restarted, is not missing while a steward reports the group as whole. The planner asks the other stewards for reports as soon as a member of its domains is silent. A report counts for as long as the lease that it tells of, no longer for 3 s after its answer: a member that is silent for all is found missing no later than its group's lease ends.

Evidence: `steward/groupPlanner`, the case of a member that is silent here and whole for another: dissolved as `instance-missing` before, no step after; silent for all, and restarted, are dissolved as before. `steward/returningHead` passes: a head that is silent for all still loses its group.

Not run: two stewards, one of them cut off from a member, as real processes.

--- a/packages/steward/src/groupPlanner.ts
+++ b/packages/steward/src/groupPlanner.ts
@@ -55,7 +55,7 @@
   readonly listedInstances: () => ReadonlyMap<string, ListedInstance>;
   readonly prober: Pick<Prober, 'findObservation' | 'clientOf'>;
   readonly controlWriter: Pick<LogWriter<ControlBody, ControlRejection>, 'write'>;
-  /** Whether a steward reports the group as whole; used for groups in other fabric domains. */
+  /** Whether a steward reports the group as whole; used for other fabric domains, and for silent members. */
   readonly isReportedWhole: (group: Group) => boolean;
 }
 
@@ -116,6 +116,18 @@
     return targets;
   }
 
+  /** Whether a member of a group in a leased fabric domain does not answer this steward. */
+  hasSilentMembers(): boolean {
+    const held = new Set(this.leasedDomains());
+    return this._options
+      .groups()
+      .groups()
+      .filter(({ fabricDomain, dissolvedAt }) => dissolvedAt === undefined && held.has(fabricDomain))
+      .some(({ members }) =>
+        members.some(({ address }) => this._options.prober.findObservation(address)?.silence !== undefined),
+      );
+  }
+
   private async _runIfReady(): Promise<void> {
     if (this._options.isControlStreamReady() && this._options.configuration()) await this._runTick();
   }
@@ -184,7 +196,12 @@
       const phase = this._options.isReportedWhole(group) ? 'whole' : 'unknown';
       return { phase, missing: [], restarted: [] };
     }
-    return assessGroup(group, (address) => this._options.prober.findObservation(address));
+    const health = assessGroup(group, (address) => this._options.prober.findObservation(address));
+    const isOnlySilent = health.missing.length > 0 && health.restarted.length === 0;
+    // The group serves: only the path from here to a member is lost.
+    if (isOnlySilent && this._options.isReportedWhole(group))
+      return { phase: 'whole', missing: [], restarted: [] };
+    return health;
   }
 
   /** Instances of the live list and of groups, with their last probes; collected at most once per tick interval. */
--- a/packages/steward/src/steward.ts
+++ b/packages/steward/src/steward.ts
@@ -25,9 +25,6 @@
 
 type ClaimsFollower = StreamFollower<ClaimBody, ClaimRejection, Claims>;
 
-/** How long another steward's report that a group is whole stays valid. */
-const WHOLE_REPORT_TTL_MS = 3_000;
-
 /** The steward daemon: watches groups, plans fabric domains and writes checkpoints. */
 export class Steward implements Daemon {
   private readonly _clock: Clock = systemClock;
@@ -41,7 +38,8 @@
   private readonly _operators: OperatorsServer;
   private readonly _controlWriter: LogWriter<ControlBody, ControlRejection>;
   private readonly _claims: ReadonlyMap<string, ClaimsFollower>;
-  private readonly _wholeReportAtMs = new Map<string, number>();
+  /** When the latest lease that a steward reported for each group ends. */
+  private readonly _wholeUntilMs = new Map<string, number>();
   private readonly _self: Candidate;
 
   constructor(private readonly _settings: StewardSettings) {
@@ -217,22 +215,25 @@
     });
   }
 
-  /** Polls the stewards for whole groups, for decisions that depend on other fabric domains. */
+  /** Polls the stewards for whole groups, for decisions on other fabric domains and on silent members. */
   private _createPuller(): LeasePuller {
     return new LeasePuller({
       clients: this._fleet.clients,
       clock: this._clock,
       counters: this._fleet.counters,
       self: this._self,
-      stewards: () => (this._needsOtherDomains() ? this._stewards() : []),
-      onAnswer: (_, leases) => {
-        const nowMs = this._clock.monotonic();
+      stewards: () => (this._needsReports() ? this._stewards() : []),
+      onAnswer: (querySentAtMs, leases) => {
         for (const { group, remainingMs } of leases)
-          if (remainingMs > 0) this._wholeReportAtMs.set(group, nowMs);
+          if (remainingMs > 0) this._wholeUntilMs.set(group, querySentAtMs + remainingMs);
       },
     });
   }
 
+  private _needsReports(): boolean {
+    return this._planner.hasSilentMembers() || this._needsOtherDomains();
+  }
+
   /** Only dissolving groups of old versions and surplus groups depends on groups in other fabric domains. */
   private _needsOtherDomains(): boolean {
     const configuration = this._fleet.configurationInForce?.configuration;
@@ -246,7 +247,7 @@
   }
 
   private _isReportedWhole(group: Group): boolean {
-    return this._clock.monotonic() - (this._wholeReportAtMs.get(group.id) ?? -Infinity) < WHOLE_REPORT_TTL_MS;
+    return this._clock.monotonic() < (this._wholeUntilMs.get(group.id) ?? -Infinity);
   }
 
   private _probeTargets(): ReadonlyMap<string, number> {
--- a/tests/steward/groupPlanner.test.ts
+++ b/tests/steward/groupPlanner.test.ts
@@ -3,7 +3,7 @@
 import { GroupPlanner, type Observation } from '@monsoonreach/steward';
 import { EngineClient } from '@monsoonreach/targets';
 import t from 'tap';
-import { ControlStream, createConfiguration, IDLE, observe } from './stewardFixtures.js';
+import { ControlStream, createConfiguration, IDLE, observe, readyFor } from './stewardFixtures.js';
 
 const WRITER = { address: 's1', incarnation: '1' };
 const SELF = { id: 's1', failureDomain: 'a' };
@@ -61,3 +61,85 @@
   for (const { timeoutMs } of steps) t.ok(timeoutMs <= 1_000, `given up after ${timeoutMs} ms`);
   void planner.stop();
 });
+
+const HEAD = '127.0.0.1:1';
+const MEMBER = '127.0.0.1:2';
+const SPARES = ['127.0.0.1:3', '127.0.0.1:4'];
+
+/** The reasons for which a planner dissolves a group of two, beside two spares. */
+async function findDissolutions(options: {
+  readonly observeMember: (epoch: number) => Observation;
+  readonly isReportedWhole: boolean;
+}): Promise<readonly string[]> {
+  const stream = new ControlStream();
+  const epoch = stream.form('g', [HEAD, MEMBER]);
+  for (const address of SPARES) stream.release(address);
+  const observations = new Map([
+    [HEAD, observe(readyFor('g', epoch), { basis: { position: epoch, openIntents: [] } })],
+    [MEMBER, options.observeMember(epoch)],
+  ]);
+  const instances = [HEAD, MEMBER, ...SPARES].map((address): readonly [string, ListedInstance] => {
+    const place = { failureDomain: 'a', fabricDomain: 'f', accelerators: 8 };
+    return [address, { address, kind: 'engine', ...place, state: 'live' }];
+  });
+  const client = new EngineClient(HEAD);
+  const reasons: string[] = [];
+  const planner = new GroupPlanner({
+    clock: new ManualClock(),
+    counters: new Counters(),
+    stateLog: createLogger('test', 'hidden'),
+    writer: WRITER,
+    self: SELF,
+    stewards: () => [SELF],
+    groups: () => stream.groups,
+    isControlStreamReady: () => true,
+    nextControlOffset: () => 1_000,
+    configuration: () => createConfiguration({ checksFencing: true }),
+    listedInstances: () => new Map(instances),
+    prober: { findObservation: (address) => observations.get(address), clientOf: () => client },
+    controlWriter: {
+      write: (body) => {
+        if (body.kind === 'dissolve') reasons.push(body.reason);
+        return new Promise(() => undefined);
+      },
+    },
+    isReportedWhole: () => options.isReportedWhole,
+  });
+  planner.start();
+  await sleep(2 * TICK_MS);
+  void planner.stop();
+  await client.close();
+  return reasons;
+}
+
+// A planner whose own path to a member was lost dissolved a group that other stewards saw as whole, and that served.
+void t.test('a silent member ends its group only if no steward sees the group as whole', async (t) => {
+  const silence = { sinceMs: 0, untilMs: 60_000 };
+  const since = (epoch: number) => ({ basis: { position: epoch, openIntents: [] } });
+  const cases: readonly {
+    readonly name: string;
+    readonly observeMember: (epoch: number) => Observation;
+    readonly isReportedWhole: boolean;
+    readonly reasons: readonly string[];
+  }[] = [
+    {
+      name: 'silent here, whole for another',
+      observeMember: (epoch) => observe(readyFor('g', epoch), { ...since(epoch), silence }),
+      isReportedWhole: true,
+      reasons: [],
+    },
+    {
+      name: 'silent for all',
+      observeMember: (epoch) => observe(readyFor('g', epoch), { ...since(epoch), silence }),
+      isReportedWhole: false,
+      reasons: ['instance-missing'],
+    },
+    {
+      name: 'restarted, and whole by an earlier report',
+      observeMember: (epoch) => observe({ ...IDLE, boot: 'b2' }, since(epoch)),
+      isReportedWhole: true,
+      reasons: ['instance-restarted'],
+    },
+  ];
+  for (const { name, reasons, ...options } of cases) t.same(await findDissolutions(options), reasons, name);
+});
