Steward: no group is ended for what the live list does not show

A steward that had taken over a domain and not read the live list yet, as in an outage of the list, or that had read a restored list without the entries, knew no spare. When the model's version changed, it dissolved the model's only group in place. Released instances without an entry can't be assigned again, so that callers would get no group until the list is back. A member that had announced to leave, and whose entry was then removed, counted as staying: entries sent its group nothing, and the planner never replaced it.

Cause: missing entries were read as "there is no spare", and a member without an entry was planned as not leaving whatever its last status said.

A group is replaced in place only if all its members are listed. A member without an entry leaves if its engine said so.

A group whose member has no entry and has not announced to leave stays, before and after.

Ruled out: that a missing entry alone ends a group: members are planned for as long as their group stands.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -246,7 +246,7 @@
     for (let index = 0; index < size * 8; index++) {
       const address = formatInstanceAddress(index);
       const place = { failureDomain: `d${index % 6}`, fabricDomain: `f${Math.floor(index / 64)}` };
-      const state = { isLeaving: false, isReachable: true, isReleaseOutdated: false };
+      const state = { isLeaving: false, isListed: true, isReachable: true, isReleaseOutdated: false };
       instances.set(address, { address, ...place, accelerators: 1, ...state });
     }
     const plan = () =>
--- a/packages/core/src/planner.ts
+++ b/packages/core/src/planner.ts
@@ -11,6 +11,8 @@
   readonly fabricDomain: string;
   readonly accelerators: number;
   readonly isLeaving: boolean;
+  /** False for a member that the live list does not show; it cannot be assigned again once it is released. */
+  readonly isListed: boolean;
   /** True when its last status read was answered, or none was made yet. */
   readonly isReachable: boolean;
   /** True when a status read since its release showed it busy or restarted. */
@@ -165,7 +167,7 @@
   if (hasLeavingMember(group, view)) return 'instance-leaving';
   if (group.version !== model.version) {
     const oldest = findOldestOutdated(group, model, view);
-    return oldest === group.id && isReplaceable(wholeOthers, others.length, model, view)
+    return oldest === group.id && isReplaceable(group, wholeOthers, others.length, model, view)
       ? 'version-replaced'
       : undefined;
   }
@@ -175,6 +177,7 @@
 
 /** True when enough other groups are whole, or when a replacement can only use the group's own instances. */
 function isReplaceable(
+  group: Group,
   wholeOthers: number,
   others: number,
   model: ModelConfiguration,
@@ -184,6 +187,7 @@
   const isReplacementUnderWay = others >= model.groups;
   return (
     !isReplacementUnderWay &&
+    group.members.every(({ address }) => view.instances.get(address)?.isListed === true) &&
     findMembers(view, model, new Set()) === undefined &&
     wholeOthers >= model.groups - 1
   );
--- a/packages/steward/src/groupPlanner.ts
+++ b/packages/steward/src/groupPlanner.ts
@@ -225,6 +225,7 @@
         fabricDomain: listed.fabricDomain,
         accelerators: listed.accelerators,
         isLeaving: listed.state === 'leaving' || observation?.status?.leaving === true,
+        isListed: true,
         isReachable: observation?.silence === undefined,
         isReleaseOutdated: this._isReleaseOutdated(listed.address),
       });
@@ -238,11 +239,17 @@
     for (const group of this._options.groups().groups()) {
       for (const { address } of group.members) {
         if (instances.has(address)) continue;
-        const isReachable = this._options.prober.findObservation(address)?.silence === undefined;
-        const { fabricDomain } = group;
-        const place = { failureDomain: '', fabricDomain, accelerators: 0 };
-        const state = { isLeaving: false, isReachable, isReleaseOutdated: this._isReleaseOutdated(address) };
-        instances.set(address, { address, ...place, ...state });
+        const observation = this._options.prober.findObservation(address);
+        instances.set(address, {
+          address,
+          failureDomain: '',
+          fabricDomain: group.fabricDomain,
+          accelerators: 0,
+          isLeaving: observation?.status?.leaving === true,
+          isListed: false,
+          isReachable: observation?.silence === undefined,
+          isReleaseOutdated: this._isReleaseOutdated(address),
+        });
       }
     }
   }
--- a/tests/core/planner.test.ts
+++ b/tests/core/planner.test.ts
@@ -37,7 +37,7 @@
     const instances = new Map(
       addresses.map((address): readonly [string, PlannedInstance] => {
         const place = { failureDomain: 'a', fabricDomain: 'f', accelerators: 8 };
-        const state = { isLeaving: false, isReachable: true, isReleaseOutdated: false };
+        const state = { isLeaving: false, isListed: true, isReachable: true, isReleaseOutdated: false };
         return [address, { address, ...place, ...state, ...(address === 'i1' ? first : {}) }];
       }),
     );
--- a/tests/steward/engineReconciler.test.ts
+++ b/tests/steward/engineReconciler.test.ts
@@ -87,7 +87,7 @@
   async tick(): Promise<void> {
     this._reconciler.trackOpenIntents();
     const instance = { address: ADDRESS, failureDomain: 'a', fabricDomain: 'f', accelerators: 8 };
-    const state = { isLeaving: false, isReachable: true, isReleaseOutdated: false };
+    const state = { isLeaving: false, isListed: true, isReachable: true, isReleaseOutdated: false };
     this._reconciler.reconcile([{ ...instance, ...state }]);
     await new Promise((resolve) => setImmediate(resolve));
   }
--- a/tests/steward/groupPlanner.test.ts
+++ b/tests/steward/groupPlanner.test.ts
@@ -69,8 +69,14 @@
 /** The reasons for which a planner dissolves a group of two, beside two spares. */
 async function findDissolutions(options: {
   readonly observeMember: (epoch: number) => Observation;
-  readonly isReportedWhole: boolean;
+  readonly isReportedWhole?: boolean;
+  readonly listed?: readonly string[];
+  /** The version that the model has now; the group runs version 1. */
+  readonly version?: string;
 }): Promise<readonly string[]> {
+  const { isReportedWhole = false, listed = [HEAD, MEMBER, ...SPARES], version = '1' } = options;
+  const { model, ...configuration } = createConfiguration({ checksFencing: true });
+  const models = Object.entries(model).map(([name, settings]) => [name, { ...settings, version }] as const);
   const stream = new ControlStream();
   const epoch = stream.form('g', [HEAD, MEMBER]);
   for (const address of SPARES) stream.release(address);
@@ -78,7 +84,7 @@
     [HEAD, observe(readyFor('g', epoch), { basis: { position: epoch, openIntents: [] } })],
     [MEMBER, options.observeMember(epoch)],
   ]);
-  const instances = [HEAD, MEMBER, ...SPARES].map((address): readonly [string, ListedInstance] => {
+  const instances = listed.map((address): readonly [string, ListedInstance] => {
     const place = { failureDomain: 'a', fabricDomain: 'f', accelerators: 8 };
     return [address, { address, kind: 'engine', ...place, state: 'live' }];
   });
@@ -94,7 +100,7 @@
     groups: () => stream.groups,
     isControlStreamReady: () => true,
     nextControlOffset: () => 1_000,
-    configuration: () => createConfiguration({ checksFencing: true }),
+    configuration: () => ({ ...configuration, model: Object.fromEntries(models) }),
     listedInstances: () => new Map(instances),
     prober: { findObservation: (address) => observations.get(address), clientOf: () => client },
     controlWriter: {
@@ -103,7 +109,7 @@
         return new Promise(() => undefined);
       },
     },
-    isReportedWhole: () => options.isReportedWhole,
+    isReportedWhole: () => isReportedWhole,
   });
   planner.start();
   await sleep(2 * TICK_MS);
@@ -143,3 +149,36 @@
   ];
   for (const { name, reasons, ...options } of cases) t.same(await findDissolutions(options), reasons, name);
 });
+
+// A steward that had not read the list yet replaced a model's only group in place, beside spares that it did not know.
+void t.test('a group is not ended for entries that the live list lacks', async (t) => {
+  const ready = (epoch: number) =>
+    observe(readyFor('g', epoch), { basis: { position: epoch, openIntents: [] } });
+  const cases: readonly {
+    readonly name: string;
+    readonly isLeaving?: boolean;
+    readonly listed: readonly string[];
+    readonly version?: string;
+    readonly reasons: readonly string[];
+  }[] = [
+    { name: 'a new version, no entry', listed: [], version: '2', reasons: [] },
+    { name: 'a new version, no entry of a member', listed: [HEAD], version: '2', reasons: [] },
+    { name: 'a new version, no spare', listed: [HEAD, MEMBER], version: '2', reasons: ['version-replaced'] },
+    { name: 'a new version, and spares', listed: [HEAD, MEMBER, ...SPARES], version: '2', reasons: [] },
+    { name: 'no entry of a member', listed: [HEAD, ...SPARES], reasons: [] },
+    {
+      name: 'no entry of a member that announced to leave',
+      isLeaving: true,
+      listed: [HEAD, ...SPARES],
+      reasons: ['instance-leaving'],
+    },
+  ];
+  for (const { name, isLeaving = false, reasons, ...options } of cases) {
+    const observeMember = (epoch: number) => {
+      const observation = ready(epoch);
+      const { status } = observation;
+      return { ...observation, status: status && { ...status, leaving: isLeaving } };
+    };
+    t.same(await findDissolutions({ ...options, observeMember }), reasons, name);
+  }
+});
