--- a/tests/steward/engineReconciler.test.ts
+++ b/tests/steward/engineReconciler.test.ts
@@ -87,7 +87,7 @@
   async tick(): Promise<void> {
     this._reconciler.trackOpenIntents();
     const instance = { address: ADDRESS, failureDomain: 'a', fabricDomain: 'f', accelerators: 8 };
-    const state = { isLeaving: false, isReachable: true, isReleaseOutdated: false };
+    const state = { isLeaving: false, isListed: true, isReachable: true, isReleaseOutdated: false };
     this._reconciler.reconcile([{ ...instance, ...state }]);
     await new Promise((resolve) => setImmediate(resolve));
   }
@@ -240,7 +240,8 @@
     { name: 'refused by the engine', failure: 'refused', isOpen: false },
     { name: 'answered with something else', failure: 'malformed', isOpen: false },
     { name: 'unanswered', failure: 'timeout', isOpen: true },
-    { name: 'connection reset', failure: 'unreachable', isOpen: true },
+    { name: 'connection reset', failure: 'reset', isOpen: true },
+    { name: 'connection refused', failure: 'unreachable', isOpen: true },
   ];
   for (const { name, failure, isOpen } of cases) {
     const bench = new Bench({ checksFencing: false });
