Entry: a copy whose claim is confirmed late follows the claim that came first

What callers saw: of several copies of one order sent at once, one got 503 "not run" after 3 s, instead of the answer that the others shared.

Cause: claims of an entry go to the log in batches, one append at a time, so the claim of a second copy at the same entry waits for the first one's append. With a log that takes more than 1.5 s for an append, the second claim is not read back in the 3 s for which a call waits. The entry then refused the copy, though its reader of the log already showed the claim of the first one, and often its answer. The refusal also said of an order that it was not run, while another copy was running it: a caller who then places the order with a new key has two.

Evidence: entry/atMostOnce, with the log's stand-in delayed by 1.9 s a call: of three copies one is answered, two are refused with log-unavailable, before the change; after it all three have the same answer, from one dispatch.

Where the log shows no claim of the key, the refusal is true and stays: the third case.

Change: once its claim is given up, a copy follows the claim that the log shows for its key: it gets the kept answer, waits for it, or is told that the outcome is in doubt.

--- a/packages/entry/src/atMostOnce.ts
+++ b/packages/entry/src/atMostOnce.ts
@@ -12,6 +12,7 @@
   Dispatched,
   hash32,
   IdempotencyKeyError,
+  type Log,
   MAX_STORED_BODY_CHARS,
   type Outcome,
   pause,
@@ -19,6 +20,7 @@
   sha256,
   type StoredAnswer,
   toClaimsStream,
+  type Writer,
 } from '@monsoonreach/core';
 import type { CallContext, ServiceAnswer } from '@monsoonreach/callers';
 import { LogWriter, StreamFollower, type WrittenRecord } from '@monsoonreach/log';
@@ -43,6 +45,11 @@
   readonly claimSequence: number;
 }
 
+/** Dependencies of {@link AtMostOnce}. */
+export type AtMostOnceContext = Pick<EntryContext, 'clock' | 'counters'> & {
+  readonly fleet: { readonly log: Log; readonly writer: Writer };
+};
+
 /** Sends a call whose claim was accepted. */
 export type ClaimedDispatch = (undispatched: Undispatched) => Promise<Outcome<ServiceAnswer>>;
 
@@ -55,7 +62,7 @@
   private readonly _shards: readonly Shard[];
 
   constructor(
-    private readonly _context: EntryContext,
+    private readonly _context: AtMostOnceContext,
     options: { readonly maxBatch?: number } = {},
   ) {
     this._shards = Array.from({ length: CLAIM_SHARDS }, (_, index) =>
@@ -122,7 +129,11 @@
       this._context.counters.record('monsoonreach_claim_ms', this._context.clock.monotonic() - startedAtMs);
       return await this._handleVerdict(written, claimed, prepared, fingerprint, dispatch);
     } catch (error) {
-      return this._refuseUnclaimed(error, claimed, call);
+      this._giveUpClaim(error, claimed);
+      // The log shows the claim of another copy, which was first: its answer is the answer to this copy as well.
+      if (shard.follower.state.find(workspace, key))
+        return this._followClaim(shard, prepared, key, fingerprint);
+      return refuseUnclaimed(call.undispatched);
     }
   }
 
@@ -185,13 +196,9 @@
   }
 
   /** Never dispatches a call whose claim was not confirmed, and withdraws the claim in case the log took it. */
-  private _refuseUnclaimed(error: unknown, claimed: ClaimedKey, call: CallContext): Outcome<never> {
+  private _giveUpClaim(error: unknown, claimed: ClaimedKey): void {
     if (error instanceof AppendUnknownError) this._withdrawClaim(claimed);
     else if (!(error instanceof AppendNotSentError)) throw error;
-    return call.undispatched.refuse('log-unavailable', {
-      detail: 'The log did not confirm the claim in time; the request was not run and can be sent again.',
-      retryAfterMs: CLAIM_TIMEOUT_MS,
-    });
   }
 
   private _withdrawClaim({ shard, workspace, key, claimSequence }: ClaimedKey): void {
@@ -284,6 +291,13 @@
   return (readKeyTime(key) ?? 0) + CLAIM_WINDOW_MS < shard.follower.streamNowMs;
 }
 
+function refuseUnclaimed(undispatched: Undispatched): Outcome<never> {
+  return undispatched.refuse('log-unavailable', {
+    detail: 'The log did not confirm the claim in time; the request was not run and can be sent again.',
+    retryAfterMs: CLAIM_TIMEOUT_MS,
+  });
+}
+
 function refuseReuse(undispatched: Undispatched): Outcome<never> {
   return undispatched.refuse('key-reused', { detail: 'The key was used for another request.' });
 }
