Planner: a member that has no slot for a health check is not lost

What callers saw: by test only: a sound group that is closed, and formed again a second later. Cause: the health check of a member that isn't listed waits for a slot or is refused as any request. The refusal of a full one counted as no answer, and 1.5 s of these as its loss, though only a running instance refuses so. Ruled out: that it leaves: one that leaves refuses the check as well, but without saying that it was not executed. Change: a full member has answered. What it does stays unknown, so that its group stays open. Evidence: the new case of platform/unlistedMembers failed before ("the head is ready" instead of open) and passes, as does serving/unlistedMembers. A check that waits for a slot for longer than its timeout still counts as silence.

--- a/packages/core/src/serving/unlistedMembers.ts
+++ b/packages/core/src/serving/unlistedMembers.ts
@@ -6,8 +6,11 @@
 /** Time without an answer after which a member counts as lost, in milliseconds; a sound one may be silent for a second. */
 const LOST_AFTER_MS = 1_500;
 
-/** An instance's answer to a request for its health; `refused`: nothing listens there, or another instance does. */
-export type InstanceHealth = 'serving' | 'leaving' | 'refused' | 'silent';
+/**
+ * An instance's answer to a request for its health; `full`: it runs, but does not tell more; `refused`: nothing listens
+ * there, or another instance does.
+ */
+export type InstanceHealth = 'serving' | 'leaving' | 'full' | 'refused' | 'silent';
 
 /** State of a member without an entry; `unknown` until it has answered, or not answered for long. */
 export type UnlistedMemberState = 'unknown' | 'serving' | 'leaving' | 'lost';
@@ -75,7 +78,7 @@
     if (!member) return;
     if (member.health !== health) this._version++;
     member.health = health;
-    if (health === 'serving' || health === 'leaving') member.answeredAtMs = nowMs;
+    if (health !== 'refused' && health !== 'silent') member.answeredAtMs = nowMs;
     if (health === 'leaving') member.isLeaving = true;
   }
 
@@ -112,6 +115,8 @@
       return isLeaving ? 'leaving' : 'unknown';
     case 'leaving':
       return 'leaving';
+    case 'full':
+      return isLeaving ? 'leaving' : 'unknown';
     case 'serving':
       return 'serving';
     case undefined:
--- a/tests/platform/unlistedMembers.test.ts
+++ b/tests/platform/unlistedMembers.test.ts
@@ -25,11 +25,14 @@
   readonly name: string;
   readonly disappear: (member: InstanceStandin) => void;
   readonly isClosed: boolean;
+  /** Time after which the group is looked at, in milliseconds. */
+  readonly waitMs: number;
 }[] = [
   {
     name: 'a member that leaves without having announced it',
     disappear: (member) => void member.leaveUnlisted(700),
     isClosed: true,
+    waitMs: 1_200,
   },
   {
     name: 'a member that is only cut off from the store',
@@ -38,6 +41,17 @@
       store.put('keyed.servers', member.id, undefined);
     },
     isClosed: false,
+    waitMs: 1_200,
+  },
+  {
+    name: 'a member that is only cut off from the store, and has no slot for a check',
+    disappear: (member) => {
+      member.isDisconnectedFromStore = true;
+      member.mode = 'full';
+      store.put('keyed.servers', member.id, undefined);
+    },
+    isClosed: false,
+    waitMs: 2_500,
   },
 ];
 
@@ -52,12 +66,12 @@
   });
   store.put('keyed.op', 'config', createConfiguration(2, [API_KEY], { stepMs: EVENT_PAUSE_MS }));
   fleet.pauseBefore = () => EVENT_PAUSE_MS;
-  for (const { name, disappear, isClosed } of cases) {
+  for (const { name, disappear, isClosed, waitMs } of cases) {
     await t.test(name, async (t) => {
       const id = name.replaceAll(' ', '-');
       const { response, head, member } = await startStream(id);
       disappear(member);
-      await sleep(1_200);
+      await sleep(waitMs);
       t.equal(CLOSED.includes(head.group?.state), isClosed, `the head is ${head.group?.state ?? 'free'}`);
       const events = (await response.text()).match(/^id: /gm)?.length;
       t.equal(events, EVENTS_PER_STREAM, 'the stream is complete');
--- a/tests/serving/unlistedMembers.test.ts
+++ b/tests/serving/unlistedMembers.test.ts
@@ -98,6 +98,18 @@
     atMs: 1_700,
     state: 'lost',
   },
+  // Guards against a sound group that is closed since a member that is cut off from the store has no slot for the check.
+  {
+    name: 'one that is full for long is not lost',
+    answers: [
+      [100, 'full'],
+      [1_100, 'full'],
+      [2_100, 'full'],
+      [2_500, 'silent'],
+    ],
+    atMs: 2_600,
+    state: 'unknown',
+  },
   {
     name: 'one that leaves and falls silent leaves',
     answers: [
