Entry: a hedged call that was sent is not refused as not run

When the first of two hedged calls found no connection and the second was sent and lost, the caller was told that nothing was run.

Cause: the outcome was taken from the first call's failure alone, which proves only that the first call was not sent.

The failure of a call that may have run decides, if there is one.

Evidence: `entry/hedgedCalls`: the case of a second call that was sent ended as `not-run` before and as `failed` after; the three other cases are unchanged.

Ruled out: routes that are not idempotent, which are never hedged.

--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -6,3 +6,5 @@
 export * from './entryContext.js';
 export * from './groupDirectory.js';
 export * from './requestTraces.js';
+export * from './serviceCalls.js';
+export * from './serviceTargets.js';
--- a/packages/entry/src/serviceCalls.ts
+++ b/packages/entry/src/serviceCalls.ts
@@ -130,7 +130,7 @@
     tried.add(second);
     this._context.counters.add('monsoonreach_hedges_total');
     return Promise.any([first, this._send(prepared, second)]).catch((error: unknown) => {
-      throw error instanceof AggregateError ? (error.errors[0] as Error) : error;
+      throw error instanceof AggregateError ? findSentFailure(error.errors as readonly Error[]) : error;
     });
   }
 
@@ -225,6 +225,11 @@
   }
 }
 
+/** The failure of a call that may have run, if there is one: two hedged calls ran if either of them did. */
+function findSentFailure(errors: readonly Error[]): Error | undefined {
+  return errors.find((error) => !(error instanceof TargetCallError && isUnsent(error))) ?? errors[0];
+}
+
 function giveUp(dispatchState: Undispatched | Dispatched): Outcome<never> {
   if (dispatchState instanceof Dispatched)
     return dispatchState.failed('retries-spent', 'No other target can take the call now.');
