Planner: one limit for the silence of sound instances

The same 1.5 s stood in three places under three names; the plan's inputs and whether an answer is new are named.

--- a/packages/core/src/serving/memberProbes.ts
+++ b/packages/core/src/serving/memberProbes.ts
@@ -1,7 +1,7 @@
+import { MAX_SOUND_SILENCE_MS } from './soundSilence.js';
+
 /** Consecutive missed probes after which a member counts as lost. */
 const LOST_AFTER_MISSES = 2;
-/** Silence after which a member counts as gone, in milliseconds; a sound one may be silent for a second or so. */
-const GONE_AFTER_MS = 1_500;
 /** Minimum time between two probes of one member, in milliseconds; longer than a probe's timeout. */
 const PROBE_INTERVAL_MS = 160;
 /** Minimum time between two probe rounds of one group, in milliseconds: a quarter of the engines' detection time. */
@@ -114,7 +114,7 @@
   getGoneMembers(nowMs: number): ReadonlySet<string> {
     return this._listMembers(
       ({ misses, isRefused, missedSinceMs }) =>
-        misses >= LOST_AFTER_MISSES && (isRefused || nowMs - missedSinceMs >= GONE_AFTER_MS),
+        misses >= LOST_AFTER_MISSES && (isRefused || nowMs - missedSinceMs >= MAX_SOUND_SILENCE_MS),
     );
   }
 
--- a/packages/core/src/serving/unlistedHeads.ts
+++ b/packages/core/src/serving/unlistedHeads.ts
@@ -1,11 +1,10 @@
 import type { ProbeResult } from './memberProbes.js';
 import { groupId, isHeadServing, type ObservedGroup } from './observedGroups.js';
+import { MAX_SOUND_SILENCE_MS } from './soundSilence.js';
 import { isServingState, type MemberState, type TargetInstance } from './targetInstance.js';
 
 /** Consecutive missed probes after which a head counts as silent. */
 const SILENT_AFTER_MISSES = 3;
-/** Time since the first of them unless it refuses, in milliseconds; a sound head may be silent for a second or so. */
-const SILENT_AFTER_MS = 1_500;
 /** How long a missing head is probed, in milliseconds; longer than engines take to declare a member lost. */
 const PROBE_DURATION_MS = 15_000;
 /** How long members wait for a head that no node has ever seen, in milliseconds: the length of a long partition. */
@@ -94,7 +93,7 @@
     if (answer === 'silent' || answer === 'refused') {
       missing.misses++;
       missing.missedSinceMs = Math.min(missing.missedSinceMs, nowMs);
-      const isLong = answer === 'refused' || nowMs - missing.missedSinceMs >= SILENT_AFTER_MS;
+      const isLong = answer === 'refused' || nowMs - missing.missedSinceMs >= MAX_SOUND_SILENCE_MS;
       if (missing.misses >= SILENT_AFTER_MISSES && isLong) missing.finding = 'silent';
       return;
     }
--- a/packages/core/src/serving/unlistedMembers.ts
+++ b/packages/core/src/serving/unlistedMembers.ts
@@ -1,10 +1,9 @@
 import { groupId, isHeadServing, type ObservedGroup } from './observedGroups.js';
+import { MAX_SOUND_SILENCE_MS } from './soundSilence.js';
 import { getIncarnationKey, type TargetInstance } from './targetInstance.js';
 
 /** Minimum time between two requests for a member's health, in milliseconds. */
 const ASK_INTERVAL_MS = 400;
-/** Time without an answer after which a member counts as lost, in milliseconds; a sound one may be silent for a second. */
-const LOST_AFTER_MS = 1_500;
 
 /**
  * An instance's answer to a request for its health; `full`: it runs, but does not tell more; `refused`: nothing listens
@@ -72,14 +71,16 @@
     return due.map(({ instance }) => instance);
   }
 
-  /** Records what a member answered. */
-  recordHealth(instance: TargetInstance, health: InstanceHealth, nowMs: number): void {
+  /** Records what a member answered; returns whether that differs from its previous answer. */
+  recordHealth(instance: TargetInstance, health: InstanceHealth, nowMs: number): boolean {
     const member = this._members.get(getIncarnationKey(instance));
-    if (!member) return;
-    if (member.health !== health) this._version++;
+    if (!member) return false;
+    const isChanged = member.health !== health;
+    if (isChanged) this._version++;
     member.health = health;
     if (health !== 'refused' && health !== 'silent') member.answeredAtMs = nowMs;
     if (health === 'leaving') member.isLeaving = true;
+    return isChanged;
   }
 
   /** Returns the unlisted members of a group. */
@@ -111,7 +112,7 @@
       // One that leaves stops listening, but remains in its group while the head has requests.
       return isLeaving ? 'leaving' : 'lost';
     case 'silent':
-      if (nowMs - answeredAtMs >= LOST_AFTER_MS) return 'lost';
+      if (nowMs - answeredAtMs >= MAX_SOUND_SILENCE_MS) return 'lost';
       return isLeaving ? 'leaving' : 'unknown';
     case 'leaving':
       return 'leaving';
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -129,14 +129,14 @@
   }
 
   private _runCycle(): void {
-    const { configuration, clock, list, ownership } = this._options;
+    const { configuration, clock, ownership } = this._options;
     const current = configuration();
     if (!current || !ownership.isOwner) return;
     this._checkMembers();
     this._checkUnlistedMembers(current);
     this._refreshInstances();
     const nowMs = clock.monotonic();
-    const version = `${list.version}/${this._orders.version}/${ownership.stamp}/${this._unlisted.version}/${[...this._checks.getLostMembers()].join()}/${[...this._checks.getGoneMembers(nowMs)].join()}`;
+    const version = this._describeVersion(nowMs);
     const isIdle =
       version === this._plannedVersion && !this._planner.isForming && !this._orders.hasPendingOrders;
     if (isIdle && nowMs - this._plannedAtMs < IDLE_INTERVAL_MS) return;
@@ -145,6 +145,16 @@
     for (const order of this._planner.plan(this._createView(current, nowMs))) void this._orders.send(order);
   }
 
+  /** Changes with everything that a plan depends on. */
+  private _describeVersion(nowMs: number): string {
+    const { list, ownership } = this._options;
+    const lost = [...this._checks.getLostMembers()].join();
+    const gone = [...this._checks.getGoneMembers(nowMs)].join();
+    return [list.version, this._orders.version, ownership.stamp, this._unlisted.version, lost, gone].join(
+      '/',
+    );
+  }
+
   private _checkMembers(): void {
     const { clock, list } = this._options;
     const nowMs = clock.monotonic();
