Soak: a node that two faults stop at once starts only once

Cause: `restartNode` starts the process again after the exit that it waits for. Two faults that stop the same process both did; the second process finds the ports taken, and `stop()` no longer reaches the first. Read in the code; not seen in a run.

Change: the fault that comes second leaves the new process alone.

--- a/tests/soak/soakFleet.ts
+++ b/tests/soak/soakFleet.ts
@@ -109,7 +109,8 @@
     await exited;
     clearTimeout(killTimer);
     await sleep(downMs);
-    if (!this._isStopping) this.startNode(node);
+    // Two faults may have stopped the same process; one of them starts it again.
+    if (!this._isStopping && node.child === child) this.startNode(node);
   }
 
   /** Publishes a new configuration version with these API keys. */
