Tests: a head that is told to leave ends its streams at once

Cause: the stand-in took an ordered `leave` of the head for the loss of a member: its streams stalled for 2 s and were cut then, so that nodes had moved them meanwhile. In the users' record and in ours the streams end 2 ms after the order.

Change: streams of a head that is no longer in their group end at once. One that crashed stays silent, as before.

Result: instanceStandin.test.ts passes.

--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -567,6 +567,11 @@
     response.writeHead(200, { ...head, ...framing, 'Content-Type': 'text/event-stream' });
     for (let id = lastEventId + 1; id <= this._fleet.eventCount; id++) {
       await sleep(await this._fleet.pauseBefore(head['Attempt-Id'] ?? '', id));
+      // A head that is told to leave ends its streams at once; one that lost a member stalls first.
+      if (this._group !== group && (this.mode as InstanceMode) !== 'dark') {
+        response.destroy();
+        return;
+      }
       if (group && !this._isWhole(group)) {
         await sleep(BREAK_DETECTION_MS);
         if (isUnframed) response.socket?.resetAndDestroy();
