Soak: members leave unlisted beside stops

The soak had neither full groups nor engines that leave, and checked cuts only beside stops and with a time bound.

Change: a fault that replaces 2 to 5 engines of serving groups, whose entries go at once, up to 1 s apart, while nodes stop in turn and half of the engines take one stream each; it overlaps with itself. A promise that needs no time bound: while nothing but planned work has happened, no answer is cut and no request to a node in rotation ends without one, except at its timeout.

Its course is that of the incident: two nodes report the group of engine-1-4 as silent, 0.8 s apart, for a 503 that names engine-1-4 itself; 155 ms after the second, the planner sends `leave`, cause `member-unlisted` (engine-1-5); within 40 ms request-45 is lost after 15 events, all others are silent to the node, and the answer is cut.

Not covered: requests that get no answer from a node that the balancer has taken out of rotation.

--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -145,7 +145,7 @@
     private readonly _fleet: InstanceFleet,
     readonly id: string,
     private readonly _service: string,
-    private readonly _fabricDomain: string,
+    readonly fabricDomain: string,
     private readonly _publicAddress?: string,
   ) {}
 
@@ -173,6 +173,11 @@
     return this._publicAddress ?? this._address;
   }
 
+  /** Whether the instance has left and exited. */
+  get hasExited(): boolean {
+    return this._hasExited;
+  }
+
   /** Whether the instance is about to exit, with or without an entry that says so. */
   get isLeaving(): boolean {
     return this._isLeavingUnlisted || this._state === 'draining';
@@ -273,7 +278,7 @@
       version: 'v1',
       slots: 4,
       state: this._state,
-      domain: this._fabricDomain,
+      domain: this.fabricDomain,
       ...this._describeState(),
       seqNo: this._announcementCount,
     };
--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -60,12 +60,12 @@
       const nodes = inRotation.length > 0 ? inRotation : this._fleet.nodes;
       const node = nodes[this._random.below(nodes.length)];
       const kind = (['stream', 'stream', 'order', 'status'] as const)[this._random.below(4)];
-      if (node && kind) void this._call(node, kind);
+      if (node && kind) void this._call(node, kind, inRotation.includes(node));
       await sleep(MEAN_PAUSE_MS * 2 * this._random.next());
     }
   }
 
-  private async _call(node: SoakNode, kind: CallRecord['kind']): Promise<void> {
+  private async _call(node: SoakNode, kind: CallRecord['kind'], isInRotation: boolean): Promise<void> {
     const id = `request-${++this._sent}`;
     const { key } = this;
     const { stoppedAtMs } = node;
@@ -84,6 +84,8 @@
       isCalm:
         node.harmedUntilMs + CALM_DELAY_MS < sentAtMs && this._fleet.harmedUntilMs + CALM_DELAY_MS < sentAtMs,
       isStopping: node.stoppedAtMs > stoppedAtMs || node.stoppedAtMs > sentAtMs - CALM_DELAY_MS,
+      isPlanned: this._fleet.isPlannedWorkOnly,
+      isInRotation,
     });
   }
 
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -38,6 +38,17 @@
 const MIN_WAVE_PAUSE_MS = 300;
 const WAVE_PAUSE_SPREAD_MS = 1_200;
 
+/** Members that leave unlisted in one fault, its spread, and the longest pause between two of them, in milliseconds. */
+const MIN_LEAVES = 2;
+const LEAVES_SPREAD = 4;
+const MAX_LEAVE_PAUSE_MS = 1_000;
+/** Engines that leave at the same time at most. */
+const MAX_LEAVING = 5;
+/** Time for which an engine serves on without an entry, in milliseconds; longer while its head has requests. */
+const LEAVE_MS = 3_500;
+/** Streams of a group that the callers' load exceeds. */
+const FULL_SLOTS = 1;
+
 /** A fault in the timeline. */
 export interface FaultEvent {
   readonly atMs: number;
@@ -91,9 +102,21 @@
   'configuration',
   'key taken away',
   'key taken away beside a freeze and a cut',
+  'members leave unlisted beside stops',
 ] as const;
 export type FaultName = (typeof FAULT_NAMES)[number];
 
+/** What operators do on a sound fleet; it must cut nothing. */
+const PLANNED_WORK: ReadonlySet<FaultName> = new Set([
+  'stop',
+  'stop all in turn',
+  'reload',
+  'target leaves',
+  'configuration',
+  'key taken away',
+  'members leave unlisted beside stops',
+]);
+
 /** Injects faults that a seeded random generator draws; they may overlap. */
 export class FaultInjector {
   readonly timeline: FaultEvent[] = [];
@@ -104,6 +127,7 @@
   private _replacements = 0;
   private _isRestoring = false;
   private _isSilencing = false;
+  private _isStoppingInTurn = false;
 
   constructor(
     private readonly _fleet: SoakFleet,
@@ -126,6 +150,7 @@
   }
 
   private _start(name: FaultName, forMs: number): void {
+    if (!PLANNED_WORK.has(name)) this._fleet.isPlannedWorkOnly = false;
     const fault = this._inject(name, forMs);
     this._running.add(fault);
     void fault.finally(() => this._running.delete(fault));
@@ -201,6 +226,8 @@
         return this._replaceKey(name);
       case 'key taken away beside a freeze and a cut':
         return this._replaceKeyOfCutNode(name);
+      case 'members leave unlisted beside stops':
+        return this._injectUnlistedLeaves(name, forMs);
     }
   }
 
@@ -297,7 +324,7 @@
   ): Promise<void> {
     const isHead = (engine: InstanceStandin) => engine.group?.rank === 0 && engine.group.state === 'open';
     const engines = this._instancesOf('engine').filter(
-      (engine) => engine.mode === 'well' && !engine.isDisconnectedFromStore,
+      (engine) => engine.mode === 'well' && !engine.isDisconnectedFromStore && !engine.isLeaving,
     );
     const engine = this._pick(
       name === 'head crashes' ? engines.filter(isHead) : engines.filter(({ group }) => group !== undefined),
@@ -422,6 +449,45 @@
     this._fleet.store.put('keyed.servers', target.id, undefined);
   }
 
+  /** Lets engines of serving groups leave without an entry that says so while nodes stop in turn and half of the groups are full. */
+  private async _injectUnlistedLeaves(name: FaultName, forMs: number): Promise<void> {
+    const full = this._instancesOf('engine').filter(() => this._random.below(2) === 0);
+    this._record(name, `full: ${full.map(({ id }) => id).join(' ')}`, forMs);
+    for (const engine of full) engine.slots = FULL_SLOTS;
+    const ended = [sleep(forMs), this._stopAllInTurnOnce()];
+    for (let left = MIN_LEAVES + this._random.below(LEAVES_SPREAD); left > 0; left--) {
+      ended.push(this._replaceEngine(name));
+      await sleep(this._random.next() * MAX_LEAVE_PAUSE_MS);
+    }
+    await Promise.all(ended);
+    for (const engine of full) engine.slots = Infinity;
+  }
+
+  /** Stops all nodes in turn unless such a series runs already, which would leave no node in rotation. */
+  private async _stopAllInTurnOnce(): Promise<void> {
+    if (this._isStoppingInTurn) return;
+    this._isStoppingInTurn = true;
+    await this._injectFaultOnAllNodes('stop all in turn', 0);
+    this._isStoppingInTurn = false;
+  }
+
+  /** Adds an engine, then lets one of a serving group leave unlisted. */
+  private async _replaceEngine(name: FaultName): Promise<void> {
+    const engines = this._instancesOf('engine');
+    const isServing = ({ group }: InstanceStandin) => {
+      const head = this._fleet.instances.instances.get(group?.members[0] ?? '');
+      return head?.group?.name === group?.name && head?.group?.state === 'open';
+    };
+    const engine = this._pick(
+      engines.filter((one) => one.mode === 'well' && !one.isLeaving && isServing(one)),
+    );
+    if (!engine || engines.filter(({ isLeaving }) => isLeaving).length >= MAX_LEAVING) return;
+    this._record(name, engine.id, LEAVE_MS);
+    await this._fleet.addInstance(`engine-new-${++this._replacements}`, 'engines', engine.fabricDomain);
+    await engine.leaveUnlisted(LEAVE_MS);
+    this._fleet.instanceLinks.get(engine.id)?.close();
+  }
+
   /** Takes a key away while one node hears nothing: it is frozen, and its store and peers are silent when it goes on. */
   private async _replaceKeyOfCutNode(name: FaultName): Promise<void> {
     const node = this._pick(this._fleet.nodes);
@@ -465,7 +531,9 @@
   }
 
   private _instancesOf(prefix: 'engine' | 'plain'): readonly InstanceStandin[] {
-    return [...this._fleet.instances.instances.values()].filter(({ id }) => id.startsWith(prefix));
+    return [...this._fleet.instances.instances.values()].filter(
+      ({ id, hasExited }) => id.startsWith(prefix) && !hasExited,
+    );
   }
 
   private _pick<Item>(items: readonly Item[]): Item | undefined {
--- a/tests/soak/promises.test.ts
+++ b/tests/soak/promises.test.ts
@@ -21,6 +21,8 @@
     outcome: { kind: 'answered', status: 200, body: 'call-1:body-of-call-1', seal: 'seal' },
     isCalm: true,
     isStopping: false,
+    isPlanned: false,
+    isInRotation: true,
     ...options,
   };
 }
@@ -123,6 +125,25 @@
     name: 'a request cut by a planned stop during other faults',
     call: { isStopping: true, isCalm: false, outcome: { kind: 'cut', body: '', hasBegun: false } },
   },
+  {
+    name: 'a stream cut by planned work',
+    call: {
+      kind: 'stream',
+      isPlanned: true,
+      isInRotation: false,
+      outcome: { kind: 'cut', body: 'id: 1\ndata: {}\n\n', hasBegun: true },
+    },
+    broken: 'planned work cuts nothing',
+  },
+  {
+    name: 'a request without an answer during planned work',
+    call: { isPlanned: true, outcome: { kind: 'cut', body: '', hasBegun: false } },
+    broken: 'planned work cuts nothing',
+  },
+  {
+    name: 'a request to a node out of rotation',
+    call: { isPlanned: true, isInRotation: false, outcome: { kind: 'cut', body: '', hasBegun: false } },
+  },
   {
     name: 'a failure answered long after the timeout',
     call: { endedAtMs: SENT_AT_MS + 3_000, outcome: answered(504) },
--- a/tests/soak/promises.ts
+++ b/tests/soak/promises.ts
@@ -15,6 +15,10 @@
   readonly isCalm: boolean;
   /** Whether the node was told to stop shortly before the request or while it was in progress. */
   readonly isStopping: boolean;
+  /** Whether nothing but planned work happened until the request ended. */
+  readonly isPlanned: boolean;
+  /** Whether the balancer had the node in rotation. */
+  readonly isInRotation: boolean;
 }
 
 /** How a request ended for its caller. */
@@ -44,6 +48,7 @@
   | 'a key ends'
   | 'a leaving target gets nothing new'
   | 'a stop cuts nothing'
+  | 'planned work cuts nothing'
   | 'a failure is answered in time'
   | 'service returns';
 
@@ -112,6 +117,14 @@
   if (outcome.kind === 'answered' && outcome.status === 200)
     checkAnswer(call, outcome.body, outcome.seal, add);
   if (call.kind === 'stream') checkEvents(call, add);
+  // A request that ran into its timeout is subject to the time bounds.
+  const isInTime = call.endedAtMs - call.sentAtMs < call.timeoutMs;
+  if (call.isPlanned && isInTime && outcome.kind === 'cut' && (outcome.hasBegun || call.isInRotation)) {
+    add(
+      'planned work cuts nothing',
+      `${call.node}: ${outcome.hasBegun ? 'the answer was cut' : 'no answer arrived'}`,
+    );
+  }
   return violations;
 }
 
--- a/tests/soak/soakFleet.ts
+++ b/tests/soak/soakFleet.ts
@@ -54,6 +54,8 @@
   readonly instanceLinks = new Map<string, FaultProxy>();
   /** Version of the last published configuration. */
   version = 1;
+  /** Whether all that happened was planned: nodes and targets that stop or leave, and changes. */
+  isPlannedWorkOnly = true;
   /** Until when a fault affects the store, a target or a link to a target; wall-clock milliseconds. */
   harmedUntilMs = 0;
   private _storeAddress = '';
