--- a/tests/serving/decisions.test.ts
+++ b/tests/serving/decisions.test.ts
@@ -4,9 +4,11 @@
   DemandMeter,
   EventFramer,
   classifySilence,
+  type HeadFinding,
   KeyTrust,
   ManualClock,
   MemberProbes,
+  type MemberState,
   observeGroups,
   predictFirstEventMs,
   RetryWindowBudget,
@@ -385,7 +387,13 @@
   'ready',
   'ready',
 ]);
-const headCases = [
+const headCases: readonly {
+  readonly name: string;
+  /** This node's questions: the state that the head reports, or that there is none. */
+  readonly own: readonly (MemberState | 'silent')[];
+  readonly peers: readonly (HeadFinding | undefined)[];
+  readonly isReleased: boolean;
+}[] = [
   { name: 'its members stay reserved before any node has asked it', own: [], peers: [], isReleased: false },
   {
     name: 'its members stay reserved while it serves, cut off from the store',
@@ -395,7 +403,7 @@
   },
   {
     name: 'its members stay reserved while a peer finds it serving, though it is silent here',
-    own: ['none', 'none', 'none'],
+    own: ['silent', 'silent', 'silent'],
     peers: ['serving', 'silent'],
     isReleased: false,
   },
@@ -408,23 +416,23 @@
   },
   {
     name: 'its members stay reserved while only one of two peers finds it silent too',
-    own: ['none', 'none', 'none'],
+    own: ['silent', 'silent', 'silent'],
     peers: ['silent', undefined],
     isReleased: false,
   },
   {
     name: 'its members are released once three nodes find it silent',
-    own: ['none', 'none', 'none'],
+    own: ['silent', 'silent', 'silent'],
     peers: ['silent', 'silent'],
     isReleased: true,
   },
   {
     name: 'its members stay reserved after a single missed answer',
-    own: ['none'],
+    own: ['silent'],
     peers: ['silent'],
     isReleased: false,
   },
-] as const;
+];
 for (const { name, own, peers, isReleased } of headCases) {
   void t.test(`a head that is not listed any more: ${name}`, (t) => {
     const watch = new UnlistedHeads();
@@ -432,20 +440,58 @@
     watch.update(listed([head, ...members]), 0);
     watch.update(listed(members), 100);
     t.same(watch.getHeadsToProbe(), [head]);
-    for (const answer of own) {
+    for (const [index, answer] of own.entries()) {
       watch.recordAnswer(
         head,
-        answer === 'none' ? 'none' : head.membership && { ...head.membership, state: answer },
+        answer === 'silent' ? answer : head.membership && { ...head.membership, state: answer },
+        100 + index * 800,
       );
     }
     const findings = peers.map(
       (finding) => new Map(finding === undefined ? [] : [[GROUP, finding] as const]),
     );
-    t.equal(watch.isReleased(GROUP, findings, findings.length, 200), isReleased);
+    t.equal(watch.isReleased(GROUP, findings, findings.length, 2_000), isReleased);
+    t.end();
+  });
+}
+
+// Guards against the members of a sound head that are used elsewhere since it was silent for a second.
+for (const { name, answer, questions, isReleased } of [
+  { name: 'is silent for a second', answer: 'silent', questions: 4, isReleased: false },
+  { name: 'is silent for longer', answer: 'silent', questions: 6, isReleased: true },
+  { name: 'refuses several times', answer: 'refused', questions: 3, isReleased: true },
+] as const) {
+  void t.test(`three nodes ask a head that is not listed and ${name}`, (t) => {
+    const nodes = [new UnlistedHeads(), new UnlistedHeads(), new UnlistedHeads()] as const;
+    for (const node of nodes) {
+      node.update(observeGroups(SERVICE, [head, ...members]), 0);
+      node.update(observeGroups(SERVICE, members), 100);
+      for (let index = 0; index < questions; index++) node.recordAnswer(head, answer, 100 + index * 300);
+    }
+    const [own, ...peers] = nodes;
+    const findings = peers.map((peer) => peer.getFindings());
+    t.equal(own.isReleased(GROUP, findings, findings.length, 2_000), isReleased);
     t.end();
   });
 }
 
+// Guards against a head that is told to close again and again while it finishes its requests.
+void t.test('a head that is not listed is to be closed only while it is open', (t) => {
+  const watch = new UnlistedHeads();
+  watch.update(observeGroups(SERVICE, [head, ...members]), 0);
+  watch.update(observeGroups(SERVICE, members), 100);
+  t.same(watch.getOpenHeads(), [], 'before its answer');
+  for (const [state, isToBeClosed] of [
+    ['open', true],
+    ['closing', false],
+    ['ready', false],
+  ] as const) {
+    watch.recordAnswer(head, head.membership && { ...head.membership, state }, 200);
+    t.same(watch.getOpenHeads(), isToBeClosed ? [head] : [], state);
+  }
+  t.end();
+});
+
 void t.test('a head that is listed again is no longer asked', (t) => {
   const watch = new UnlistedHeads();
   watch.update(observeGroups(SERVICE, [head, ...members]), 0);
@@ -458,7 +504,8 @@
 // Guards against groups that are given up for a member that is silent for a second and goes on.
 const goneCases: readonly {
   readonly name: string;
-  readonly results: readonly (readonly [number, 'answered' | 'refused' | 'silent'])[];
+  /** Time of each result, and how long it was awaited, in milliseconds. */
+  readonly results: readonly (readonly [number, 'answered' | 'refused' | 'silent', number?])[];
   readonly isLost: boolean;
   readonly isGone: boolean;
 }[] = [
@@ -492,6 +539,36 @@
     isLost: true,
     isGone: false,
   },
+  // Guards against a member that counts as sound for longer than it may be silent, as the first probe's wait was left out.
+  {
+    name: 'a member that is silent for longer, the wait for its first answer included',
+    results: [
+      [150, 'silent', 150],
+      [900, 'silent', 150],
+      [1_500, 'silent', 150],
+    ],
+    isLost: true,
+    isGone: true,
+  },
+  {
+    name: 'a member that is silent for almost as long, the wait for its first answer included',
+    results: [
+      [150, 'silent', 150],
+      [1_499, 'silent', 150],
+    ],
+    isLost: true,
+    isGone: false,
+  },
+  {
+    name: 'a member that answered another request during the wait for its first missed answer',
+    results: [
+      [100, 'answered', 10],
+      [150, 'silent', 150],
+      [1_599, 'silent', 150],
+    ],
+    isLost: true,
+    isGone: false,
+  },
   {
     name: 'a member at whose address nothing listens',
     results: [
@@ -506,7 +583,7 @@
 for (const { name, results, isLost, isGone } of goneCases) {
   void t.test(`probes of ${name}`, (t) => {
     const checks = new MemberProbes();
-    for (const [atMs, result] of results) checks.recordResult('a', result, atMs);
+    for (const [atMs, result, waitedMs] of results) checks.recordResult('a', result, atMs, waitedMs);
     t.equal(checks.getLostMembers().has('a'), isLost);
     t.equal(checks.getGoneMembers(results.at(-1)?.[0] ?? 0).has('a'), isGone);
     t.end();
--- a/tests/serving/simulatedFleet.ts
+++ b/tests/serving/simulatedFleet.ts
@@ -346,7 +346,8 @@
     for (const head of this.heads.getHeadsToProbe()) {
       this._fleet.readReport(this, head.id, REPORT_TIMEOUT_MS, (report) => {
         const isSame = report?.startedAtMs === head.startedAtMs;
-        this.heads.recordAnswer(head, report ? (isSame ? report.membership : undefined) : 'none');
+        const answer = report ? (isSame ? report.membership : undefined) : 'silent';
+        this.heads.recordAnswer(head, answer, this._fleet.schedule.nowMs);
       });
     }
   }
@@ -369,7 +370,7 @@
         this.heads.isReleased(group, [this._fleet.findPeer(this).heads.getFindings()], 1, nowMs),
       plannerCount: 1,
       isGroupStalled: (group, silentHead) => this.checks.countReporters(group, nowMs, silentHead) >= 2,
-      unlistedServingHeads: this.heads.getServingHeads(),
+      unlistedOpenHeads: this.heads.getOpenHeads(),
       findUnlistedMembers: () => [],
       isListSettled: true,
       demand: new Map(MODELS.map(({ name }) => [name, 2])),
@@ -425,7 +426,8 @@
   ): void {
     const known = this.list.get(id);
     this._fleet.readReport(this, id, timeoutMs, (report) => {
-      this.checks.recordResult(id, report ? 'answered' : 'silent', this._fleet.schedule.nowMs);
+      const { nowMs } = this._fleet.schedule;
+      this.checks.recordResult(id, report ? 'answered' : 'silent', nowMs, report ? 0 : timeoutMs);
       const listed = this.list.get(id) ?? known;
       if (report) {
         const { orderCount, ...state } = report;
