Soak: a member that leaves keeps its group until it is closed; running nodes owe answers

A request that got no answer was held against a process that was already stopping, if the stop lasted longer than 3 s, as it does beside other load.

Change: streams take 1.2 s while members leave unlisted. An engine that exits in planned work while the head of its group has requests, 10 s after it began to leave, breaks `planned work cuts nothing`. Without time bounds an answer is owed by a process in rotation that was not told to stop until the request ended.

--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -6,7 +6,7 @@
 /** Service whose instances run requests in groups only. */
 const ENGINE_SERVICE = 'engines';
 /** Default interval between two events of a stream. */
-const EVENT_INTERVAL_MS = 15;
+export const EVENT_INTERVAL_MS = 15;
 /** Time for which an instance in mode `refuses-late` holds a request, in milliseconds. */
 const REFUSAL_DELAY_MS = 1_200;
 /** Time from a join order until the member is ready, with a staged model; and if it was that of the last group. */
@@ -240,8 +240,9 @@
   /**
    * Leaves without ever announcing it: its entry is removed at once. It serves for `durationMs` more, and while the head of
    * its group has requests, then exits.
+   * @returns whether the head still had requests, which its exit breaks off.
    */
-  async leaveUnlisted(durationMs: number): Promise<void> {
+  async leaveUnlisted(durationMs: number): Promise<boolean> {
     const startedAtMs = Date.now();
     this._isLeavingUnlisted = true;
     this._fleet.store.put('keyed.servers', this.id, undefined);
@@ -249,10 +250,12 @@
     while (this._hasBusyHead() && Date.now() - startedAtMs < MAX_LEAVE_MS) {
       await sleep(LEAVE_CHECK_INTERVAL_MS);
     }
+    const isHeadBusy = this._hasBusyHead();
     this.mode = 'dark';
     this._hasExited = true;
     this._group = undefined;
     this.stop();
+    return isHeadBusy;
   }
 
   /** Whether the head of the instance's group, which may be the instance itself, runs requests. */
--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -22,8 +22,6 @@
   key = '';
   private readonly _agents = new Map<string, Agent>();
   private readonly _failedChecks = new Map<string, number>();
-  /** Requests whose connection was refused. */
-  private readonly _refused = new Set<string>();
   private _sent = 0;
   private _isStopped = false;
 
@@ -68,7 +66,9 @@
   private async _call(node: SoakNode, kind: CallRecord['kind'], isInRotation: boolean): Promise<void> {
     const id = `request-${++this._sent}`;
     const { key } = this;
-    const { stoppedAtMs } = node;
+    const { stoppedAtMs, child } = node;
+    // A process that has just started does not listen yet; it is in rotation once it does.
+    const isRunning = isInRotation && !node.isTerminating;
     const sentAtMs = Date.now();
     const outcome = await this._send(node, kind, id, key);
     const endedAtMs = Date.now();
@@ -86,7 +86,7 @@
       isStopping: node.stoppedAtMs > stoppedAtMs || node.stoppedAtMs > sentAtMs - CALM_DELAY_MS,
       isPlanned: this._fleet.isPlannedWorkOnly,
       isInRotation,
-      isConnected: !this._refused.has(id),
+      isNodeRunning: isRunning && node.child === child && !node.isTerminating,
     });
   }
 
@@ -122,8 +122,7 @@
           resolve({ kind: 'answered', status: response.statusCode ?? 0, body, seal });
         });
       });
-      request.on('error', (error: NodeJS.ErrnoException) => {
-        if (error.code === 'ECONNREFUSED') this._refused.add(id);
+      request.on('error', () => {
         // Whatever closed the connection, the caller has no complete answer.
         resolve({ kind: 'cut', body, hasBegun: false });
       });
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -1,5 +1,5 @@
 import type { Random } from '@monsoonreach/core';
-import type { InstanceMode, InstanceStandin } from '../platform/instanceStandin.js';
+import { EVENT_INTERVAL_MS, type InstanceMode, type InstanceStandin } from '../platform/instanceStandin.js';
 import type { StoreMode } from '../platform/storeStandin.js';
 import { sleep } from '../standins/http.js';
 import type { Callers } from './callers.js';
@@ -48,6 +48,8 @@
 const LEAVE_MS = 3_500;
 /** Streams of a group that the callers' load exceeds. */
 const FULL_SLOTS = 1;
+/** Time between two events meanwhile, in milliseconds; most heads then have requests at all times. */
+const BUSY_EVENT_INTERVAL_MS = 40;
 
 /** A fault in the timeline. */
 export interface FaultEvent {
@@ -122,12 +124,16 @@
   readonly timeline: FaultEvent[] = [];
   readonly keysRevokedAtMs = new Map<string, number>();
   readonly leavingSinceMs = new Map<string, number>();
+  /** Engines that left in planned work and exited while the head of their group had requests. */
+  readonly prematureExits: string[] = [];
   private readonly _running = new Set<Promise<void>>();
   private _keys: readonly string[] = ['key-1'];
   private _replacements = 0;
   private _isRestoring = false;
   private _isSilencing = false;
   private _isStoppingInTurn = false;
+  /** Number of such faults that run now. */
+  private _unlistedLeaves = 0;
   /** Store faults in progress, the latest last. */
   private readonly _storeModes: { readonly mode: StoreMode }[] = [];
 
@@ -459,6 +465,9 @@
   private async _injectUnlistedLeaves(name: FaultName, forMs: number): Promise<void> {
     const full = this._instancesOf('engine').filter(() => this._random.below(2) === 0);
     this._record(name, `full: ${full.map(({ id }) => id).join(' ')}`, forMs);
+    const { instances } = this._fleet;
+    this._unlistedLeaves++;
+    instances.pauseBefore = () => BUSY_EVENT_INTERVAL_MS;
     for (const engine of full) engine.slots = FULL_SLOTS;
     const ended = [sleep(forMs), this._stopAllInTurnOnce()];
     for (let left = MIN_LEAVES + this._random.below(LEAVES_SPREAD); left > 0; left--) {
@@ -467,6 +476,7 @@
     }
     await Promise.all(ended);
     for (const engine of full) engine.slots = Infinity;
+    if (--this._unlistedLeaves === 0) instances.pauseBefore = () => EVENT_INTERVAL_MS;
   }
 
   /** Stops all nodes in turn unless such a series runs already, which would leave no node in rotation. */
@@ -490,7 +500,8 @@
     if (!engine || engines.filter(({ isLeaving }) => isLeaving).length >= MAX_LEAVING) return;
     this._record(name, engine.id, LEAVE_MS);
     await this._fleet.addInstance(`engine-new-${++this._replacements}`, 'engines', engine.fabricDomain);
-    await engine.leaveUnlisted(LEAVE_MS);
+    const isHeadBusy = await engine.leaveUnlisted(LEAVE_MS);
+    if (isHeadBusy && this._fleet.isPlannedWorkOnly) this.prematureExits.push(engine.id);
     this._fleet.instanceLinks.get(engine.id)?.close();
   }
 
--- a/tests/soak/promises.test.ts
+++ b/tests/soak/promises.test.ts
@@ -23,7 +23,7 @@
     isStopping: false,
     isPlanned: false,
     isInRotation: true,
-    isConnected: true,
+    isNodeRunning: true,
     ...options,
   };
 }
@@ -143,7 +143,7 @@
   },
   {
     name: 'a request without an answer of a node in rotation',
-    call: { isPlanned: true, isConnected: false, outcome: { kind: 'cut', body: '', hasBegun: false } },
+    call: { isPlanned: true, isNodeRunning: false, outcome: { kind: 'cut', body: '', hasBegun: false } },
     broken: 'planned work cuts nothing',
   },
   {
@@ -151,10 +151,15 @@
     call: {
       isPlanned: true,
       isInRotation: false,
-      isConnected: false,
+      isNodeRunning: false,
       outcome: { kind: 'cut', body: '', hasBegun: false },
     },
   },
+  {
+    name: 'a member that exits while its group serves',
+    history: { prematureExits: ['engine-1'] },
+    broken: 'planned work cuts nothing',
+  },
   {
     name: 'a failure answered long after the timeout',
     call: { endedAtMs: SENT_AT_MS + 3_000, outcome: answered(504) },
@@ -176,6 +181,7 @@
         engineFaults: [],
         keysRevokedAtMs: new Map(),
         leavingSinceMs: new Map(),
+        prematureExits: [],
         ...history,
       },
       true,
--- a/tests/soak/promises.ts
+++ b/tests/soak/promises.ts
@@ -19,8 +19,8 @@
   readonly isPlanned: boolean;
   /** Whether the balancer had the node in rotation. */
   readonly isInRotation: boolean;
-  /** Whether a process accepted the connection. */
-  readonly isConnected: boolean;
+  /** Whether the same process, not told to stop, ran at the node from the request to its end. */
+  readonly isNodeRunning: boolean;
 }
 
 /** How a request ended for its caller. */
@@ -74,6 +74,8 @@
   readonly keysRevokedAtMs: ReadonlyMap<string, number>;
   /** When each target announced that it leaves; wall-clock milliseconds. */
   readonly leavingSinceMs: ReadonlyMap<string, number>;
+  /** Instances that left in planned work and exited while their group had requests, as it was not closed in time. */
+  readonly prematureExits: readonly string[];
 }
 
 /** Checks the promises; those with a time bound only when `isTimed` is set. */
@@ -85,6 +87,11 @@
       requestId: undefined,
       detail,
     })),
+    ...history.prematureExits.map((instance): Violation => ({
+      promise: 'planned work cuts nothing',
+      requestId: undefined,
+      detail: `${instance} left, and its group was not closed until it exited`,
+    })),
     ...history.calls.flatMap((call) => checkCall(call, runs.get(call.id) ?? [])),
   ];
   return isTimed ? [...violations, ...checkTimeBounds(history, runs)] : violations;
@@ -123,8 +130,7 @@
   const isInTime = call.endedAtMs - call.sentAtMs < call.timeoutMs;
   if (call.isPlanned && isInTime && outcome.kind === 'cut') {
     if (outcome.hasBegun) add('planned work cuts nothing', `${call.node}: the answer was cut`);
-    else if (call.isConnected && !call.isStopping)
-      add('planned work cuts nothing', `${call.node}: no answer arrived`);
+    else if (call.isNodeRunning) add('planned work cuts nothing', `${call.node}: no answer arrived`);
   }
   return violations;
 }
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -57,6 +57,7 @@
         engineFaults: fleet.instances.violations,
         keysRevokedAtMs: faults.keysRevokedAtMs,
         leavingSinceMs: faults.leavingSinceMs,
+        prematureExits: faults.prematureExits,
       },
       options.isTimed,
     );
--- a/tests/soak/soakFleet.ts
+++ b/tests/soak/soakFleet.ts
@@ -32,6 +32,8 @@
   /** Proxy between the node and the store. */
   readonly storeLink: FaultProxy;
   child: ChildProcess | undefined;
+  /** Whether the process was told to stop and has not been started again. */
+  isTerminating: boolean;
   /** Until when a fault affects the node or its link to the store; wall-clock milliseconds. */
   harmedUntilMs: number;
   /** When the node was last told to stop; wall-clock milliseconds. */
@@ -94,6 +96,7 @@
     const args = ['--max-old-space-size=128', '--import', preload, this._options.program, node.settings];
     const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
     node.child = child;
+    node.isTerminating = false;
     const log = createWriteStream(node.log, { flags: 'a' });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
@@ -104,7 +107,10 @@
     const { child } = node;
     if (!child || child.exitCode !== null || child.signalCode !== null) return;
     const exited = new Promise((resolve) => child.once('exit', resolve));
-    if (signal === 'SIGTERM') node.stoppedAtMs = Date.now();
+    if (signal === 'SIGTERM') {
+      node.stoppedAtMs = Date.now();
+      node.isTerminating = true;
+    }
     child.kill(signal);
     child.kill('SIGCONT');
     const killTimer = setTimeout(() => child.kill('SIGKILL'), STOP_GRACE_MS);
@@ -197,7 +203,7 @@
       formatSettings({ name, domain, store, front, readiness, peers, metrics, log: 'json' }),
     );
     const log = join(this.directory, `${name}.log`);
-    const times = { harmedUntilMs: 0, stoppedAtMs: 0 };
+    const times = { harmedUntilMs: 0, stoppedAtMs: 0, isTerminating: false };
     return { name, front, readiness, metrics, settings, log, storeLink, child: undefined, ...times };
   }
 
