--- a/tests/soak/program.ts
+++ b/tests/soak/program.ts
@@ -109,6 +109,14 @@
     faults: ['store restored', 'key taken away'],
     foundWithinMs: 120_000,
   },
+  {
+    name: 'unlisted members are not asked',
+    file: 'packages/node/lib/planning.js',
+    find: 'findUnlistedMembers: (group) => this._unlisted.list(group, nowMs),',
+    replace: 'findUnlistedMembers: () => [],',
+    faults: ['members leave unlisted beside stops'],
+    foundWithinMs: 60_000,
+  },
 ];
 
 /** Bundles the program as deployed, or a mutant of it, into a new directory; returns the file's path. */
--- a/tests/soak/soak.test.ts
+++ b/tests/soak/soak.test.ts
@@ -23,6 +23,13 @@
     cause:
       'the leave of a member was taken for that of its head, which joined another group while it was open',
   },
+  {
+    seed: 42,
+    faultMs: 5_000,
+    faults: ['members leave unlisted beside stops'],
+    cause:
+      'refusals of a full head were taken for a stalled group, and its head was told to leave as a member was not listed',
+  },
 ];
 
 void t.test('real nodes keep every promise without a time bound under randomly drawn faults', async (t) => {
