--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -6,7 +6,7 @@
 /** Service whose instances run requests in groups only. */
 const ENGINE_SERVICE = 'engines';
 /** Default interval between two events of a stream. */
-const EVENT_INTERVAL_MS = 15;
+export const EVENT_INTERVAL_MS = 15;
 /** Time for which an instance in mode `refuses-late` holds a request, in milliseconds. */
 const REFUSAL_DELAY_MS = 1_200;
 /** Time from a join order until the member is ready, with a staged model; and if it was that of the last group. */
@@ -145,7 +145,7 @@
     private readonly _fleet: InstanceFleet,
     readonly id: string,
     private readonly _service: string,
-    private readonly _fabricDomain: string,
+    readonly fabricDomain: string,
     private readonly _publicAddress?: string,
   ) {}
 
@@ -173,6 +173,11 @@
     return this._publicAddress ?? this._address;
   }
 
+  /** Whether the instance has left and exited. */
+  get hasExited(): boolean {
+    return this._hasExited;
+  }
+
   /** Whether the instance is about to exit, with or without an entry that says so. */
   get isLeaving(): boolean {
     return this._isLeavingUnlisted || this._state === 'draining';
@@ -235,8 +240,9 @@
   /**
    * Leaves without ever announcing it: its entry is removed at once. It serves for `durationMs` more, and while the head of
    * its group has requests, then exits.
+   * @returns whether the head still had requests, which its exit breaks off.
    */
-  async leaveUnlisted(durationMs: number): Promise<void> {
+  async leaveUnlisted(durationMs: number): Promise<boolean> {
     const startedAtMs = Date.now();
     this._isLeavingUnlisted = true;
     this._fleet.store.put('keyed.servers', this.id, undefined);
@@ -244,10 +250,12 @@
     while (this._hasBusyHead() && Date.now() - startedAtMs < MAX_LEAVE_MS) {
       await sleep(LEAVE_CHECK_INTERVAL_MS);
     }
+    const isHeadBusy = this._hasBusyHead();
     this.mode = 'dark';
     this._hasExited = true;
     this._group = undefined;
     this.stop();
+    return isHeadBusy;
   }
 
   /** Whether the head of the instance's group, which may be the instance itself, runs requests. */
@@ -273,7 +281,7 @@
       version: 'v1',
       slots: 4,
       state: this._state,
-      domain: this._fabricDomain,
+      domain: this.fabricDomain,
       ...this._describeState(),
       seqNo: this._announcementCount,
     };
@@ -567,6 +575,11 @@
     response.writeHead(200, { ...head, ...framing, 'Content-Type': 'text/event-stream' });
     for (let id = lastEventId + 1; id <= this._fleet.eventCount; id++) {
       await sleep(await this._fleet.pauseBefore(head['Attempt-Id'] ?? '', id));
+      // A head that is told to leave ends its streams at once; one that lost a member stalls first.
+      if (this._group !== group && (this.mode as InstanceMode) !== 'dark') {
+        response.destroy();
+        return;
+      }
       if (group && !this._isWhole(group)) {
         await sleep(BREAK_DETECTION_MS);
         if (isUnframed) response.socket?.resetAndDestroy();
--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -32,7 +32,7 @@
 
   start(key: string): void {
     this.key = key;
-    void this._runBalancer();
+    for (const node of this._fleet.nodes) void this._runBalancer(node);
     void this._generateLoad();
   }
 
@@ -40,15 +40,13 @@
     this._isStopped = true;
   }
 
-  private async _runBalancer(): Promise<void> {
+  /** Checks one node; a node that answers late does not delay the checks of the others. */
+  private async _runBalancer(node: SoakNode): Promise<void> {
     while (!this._isStopped) {
-      await Promise.all(
-        this._fleet.nodes.map(async (node) => {
-          const isReady = await this._fleet.isReady(node);
-          this._failedChecks.set(node.name, isReady ? 0 : (this._failedChecks.get(node.name) ?? 0) + 1);
-        }),
-      );
-      await sleep(BALANCER_INTERVAL_MS);
+      const next = sleep(BALANCER_INTERVAL_MS);
+      const isReady = await this._fleet.isReady(node);
+      this._failedChecks.set(node.name, isReady ? 0 : (this._failedChecks.get(node.name) ?? 0) + 1);
+      await next;
     }
   }
 
@@ -60,15 +58,17 @@
       const nodes = inRotation.length > 0 ? inRotation : this._fleet.nodes;
       const node = nodes[this._random.below(nodes.length)];
       const kind = (['stream', 'stream', 'order', 'status'] as const)[this._random.below(4)];
-      if (node && kind) void this._call(node, kind);
+      if (node && kind) void this._call(node, kind, inRotation.includes(node));
       await sleep(MEAN_PAUSE_MS * 2 * this._random.next());
     }
   }
 
-  private async _call(node: SoakNode, kind: CallRecord['kind']): Promise<void> {
+  private async _call(node: SoakNode, kind: CallRecord['kind'], isInRotation: boolean): Promise<void> {
     const id = `request-${++this._sent}`;
     const { key } = this;
-    const { stoppedAtMs } = node;
+    const { stoppedAtMs, child } = node;
+    // A process that has just started does not listen yet; it is in rotation once it does.
+    const isRunning = isInRotation && !node.isTerminating;
     const sentAtMs = Date.now();
     const outcome = await this._send(node, kind, id, key);
     const endedAtMs = Date.now();
@@ -84,6 +84,9 @@
       isCalm:
         node.harmedUntilMs + CALM_DELAY_MS < sentAtMs && this._fleet.harmedUntilMs + CALM_DELAY_MS < sentAtMs,
       isStopping: node.stoppedAtMs > stoppedAtMs || node.stoppedAtMs > sentAtMs - CALM_DELAY_MS,
+      isPlanned: this._fleet.isPlannedWorkOnly,
+      isInRotation,
+      isNodeRunning: isRunning && node.child === child && !node.isTerminating,
     });
   }
 
--- a/tests/soak/promises.test.ts
+++ b/tests/soak/promises.test.ts
@@ -21,6 +21,9 @@
     outcome: { kind: 'answered', status: 200, body: 'call-1:body-of-call-1', seal: 'seal' },
     isCalm: true,
     isStopping: false,
+    isPlanned: false,
+    isInRotation: true,
+    isNodeRunning: true,
     ...options,
   };
 }
@@ -123,6 +126,40 @@
     name: 'a request cut by a planned stop during other faults',
     call: { isStopping: true, isCalm: false, outcome: { kind: 'cut', body: '', hasBegun: false } },
   },
+  {
+    name: 'a stream cut by planned work',
+    call: {
+      kind: 'stream',
+      isPlanned: true,
+      isInRotation: false,
+      outcome: { kind: 'cut', body: 'id: 1\ndata: {}\n\n', hasBegun: true },
+    },
+    broken: 'planned work cuts nothing',
+  },
+  {
+    name: 'a request without an answer of a node that runs',
+    call: { isPlanned: true, isInRotation: false, outcome: { kind: 'cut', body: '', hasBegun: false } },
+    broken: 'planned work cuts nothing',
+  },
+  {
+    name: 'a request without an answer of a node in rotation',
+    call: { isPlanned: true, isNodeRunning: false, outcome: { kind: 'cut', body: '', hasBegun: false } },
+    broken: 'planned work cuts nothing',
+  },
+  {
+    name: 'a request to a process that has gone and is out of rotation',
+    call: {
+      isPlanned: true,
+      isInRotation: false,
+      isNodeRunning: false,
+      outcome: { kind: 'cut', body: '', hasBegun: false },
+    },
+  },
+  {
+    name: 'a member that exits while its group serves',
+    history: { prematureExits: ['engine-1'] },
+    broken: 'planned work cuts nothing',
+  },
   {
     name: 'a failure answered long after the timeout',
     call: { endedAtMs: SENT_AT_MS + 3_000, outcome: answered(504) },
@@ -144,6 +181,7 @@
         engineFaults: [],
         keysRevokedAtMs: new Map(),
         leavingSinceMs: new Map(),
+        prematureExits: [],
         ...history,
       },
       true,
--- a/tests/soak/promises.ts
+++ b/tests/soak/promises.ts
@@ -15,6 +15,12 @@
   readonly isCalm: boolean;
   /** Whether the node was told to stop shortly before the request or while it was in progress. */
   readonly isStopping: boolean;
+  /** Whether nothing but planned work happened until the request ended. */
+  readonly isPlanned: boolean;
+  /** Whether the balancer had the node in rotation. */
+  readonly isInRotation: boolean;
+  /** Whether the same process, not told to stop, ran at the node from the request to its end. */
+  readonly isNodeRunning: boolean;
 }
 
 /** How a request ended for its caller. */
@@ -44,6 +50,7 @@
   | 'a key ends'
   | 'a leaving target gets nothing new'
   | 'a stop cuts nothing'
+  | 'planned work cuts nothing'
   | 'a failure is answered in time'
   | 'service returns';
 
@@ -67,6 +74,8 @@
   readonly keysRevokedAtMs: ReadonlyMap<string, number>;
   /** When each target announced that it leaves; wall-clock milliseconds. */
   readonly leavingSinceMs: ReadonlyMap<string, number>;
+  /** Instances that left in planned work and exited while their group had requests, as it was not closed in time. */
+  readonly prematureExits: readonly string[];
 }
 
 /** Checks the promises; those with a time bound only when `isTimed` is set. */
@@ -78,6 +87,11 @@
       requestId: undefined,
       detail,
     })),
+    ...history.prematureExits.map((instance): Violation => ({
+      promise: 'planned work cuts nothing',
+      requestId: undefined,
+      detail: `${instance} left, and its group was not closed until it exited`,
+    })),
     ...history.calls.flatMap((call) => checkCall(call, runs.get(call.id) ?? [])),
   ];
   return isTimed ? [...violations, ...checkTimeBounds(history, runs)] : violations;
@@ -112,6 +126,12 @@
   if (outcome.kind === 'answered' && outcome.status === 200)
     checkAnswer(call, outcome.body, outcome.seal, add);
   if (call.kind === 'stream') checkEvents(call, add);
+  // A request that ran into its timeout is subject to the time bounds.
+  const isInTime = call.endedAtMs - call.sentAtMs < call.timeoutMs;
+  if (call.isPlanned && isInTime && outcome.kind === 'cut') {
+    if (outcome.hasBegun) add('planned work cuts nothing', `${call.node}: the answer was cut`);
+    else if (call.isNodeRunning) add('planned work cuts nothing', `${call.node}: no answer arrived`);
+  }
   return violations;
 }
 
@@ -152,6 +172,10 @@
       const detail = `${call.node} was told to stop; ${call.outcome.hasBegun ? 'the answer was cut' : 'no answer arrived'}`;
       violations.push({ promise: 'a stop cuts nothing', requestId: call.id, detail });
     }
+    if (call.isPlanned && call.isInRotation && call.outcome.kind === 'cut' && !call.outcome.hasBegun) {
+      const detail = `${call.node} was in rotation, but no answer arrived`;
+      violations.push({ promise: 'planned work cuts nothing', requestId: call.id, detail });
+    }
     const ownRuns = runs.get(call.id) ?? [];
     const endedAtMs = keysEndedAtMs.get(call.key) ?? Infinity;
     if (ownRuns.length > 0 && call.sentAtMs > endedAtMs + KEY_BOUND_MS) {
--- a/tests/soak/soakFleet.ts
+++ b/tests/soak/soakFleet.ts
@@ -32,6 +32,8 @@
   /** Proxy between the node and the store. */
   readonly storeLink: FaultProxy;
   child: ChildProcess | undefined;
+  /** Whether the process was told to stop and has not been started again. */
+  isTerminating: boolean;
   /** Until when a fault affects the node or its link to the store; wall-clock milliseconds. */
   harmedUntilMs: number;
   /** When the node was last told to stop; wall-clock milliseconds. */
@@ -54,6 +56,8 @@
   readonly instanceLinks = new Map<string, FaultProxy>();
   /** Version of the last published configuration. */
   version = 1;
+  /** Whether all that happened was planned: nodes and targets that stop or leave, and changes. */
+  isPlannedWorkOnly = true;
   /** Until when a fault affects the store, a target or a link to a target; wall-clock milliseconds. */
   harmedUntilMs = 0;
   private _storeAddress = '';
@@ -92,6 +96,7 @@
     const args = ['--max-old-space-size=128', '--import', preload, this._options.program, node.settings];
     const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'pipe'] });
     node.child = child;
+    node.isTerminating = false;
     const log = createWriteStream(node.log, { flags: 'a' });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
@@ -102,14 +107,18 @@
     const { child } = node;
     if (!child || child.exitCode !== null || child.signalCode !== null) return;
     const exited = new Promise((resolve) => child.once('exit', resolve));
-    if (signal === 'SIGTERM') node.stoppedAtMs = Date.now();
+    if (signal === 'SIGTERM') {
+      node.stoppedAtMs = Date.now();
+      node.isTerminating = true;
+    }
     child.kill(signal);
     child.kill('SIGCONT');
     const killTimer = setTimeout(() => child.kill('SIGKILL'), STOP_GRACE_MS);
     await exited;
     clearTimeout(killTimer);
     await sleep(downMs);
-    if (!this._isStopping) this.startNode(node);
+    // Two faults may have stopped the same process; one of them starts it again.
+    if (!this._isStopping && node.child === child) this.startNode(node);
   }
 
   /** Publishes a new configuration version with these API keys. */
@@ -194,7 +203,7 @@
       formatSettings({ name, domain, store, front, readiness, peers, metrics, log: 'json' }),
     );
     const log = join(this.directory, `${name}.log`);
-    const times = { harmedUntilMs: 0, stoppedAtMs: 0 };
+    const times = { harmedUntilMs: 0, stoppedAtMs: 0, isTerminating: false };
     return { name, front, readiness, metrics, settings, log, storeLink, child: undefined, ...times };
   }
 
