Planner: find unlisted members only when the lists have changed

The instances were grouped anew each 100 ms for a minute after any was removed. Behaviour unchanged: node/planning and platform/unlistedMembers pass, 30 of 30.

--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -59,6 +59,8 @@
   private _followUp: NodeJS.Timeout | undefined;
   private _plannedAtMs = -Infinity;
   private _plannedVersion = '';
+  /** Version of the lists from which the unlisted members were last found. */
+  private _unlistedVersion = '';
   private _refreshedAtMs = -Infinity;
   /** Whether the instance list was complete when it was last read. */
   private _wasListSettled = false;
@@ -170,8 +172,19 @@
 
   /** Asks members that have disappeared from the list, while their group serves, whether they leave. */
   private _checkUnlistedMembers(configuration: ServingConfiguration): void {
-    const { clock, list } = this._options;
-    const nowMs = clock.monotonic();
+    const nowMs = this._options.clock.monotonic();
+    this._updateUnlistedMembers(configuration, nowMs);
+    for (const instance of this._unlisted.takeDue(nowMs)) {
+      const path = configuration.services.get(instance.service)?.healthPath;
+      if (path !== undefined) void this._askHealth(instance, path);
+    }
+  }
+
+  private _updateUnlistedMembers(configuration: ServingConfiguration, nowMs: number): void {
+    const { list, ownership } = this._options;
+    const version = `${list.version}/${this._orders.version}/${ownership.stamp}`;
+    if (version === this._unlistedVersion) return;
+    this._unlistedVersion = version;
     const removed = list
       .listRemoved()
       .filter(({ fabricDomain }) => this._findTerm(fabricDomain) !== undefined);
@@ -179,19 +192,13 @@
     const instances = removed.length > 0 ? [...this._orders.listInstances().values()] : [];
     const groups = services.flatMap((service) => [...observeGroups(service, instances)]);
     this._unlisted.update(new Map(groups), removed, nowMs);
-    for (const instance of this._unlisted.takeDue(nowMs)) {
-      const path = configuration.services.get(instance.service)?.healthPath;
-      if (path !== undefined) void this._askHealth(instance, path);
-    }
   }
 
   private async _askHealth(instance: TargetInstance, path: string): Promise<void> {
     const { clock, log } = this._options;
-    const { version } = this._unlisted;
     const health = await readHealth(instance, { path, timeoutMs: CHECK_TIMEOUT_MS });
-    this._unlisted.recordHealth(instance, health, clock.monotonic());
-    if (this._unlisted.version !== version)
-      log.info('unlisted member answered', { target: instance.id, health });
+    const isNew = this._unlisted.recordHealth(instance, health, clock.monotonic());
+    if (isNew) log.info('unlisted member answered', { target: instance.id, health });
   }
 
   private async _checkMember(id: string): Promise<void> {
