Planner: one description of the instances' version

It was put together twice, for the plan and for the members without an entry. The pause of a follower is described as what it has become, an interval.

--- a/packages/node/src/keyedFollower.ts
+++ b/packages/node/src/keyedFollower.ts
@@ -88,7 +88,7 @@
     }
   }
 
-  /** Reads once. @returns the pause before the next read, in milliseconds. */
+  /** Reads once. @returns the interval until the next read, in milliseconds, which may change meanwhile. */
   private async _poll(): Promise<() => number> {
     try {
       const answer = await (this._next === undefined ? this._readAll() : this._readChanges(this._next));
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -7,8 +7,8 @@
   MemberProbes,
   observeGroups,
   pause,
-  type TargetInstance,
   type ServingConfiguration,
+  type TargetInstance,
   UnlistedMembers,
 } from '@monsoonreach/core';
 import { readHealth } from '@monsoonreach/platform';
@@ -59,7 +59,7 @@
   private _followUp: NodeJS.Timeout | undefined;
   private _plannedAtMs = -Infinity;
   private _plannedVersion = '';
-  /** Version of the lists from which the unlisted members were last found. */
+  /** Version of the instances from which the unlisted members were last found. */
   private _unlistedVersion = '';
   private _refreshedAtMs = -Infinity;
   /** Whether the instance list was complete when it was last read. */
@@ -149,12 +149,15 @@
 
   /** Changes with everything that a plan depends on. */
   private _describeVersion(nowMs: number): string {
-    const { list, ownership } = this._options;
     const lost = [...this._checks.getLostMembers()].join();
     const gone = [...this._checks.getGoneMembers(nowMs)].join();
-    return [list.version, this._orders.version, ownership.stamp, this._unlisted.version, lost, gone].join(
-      '/',
-    );
+    return [this._describeInstancesVersion(), this._unlisted.version, lost, gone].join('/');
+  }
+
+  /** Changes with the instances, as far as this node knows their state, and with the domains that it plans. */
+  private _describeInstancesVersion(): string {
+    const { list, ownership } = this._options;
+    return `${list.version}/${this._orders.version}/${ownership.stamp}`;
   }
 
   private _checkMembers(): void {
@@ -181,11 +184,10 @@
   }
 
   private _updateUnlistedMembers(configuration: ServingConfiguration, nowMs: number): void {
-    const { list, ownership } = this._options;
-    const version = `${list.version}/${this._orders.version}/${ownership.stamp}`;
+    const version = this._describeInstancesVersion();
     if (version === this._unlistedVersion) return;
     this._unlistedVersion = version;
-    const removed = list
+    const removed = this._options.list
       .listRemoved()
       .filter(({ fabricDomain }) => this._findTerm(fabricDomain) !== undefined);
     const services = [...configuration.services.values()].filter(({ engine }) => engine);
