--- a/tests/steward/groupPlanner.test.ts
+++ b/tests/steward/groupPlanner.test.ts
@@ -1,6 +1,6 @@
 import { type ControlBody, Counters, createLogger, ManualClock } from '@monsoonreach/core';
 import type { ListedInstance } from '@monsoonreach/log';
-import { GroupPlanner, type Observation } from '@monsoonreach/steward';
+import { GroupPlanner, type GroupPlannerOptions, type Observation } from '@monsoonreach/steward';
 import { EngineClient } from '@monsoonreach/targets';
 import t from 'tap';
 import { ControlStream, createConfiguration, IDLE, observe, readyFor } from './stewardFixtures.js';
@@ -11,6 +11,27 @@
 
 const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
+/** Creates a planner of all fabric domains, on a control stream that is read to its end. */
+function createPlanner(
+  stream: ControlStream,
+  options: Pick<
+    GroupPlannerOptions,
+    'clock' | 'configuration' | 'listedInstances' | 'prober' | 'controlWriter' | 'isReportedWhole'
+  >,
+): GroupPlanner {
+  return new GroupPlanner({
+    counters: new Counters(),
+    stateLog: createLogger('test', 'hidden'),
+    writer: WRITER,
+    self: SELF,
+    stewards: () => [SELF],
+    groups: () => stream.groups,
+    isControlStreamReady: () => true,
+    nextControlOffset: () => 1_000,
+    ...options,
+  });
+}
+
 // Behind a slow record, the next group was dissolved seconds after that had been decided.
 void t.test('all steps of a plan are written at once, and not seconds later', async (t) => {
   const stream = new ControlStream();
@@ -30,16 +51,8 @@
   const clock = new ManualClock();
   const client = new EngineClient('127.0.0.1:1');
   const configuration = createConfiguration({ checksFencing: true });
-  const planner = new GroupPlanner({
+  const planner = createPlanner(stream, {
     clock,
-    counters: new Counters(),
-    stateLog: createLogger('test', 'hidden'),
-    writer: WRITER,
-    self: SELF,
-    stewards: () => [SELF],
-    groups: () => stream.groups,
-    isControlStreamReady: () => true,
-    nextControlOffset: () => 1_000,
     configuration: () => configuration,
     listedInstances: () => instances,
     prober: { findObservation: (address) => observations.get(address), clientOf: () => client },
@@ -90,16 +103,8 @@
   });
   const client = new EngineClient(HEAD);
   const reasons: string[] = [];
-  const planner = new GroupPlanner({
+  const planner = createPlanner(stream, {
     clock: new ManualClock(),
-    counters: new Counters(),
-    stateLog: createLogger('test', 'hidden'),
-    writer: WRITER,
-    self: SELF,
-    stewards: () => [SELF],
-    groups: () => stream.groups,
-    isControlStreamReady: () => true,
-    nextControlOffset: () => 1_000,
     configuration: () => ({ ...configuration, model: Object.fromEntries(models) }),
     listedInstances: () => new Map(instances),
     prober: { findObservation: (address) => observations.get(address), clientOf: () => client },
