Logs: why a request is not tried again, and whether the broken connection had been used before

Beside resets, streams ended with an attempt unused, and neither the log nor the counters told whether no target was left or the budget of retries was. Adds the obstacle to the request's trail and isConnectionReused to 'attempt broken off by target'. No decision changes.

--- a/packages/node/src/crashWitness.ts
+++ b/packages/node/src/crashWitness.ts
@@ -1,6 +1,7 @@
 import { type CrashFactor, createCrashFactors, type TargetCandidate } from '@monsoonreach/core';
 import type { CallerRequest } from '@monsoonreach/platform';
 import type { ServingContext } from './servingContext.js';
+import type { OpenCall } from './targetConnections.js';
 
 /** Time after a stream's first event from which on its target counts as having survived the request, in milliseconds. */
 const SURVIVAL_MS = 250;
@@ -9,6 +10,7 @@
 export interface AttemptProgress {
   readonly candidate: TargetCandidate;
   readonly startedAtMs: number;
+  readonly call: Pick<OpenCall, 'isReused'> | undefined;
   readonly headAtMs: number | undefined;
   readonly firstEventAtMs: number | undefined;
   readonly events: number;
@@ -78,7 +80,7 @@
 
   /** Logs what the target was running, so that a request that comes again can be recognized. */
   private _logLoss(
-    { candidate, events, startedAtMs, headAtMs, firstEventAtMs }: AttemptProgress,
+    { candidate, call, events, startedAtMs, headAtMs, firstEventAtMs }: AttemptProgress,
     reason: string,
   ) {
     const { clock, log } = this._context;
@@ -92,6 +94,7 @@
       fingerprint: this._factors[0]?.id,
       sharedParts: this._request.caller.sharedParts,
       events,
+      isConnectionReused: call?.isReused,
       sentMs: toAgeMs(startedAtMs),
       headMs: toAgeMs(headAtMs),
       firstEventMs: toAgeMs(firstEventAtMs),
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -45,6 +45,16 @@
 /** Reason for the failure of a request that may have been run. */
 export type FailureReason = RefusalReason | 'no-answer' | 'timeout' | 'stopping';
 
+/** Why a request is not tried again. */
+type RetryObstacle =
+  | 'attempts-used'
+  | 'timeout'
+  | 'quarantined'
+  | 'stopping'
+  | 'not-repeatable'
+  | 'budget-used'
+  | Extract<TargetChoice, { readonly kind: 'none' }>['reason'];
+
 /** Why an attempt was given up; `overtaken`: another one went on first. */
 type AttemptEnd = CallOutcomeReason | 'caller-gone' | 'overtaken' | 'stopping' | 'timeout';
 
@@ -679,28 +689,32 @@
   }
 
   private _retryOrGiveUp(attempt: Attempt, reason: CallOutcomeReason, mayHaveRun: boolean): void {
-    if ((!mayHaveRun || this._isRepeatable()) && this._canRetry()) this._retry(attempt, reason);
-    else this._abandonAndGiveUp(attempt, reason);
+    const obstacle = mayHaveRun && !this._isRepeatable() ? 'not-repeatable' : this._findRetryObstacle();
+    if (obstacle === undefined) this._retry(attempt, reason);
+    else this._abandonAndGiveUp(attempt, reason, obstacle);
   }
 
   /** Ends the last attempt and the request with it. */
-  private _abandonAndGiveUp(attempt: Attempt, reason: CallOutcomeReason): void {
+  private _abandonAndGiveUp(attempt: Attempt, reason: CallOutcomeReason, obstacle: RetryObstacle): void {
     this._abandonAttempt(attempt, reason);
+    this._trail.push(`not retried: ${obstacle}`);
     if (this._mayHaveRun) this._giveUp('no-answer', 0);
     else if (this._estimateFinish()?.canFinish === false) this._giveUp('stopping', 0);
     else this._giveUp('not-run-by-target', NOT_RUN_RETRY_AFTER_MS);
   }
 
   private _canRetry(): boolean {
+    return this._findRetryObstacle() === undefined;
+  }
+
+  private _findRetryObstacle(): RetryObstacle | undefined {
     const { context, route } = this._options;
-    const nowMs = context.clock.monotonic();
-    return (
-      this._attempts < route.maxAttempts &&
-      nowMs < this._deadlineMs &&
-      this._witness.findQuarantineEndMs() === undefined &&
-      this._estimateFinish()?.canFinish !== false &&
-      this._choose().kind === 'chosen'
-    );
+    if (this._attempts >= route.maxAttempts) return 'attempts-used';
+    if (context.clock.monotonic() >= this._deadlineMs) return 'timeout';
+    if (this._witness.findQuarantineEndMs() !== undefined) return 'quarantined';
+    if (this._estimateFinish()?.canFinish === false) return 'stopping';
+    const choice = this._choose();
+    return choice.kind === 'none' ? choice.reason : undefined;
   }
 
   /** Takes a retry from the budget that all nodes share. */
@@ -715,7 +729,7 @@
 
   private _retry(attempt: Attempt, reason: CallOutcomeReason): void {
     if (!this._tryTakeRetry(reason)) {
-      this._abandonAndGiveUp(attempt, reason);
+      this._abandonAndGiveUp(attempt, reason, 'budget-used');
       return;
     }
     this._abandonAttempt(attempt, reason);
