Node: a broken connection is not its target's silence

Callers saw: streams cut and calls answered 502 with an attempt unused, others refused as 'all-silent', while every group served on: the node's own connections had been reset.

Cause: an attempt that ended by its connection marked its group as silent, for this node and, by its report, for the planner and all peers. When a node loses a connection to each group, none is left. Class: what befalls one path is taken as a fact about its far end.

Ruled out: the budget of retries (no request named it as the obstacle, 10 named 'all-silent').

Change: only a connection that cannot be established (refused, or none within its timeout) marks a group as silent; that is what the next request finds at once if the target has ended. A target that broke off its answer gets the request again, over a new connection, if no other is left.

--- a/packages/core/src/serving/silence.ts
+++ b/packages/core/src/serving/silence.ts
@@ -12,6 +12,7 @@
 /** Why an attempt ended without an answer to forward. */
 export type CallOutcomeReason =
   | 'silent'
+  | 'unreachable'
   | 'unsent'
   | 'target-lost'
   | 'malformed'
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -24,7 +24,7 @@
 import { CrashWitness } from './crashWitness.js';
 import type { PlacementCriteria } from './placement.js';
 import type { ServingContext } from './servingContext.js';
-import type { CallError, OpenCall } from './targetConnections.js';
+import type { CallError, CallFailure, OpenCall } from './targetConnections.js';
 import { listUnavailable, recordTargetStatements } from './targetStatements.js';
 
 /** Largest answer that is buffered before it is forwarded, in bytes; the attempt fails if the answer is larger. */
@@ -114,7 +114,10 @@
 export class RequestRun {
   private readonly _deadlineMs: number;
   private readonly _timer: NodeJS.Timeout;
+  /** Keys of the targets that this request was sent to. */
   private readonly _tried = new Set<string>();
+  /** Those of them that only broke off their answer; they get the request again if no other target is left. */
+  private readonly _lastResorts = new Set<string>();
   private readonly _trail: string[] = [];
   private readonly _service: string | undefined;
   private _attempt: Attempt | undefined;
@@ -235,9 +238,7 @@
       this._mayHaveRun = true;
       this._send(choice.candidate, choice.predictedMs, { role: 'successor' });
     };
-    const criteria = this._createPlacementCriteria();
-    if (criteria) this._options.context.placement.place(criteria, sendTo);
-    else sendTo(this._choose());
+    this._place(sendTo);
   }
 
   /** Makes room for another successor, if there may be one; otherwise either of the silent attempts may still go on. */
@@ -317,16 +318,31 @@
   }
 
   private _dispatch(): void {
+    this._place((choice) => {
+      if (!this._isFinished) this._handleChoice(choice);
+    });
+  }
+
+  /** Chooses a target, asking the coordinator for an engine group. */
+  private _place(onChoice: (choice: TargetChoice) => void): void {
+    const { placement } = this._options.context;
     const criteria = this._createPlacementCriteria();
     if (!criteria) {
-      this._handleChoice(this._choose());
+      onChoice(this._choose());
       return;
     }
-    this._options.context.placement.place(criteria, (choice) => {
-      if (!this._isFinished) this._handleChoice(choice);
+    placement.place(criteria, (choice) => {
+      const isOver = choice.kind === 'chosen' || this._isFinished || this._lastResorts.size === 0;
+      if (isOver) onChoice(choice);
+      else placement.place({ ...criteria, tried: this._listExcluded() }, onChoice);
     });
   }
 
+  /** Targets that do not get the request again, even if no other one is left. */
+  private _listExcluded(): ReadonlySet<string> {
+    return new Set([...this._tried].filter((key) => !this._lastResorts.has(key)));
+  }
+
   private _handleChoice(choice: TargetChoice): void {
     switch (choice.kind) {
       case 'chosen':
@@ -369,6 +385,13 @@
 
   /** Chooses a target by the load that this node knows, without asking the coordinator. */
   private _choose(): TargetChoice {
+    const choice = this._chooseUntried(this._tried);
+    return choice.kind === 'none' && this._lastResorts.size > 0
+      ? this._chooseUntried(this._listExcluded())
+      : choice;
+  }
+
+  private _chooseUntried(tried: ReadonlySet<string>): TargetChoice {
     const { context, caller } = this._options;
     const configuration = context.configuration();
     if (!configuration || this._service === undefined) return { kind: 'none', reason: 'no-target' };
@@ -379,7 +402,7 @@
       health: context.health,
       failureDomain: context.failureDomain,
       size: caller.size,
-      tried: this._tried,
+      tried,
       // The owners of groups know how many requests these still take.
       unavailable: model === undefined ? listUnavailable(context) : context.availability.listUnavailable(),
       isContinuing: this._forwardedEvents > 0,
@@ -389,10 +412,7 @@
   private _send(
     candidate: TargetCandidate,
     predictedMs: number,
-    {
-      role = 'current',
-      isFresh = false,
-    }: { readonly role?: 'current' | 'successor'; readonly isFresh?: boolean } = {},
+    { role = 'current' }: { readonly role?: 'current' | 'successor' } = {},
   ): void {
     const { context, request, caller, workspace, urgency, body } = this._options;
     const nowMs = context.clock.monotonic();
@@ -422,7 +442,9 @@
     if (role === 'current') this._attempt = attempt;
     else this._successor = attempt;
     this._attempts++;
+    const isRepeated = this._tried.has(candidate.key);
     this._tried.add(candidate.key);
+    this._lastResorts.delete(candidate.key);
     context.limits.recordRequest(getIncarnationKey(candidate.instance));
     const ifCurrent = (handle: () => void) => {
       if (this._isCurrent(attempt)) handle();
@@ -442,7 +464,7 @@
           urgency: this._isStream ? urgency : undefined,
         }),
         body,
-        isFresh: isFresh || this._isConnectionDoubted || caller.requestId === '' || !this._isRepeatable(),
+        isFresh: isRepeated || this._isConnectionDoubted || caller.requestId === '' || !this._isRepeatable(),
       },
       {
         onHead: (head) => {
@@ -647,11 +669,11 @@
   }
 
   private _handleError(attempt: Attempt, error: CallError): void {
-    if (error.isStale && this._isRepeatable() && this._tryTakeRetry('stale')) {
+    if (error.failure === 'stale' && this._isRepeatable() && this._tryTakeRetry('stale')) {
       this._sendAgain(attempt);
       return;
     }
-    this._handleFailure(attempt, toFailureReason(error), !error.isUnsent);
+    this._handleFailure(attempt, OUTCOMES[error.failure], !error.isUnsent);
   }
 
   /** Sends the request to the same target on a new connection; the attempt on the closed one does not count. */
@@ -662,16 +684,17 @@
     this._releaseAttempt(attempt);
     this._attempts--;
     const role = attempt === this._successor ? 'successor' : 'current';
-    this._send(candidate, predictedMs, { role, isFresh: true });
+    this._send(candidate, predictedMs, { role });
   }
 
   /** Handles an attempt without an answer that can be forwarded: retries, or ends the request. */
   private _handleFailure(attempt: Attempt, reason: CallOutcomeReason, mayHaveRun: boolean): void {
     if (mayHaveRun) this._mayHaveRun = true;
     const { context } = this._options;
-    if (reason === 'unsent' || reason === 'misdirected') this._attempts--;
+    if (UNCOUNTED_ENDS.has(reason)) this._attempts--;
+    if (LOSSES.has(reason)) this._lastResorts.add(attempt.candidate.key);
     const isGroup = attempt.candidate.engine !== undefined;
-    if (isGroup && CONNECTION_FAILURES.has(reason)) {
+    if (isGroup && reason === 'unreachable') {
       const isNew = context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
       if (isNew) {
         this._logSilence(attempt, { reason });
@@ -844,8 +867,8 @@
 /** Retry-After by reason, in milliseconds: a group forms in about 2 s; a batch frees a slot in less than 200 ms. */
 const NO_TARGET_RETRY_AFTER_MS = { 'no-target': 1_500, 'all-full': 200, 'all-silent': 700 } as const;
 
-/** Failures after which a group gets no requests for some time. */
-const CONNECTION_FAILURES: ReadonlySet<CallOutcomeReason> = new Set(['unsent', 'target-lost', 'malformed']);
+/** Ends of an attempt that do not count against the route's limit: the instance meant got no request. */
+const UNCOUNTED_ENDS: ReadonlySet<CallOutcomeReason> = new Set(['unreachable', 'unsent', 'misdirected']);
 
 /** Whether a target's answer names another instance than the target. */
 function isOtherInstance(named: string, { id, address }: TargetCandidate['instance']): boolean {
@@ -868,10 +891,13 @@
   return ms === undefined || !Number.isFinite(ms) ? undefined : Math.round(ms);
 }
 
-function toFailureReason({ isUnsent, isMalformed }: CallError): CallOutcomeReason {
-  if (isUnsent) return 'unsent';
-  return isMalformed ? 'malformed' : 'target-lost';
-}
+const OUTCOMES: Readonly<Record<CallFailure, CallOutcomeReason>> = {
+  unreachable: 'unreachable',
+  unsent: 'unsent',
+  stale: 'target-lost',
+  broken: 'target-lost',
+  malformed: 'malformed',
+};
 
 /** Statuses of answers that have no body, whatever their length header says. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
--- a/packages/node/src/targetConnections.ts
+++ b/packages/node/src/targetConnections.ts
@@ -1,6 +1,11 @@
 import type { Socket } from 'node:net';
 import { type Clock, MonsoonreachError } from '@monsoonreach/core';
-import { createConnector, decodeResponseHead, type ResponseHead } from '@monsoonreach/platform';
+import {
+  ConnectionTimeoutError,
+  createConnector,
+  decodeResponseHead,
+  type ResponseHead,
+} from '@monsoonreach/platform';
 import { createResetError, ResetDetector } from '@monsoonreach/targets/resets';
 import { Client, type Dispatcher } from 'undici';
 
@@ -17,22 +22,33 @@
 /** The same for each byte of the body; chunks of one byte have five. */
 const MAX_FRAMING_PER_BODY_BYTE = 8;
 
+/**
+ * How a call failed. Only `unreachable` tells of the target rather than of one connection.
+ *
+ * - `unreachable`: no connection could be established, as nothing listens or nothing answers there.
+ * - `unsent`: the connection ended before a byte of the request was sent.
+ * - `stale`: an idle connection was used that turned out to be closed; the target may be well.
+ * - `broken`: the connection ended before the answer was complete.
+ * - `malformed`: the target sent bytes that are no answer.
+ */
+export type CallFailure = 'unreachable' | 'unsent' | 'stale' | 'broken' | 'malformed';
+
 /** A call to a target ended without a complete answer. */
 export class CallError extends MonsoonreachError {
   readonly code = 'call';
 
   constructor(
     message: string,
-    /** Whether it is certain that no byte of the request was sent. */
-    readonly isUnsent: boolean,
-    /** Whether an idle connection was used that turned out to be closed; the target may be well. */
-    readonly isStale: boolean,
-    /** Whether the target sent bytes that are no answer. */
-    readonly isMalformed: boolean,
+    readonly failure: CallFailure,
     options?: ErrorOptions,
   ) {
     super(message, options);
   }
+
+  /** Whether it is certain that no byte of the request was sent. */
+  get isUnsent(): boolean {
+    return this.failure === 'unsent' || this.failure === 'unreachable';
+  }
 }
 
 /** A target sends bytes that are neither a head of the usual size nor a body. */
@@ -250,7 +266,7 @@
   cancel(): void {
     if (this._isFinished) return;
     this._isFinished = true;
-    this._controller?.abort(new CallError('The call was cancelled.', false, false, false));
+    this._controller?.abort(new CallError('The call was cancelled.', 'broken'));
     this._options.connection.destroy();
   }
 
@@ -271,7 +287,7 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this._controller = controller;
-    if (this._isFinished) controller.abort(new CallError('The call was cancelled.', true, false, false));
+    if (this._isFinished) controller.abort(new CallError('The call was cancelled.', 'unsent'));
     else this._sentAtMs = this._options.clock.monotonic();
   }
 
@@ -303,16 +319,34 @@
   onResponseError(_controller: unknown, error: Error): void {
     if (this._isFinished) return;
     this._isFinished = true;
-    const { listener, isReused, clock, connection } = this._options;
+    const { listener, connection } = this._options;
     connection.destroy();
     const message = `The call to the target ended without a complete answer: ${error.message}`;
-    const sentAtMs = this._sentAtMs ?? Infinity;
-    const isStale = isReused && connection.readBytes === 0 && clock.monotonic() - sentAtMs < STALE_RESET_MS;
-    const isUnsent = sentAtMs === Infinity;
-    listener.onError(new CallError(message, isUnsent, isStale, isMalformed(error), { cause: error }));
+    listener.onError(new CallError(message, this._classify(error), { cause: error }));
+  }
+
+  private _classify(error: Error): CallFailure {
+    const { isReused, connection, clock } = this._options;
+    if (this._sentAtMs === undefined) return isUnreachable(error) ? 'unreachable' : 'unsent';
+    const isAtOnce = clock.monotonic() - this._sentAtMs < STALE_RESET_MS;
+    if (isReused && connection.readBytes === 0 && isAtOnce) return 'stale';
+    return isMalformed(error) ? 'malformed' : 'broken';
   }
 }
 
+/** Whether no connection was established, rather than one that ended. */
+function isUnreachable(error: Error): boolean {
+  const { code = '' } = error as { readonly code?: string };
+  return error instanceof ConnectionTimeoutError || UNREACHABLE_CODES.has(code);
+}
+
+const UNREACHABLE_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ETIMEDOUT',
+]);
+
 /** Whether an error tells of bytes that are no answer, rather than of an answer that is not complete. */
 function isMalformed(error: Error): boolean {
   if (error instanceof EndlessFramingError) return true;
--- a/tests/node/targetConnections.test.ts
+++ b/tests/node/targetConnections.test.ts
@@ -200,7 +200,7 @@
   void t.test(name, async (t) => {
     const result = await callTwice(handle);
     if (result === 'answered') throw new Error('Expected the second call to fail.');
-    t.equal(result.isStale, isStale);
+    t.equal(result.failure === 'stale', isStale);
     t.equal(result.isUnsent, false);
   });
 }
