Node: what one node finds silent does not concern the requests of others

Callers saw: 503 all-silent from every node while all groups served, as one node had lost its paths to them, or had found their streams silent for some 300 ms.

Cause: the node that assigns groups used its own suspicions for its peers' requests, and took over what a single peer reported unless it had bytes of the group itself in the last 200 ms. Class: what befalls one path is taken as a fact about its far end.

Ruled out: refusals of the heads (none was sent), full groups.

Change: a silent group is avoided for a peer's request only if several nodes have reported it lately, the measure that the planner uses already; a peer's single report no longer makes a node avoid it either. Each node avoids what it finds silent itself, and names it when it asks. Refusals, which the target states, count as before.

Test: platform/silenceForOneNode failed before in both cases, 10 of 10 requests of the sound node got 503; now all 200.

--- a/packages/core/src/serving/targetChoice.ts
+++ b/packages/core/src/serving/targetChoice.ts
@@ -1,7 +1,7 @@
 import type { Random } from '../random.js';
 import { type BatchLoad, predictFirstEventMs, type RequestSize } from './engineCost.js';
 import type { EngineProfile, ModelProfile } from './servingConfiguration.js';
-import type { TargetHealth } from './targetHealth.js';
+import type { TargetJudgement } from './targetHealth.js';
 import { getIncarnationKey, type TargetInstance } from './targetInstance.js';
 
 /** Added to the predicted time of a target in another failure domain, in milliseconds: one hop each way. */
@@ -35,7 +35,7 @@
 export interface ChoiceContext {
   readonly nowMs: number;
   readonly random: Random;
-  readonly health: TargetHealth;
+  readonly health: TargetJudgement;
   readonly failureDomain: string;
   readonly size: RequestSize;
   /** Keys of targets that this request was already sent to. */
--- a/packages/core/src/serving/targetHealth.ts
+++ b/packages/core/src/serving/targetHealth.ts
@@ -20,6 +20,9 @@
   usualPauseMs: number;
 }
 
+/** What a choice asks about targets. */
+export type TargetJudgement = Pick<TargetHealth, 'isSuspect' | 'getFailureRate'>;
+
 /**
  * Tracks the silence and the failure rate of each target, as observed by requests.
  *
@@ -55,7 +58,7 @@
   /** Makes the target suspect because it sends nothing. Returns false if it already was for that reason. */
   recordSilence(target: string, nowMs: number): boolean {
     const health = this._getHealth(target);
-    if (health.silentUntilMs > nowMs) return false;
+    if (this.isSilent(target, nowMs)) return false;
     suspect(health, nowMs);
     health.silentUntilMs = health.suspectUntilMs;
     return true;
@@ -70,6 +73,11 @@
     return (this._targets.get(target)?.suspectUntilMs ?? 0) > nowMs;
   }
 
+  /** Whether the target is suspect because it sends nothing, and not only because it refuses. */
+  isSilent(target: string, nowMs: number): boolean {
+    return (this._targets.get(target)?.silentUntilMs ?? 0) > nowMs;
+  }
+
   /** Returns the targets that are suspect. */
   listSuspects(nowMs: number): readonly string[] {
     return [...this._targets].flatMap(([target, { suspectUntilMs }]) =>
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -26,6 +26,7 @@
   TargetAvailability,
   type TargetChoice,
   TargetHealth,
+  type TargetJudgement,
   TargetLimits,
 } from '@monsoonreach/core';
 import {
@@ -61,6 +62,7 @@
 import { StoreHistory } from './storeHistory.js';
 import { TargetConnections } from './targetConnections.js';
 import { TargetDirectory } from './targetDirectory.js';
+import { TargetSuspicions } from './targetSuspicions.js';
 import { TopicServer } from './topicServer.js';
 import { TopicSources } from './topicSources.js';
 
@@ -115,6 +117,7 @@
   private readonly _discovery: PeerDiscovery;
   private readonly _heads: HeadMonitor;
   private readonly _planning: Planning;
+  private readonly _suspicions: TargetSuspicions;
   private readonly _placement: Placement;
   private readonly _crashes: CrashMonitor;
   private readonly _gate: StartGate;
@@ -188,6 +191,11 @@
     });
     this._heads = this._createHeadMonitor();
     this._planning = this._createPlanning();
+    this._suspicions = new TargetSuspicions({
+      clock: this._clock,
+      health: this._health,
+      isReportedByMany: (target) => this._planning.isReportedByMany(target),
+    });
   }
 
   async start(): Promise<void> {
@@ -516,7 +524,7 @@
         this._exchange.send(address, message);
       },
       chooseLocally: (criteria) => this._chooseTarget(criteria),
-      countFree: (criteria) => this._countFreePlaces(this._findCandidates({ ...criteria, isOwner: true })),
+      countFree: (criteria) => this._countFreePlaces(criteria),
       findCandidate: (_criteria, key) =>
         this._table && this._directory.findCandidate(this._table.configuration, key),
       avoidedTargets: () => this._listAvoidedTargets(),
@@ -541,7 +549,7 @@
       isExact: criteria.isOwner,
       nowMs: this._clock.monotonic(),
       random: this._random,
-      health: this._health,
+      health: this._judgeFor(criteria),
       unavailable: this._listUnavailable(criteria),
     });
     if (criteria.isOwner && choice.kind === 'chosen') {
@@ -550,6 +558,10 @@
     return choice;
   }
 
+  private _judgeFor({ isOwnRequest }: Pick<LocalPlacementCriteria, 'isOwnRequest'>): TargetJudgement {
+    return isOwnRequest ? this._health : this._suspicions.judgeForPeers();
+  }
+
   /** Incarnations of instances that take no request; what one said to this node does not concern its peers. */
   private _listUnavailable({ isOwner, isOwnRequest }: LocalPlacementCriteria): ReadonlySet<string> {
     const limited = this._limits.listExhausted(isOwner ? 'fleet' : 'node');
@@ -564,13 +576,16 @@
   }
 
   /** Number of places that responsive targets of this node's shards still have, as far as their limits allow. */
-  private _countFreePlaces(candidates: readonly TargetCandidate[]): number {
+  private _countFreePlaces(
+    criteria: Pick<LocalPlacementCriteria, 'service' | 'model' | 'isOwnRequest'>,
+  ): number {
+    const candidates = this._findCandidates({ ...criteria, isOwner: true });
+    const judgement = this._judgeFor(criteria);
     const nowMs = this._clock.monotonic();
     const limited = this._limits.listExhausted('fleet');
     return candidates
       .filter(
-        ({ key, instance }) =>
-          !this._health.isSuspect(key, nowMs) && !limited.has(getIncarnationKey(instance)),
+        ({ key, instance }) => !judgement.isSuspect(key, nowMs) && !limited.has(getIncarnationKey(instance)),
       )
       .reduce((sum, { slots, load }) => sum + Math.max(0, slots - load.requests), 0);
   }
@@ -722,10 +737,12 @@
   }
 
   private _applyReport(report: ReportMessage): void {
-    const nowMs = this._clock.monotonic();
     this._reports.record(report);
     this._heads.recordPeer(report.sender, new Map(Object.entries(report.heads)));
-    for (const key of report.silent) this._applySilenceReport(key, report.sender, nowMs);
+    for (const key of report.silent) {
+      this._planning.suspectGroup(key, report.sender);
+      this._suspicions.applyReport(key);
+    }
   }
 
   private _hasFleetTraffic(): boolean {
@@ -754,13 +771,6 @@
     if (owner) this._placement.reportNow(owner.address);
   }
 
-  /** Applies a peer's report that a target is silent, unless this node has just received bytes from the target. */
-  private _applySilenceReport(key: string, reporter: string, nowMs: number): void {
-    this._planning.suspectGroup(key, reporter);
-    if (nowMs - this._health.getProgressAtMs(key) > RECENT_PROGRESS_MS)
-      this._health.recordSilence(key, nowMs);
-  }
-
   private _runChecks(): void {
     const nowMs = this._clock.monotonic();
     if (this._trust.detectClockJump()) this._log.warn('clock jump detected; keys are not trusted', {});
@@ -813,5 +823,3 @@
 const MAX_TOTAL_BUFFERED_BYTES = 16_777_216;
 /** Time without a new instance after which the first groups may be planned, in milliseconds; two reads of the list. */
 const START_SETTLE_MS = 1_000;
-/** Age of a target's last bytes up to which a peer's report of silence is ignored, in milliseconds; two steps of a full batch. */
-const RECENT_PROGRESS_MS = 200;
--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -87,7 +87,7 @@
   readonly send: (address: string, message: WithoutVersion<PeerMessage>) => void;
   readonly chooseLocally: (criteria: LocalPlacementCriteria) => TargetChoice;
   /** Requests that the targets of this node's shards can still take. */
-  readonly countFree: (criteria: PlacementCriteria) => number;
+  readonly countFree: (criteria: PlacementCriteria & Pick<LocalPlacementCriteria, 'isOwnRequest'>) => number;
   readonly findCandidate: (criteria: PlacementCriteria, key: string) => TargetCandidate | undefined;
   /** Keys of the targets that this node suspects because they are silent, or that said that they take nothing from it. */
   readonly avoidedTargets: () => readonly string[];
@@ -221,7 +221,8 @@
   }
 
   private _findFree(owner: string, criteria: PlacementCriteria, nowMs: number) {
-    if (owner === this._options.address) return { count: this._options.countFree(criteria), ageMs: 0 };
+    if (owner === this._options.address)
+      return { count: this._options.countFree({ ...criteria, isOwnRequest: true }), ageMs: 0 };
     const free = this._knownOwners.get(owner)?.free.get(toFreeKey(criteria));
     return free && { count: free.count, ageMs: nowMs - free.atMs };
   }
@@ -314,7 +315,8 @@
         const target = choice.candidate.key;
         loads.recordGrant(request.sender, request.lastAsk, target, size);
         const predictedMs = Math.round(choice.predictedMs);
-        send(request.address, { ...grant, target, predictedMs, free: countFree(criteria) });
+        const free = countFree({ ...criteria, isOwnRequest: false });
+        send(request.address, { ...grant, target, predictedMs, free });
         return;
       }
       case 'none':
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -24,7 +24,7 @@
 const FOLLOW_UP_DELAY_MS = 10;
 /** Interval of the cycles in which nothing has changed, in milliseconds. */
 const IDLE_INTERVAL_MS = 500;
-/** Nodes that must report a group as silent before the members of its silent head are used without it. */
+/** Nodes that must report a group as silent before that concerns others than themselves. */
 const MIN_STALL_REPORTERS = 2;
 /** Timeout of the check of a member whose group is silent, in milliseconds; many round trips. */
 const CHECK_TIMEOUT_MS = 150;
@@ -101,6 +101,13 @@
     if (isNew && ownership.isOwner) log.info('group reported silent', { group, reporter });
   }
 
+  /** Whether several nodes have found the group silent lately, so that it is no fault of one node's path. */
+  isReportedByMany(group: string, silentHead?: string): boolean {
+    const { clock, countNodes } = this._options;
+    const reporters = this._checks.countReporters(group, clock.monotonic(), silentHead);
+    return reporters >= Math.min(MIN_STALL_REPORTERS, countNodes());
+  }
+
   async run(): Promise<void> {
     const { signal } = this._abortController;
     while (!signal.aborted) {
@@ -231,7 +238,7 @@
   }
 
   private _createView(configuration: ServingConfiguration, nowMs: number): FormationView {
-    const { isListSettled, demand, hasTraffic, heads, list, countNodes, ownership } = this._options;
+    const { isListSettled, demand, hasTraffic, heads, list, ownership } = this._options;
     // While the store is out, the list does not change: what was complete stays so.
     if (nowMs - list.currentAtMs < OUTDATED_LIST_MS) this._wasListSettled = isListSettled();
     return {
@@ -244,8 +251,7 @@
       refusingInstances: this._checks.getRefusingMembers(),
       goneInstances: this._checks.getGoneMembers(nowMs),
       isHeadGone: (group) => heads.isReleased(group),
-      isGroupStalled: (group, silentHead) =>
-        this._checks.countReporters(group, nowMs, silentHead) >= Math.min(MIN_STALL_REPORTERS, countNodes()),
+      isGroupStalled: (group, silentHead) => this.isReportedByMany(group, silentHead),
       unlistedOpenHeads: heads.open().filter((head) => !this._orders.isClosing(head)),
       findUnlistedMembers: (group) => this._unlisted.list(group, nowMs),
       isListSettled: this._wasListSettled,
