Node: a group is silent for all only if most of the nodes that use it find it so

Callers saw: when two of six nodes lost their paths to the targets, all six refused requests as all-silent while every group served the other four.

Cause: two reports were enough, however many nodes went on being served. Class: what befalls one path is taken as a fact about its far end.

Ruled out: refusals by the groups; places, while no more than two nodes are cut off.

Change: the nodes that find a group silent must outnumber the ones that have requests there and don't report it. The same measure holds for the planner, where it is one of the conditions for ending an open group.

--- a/packages/core/src/serving/loadTracker.ts
+++ b/packages/core/src/serving/loadTracker.ts
@@ -142,6 +142,16 @@
     };
   }
 
+  /** Whether this node has requests at the target. */
+  hasOwnLoad(target: string): boolean {
+    return this._ownLoads.has(target);
+  }
+
+  /** Returns the peers that have requests at the target, as they reported. */
+  listPeersAt(target: string): readonly string[] {
+    return [...this._peers].flatMap(([peer, { loads }]) => (loads.has(target) ? [peer] : []));
+  }
+
   private _forget(peer: string): void {
     const known = this._peers.get(peer);
     if (known) this._addPeer(known, -1);
--- a/packages/core/src/serving/memberProbes.ts
+++ b/packages/core/src/serving/memberProbes.ts
@@ -47,14 +47,20 @@
     return isNew;
   }
 
+  /** Number of the nodes that {@link listReporters} returns. */
+  countReporters(group: string, nowMs: number, head?: string): number {
+    return this.listReporters(group, nowMs, head).size;
+  }
+
   /**
-   * Number of nodes that reported the group as silent lately.
+   * Nodes that reported the group as silent lately.
    * @param head id of a head that is silent: reports from before it last answered are of an earlier silence.
    */
-  countReporters(group: string, nowMs: number, head?: string): number {
+  listReporters(group: string, nowMs: number, head?: string): ReadonlySet<string> {
     const sinceMs = (head === undefined ? undefined : this._answeredAtMs.get(head)) ?? -Infinity;
-    const times = [...(this._reporters.get(group)?.values() ?? [])];
-    return times.filter((atMs) => atMs > sinceMs && nowMs - atMs < REPORT_TTL_MS).length;
+    const reporters = [...(this._reporters.get(group) ?? [])];
+    const isCurrent = (atMs: number) => atMs > sinceMs && nowMs - atMs < REPORT_TTL_MS;
+    return new Set(reporters.flatMap(([node, atMs]) => (isCurrent(atMs) ? [node] : [])));
   }
 
   /** Whether any member may have to be probed. */
--- a/packages/core/src/serving/silence.ts
+++ b/packages/core/src/serving/silence.ts
@@ -9,6 +9,9 @@
 /** Silence of one stream at a responsive target after which its connection is suspect, as a multiple of the bound. */
 const SINGLE_STREAM_FACTOR = 3;
 
+/** Nodes that must find a target silent before that concerns others than themselves. */
+const MIN_SILENCE_REPORTERS = 2;
+
 /** Why an attempt ended without an answer to forward. */
 export type CallOutcomeReason =
   | 'silent'
@@ -60,3 +63,20 @@
   if (evidence.targetSilentMs >= boundMs) return 'target-silent';
   return evidence.silentMs >= boundMs * SINGLE_STREAM_FACTOR ? 'connection-silent' : 'wait';
 }
+
+/** What the nodes of the fleet find about one target. */
+export interface FleetFindings {
+  /** Nodes that have found the target silent lately. */
+  readonly reporters: ReadonlySet<string>;
+  /** Nodes that have requests at the target. */
+  readonly users: Iterable<string>;
+  /** Number of nodes, this one included. */
+  readonly nodeCount: number;
+}
+
+/** Whether a target is silent for most of the nodes that can tell, rather than for a few that have lost their paths to it. */
+export function isSilentForMost({ reporters, users, nodeCount }: FleetFindings): boolean {
+  if (reporters.size < Math.min(MIN_SILENCE_REPORTERS, nodeCount)) return false;
+  const contradictions = [...users].filter((node) => !reporters.has(node));
+  return reporters.size > contradictions.length;
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -194,7 +194,7 @@
     this._suspicions = new TargetSuspicions({
       clock: this._clock,
       health: this._health,
-      isReportedByMany: (target) => this._planning.isReportedByMany(target),
+      isSilentForMost: (target) => this._planning.isSilentForMost(target),
     });
   }
 
@@ -602,6 +602,12 @@
       : this._directory.findCandidates(configuration, service, model);
   }
 
+  /** Nodes that have requests at a target. */
+  private _listUsers(target: string): readonly string[] {
+    const peers = this._loads.listPeersAt(target);
+    return this._loads.hasOwnLoad(target) ? [...peers, this._self.id] : peers;
+  }
+
   private _createPlanning(): Planning {
     return new Planning({
       list: this._list,
@@ -615,6 +621,7 @@
       hasTraffic: () => this._hasFleetTraffic(),
       heads: this._heads,
       countNodes: () => this._exchange.size + 1,
+      listUsers: (group) => this._listUsers(group),
     });
   }
 
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -4,6 +4,7 @@
   FormationPlanner,
   type FormationView,
   groupId,
+  isSilentForMost,
   MemberProbes,
   observeGroups,
   pause,
@@ -24,8 +25,6 @@
 const FOLLOW_UP_DELAY_MS = 10;
 /** Interval of the cycles in which nothing has changed, in milliseconds. */
 const IDLE_INTERVAL_MS = 500;
-/** Nodes that must report a group as silent before that concerns others than themselves. */
-const MIN_STALL_REPORTERS = 2;
 /** Timeout of the check of a member whose group is silent, in milliseconds; many round trips. */
 const CHECK_TIMEOUT_MS = 150;
 /** Age of the instance list from which members of forming groups are asked for their state, in milliseconds. */
@@ -47,6 +46,8 @@
   readonly heads: HeadMonitor;
   /** Number of nodes, this one included. */
   readonly countNodes: () => number;
+  /** Nodes that have requests at a group, as far as they have told this one. */
+  readonly listUsers: (group: string) => Iterable<string>;
 }
 
 /** Plans the groups of the shards that this node owns. */
@@ -101,11 +102,14 @@
     if (isNew && ownership.isOwner) log.info('group reported silent', { group, reporter });
   }
 
-  /** Whether several nodes have found the group silent lately, so that it is no fault of one node's path. */
-  isReportedByMany(group: string, silentHead?: string): boolean {
-    const { clock, countNodes } = this._options;
-    const reporters = this._checks.countReporters(group, clock.monotonic(), silentHead);
-    return reporters >= Math.min(MIN_STALL_REPORTERS, countNodes());
+  /** Whether most nodes have found the group silent lately, so that it is no fault of one node's paths. */
+  isSilentForMost(group: string, silentHead?: string): boolean {
+    const { clock, countNodes, listUsers } = this._options;
+    return isSilentForMost({
+      reporters: this._checks.listReporters(group, clock.monotonic(), silentHead),
+      users: listUsers(group),
+      nodeCount: countNodes(),
+    });
   }
 
   async run(): Promise<void> {
@@ -251,7 +255,7 @@
       refusingInstances: this._checks.getRefusingMembers(),
       goneInstances: this._checks.getGoneMembers(nowMs),
       isHeadGone: (group) => heads.isReleased(group),
-      isGroupStalled: (group, silentHead) => this.isReportedByMany(group, silentHead),
+      isGroupStalled: (group, silentHead) => this.isSilentForMost(group, silentHead),
       unlistedOpenHeads: heads.open().filter((head) => !this._orders.isClosing(head)),
       findUnlistedMembers: (group) => this._unlisted.list(group, nowMs),
       isListSettled: this._wasListSettled,
--- a/packages/node/src/targetSuspicions.ts
+++ b/packages/node/src/targetSuspicions.ts
@@ -7,31 +7,31 @@
 export interface TargetSuspicionsOptions {
   readonly clock: Clock;
   readonly health: TargetHealth;
-  /** Whether several nodes, this one included, have found the target silent lately. */
-  readonly isReportedByMany: (target: string) => boolean;
+  /** Whether most nodes have found the target silent lately. */
+  readonly isSilentForMost: (target: string) => boolean;
 }
 
 /**
  * Decides whose requests avoid a silent target. A node may have lost its own paths to targets that serve, so that what it
- * finds concerns its own requests only; what several nodes find concerns all.
+ * finds concerns its own requests only; what most nodes find concerns all.
  */
 export class TargetSuspicions {
   constructor(private readonly _options: TargetSuspicionsOptions) {}
 
   /** Applies a peer's report that a target is silent, unless this node has just received bytes from the target. */
   applyReport(target: string): void {
-    const { clock, health, isReportedByMany } = this._options;
+    const { clock, health, isSilentForMost } = this._options;
     const nowMs = clock.monotonic();
     const hasProgress = nowMs - health.getProgressAtMs(target) <= RECENT_PROGRESS_MS;
-    if (!hasProgress && isReportedByMany(target)) health.recordSilence(target, nowMs);
+    if (!hasProgress && isSilentForMost(target)) health.recordSilence(target, nowMs);
   }
 
   /** Judges targets for a request of a peer, which names the targets that it finds silent itself. */
   judgeForPeers(): TargetJudgement {
-    const { health, isReportedByMany } = this._options;
+    const { health, isSilentForMost } = this._options;
     return {
       isSuspect: (target, nowMs) =>
-        health.isSilent(target, nowMs) ? isReportedByMany(target) : health.isSuspect(target, nowMs),
+        health.isSilent(target, nowMs) ? isSilentForMost(target) : health.isSuspect(target, nowMs),
       getFailureRate: (target, nowMs) => health.getFailureRate(target, nowMs),
     };
   }
--- a/tests/support/planner.ts
+++ b/tests/support/planner.ts
@@ -73,6 +73,7 @@
     hasTraffic: () => true,
     heads,
     countNodes: () => 1,
+    listUsers: () => [],
   });
   const start = async () => {
     await exchange.start();
