Node: bytes that are no answer tell of their target

Callers saw: requests whose first attempt goes to a group that garbles its answers, again and again.

Cause: since only a connection that cannot be established marks a group as silent. That left out answers that are no HTTP, which no path causes. Besides, they were never recognized: undici 7 gives the parser's errors no code, so that they counted as broken connections, were examined as crashes and since made the same target a last resort.

Ruled out: answers that end early. The parser reports these as an error too, but without any bytes.

Change: the parser's errors that name bytes count as `malformed`, which marks a group as silent again.

Test: node/brokenAnswers, `it sends bytes that are no answer`, failed before (nothing reported); passes now, as do requestRun, targetConnections and unframedAnswers.

--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -694,7 +694,7 @@
     if (UNCOUNTED_ENDS.has(reason)) this._attempts--;
     if (LOSSES.has(reason)) this._lastResorts.add(attempt.candidate.key);
     const isGroup = attempt.candidate.engine !== undefined;
-    if (isGroup && reason === 'unreachable') {
+    if (isGroup && TARGET_FAILURES.has(reason)) {
       const isNew = context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
       if (isNew) {
         this._logSilence(attempt, { reason });
@@ -870,6 +870,9 @@
 /** Ends of an attempt that do not count against the route's limit: the instance meant got no request. */
 const UNCOUNTED_ENDS: ReadonlySet<CallOutcomeReason> = new Set(['unreachable', 'unsent', 'misdirected']);
 
+/** Failures that no single broken connection explains. */
+const TARGET_FAILURES: ReadonlySet<CallOutcomeReason> = new Set(['unreachable', 'malformed']);
+
 /** Whether a target's answer names another instance than the target. */
 function isOtherInstance(named: string, { id, address }: TargetCandidate['instance']): boolean {
   return named !== address && named !== id;
--- a/packages/node/src/targetConnections.ts
+++ b/packages/node/src/targetConnections.ts
@@ -7,7 +7,7 @@
   type ResponseHead,
 } from '@monsoonreach/platform';
 import { createResetError, ResetDetector } from '@monsoonreach/targets/resets';
-import { Client, type Dispatcher } from 'undici';
+import { Client, type Dispatcher, errors } from 'undici';
 
 /** Timeout for connecting to a target, in milliseconds; many times the latency between failure domains. */
 const CONNECT_TIMEOUT_MS = 120;
@@ -23,7 +23,7 @@
 const MAX_FRAMING_PER_BODY_BYTE = 8;
 
 /**
- * How a call failed. Only `unreachable` tells of the target rather than of one connection.
+ * How a call failed. Only `unreachable` and `malformed` tell of the target rather than of one connection.
  *
  * - `unreachable`: no connection could be established, as nothing listens or nothing answers there.
  * - `unsent`: the connection ended before a byte of the request was sent.
@@ -350,6 +350,8 @@
 /** Whether an error tells of bytes that are no answer, rather than of an answer that is not complete. */
 function isMalformed(error: Error): boolean {
   if (error instanceof EndlessFramingError) return true;
-  const { code = '' } = error as { readonly code?: string };
-  return code === 'UND_ERR_HEADERS_OVERFLOW' || (code.startsWith('HPE_') && code !== 'HPE_INVALID_EOF_STATE');
+  // The parser's errors name the bytes that it refuses; at the end of an incomplete answer there are none.
+  const { data = '' } = error as { readonly data?: string };
+  if (error instanceof errors.HTTPParserError) return data !== '';
+  return error instanceof errors.HeadersOverflowError;
 }
