Node: a group that breaks one connection after another counts as silent

A group whose head accepts connections and breaks each one would take the first of every request's attempts, at all nodes: it is the emptiest group, and since no broken connection makes a node avoid or report it. The owner knows the failures of its own requests only.

Cause: takes no broken connection as evidence, to rule out those that break together.

Ruled out: heads that have ended; they refuse the next connection. One node's path: a report of one node concerns its own requests only, and the planner acts only on members that do not answer.

Change: a new connection that breaks counts if it was opened after an earlier one broke, within the longest suspicion and without progress since. Connections that break together count once.

Test: node/brokenAnswers, `a new connection breaks after another one`, failed before (nothing reported); passes now, as do brokenConnections, requestRun and decisions.

--- a/packages/core/src/serving/targetHealth.ts
+++ b/packages/core/src/serving/targetHealth.ts
@@ -17,6 +17,8 @@
   /** Until when it is suspect because it sends nothing, and not only because it refuses. */
   silentUntilMs: number;
   progressAtMs: number;
+  /** When its connections last broke; those that break together count from the first one. */
+  lostAtMs: number;
   usualPauseMs: number;
 }
 
@@ -64,6 +66,20 @@
     return true;
   }
 
+  /**
+   * Records that the target's connection ended before its answer was complete.
+   * @returns whether that happened lately as well, to a request that was sent before this one, without progress since.
+   */
+  recordLoss(target: string, startedAtMs: number, nowMs: number): boolean {
+    const health = this._getHealth(target);
+    const { lostAtMs, progressAtMs } = health;
+    const isKnown = nowMs - lostAtMs < MAX_SUSPICION_MS && progressAtMs <= lostAtMs;
+    // Connections that break together are one event, in which the path may have failed.
+    if (isKnown && startedAtMs < lostAtMs) return false;
+    health.lostAtMs = nowMs;
+    return isKnown;
+  }
+
   /** Makes the target suspect because it refuses. Returns false if it already was suspect. */
   recordRefusal(target: string, nowMs: number): boolean {
     return suspect(this._getHealth(target), nowMs);
@@ -116,6 +132,7 @@
         suspectUntilMs: 0,
         silentUntilMs: 0,
         progressAtMs: -Infinity,
+        lostAtMs: -Infinity,
         usualPauseMs: 0,
       };
       this._targets.set(target, health);
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -694,7 +694,7 @@
     if (UNCOUNTED_ENDS.has(reason)) this._attempts--;
     if (LOSSES.has(reason)) this._lastResorts.add(attempt.candidate.key);
     const isGroup = attempt.candidate.engine !== undefined;
-    if (isGroup && TARGET_FAILURES.has(reason)) {
+    if (isGroup && this._concernsTarget(attempt, reason)) {
       const isNew = context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
       if (isNew) {
         this._logSilence(attempt, { reason });
@@ -711,6 +711,14 @@
       });
   }
 
+  /** Whether a failure tells of the target rather than of one connection to it. */
+  private _concernsTarget({ candidate, call, startedAtMs }: Attempt, reason: CallOutcomeReason): boolean {
+    if (reason !== 'target-lost') return TARGET_FAILURES.has(reason);
+    const { clock, health } = this._options.context;
+    const isRepeated = health.recordLoss(candidate.key, startedAtMs, clock.monotonic());
+    return isRepeated && call?.isReused === false;
+  }
+
   private _retryOrGiveUp(attempt: Attempt, reason: CallOutcomeReason, mayHaveRun: boolean): void {
     const obstacle = mayHaveRun && !this._isRepeatable() ? 'not-repeatable' : this._findRetryObstacle();
     if (obstacle === undefined) this._retry(attempt, reason);
--- a/tests/node/brokenAnswers.test.ts
+++ b/tests/node/brokenAnswers.test.ts
@@ -11,6 +11,7 @@
   socket.write(`${head}${toChunk(toEvent(1))}0\r\n\r\n`);
 };
 const breakOff: RawHandler = ({ socket }) => socket.resetAndDestroy();
+const breakOffLater: RawHandler = ({ socket }) => setTimeout(() => socket.resetAndDestroy(), 100);
 const endEarly: RawHandler = ({ socket }) => socket.end(`HTTP/1.1 200 OK\r\n${CHUNKED}5\r\nid`);
 const garble: RawHandler = ({ socket }) => socket.write('no answer\r\n\r\n');
 
@@ -25,6 +26,28 @@
     rounds: [{ handle: breakOff, requests: 1 }],
     isReported: false,
   },
+  {
+    name: 'several connections break together',
+    rounds: [{ handle: breakOffLater, requests: 3 }],
+    isReported: false,
+  },
+  {
+    name: 'a new connection breaks after another one',
+    rounds: [
+      { handle: breakOff, requests: 1 },
+      { handle: breakOff, requests: 1 },
+    ],
+    isReported: true,
+  },
+  {
+    name: 'connections break with an answer between them',
+    rounds: [
+      { handle: breakOff, requests: 1 },
+      { handle: answerWhole, requests: 1 },
+      { handle: breakOff, requests: 1 },
+    ],
+    isReported: false,
+  },
   {
     name: 'it ends in the middle of an answer',
     rounds: [{ handle: endEarly, requests: 1 }],
@@ -41,7 +64,7 @@
   t.teardown(() => setTimeout(() => process.exit(), 100));
 
   for (const { name, rounds, isReported } of cases) {
-    // Guards against a group that garbles its answers and gets the first attempt of every request.
+    // Guards against a group that breaks each connection, or garbles its answers, and gets the first attempt of every request.
     await t.test(`${isReported ? 'reported' : 'not reported'} as silent: ${name}`, async (t) => {
       const fixture = new GroupFixture();
       await fixture.start();
