Node: a stream goes on where another group took it over while a loss was examined

A stream can be cut, or a request answered 502, with a second attempt at work, which goes on at its target and holds its place in the load of the node for ever.

Cause: while the node finds out whether a lost target has crashed (120 ms at most), the attempt stays the current one, so that its silence lets a successor begin. Then the lost attempt was retried or given up as if there were none.

Ruled out: losses that are examined at once, and those with a successor before; both promote it.

Change: when the examination ends, a successor takes the place of the lost attempt.

Test: node/brokenConnections, `a stream stays at the group that took it over while the loss was examined`, failed before ("id: 1" of "id: 1, id: 2", not complete); passes now, as do requestRun and brokenAnswers. The fixture of groups lets tests replace the examination.

--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -707,7 +707,9 @@
     else if (!examined) this._retryOrGiveUp(attempt, reason, mayHaveRun);
     else
       void examined.then(() => {
-        if (this._isCurrent(attempt)) this._retryOrGiveUp(attempt, reason, mayHaveRun);
+        if (!this._isCurrent(attempt)) return;
+        if (this._successor) this._promoteSuccessor(reason);
+        else this._retryOrGiveUp(attempt, reason, mayHaveRun);
       });
   }
 
--- a/tests/node/brokenConnections.test.ts
+++ b/tests/node/brokenConnections.test.ts
@@ -59,6 +59,29 @@
     t.ok(answer.isComplete);
   });
 
+  // Guards against a stream that is cut, as its lost target is looked for, though another one has taken it over.
+  await t.test('a stream stays at the group that took it over while the loss was examined', async (t) => {
+    const fixture = await createFixture();
+    fixture.examineLoss = () => sleep(400);
+    fixture.reset(({ socket, head }) => {
+      const isResumed = /^Last-Event-Id: 1$/im.test(head);
+      if (!isResumed) {
+        socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}${toChunk(toEvent(1))}`);
+        setTimeout(() => socket.resetAndDestroy(), 150);
+        return;
+      }
+      setTimeout(() => {
+        socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}${toChunk(toEvent(2))}0\r\n\r\n`);
+      }, 400);
+    });
+    fixture.place = ({ tried }: PlacementCriteria, onChoice) => {
+      onChoice(fixture.choose(tried.has('group-0') ? 1 : 0));
+    };
+    const answer = await fixture.caller().exchange(REQUEST);
+    t.equal(answer.body, toEvent(1) + toEvent(2));
+    t.ok(answer.isComplete);
+  });
+
   // Guards against a group whose head has ended and that is not reported, as broken connections are not.
   await t.test('a group that refuses connections is reported as silent', async (t) => {
     const fixture = await createFixture();
--- a/tests/node/groupFixture.ts
+++ b/tests/node/groupFixture.ts
@@ -62,6 +62,8 @@
   /** Groups that the node knows. */
   candidates: readonly (0 | 1)[] = [0, 1];
   route = ROUTE;
+  /** Replaces the search for a crash of a lost group. */
+  examineLoss: (() => Promise<void>) | undefined;
   /** Replaced by tests that let the node stop. */
   stop = this._createStop();
   private readonly _runs = new Set<RequestRun>();
@@ -133,20 +135,23 @@
     const fixture = () => this;
     const counters = new Counters();
     const log = new DecisionLog('node', 'hidden', systemClock, counters);
+    const crashes = new CrashMonitor({
+      address: '127.0.0.1:1',
+      clock: systemClock,
+      counters,
+      log,
+      send: () => undefined,
+      broadcast: () => undefined,
+    });
+    const examineLoss = crashes.examineLoss.bind(crashes);
+    crashes.examineLoss = (loss) => this.examineLoss?.() ?? examineLoss(loss);
     return {
       clock: systemClock,
       random: createRandom(1),
       counters,
       log,
       buffers: new AnswerBuffers(MAX_BUFFERED_BYTES),
-      crashes: new CrashMonitor({
-        address: '127.0.0.1:1',
-        clock: systemClock,
-        counters,
-        log,
-        send: () => undefined,
-        broadcast: () => undefined,
-      }),
+      crashes,
       failureDomain: 'zone-1',
       health: new TargetHealth(),
       pace: new StreamPace(),
