Node: a refusal counts for peers also after a silence

A broken group is silent first and refuses 4 s later. For that long, and again with each suspicion, requests of peers are assigned to it and spend a retry on its refusal.

Cause: since one node's silence no longer concerns its peers. A refusal within a suspicion that began with silence, or one before it, was taken as part of the silence, though the target itself stated it.

Ruled out: refusals alone; they concerned peers before and after.

Change: the health of a target keeps until when it refuses apart from its silence.

Test: node/targetSuspicions, new, failed before in 2 of 8 cases (`silent, then refuses` and `refuses, then silent`, reported by one); all pass now, as do decisions, placement, requestRun and platform/silenceForOneNode.

--- a/packages/core/src/serving/targetHealth.ts
+++ b/packages/core/src/serving/targetHealth.ts
@@ -14,8 +14,10 @@
   failureAtMs: number;
   consecutiveSuspicions: number;
   suspectUntilMs: number;
-  /** Until when it is suspect because it sends nothing, and not only because it refuses. */
+  /** Until when it is suspect because it sends nothing. */
   silentUntilMs: number;
+  /** Until when it is suspect because it refuses. */
+  refusedUntilMs: number;
   progressAtMs: number;
   /** When its connections last broke; those that break together count from the first one. */
   lostAtMs: number;
@@ -40,6 +42,7 @@
     health.progressAtMs = nowMs;
     health.suspectUntilMs = 0;
     health.silentUntilMs = 0;
+    health.refusedUntilMs = 0;
   }
 
   /** Records the time between two events of a stream, or since its last event when it was left. */
@@ -60,7 +63,7 @@
   /** Makes the target suspect because it sends nothing. Returns false if it already was for that reason. */
   recordSilence(target: string, nowMs: number): boolean {
     const health = this._getHealth(target);
-    if (this.isSilent(target, nowMs)) return false;
+    if (health.silentUntilMs > nowMs) return false;
     suspect(health, nowMs);
     health.silentUntilMs = health.suspectUntilMs;
     return true;
@@ -82,16 +85,19 @@
 
   /** Makes the target suspect because it refuses. Returns false if it already was suspect. */
   recordRefusal(target: string, nowMs: number): boolean {
-    return suspect(this._getHealth(target), nowMs);
+    const health = this._getHealth(target);
+    const isNew = suspect(health, nowMs);
+    health.refusedUntilMs = health.suspectUntilMs;
+    return isNew;
   }
 
   isSuspect(target: string, nowMs: number): boolean {
     return (this._targets.get(target)?.suspectUntilMs ?? 0) > nowMs;
   }
 
-  /** Whether the target is suspect because it sends nothing, and not only because it refuses. */
-  isSilent(target: string, nowMs: number): boolean {
-    return (this._targets.get(target)?.silentUntilMs ?? 0) > nowMs;
+  /** Whether the target is suspect because it refuses, as it says itself. */
+  isRefusing(target: string, nowMs: number): boolean {
+    return (this._targets.get(target)?.refusedUntilMs ?? 0) > nowMs;
   }
 
   /** Returns the targets that are suspect. */
@@ -131,6 +137,7 @@
         consecutiveSuspicions: 0,
         suspectUntilMs: 0,
         silentUntilMs: 0,
+        refusedUntilMs: 0,
         progressAtMs: -Infinity,
         lostAtMs: -Infinity,
         usualPauseMs: 0,
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -25,6 +25,7 @@
 export * from './targetConnections.js';
 export * from './targetDirectory.js';
 export * from './targetStatements.js';
+export * from './targetSuspicions.js';
 export * from './topicMirror.js';
 export * from './topicServer.js';
 export * from './topicSources.js';
--- a/packages/node/src/targetSuspicions.ts
+++ b/packages/node/src/targetSuspicions.ts
@@ -31,7 +31,7 @@
     const { health, isReportedByMany } = this._options;
     return {
       isSuspect: (target, nowMs) =>
-        health.isSilent(target, nowMs) ? isReportedByMany(target) : health.isSuspect(target, nowMs),
+        health.isRefusing(target, nowMs) || (health.isSuspect(target, nowMs) && isReportedByMany(target)),
       getFailureRate: (target, nowMs) => health.getFailureRate(target, nowMs),
     };
   }
