--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -694,7 +694,7 @@
     if (UNCOUNTED_ENDS.has(reason)) this._attempts--;
     if (LOSSES.has(reason)) this._lastResorts.add(attempt.candidate.key);
     const isGroup = attempt.candidate.engine !== undefined;
-    if (isGroup && reason === 'unreachable') {
+    if (isGroup && this._concernsTarget(attempt, reason)) {
       const isNew = context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
       if (isNew) {
         this._logSilence(attempt, { reason });
@@ -707,10 +707,20 @@
     else if (!examined) this._retryOrGiveUp(attempt, reason, mayHaveRun);
     else
       void examined.then(() => {
-        if (this._isCurrent(attempt)) this._retryOrGiveUp(attempt, reason, mayHaveRun);
+        if (!this._isCurrent(attempt)) return;
+        if (this._successor) this._promoteSuccessor(reason);
+        else this._retryOrGiveUp(attempt, reason, mayHaveRun);
       });
   }
 
+  /** Whether a failure tells of the target rather than of one connection to it. */
+  private _concernsTarget({ candidate, call, startedAtMs }: Attempt, reason: CallOutcomeReason): boolean {
+    if (reason !== 'target-lost') return TARGET_FAILURES.has(reason);
+    const { clock, health } = this._options.context;
+    const isRepeated = health.recordLoss(candidate.key, startedAtMs, clock.monotonic());
+    return isRepeated && call?.isReused === false;
+  }
+
   private _retryOrGiveUp(attempt: Attempt, reason: CallOutcomeReason, mayHaveRun: boolean): void {
     const obstacle = mayHaveRun && !this._isRepeatable() ? 'not-repeatable' : this._findRetryObstacle();
     if (obstacle === undefined) this._retry(attempt, reason);
@@ -870,6 +880,9 @@
 /** Ends of an attempt that do not count against the route's limit: the instance meant got no request. */
 const UNCOUNTED_ENDS: ReadonlySet<CallOutcomeReason> = new Set(['unreachable', 'unsent', 'misdirected']);
 
+/** Failures that no single broken connection explains. */
+const TARGET_FAILURES: ReadonlySet<CallOutcomeReason> = new Set(['unreachable', 'malformed']);
+
 /** Whether a target's answer names another instance than the target. */
 function isOtherInstance(named: string, { id, address }: TargetCandidate['instance']): boolean {
   return named !== address && named !== id;
--- a/packages/node/src/targetSuspicions.ts
+++ b/packages/node/src/targetSuspicions.ts
@@ -31,7 +31,7 @@
     const { health, isSilentForMost } = this._options;
     return {
       isSuspect: (target, nowMs) =>
-        health.isSilent(target, nowMs) ? isSilentForMost(target) : health.isSuspect(target, nowMs),
+        health.isRefusing(target, nowMs) || (health.isSuspect(target, nowMs) && isSilentForMost(target)),
       getFailureRate: (target, nowMs) => health.getFailureRate(target, nowMs),
     };
   }
