Node: one garbled answer is not its group's silence

A target that spoils two answers of a hundred would be avoided by its callers' nodes, and reported to the planner, for each. Class: what befalls one answer is taken as a fact about its target.

Change: garbled answers count like connections that break one after another: with a second one and no progress since. The failure rate of the target counts each, as before.

Test: node/brokenAnswers.

--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -715,7 +715,8 @@
 
   /** Whether a failure tells of the target rather than of one connection to it. */
   private _concernsTarget({ candidate, call, startedAtMs }: Attempt, reason: CallOutcomeReason): boolean {
-    if (reason !== 'target-lost') return TARGET_FAILURES.has(reason);
+    if (reason === 'unreachable') return true;
+    if (reason !== 'target-lost' && reason !== 'malformed') return false;
     const { clock, health } = this._options.context;
     const isRepeated = health.recordLoss(candidate.key, startedAtMs, clock.monotonic());
     return isRepeated && call?.isReused === false;
@@ -880,9 +881,6 @@
 /** Ends of an attempt that do not count against the route's limit: the instance meant got no request. */
 const UNCOUNTED_ENDS: ReadonlySet<CallOutcomeReason> = new Set(['unreachable', 'unsent', 'misdirected']);
 
-/** Failures that no single broken connection explains. */
-const TARGET_FAILURES: ReadonlySet<CallOutcomeReason> = new Set(['unreachable', 'malformed']);
-
 /** Whether a target's answer names another instance than the target. */
 function isOtherInstance(named: string, { id, address }: TargetCandidate['instance']): boolean {
   return named !== address && named !== id;
--- a/packages/node/src/targetConnections.ts
+++ b/packages/node/src/targetConnections.ts
@@ -23,7 +23,7 @@
 const MAX_FRAMING_PER_BODY_BYTE = 8;
 
 /**
- * How a call failed. Only `unreachable` and `malformed` tell of the target rather than of one connection.
+ * How a call failed. Only `unreachable` tells of the target rather than of one connection.
  *
  * - `unreachable`: no connection could be established, as nothing listens or nothing answers there.
  * - `unsent`: the connection ended before a byte of the request was sent.
