Node: a target that cannot be reached is tried again soon each time

Cause: each suspicion is twice as long as the one before, whatever it rests on, so that a cut of 2.5 s ends in one of 2.8 s. Doubling is for groups that stand still, where trying again costs a request its time; a connection that is not established costs 120 ms at most, and the attempt does not count.

Change: suspicion for connections that were not established lasts 700 ms each time.

Test: serving/targetHealth; the case of three unreachable attempts lasted 2,800 ms before.

--- a/packages/core/src/serving/targetHealth.ts
+++ b/packages/core/src/serving/targetHealth.ts
@@ -69,6 +69,19 @@
     return true;
   }
 
+  /**
+   * Makes the target suspect because no connection to it was established. As it costs little to try again, the suspicion is
+   * short each time, so that requests return soon after the path does.
+   * @returns false if the target already was suspect because it sends nothing.
+   */
+  recordUnreachable(target: string, nowMs: number): boolean {
+    const health = this._getHealth(target);
+    if (health.silentUntilMs > nowMs) return false;
+    health.suspectUntilMs = Math.max(health.suspectUntilMs, nowMs + INITIAL_SUSPICION_MS);
+    health.silentUntilMs = health.suspectUntilMs;
+    return true;
+  }
+
   /**
    * Records that the target's connection ended before its answer was complete.
    * @returns whether that happened lately as well, to a request that was sent before this one, without progress since.
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -695,7 +695,12 @@
     if (LOSSES.has(reason)) this._lastResorts.add(attempt.candidate.key);
     const isGroup = attempt.candidate.engine !== undefined;
     if (isGroup && this._concernsTarget(attempt, reason)) {
-      const isNew = context.health.recordSilence(attempt.candidate.key, context.clock.monotonic());
+      const { health, clock } = context;
+      const { key } = attempt.candidate;
+      const isNew =
+        reason === 'unreachable'
+          ? health.recordUnreachable(key, clock.monotonic())
+          : health.recordSilence(key, clock.monotonic());
       if (isNew) {
         this._logSilence(attempt, { reason });
         context.onSilentTarget(attempt.candidate);
