Node: a request that was not sent uses no retry

Cause: each attempt after the first was charged to the budget of retries that all nodes share, also one that follows an attempt of which no byte was sent. The budget is to bound what arrives at the targets.

Ruled out: attempts that reached another instance; these do arrive, and are charged as before.

Change: an attempt that follows one that was not sent is not charged.

Test: node/brokenConnections, 'a request that was not sent goes on without a retry', got 503 before.

--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -767,7 +767,8 @@
   }
 
   private _retry(attempt: Attempt, reason: CallOutcomeReason): void {
-    if (!this._tryTakeRetry(reason)) {
+    // An attempt that was not sent has cost its target nothing.
+    if (!UNSENT_ENDS.has(reason) && !this._tryTakeRetry(reason)) {
       this._abandonAndGiveUp(attempt, reason, 'budget-used');
       return;
     }
@@ -883,8 +884,10 @@
 /** Retry-After by reason, in milliseconds: a group forms in about 2 s; a batch frees a slot in less than 200 ms. */
 const NO_TARGET_RETRY_AFTER_MS = { 'no-target': 1_500, 'all-full': 200, 'all-silent': 700 } as const;
 
+/** Ends of an attempt of which no byte was sent. */
+const UNSENT_ENDS: ReadonlySet<CallOutcomeReason> = new Set(['unreachable', 'unsent']);
 /** Ends of an attempt that do not count against the route's limit: the instance meant got no request. */
-const UNCOUNTED_ENDS: ReadonlySet<CallOutcomeReason> = new Set(['unreachable', 'unsent', 'misdirected']);
+const UNCOUNTED_ENDS: ReadonlySet<CallOutcomeReason> = new Set([...UNSENT_ENDS, 'misdirected']);
 
 /** Whether a target's answer names another instance than the target. */
 function isOtherInstance(named: string, { id, address }: TargetCandidate['instance']): boolean {
--- a/tests/node/brokenConnections.test.ts
+++ b/tests/node/brokenConnections.test.ts
@@ -1,5 +1,5 @@
 import type { PlacementCriteria } from '@monsoonreach/node';
-import type { TargetChoice } from '@monsoonreach/core';
+import { RetryWindowBudget, type TargetChoice } from '@monsoonreach/core';
 import t from 'tap';
 import { sleep } from '../standins/http.js';
 import type { RawHandler } from '../support/rawHttp.js';
@@ -95,4 +95,20 @@
     t.equal((await exchange).body, toEvent(1) + toEvent(2));
     t.same(fixture.reported, ['group-0']);
   });
+
+  // Guards against requests that are refused as the budget of retries is used for connections that were not established.
+  await t.test('a request that was not sent goes on without a retry', async (t) => {
+    const fixture = await createFixture();
+    fixture.retries = new RetryWindowBudget({ share: 0, slack: 0, windowMs: 10_000 }, () => 1);
+    fixture.targets[0].crash();
+    fixture.targets[1].handle = ({ socket }) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}${toChunk(toEvent(1))}0\r\n\r\n`);
+    };
+    fixture.place = ({ tried }: PlacementCriteria, onChoice) => {
+      onChoice(fixture.choose(tried.has('group-0') ? 1 : 0));
+    };
+    const answer = await fixture.caller().exchange(REQUEST);
+    t.equal(answer.status, 200);
+    t.equal(answer.body, toEvent(1));
+  });
 });
--- a/tests/node/groupFixture.ts
+++ b/tests/node/groupFixture.ts
@@ -62,6 +62,7 @@
   /** Groups that the node knows. */
   candidates: readonly (0 | 1)[] = [0, 1];
   route = ROUTE;
+  retries = new RetryWindowBudget({ share: 0.2, slack: 130, windowMs: 10_000 }, () => 1);
   /** Replaces the search for a crash of a lost group. */
   examineLoss: (() => Promise<void>) | undefined;
   /** Replaced by tests that let the node stop. */
@@ -159,7 +160,9 @@
       limits: new TargetLimits(systemClock, () => 1),
       availability: new TargetAvailability(systemClock),
       demand: new DemandMeter(),
-      retries: new RetryWindowBudget({ share: 0.2, slack: 130, windowMs: 10_000 }, () => 1),
+      get retries() {
+        return fixture().retries;
+      },
       connections: new TargetConnections(systemClock),
       directory: {
         findCandidates: () =>
