Node: a request whose connection broke goes on over a new one

Cause: its second attempt took a kept connection to another target, which the same reset had hit; its end came 33 ms later, so that it counted as broken and not as stale.

Ruled out: a longer time for stale connections, which a target that ends under the request could exceed as well.

Change: after a broken connection a request uses new ones only.

Test: node/brokenConnections, 'a stream goes on over a new connection at another group', got the kept one before.

--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -136,7 +136,7 @@
   private _lastEventAtMs: number | undefined;
   private _longestPauseMs = 0;
   private _isFinished = false;
-  /** Whether a connection brought the answer to another request, so that no other idle one is used. */
+  /** Whether a connection broke, or brought the answer to another request, so that no other idle one is used. */
   private _isConnectionDoubted = false;
   /** Whether the target whose head was forwarded marks the end of its answer. */
   private _isFirstFramed = true;
@@ -692,7 +692,10 @@
     if (mayHaveRun) this._mayHaveRun = true;
     const { context } = this._options;
     if (UNCOUNTED_ENDS.has(reason)) this._attempts--;
-    if (LOSSES.has(reason)) this._lastResorts.add(attempt.candidate.key);
+    if (LOSSES.has(reason)) {
+      this._lastResorts.add(attempt.candidate.key);
+      this._isConnectionDoubted = true;
+    }
     const isGroup = attempt.candidate.engine !== undefined;
     if (isGroup && this._concernsTarget(attempt, reason)) {
       const { health, clock } = context;
--- a/tests/node/brokenConnections.test.ts
+++ b/tests/node/brokenConnections.test.ts
@@ -43,6 +43,30 @@
     t.same(fixture.reported, [], 'no group is reported as silent');
   });
 
+  // Guards against a stream that is cut as its second attempt gets a kept connection that broke with the first one.
+  await t.test('a stream goes on over a new connection at another group', async (t) => {
+    const fixture = await createFixture();
+    fixture.place = (_criteria, onChoice) => {
+      onChoice(fixture.choose(1));
+    };
+    fixture.targets[1].handle = ({ socket, head }) => {
+      if (/^Last-Event-Id: 1$/im.test(head))
+        socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}${toChunk(toEvent(2))}0\r\n\r\n`);
+      else socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}${toChunk(toEvent(1))}0\r\n\r\n`);
+    };
+    t.ok((await fixture.caller().exchange(REQUEST)).isComplete, 'a connection is kept');
+    const kept = fixture.targets[1].requests[0]?.socket;
+    t.notOk(kept?.destroyed);
+    fixture.place = ({ tried }: PlacementCriteria, onChoice) => {
+      onChoice(fixture.choose(tried.has('group-0') ? 1 : 0));
+    };
+    const exchange = fixture.caller().exchange(REQUEST);
+    await sleep(150);
+    fixture.targets[0].requests[0]?.socket.resetAndDestroy();
+    t.equal((await exchange).body, toEvent(1) + toEvent(2));
+    t.not(fixture.targets[1].requests[1]?.socket, kept);
+  });
+
   // Guards against a stream that is cut with an attempt left because its model has a single group.
   await t.test('a stream goes on at its only group over a new connection', async (t) => {
     const fixture = await createFixture();
