Entry: a broken connection does not end its group's lease

Callers saw: once connections of an entry were reset, requests that came later were refused as 'no-whole-group', or failed after 2 s with attempts left, while every group served on.

Cause: a request whose connection broke after it was sent revoked the lease of its group at this entry. Reset connections to all groups left none until a steward answered a later query. Class: what befalls one path is taken as a fact about its far end.

Ruled out: the requests in progress beside it, which go on (entry/completions), and the retry budget, of which nothing was spent when the later request was refused.

Change: only a refused connection, a call that found its group broken, and a steward's report revoke a lease. Dispatch still needs a lease. A broken connection still counts as a strike of its request, and still holds back for 150 ms the requests that prefer its group, so that strikes spread first.

Test: entry/brokenConnections failed before in all three cases: the later request was not answered within 1.5 s, and no group was left.

--- a/packages/entry/src/completionRun.ts
+++ b/packages/entry/src/completionRun.ts
@@ -363,7 +363,7 @@
     switch (cause.reason) {
       case 'target-lost':
       case 'truncated':
-        this._recordLoss(group);
+        this._recordBrokenConnection(group);
         return cause.reason;
       case 'group-broken':
         context.directory.markLost(group);
@@ -385,12 +385,16 @@
     }
   }
 
-  /** A group that is being ended may break off what it runs; that tells nothing of the request. */
-  private _recordLoss(group: string): void {
+  /**
+   * A broken connection shows neither that the group ended nor that it did not. The group keeps its lease, but copies
+   * of the request wait for its strike to spread. A group that is being ended may break off what it runs; that tells
+   * nothing of the request.
+   */
+  private _recordBrokenConnection(group: string): void {
     const { context } = this._options;
     if (context.directory.isEnding(group)) context.suspects.endUnanswered(this.fingerprint, group);
     else context.recordRequestLoss(this.fingerprint, group);
-    context.directory.markLost(group);
+    context.directory.recentLosses.recordLoss(group);
   }
 
   /** Spends a retry of the workspace's budget and waits for the backoff; false if no retry is allowed. */
--- a/packages/entry/src/groupDirectory.ts
+++ b/packages/entry/src/groupDirectory.ts
@@ -80,8 +80,8 @@
   }
 
   /**
-   * Revokes the lease of a group that broke off a request, or refused its connection; it serves again once a steward
-   * reports it whole. One connection tells nothing of the group's other requests: they go on.
+   * Revokes the lease of a group that refused a connection or is broken; it serves again once a steward reports it
+   * whole. Its requests in progress go on.
    */
   markLost(group: string): void {
     this._leases.revoke(group);
