Entry: nodes report only the strikes that they gave

Callers saw: a request that had once been cut stayed a suspect after it was answered, and for good: it ran only while no other suspect did, and a second cut at any later time refused it for 10 minutes.

Cause: entries reported all strikes that they knew of, also those learned from others, and each report renewed them. Two entries gave each other back what one of them had cleared. Class: what another node was told is taken as a fact of its own.

Ruled out: the relay of digests, which each carry what one node describes of itself.

Change: a node reports a suspect only if it gave it a strike, and a report does not renew a strike that the node has itself. Strikes learned from a node that is gone are not passed on to newcomers any more.

Test: the case in core/policies failed before: the request stayed a suspect at both nodes, cleared or not, after 240 and 360 s.

--- a/packages/core/src/crashSuspects.ts
+++ b/packages/core/src/crashSuspects.ts
@@ -13,7 +13,10 @@
 const STRIKE_RETENTION_MS = 120_000;
 
 interface Suspect {
+  /** All known strikes: those recorded here, and what other nodes reported. */
   strikes: number;
+  /** Strikes recorded by this node. */
+  ownStrikes: number;
   seenAtMs: number;
 }
 
@@ -94,8 +97,9 @@
   /** Merges strikes that another node reported. */
   mergeStrikes(fingerprint: string, strikes: number): void {
     if (strikes < 1) return;
-    const known = this._suspects.get(fingerprint)?.strikes ?? 0;
-    this._suspects.set(fingerprint, { strikes: Math.max(known, strikes), seenAtMs: this._clock.now() });
+    const suspect = this._findOrAdd(fingerprint);
+    if (suspect.ownStrikes === 0 || strikes > suspect.strikes) suspect.seenAtMs = this._clock.now();
+    suspect.strikes = Math.max(suspect.strikes, strikes);
     if (strikes >= MAX_STRIKES) this.quarantine(fingerprint, this._clock.now() + QUARANTINE_MS);
   }
 
@@ -104,17 +108,36 @@
     this._quarantined.set(fingerprint, Math.max(untilMs, this._quarantined.get(fingerprint) ?? 0));
   }
 
-  /** Strikes to report to other nodes. */
+  /** All known strikes. */
   strikes(): readonly (readonly [fingerprint: string, strikes: number])[] {
     this._pruneExpired();
     return [...this._suspects].map(([fingerprint, { strikes }]) => [fingerprint, strikes] as const);
   }
 
+  /**
+   * Strikes to report to other nodes. Each node reports the suspects to which it gave a strike: a node that passed on
+   * what it was told would give it back to the one that has cleared the request, and renew it for ever.
+   */
+  reportableStrikes(): readonly (readonly [fingerprint: string, strikes: number])[] {
+    this._pruneExpired();
+    return [...this._suspects]
+      .filter(([, { ownStrikes }]) => ownStrikes > 0)
+      .map(([fingerprint, { strikes }]) => [fingerprint, strikes] as const);
+  }
+
+  private _findOrAdd(fingerprint: string): Suspect {
+    const suspect = this._suspects.get(fingerprint) ?? { strikes: 0, ownStrikes: 0, seenAtMs: 0 };
+    this._suspects.set(fingerprint, suspect);
+    return suspect;
+  }
+
   private _addStrike(fingerprint: string): number {
-    const strikes = (this._suspects.get(fingerprint)?.strikes ?? 0) + 1;
-    this._suspects.set(fingerprint, { strikes, seenAtMs: this._clock.now() });
-    if (strikes >= MAX_STRIKES) this.quarantine(fingerprint, this._clock.now() + QUARANTINE_MS);
-    return strikes;
+    const suspect = this._findOrAdd(fingerprint);
+    suspect.strikes++;
+    suspect.ownStrikes++;
+    suspect.seenAtMs = this._clock.now();
+    if (suspect.strikes >= MAX_STRIKES) this.quarantine(fingerprint, this._clock.now() + QUARANTINE_MS);
+    return suspect.strikes;
   }
 
   private _isSuspect(fingerprint: string): boolean {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -298,7 +298,9 @@
     const demand = [...this._completions.usage()]
       .filter(([, { inUse, waiting }]) => inUse + waiting > 0)
       .map(([workspace, use]) => ({ workspace, ...use }));
-    const suspects = this._suspects.strikes().map(([fingerprint, strikes]) => `${fingerprint}:${strikes}`);
+    const suspects = this._suspects
+      .reportableStrikes()
+      .map(([fingerprint, strikes]) => `${fingerprint}:${strikes}`);
     return { demand, suspects };
   }
 
--- a/tests/core/policies.test.ts
+++ b/tests/core/policies.test.ts
@@ -162,6 +162,59 @@
   t.end();
 });
 
+// Two nodes gave each other back the strike of a request that one of them had cleared, and renewed it for ever.
+void t.test('the strikes of a request are gone from all nodes after it was cleared, or in time', (t) => {
+  const EXCHANGE_MS = 1_000;
+  const RETENTION_MS = 120_000;
+  const cases: readonly {
+    readonly name: string;
+    readonly isCleared: boolean;
+    /** Whether the other node gives a strike of its own. */
+    readonly isStruckTwice?: boolean;
+    readonly waitMs: number;
+    /** Status at the node that gave the strike, and at the other one. */
+    readonly statuses: readonly string[];
+  }[] = [
+    { name: 'just struck', isCleared: false, waitMs: EXCHANGE_MS, statuses: ['suspect', 'suspect'] },
+    { name: 'cleared', isCleared: true, waitMs: 2 * EXCHANGE_MS, statuses: ['clear', 'suspect'] },
+    { name: 'cleared long ago', isCleared: true, waitMs: 2 * RETENTION_MS, statuses: ['clear', 'clear'] },
+    { name: 'struck long ago', isCleared: false, waitMs: 3 * RETENTION_MS, statuses: ['clear', 'clear'] },
+    {
+      name: 'struck by both long ago',
+      isCleared: false,
+      isStruckTwice: true,
+      waitMs: 3 * RETENTION_MS,
+      statuses: ['clear', 'clear'],
+    },
+  ];
+  for (const { name, isCleared, isStruckTwice = false, waitMs, statuses } of cases) {
+    const clock = new ManualClock();
+    const nodes = [new CrashSuspects(clock), new CrashSuspects(clock)] as const;
+    const exchange = () => {
+      const reports = nodes.map((node) => node.reportableStrikes());
+      for (const [index, report] of reports.entries()) {
+        for (const [fingerprint, strikes] of report) nodes[1 - index]?.mergeStrikes(fingerprint, strikes);
+      }
+    };
+    for (const node of isStruckTwice ? nodes : [nodes[0]]) {
+      node.begin('a', 'g');
+      node.recordRequestLoss('a', 'g');
+    }
+    exchange();
+    if (isCleared) nodes[0].finish('a', 'g');
+    for (let passedMs = 0; passedMs < waitMs; passedMs += EXCHANGE_MS) {
+      clock.advance(EXCHANGE_MS);
+      exchange();
+    }
+    t.same(
+      nodes.map((node) => node.statusOf('a')),
+      statuses,
+      name,
+    );
+  }
+  t.end();
+});
+
 // A connection reset of one request gave a strike to each request that its group was running.
 void t.test('a request that a group broke off gets a strike, and the others only for their own', (t) => {
   const cases: readonly {
