Entry: a group that is seen whole clears the requests that it broke off

Callers saw: after all connections of an entry were reset, five of six requests failed 2 s later with attempts left, while every group served.

Cause: each request whose connection broke became a suspect of having broken its group, and suspects run one at a time at an entry. Class: what befalls one path is taken as a fact about its far end.

Ruled out: leases and the retry budget; groups were free, and each request had spent one retry.

Change: a strike for a broken connection is withdrawn once a steward reports the group whole by probes sent after it. Until then the request is contained as before, and a strike for a group that a steward reports as broken stays. A request that broke off at two groups before either was seen is still refused.

Test: entry/brokenConnections and core/policies failed before (five of six requests; the strike stayed).

--- a/packages/core/src/crashSuspects.ts
+++ b/packages/core/src/crashSuspects.ts
@@ -18,6 +18,8 @@
   /** Strikes recorded by this node. */
   ownStrikes: number;
   seenAtMs: number;
+  /** When each group broke off the request by its connection alone, on the monotonic clock. */
+  readonly brokenOffAtMs: Map<string, number>;
 }
 
 /** Whether a request may run: without restriction, one suspect at a time, or not at all. */
@@ -26,7 +28,7 @@
 /**
  * Detects requests that break the groups that run them. The loss of a group adds a strike to each suspect
  * it was running, or to every request it was running if none was a suspect. A request that a group broke off counts
- * in the same way, but by itself. A complete answer clears a
+ * in the same way, but by itself, until the group is seen whole again. A complete answer clears a
  * request; `MAX_STRIKES` strikes quarantine it.
  */
 export class CrashSuspects {
@@ -91,7 +93,24 @@
     }
     if (running.size === 0) this._inFlight.delete(group);
     if (hasSuspect && !isSuspect) return [];
-    return this._addStrike(fingerprint) >= MAX_STRIKES ? [fingerprint] : [];
+    const strikes = this._addStrike(fingerprint);
+    this._suspects.get(fingerprint)?.brokenOffAtMs.set(group, this._clock.monotonic());
+    return strikes >= MAX_STRIKES ? [fingerprint] : [];
+  }
+
+  /**
+   * Records that all members of a group were seen serving it at this monotonic time. Requests that it broke off before
+   * did not break it: they lost a connection only, and the strikes are withdrawn.
+   */
+  recordWholeGroup(group: string, seenAtMs: number): void {
+    for (const [fingerprint, suspect] of this._suspects) {
+      const brokenOffAtMs = suspect.brokenOffAtMs.get(group);
+      if (brokenOffAtMs === undefined || brokenOffAtMs >= seenAtMs) continue;
+      suspect.brokenOffAtMs.delete(group);
+      suspect.strikes--;
+      suspect.ownStrikes--;
+      if (suspect.strikes === 0) this._suspects.delete(fingerprint);
+    }
   }
 
   /** Merges strikes that another node reported. */
@@ -126,7 +145,12 @@
   }
 
   private _findOrAdd(fingerprint: string): Suspect {
-    const suspect = this._suspects.get(fingerprint) ?? { strikes: 0, ownStrikes: 0, seenAtMs: 0 };
+    const suspect = this._suspects.get(fingerprint) ?? {
+      strikes: 0,
+      ownStrikes: 0,
+      seenAtMs: 0,
+      brokenOffAtMs: new Map<string, number>(),
+    };
     this._suspects.set(fingerprint, suspect);
     return suspect;
   }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -219,6 +219,9 @@
     directory.onLost((group) => {
       this._quarantine(this._suspects.recordGroupLoss(group));
     });
+    directory.onWhole((group, seenAtMs) => {
+      this._suspects.recordWholeGroup(group, seenAtMs);
+    });
     return directory;
   }
 
--- a/packages/entry/src/groupDirectory.ts
+++ b/packages/entry/src/groupDirectory.ts
@@ -8,6 +8,7 @@
   RecentLosses,
   type RouteCandidate,
   Stragglers,
+  WHOLE_LEASE_MS,
   WholeLeases,
 } from '@monsoonreach/core';
 import type { GroupLease } from '@monsoonreach/peers';
@@ -29,6 +30,7 @@
   private readonly _leases: WholeLeases;
   private readonly _reportedBroken = new Set<string>();
   private readonly _lostListeners = new Set<(group: string) => void>();
+  private readonly _wholeListeners = new Set<(group: string, seenAtMs: number) => void>();
 
   constructor(private readonly _options: GroupDirectoryOptions) {
     this.loads = new Loads(_options.clock);
@@ -42,6 +44,11 @@
     this._lostListeners.add(listener);
   }
 
+  /** Calls the listener with each group that a steward reports as whole, and when its members were seen. */
+  onWhole(listener: (group: string, seenAtMs: number) => void): void {
+    this._wholeListeners.add(listener);
+  }
+
   /** Applies a steward's answer to a query that was sent at this monotonic time. */
   renewLeases(querySentAtMs: number, leases: readonly GroupLease[]): void {
     const grants = leases.map(({ group, epoch, remainingMs }): LeaseGrant => ({
@@ -53,9 +60,16 @@
     for (const lease of leases) {
       this.loads.report(lease.group, lease.inFlight, lease.loadAgeMs);
       this._reportIfBroken(lease);
+      this._reportIfWhole(lease, querySentAtMs);
     }
   }
 
+  private _reportIfWhole({ group, remainingMs }: GroupLease, querySentAtMs: number): void {
+    if (remainingMs <= 0) return;
+    const seenAtMs = querySentAtMs + Math.min(remainingMs, WHOLE_LEASE_MS) - WHOLE_LEASE_MS;
+    for (const listener of this._wholeListeners) listener(group, seenAtMs);
+  }
+
   /** Reports a broken group once, not with each answer that still shows it broken. */
   private _reportIfBroken({ group, missing, remainingMs }: GroupLease): void {
     if (remainingMs > 0) this._reportedBroken.delete(group);
--- a/tests/core/policies.test.ts
+++ b/tests/core/policies.test.ts
@@ -275,6 +275,71 @@
   t.end();
 });
 
+// A request kept its strike for a connection that broke at a group that was seen whole right after.
+void t.test('a group that is seen whole after it broke off a request was not broken by it', (t) => {
+  const BROKEN_OFF_AT_MS = 1_000;
+  const breakOff = (suspects: CrashSuspects, group: string) => {
+    suspects.begin('a', group);
+    suspects.recordRequestLoss('a', group);
+  };
+  const cases: readonly {
+    readonly name: string;
+    readonly steps: (suspects: CrashSuspects) => void;
+    readonly strikes: number;
+  }[] = [
+    {
+      name: 'seen after it',
+      steps: (suspects) => {
+        breakOff(suspects, 'g');
+        suspects.recordWholeGroup('g', BROKEN_OFF_AT_MS + 1);
+      },
+      strikes: 0,
+    },
+    {
+      name: 'seen before it',
+      steps: (suspects) => {
+        breakOff(suspects, 'g');
+        suspects.recordWholeGroup('g', BROKEN_OFF_AT_MS);
+      },
+      strikes: 1,
+    },
+    {
+      name: 'another group seen',
+      steps: (suspects) => {
+        breakOff(suspects, 'g');
+        suspects.recordWholeGroup('h', BROKEN_OFF_AT_MS + 1);
+      },
+      strikes: 1,
+    },
+    {
+      name: 'beside a strike that another node gave',
+      steps: (suspects) => {
+        suspects.mergeStrikes('a', 1);
+        breakOff(suspects, 'g');
+        suspects.recordWholeGroup('g', BROKEN_OFF_AT_MS + 1);
+      },
+      strikes: 1,
+    },
+    {
+      name: 'a group that a steward reported as broken',
+      steps: (suspects) => {
+        suspects.begin('a', 'g');
+        suspects.recordGroupLoss('g');
+        suspects.recordWholeGroup('g', BROKEN_OFF_AT_MS + 1);
+      },
+      strikes: 1,
+    },
+  ];
+  for (const { name, steps, strikes } of cases) {
+    const clock = new ManualClock();
+    clock.advance(BROKEN_OFF_AT_MS);
+    const suspects = new CrashSuspects(clock);
+    steps(suspects);
+    t.equal(new Map(suspects.strikes()).get('a') ?? 0, strikes, name);
+  }
+  t.end();
+});
+
 void t.test('a request whose first-choice group was just lost is held back for a while', (t) => {
   const clock = new ManualClock();
   const losses = new RecentLosses(clock);
--- a/tests/entry/brokenConnections.test.ts
+++ b/tests/entry/brokenConnections.test.ts
@@ -2,16 +2,20 @@
 import { Bench, type Head } from './completionBench.js';
 
 const POLL_MS = 5;
-/** Less than the time for which a request waits for a group. */
+/** How long a request waits for a group. */
+const HELD_WITHIN_MS = 2_000;
+/** Less than that. */
 const ANSWER_WITHIN_MS = 1_500;
 
 async function sleep(ms: number): Promise<void> {
   await new Promise((resolve) => setTimeout(resolve, ms));
 }
 
-/** Waits until the heads hold this number of requests. */
+/** Waits until the heads hold this number of requests, or for as long as a request waits for a group. */
 async function awaitHeld(heads: readonly Head[], count: number): Promise<void> {
-  while (heads.reduce((sum, { answers }) => sum + answers.size, 0) < count) await sleep(POLL_MS);
+  const endsAtMs = performance.now() + HELD_WITHIN_MS;
+  while (heads.reduce((sum, { answers }) => sum + answers.size, 0) < count && performance.now() < endsAtMs)
+    await sleep(POLL_MS);
 }
 
 // An entry whose connections were reset had no group left until a steward answered it again.
@@ -61,3 +65,27 @@
     await bench.stop();
   }
 });
+
+// Requests whose connections were reset ran one at a time, as suspects of having broken their groups, until each gave up.
+void t.test('requests that were broken off go on once their groups are seen whole', async (t) => {
+  const bench = new Bench({ groups: 3 });
+  await bench.start();
+  const bodies = ['a', 'b', 'c', 'd', 'e', 'f'];
+  const outcomes = bodies.map((body) => bench.complete(body));
+  await awaitHeld(bench.heads, bodies.length);
+  for (const head of bench.heads) head.resetConnections();
+  await sleep(50);
+  t.equal(bench.suspects.strikes().length, bodies.length, 'each has a strike at first');
+  bench.reportWhole();
+  t.same(bench.suspects.strikes(), [], 'the strikes are withdrawn');
+  await awaitHeld(bench.heads, bodies.length);
+  for (const head of bench.heads) {
+    for (const answer of head.answers.values()) answer.end('data: {}\n\ndata: [DONE]\n\n');
+  }
+  const kinds = (await Promise.all(outcomes)).map(({ kind }) => kind);
+  t.same(
+    kinds,
+    bodies.map(() => 'answered'),
+  );
+  await bench.stop();
+});
--- a/tests/entry/completionBench.ts
+++ b/tests/entry/completionBench.ts
@@ -108,6 +108,9 @@
       regionOf: () => 'r',
     });
     this.directory.onLost((group) => this.suspects.recordGroupLoss(group));
+    this.directory.onWhole((group, seenAtMs) => {
+      this.suspects.recordWholeGroup(group, seenAtMs);
+    });
     const fleet = { membership: { members: () => [] } } as unknown as EntryContext['fleet'];
     const context: EntryContext = {
       clock,
