Entry: a service's target that broke a connection can be tried again

Callers saw: an idempotent call to a plain service failed after one attempt of four when the only target had reset a connection, or broken off its answer; with two targets, after both had.

Cause: a target was chosen once for each call, whatever had befallen it. A retry was taken from the budget, and not used. Class: what befalls one path is taken as a fact about its far end.

Ruled out: calls on routes that are not idempotent, which are sent once and stay in doubt.

Change: a target whose connection broke after the call was sent is chosen again if no other can be. A target that refuses connections, times out or answers another request is not.

Test: entry/serviceRetries failed before in four of five cases. In entry/hedgedCalls the targets refuse the calls after those listed, which are made now; the outcomes asserted are the same.

--- a/packages/entry/src/serviceCalls.ts
+++ b/packages/entry/src/serviceCalls.ts
@@ -20,6 +20,32 @@
 const TARGET_WAIT_MS = 1_000;
 const TARGET_POLL_MS = 20;
 
+/** The targets to which one call was sent. */
+class TriedTargets {
+  private readonly _tried = new Set<string>();
+  private readonly _brokenOff = new Set<string>();
+
+  add(target: string): void {
+    this._tried.add(target);
+    this._brokenOff.delete(target);
+  }
+
+  /** Records that a target's connection broke after the call was sent; the target may be well. */
+  recordBrokenOff(target: string): void {
+    this._brokenOff.add(target);
+  }
+
+  /** All targets to which the call was sent. */
+  get tried(): ReadonlySet<string> {
+    return this._tried;
+  }
+
+  /** Those among them that are of no use to another attempt. */
+  get unusable(): ReadonlySet<string> {
+    return new Set([...this._tried].filter((target) => !this._brokenOff.has(target)));
+  }
+}
+
 /** Calls plain services: idempotent routes with retries and hedging, the others at most once. */
 export class ServiceCalls {
   constructor(
@@ -50,7 +76,7 @@
    * connection. Once a byte may have left, there is no retry, and without an answer the outcome is in doubt.
    */
   async callOnce(prepared: PreparedCall, undispatched: Undispatched): Promise<Outcome<ServiceAnswer>> {
-    const tried = new Set<string>();
+    const tried = new TriedTargets();
     let dispatchState = undispatched;
     for (;;) {
       const target = await this._chooseTarget(prepared, tried);
@@ -77,7 +103,7 @@
       `service ${prepared.request.service}`,
       this._context.clock,
     );
-    const tried = new Set<string>();
+    const tried = new TriedTargets();
     let dispatchState: Undispatched | Dispatched = call.undispatched;
     for (let attempt = 1; ; attempt++) {
       const target = await this._chooseTarget(prepared, tried);
@@ -112,10 +138,10 @@
   private async _sendHedged(
     prepared: PreparedCall,
     target: string,
-    tried: Set<string>,
+    tried: TriedTargets,
   ): Promise<ServiceAnswer> {
     const hedgeAfterMs = this._context.configuration()?.limits['hedge-after'];
-    const first = this._send(prepared, target);
+    const first = this._sendTracked(prepared, target, tried);
     if (hedgeAfterMs === undefined) return first;
     const isSettled = await Promise.race([
       first.then(
@@ -129,32 +155,47 @@
     if (!this._context.retryBudgets.spend(prepared.call.workspace)) return first;
     tried.add(second);
     this._context.counters.add('monsoonreach_hedges_total');
-    return Promise.any([first, this._send(prepared, second)]).catch((error: unknown) => {
+    return Promise.any([first, this._sendTracked(prepared, second, tried)]).catch((error: unknown) => {
       throw error instanceof AggregateError ? findSentFailure(error.errors as readonly Error[]) : error;
     });
   }
 
+  private async _sendTracked(
+    prepared: PreparedCall,
+    target: string,
+    tried: TriedTargets,
+  ): Promise<ServiceAnswer> {
+    try {
+      return await this._send(prepared, target);
+    } catch (error) {
+      if (error instanceof TargetCallError && isBrokenOff(error)) tried.recordBrokenOff(target);
+      throw error;
+    }
+  }
+
   /** Whether a call that is sent now ends before this entry, if it stops. */
   private _isTimeLeft({ service }: PreparedCall): boolean {
     return this._context.drainWindow.isLongEnough(service.timeout);
   }
 
-  private async _chooseTarget(
-    prepared: PreparedCall,
-    tried: ReadonlySet<string>,
-  ): Promise<string | undefined> {
+  private async _chooseTarget(prepared: PreparedCall, tried: TriedTargets): Promise<string | undefined> {
     const { service, call } = prepared;
     const { clock } = this._context;
     const endsAtMs = clock.monotonic() + TARGET_WAIT_MS;
     for (;;) {
-      const chosen = this._targets.choose(service.targets, service['target-concurrency'], tried);
-      const isEveryTargetTried = service.targets.every((target) => tried.has(target));
-      if (chosen !== undefined || isEveryTargetTried || call.signal.aborted || clock.monotonic() >= endsAtMs)
+      const { unusable } = tried;
+      const chosen = this._chooseNow(prepared, tried.tried) ?? this._chooseNow(prepared, unusable);
+      const isNoneLeft = service.targets.every((target) => unusable.has(target));
+      if (chosen !== undefined || isNoneLeft || call.signal.aborted || clock.monotonic() >= endsAtMs)
         return chosen;
       await pause(TARGET_POLL_MS, call.signal);
     }
   }
 
+  private _chooseNow({ service }: PreparedCall, excluded: ReadonlySet<string>): string | undefined {
+    return this._targets.choose(service.targets, service['target-concurrency'], excluded);
+  }
+
   private async _send(prepared: PreparedCall, target: string): Promise<ServiceAnswer> {
     const { request, call, service } = prepared;
     const context = this._context;
@@ -225,6 +266,11 @@
   }
 }
 
+/** Whether a connection broke under a call, which tells nothing of the target. */
+function isBrokenOff(error: TargetCallError): boolean {
+  return !error.isProvenUnsent && (error.reason === 'target-lost' || error.reason === 'truncated');
+}
+
 /** The failure of a call that may have run, if there is one: two hedged calls ran if either of them did. */
 function findSentFailure(errors: readonly Error[]): Error | undefined {
   return errors.find((error) => !(error instanceof TargetCallError && isUnsent(error))) ?? errors[0];
