Entry: a request goes again to a group that broke it off if the others are full

Callers saw: a request failed as 'retries-spent' 2 s after its connection broke, with attempts left.

Cause: as long as a group that had not been tried was listed, only that one was chosen, though it had no room, while the group that had merely broken a connection had.

Ruled out: groups that refused, timed out or answered another request; they wait for the others as before.

Change: a group whose last attempt ended by its connection is chosen if no untried group has room.

Test: the case in entry/brokenConnections failed before: the request failed after 2 s.

--- a/packages/entry/src/completionRun.ts
+++ b/packages/entry/src/completionRun.ts
@@ -67,6 +67,8 @@
   private readonly _deadline: Deadline;
   private readonly _affinityKey: string;
   private readonly _triedGroups = new Set<string>();
+  /** Groups whose last attempt ended by its connection; they may be well. */
+  private readonly _brokenOffGroups = new Set<string>();
   private _attempts = 0;
   private _lastEventId: string | undefined;
   private _hasDeliveredEvent = false;
@@ -263,21 +265,21 @@
     return chosen ?? this._chooseTriedGroup(candidates, router);
   }
 
-  /** Once every candidate was tried, allows a second attempt at a group that serves again. */
+  /** Allows a second attempt at a group that broke a connection, and at any group once every candidate was tried. */
   private _chooseTriedGroup(
     candidates: readonly RouteCandidate[],
     router: Router,
   ): RouteCandidate | undefined {
     const hasUntried = candidates.some(({ id }) => !this._triedGroups.has(id));
-    return hasUntried
-      ? undefined
-      : router.choose(candidates, { affinityKey: this._affinityKey, tried: new Set() });
+    const usable = hasUntried ? candidates.filter(({ id }) => this._brokenOffGroups.has(id)) : candidates;
+    return router.choose(usable, { affinityKey: this._affinityKey, tried: new Set() });
   }
 
   private _startAttempt(candidate: RouteCandidate): Attempt {
     const { context, call, inFlight } = this._options;
     this._attempts++;
     this._triedGroups.add(candidate.id);
+    this._brokenOffGroups.delete(candidate.id);
     context.counters.add('monsoonreach_dispatches_total', { kind: 'completion' });
     context.traces.addStep(call.requestId, `attempt ${this._attempts} at group ${candidate.id}`);
     context.directory.loads.begin(candidate.id);
@@ -395,6 +397,7 @@
     if (context.directory.isEnding(group)) context.suspects.endUnanswered(this.fingerprint, group);
     else context.recordRequestLoss(this.fingerprint, group);
     context.directory.recentLosses.recordLoss(group);
+    this._brokenOffGroups.add(group);
   }
 
   /** Spends a retry of the workspace's budget and waits for the backoff; false if no retry is allowed. */
--- a/tests/entry/brokenConnections.test.ts
+++ b/tests/entry/brokenConnections.test.ts
@@ -2,6 +2,8 @@
 import { Bench, type Head } from './completionBench.js';
 
 const POLL_MS = 5;
+/** Requests that a group takes at a time. */
+const GROUP_CONCURRENCY = 4;
 /** How long a request waits for a group. */
 const HELD_WITHIN_MS = 2_000;
 /** Less than that. */
@@ -89,3 +91,18 @@
   );
   await bench.stop();
 });
+
+// A request waited for a group without room until it gave up, while the one that had broken its connection had room.
+void t.test('a request goes again to the group that broke it off if the others are full', async (t) => {
+  const bench = new Bench({ groups: 2 });
+  await bench.start();
+  const outcome = bench.complete('a');
+  await awaitHeld(bench.heads, 1);
+  const [head] = bench.heads.filter(({ answers }) => answers.size > 0);
+  const fullGroup = head === bench.head ? 'g2' : 'g';
+  for (let request = 0; request < GROUP_CONCURRENCY; request++) bench.directory.loads.begin(fullGroup);
+  head?.answerAtOnce();
+  head?.resetConnections();
+  t.equal((await outcome).kind, 'answered');
+  await bench.stop();
+});
