Core: connections that break at one group give one strike

Callers saw: a request was refused for 10 minutes at every entry, as one that broke two groups, after two of its connections to one group had broken.

Cause: each broken connection gave a strike, though strikes count groups. Class: what befalls one path is taken as a fact about its far end.

Ruled out: groups that a steward reports as broken, which give one strike for each loss as before.

Change: a request gets one strike for each group that breaks it off, until that group is seen whole. Strikes of two entries for the same group still add up, as reports do not name groups.

Test: core/policies failed before: quarantined at the second connection to the same group.

--- a/packages/core/src/crashSuspects.ts
+++ b/packages/core/src/crashSuspects.ts
@@ -28,7 +28,7 @@
 /**
  * Detects requests that break the groups that run them. The loss of a group adds a strike to each suspect
  * it was running, or to every request it was running if none was a suspect. A request that a group broke off counts
- * in the same way, but by itself, until the group is seen whole again. A complete answer clears a
+ * in the same way, but by itself, once for each group, and until the group is seen whole again. A complete answer clears a
  * request; `MAX_STRIKES` strikes quarantine it.
  */
 export class CrashSuspects {
@@ -93,9 +93,12 @@
     }
     if (running.size === 0) this._inFlight.delete(group);
     if (hasSuspect && !isSuspect) return [];
-    const strikes = this._addStrike(fingerprint);
-    this._suspects.get(fingerprint)?.brokenOffAtMs.set(group, this._clock.monotonic());
-    return strikes >= MAX_STRIKES ? [fingerprint] : [];
+    const suspect = this._findOrAdd(fingerprint);
+    const isGroupCounted = suspect.brokenOffAtMs.has(group);
+    suspect.brokenOffAtMs.set(group, this._clock.monotonic());
+    suspect.seenAtMs = this._clock.now();
+    if (isGroupCounted) return [];
+    return this._addStrike(fingerprint) >= MAX_STRIKES ? [fingerprint] : [];
   }
 
   /**
--- a/tests/core/policies.test.ts
+++ b/tests/core/policies.test.ts
@@ -275,6 +275,30 @@
   t.end();
 });
 
+// A request was refused for 10 minutes, as one that broke two groups, after two connections to the same group broke.
+void t.test('connections that break at one group count as one group', (t) => {
+  const cases: readonly {
+    readonly name: string;
+    readonly groups: readonly string[];
+    readonly quarantined: readonly string[];
+    readonly strikes: number;
+  }[] = [
+    { name: 'the same group', groups: ['g', 'g', 'g'], quarantined: [], strikes: 1 },
+    { name: 'two groups', groups: ['g', 'h'], quarantined: ['a'], strikes: 2 },
+    { name: 'two groups, one of them twice', groups: ['g', 'g', 'h'], quarantined: ['a'], strikes: 2 },
+  ];
+  for (const { name, groups, quarantined, strikes } of cases) {
+    const suspects = new CrashSuspects(new ManualClock());
+    const ended = groups.flatMap((group) => {
+      suspects.begin('a', group);
+      return suspects.recordRequestLoss('a', group);
+    });
+    t.same(ended, quarantined, name);
+    t.same(suspects.strikes(), [['a', strikes]], `${name}: strikes`);
+  }
+  t.end();
+});
+
 // A request kept its strike for a connection that broke at a group that was seen whole right after.
 void t.test('a group that is seen whole after it broke off a request was not broken by it', (t) => {
   const BROKEN_OFF_AT_MS = 1_000;
