--- a/packages/core/src/crashSuspects.ts
+++ b/packages/core/src/crashSuspects.ts
@@ -13,8 +13,13 @@
 const STRIKE_RETENTION_MS = 120_000;
 
 interface Suspect {
+  /** All known strikes: those recorded here, and what other nodes reported. */
   strikes: number;
+  /** Strikes recorded by this node. */
+  ownStrikes: number;
   seenAtMs: number;
+  /** When each group broke off the request by its connection alone, on the monotonic clock. */
+  readonly brokenOffAtMs: Map<string, number>;
 }
 
 /** Whether a request may run: without restriction, one suspect at a time, or not at all. */
@@ -23,7 +28,7 @@
 /**
  * Detects requests that break the groups that run them. The loss of a group adds a strike to each suspect
  * it was running, or to every request it was running if none was a suspect. A request that a group broke off counts
- * in the same way, but by itself. A complete answer clears a
+ * in the same way, but by itself, once for each group, and until the group is seen whole again. A complete answer clears a
  * request; `MAX_STRIKES` strikes quarantine it.
  */
 export class CrashSuspects {
@@ -88,14 +93,35 @@
     }
     if (running.size === 0) this._inFlight.delete(group);
     if (hasSuspect && !isSuspect) return [];
+    const suspect = this._findOrAdd(fingerprint);
+    const isGroupCounted = suspect.brokenOffAtMs.has(group);
+    suspect.brokenOffAtMs.set(group, this._clock.monotonic());
+    suspect.seenAtMs = this._clock.now();
+    if (isGroupCounted) return [];
     return this._addStrike(fingerprint) >= MAX_STRIKES ? [fingerprint] : [];
   }
 
+  /**
+   * Records that all members of a group were seen serving it at this monotonic time. Requests that it broke off before
+   * did not break it: they lost a connection only, and the strikes are withdrawn.
+   */
+  recordWholeGroup(group: string, seenAtMs: number): void {
+    for (const [fingerprint, suspect] of this._suspects) {
+      const brokenOffAtMs = suspect.brokenOffAtMs.get(group);
+      if (brokenOffAtMs === undefined || brokenOffAtMs >= seenAtMs) continue;
+      suspect.brokenOffAtMs.delete(group);
+      suspect.strikes--;
+      suspect.ownStrikes--;
+      if (suspect.strikes === 0) this._suspects.delete(fingerprint);
+    }
+  }
+
   /** Merges strikes that another node reported. */
   mergeStrikes(fingerprint: string, strikes: number): void {
     if (strikes < 1) return;
-    const known = this._suspects.get(fingerprint)?.strikes ?? 0;
-    this._suspects.set(fingerprint, { strikes: Math.max(known, strikes), seenAtMs: this._clock.now() });
+    const suspect = this._findOrAdd(fingerprint);
+    if (suspect.ownStrikes === 0 || strikes > suspect.strikes) suspect.seenAtMs = this._clock.now();
+    suspect.strikes = Math.max(suspect.strikes, strikes);
     if (strikes >= MAX_STRIKES) this.quarantine(fingerprint, this._clock.now() + QUARANTINE_MS);
   }
 
@@ -104,17 +130,41 @@
     this._quarantined.set(fingerprint, Math.max(untilMs, this._quarantined.get(fingerprint) ?? 0));
   }
 
-  /** Strikes to report to other nodes. */
+  /** All known strikes. */
   strikes(): readonly (readonly [fingerprint: string, strikes: number])[] {
     this._pruneExpired();
     return [...this._suspects].map(([fingerprint, { strikes }]) => [fingerprint, strikes] as const);
   }
 
+  /**
+   * Strikes to report to other nodes. Each node reports the suspects to which it gave a strike: a node that passed on
+   * what it was told would give it back to the one that has cleared the request, and renew it for ever.
+   */
+  reportableStrikes(): readonly (readonly [fingerprint: string, strikes: number])[] {
+    this._pruneExpired();
+    return [...this._suspects]
+      .filter(([, { ownStrikes }]) => ownStrikes > 0)
+      .map(([fingerprint, { strikes }]) => [fingerprint, strikes] as const);
+  }
+
+  private _findOrAdd(fingerprint: string): Suspect {
+    const suspect = this._suspects.get(fingerprint) ?? {
+      strikes: 0,
+      ownStrikes: 0,
+      seenAtMs: 0,
+      brokenOffAtMs: new Map<string, number>(),
+    };
+    this._suspects.set(fingerprint, suspect);
+    return suspect;
+  }
+
   private _addStrike(fingerprint: string): number {
-    const strikes = (this._suspects.get(fingerprint)?.strikes ?? 0) + 1;
-    this._suspects.set(fingerprint, { strikes, seenAtMs: this._clock.now() });
-    if (strikes >= MAX_STRIKES) this.quarantine(fingerprint, this._clock.now() + QUARANTINE_MS);
-    return strikes;
+    const suspect = this._findOrAdd(fingerprint);
+    suspect.strikes++;
+    suspect.ownStrikes++;
+    suspect.seenAtMs = this._clock.now();
+    if (suspect.strikes >= MAX_STRIKES) this.quarantine(fingerprint, this._clock.now() + QUARANTINE_MS);
+    return suspect.strikes;
   }
 
   private _isSuspect(fingerprint: string): boolean {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -219,6 +219,9 @@
     directory.onLost((group) => {
       this._quarantine(this._suspects.recordGroupLoss(group));
     });
+    directory.onWhole((group, seenAtMs) => {
+      this._suspects.recordWholeGroup(group, seenAtMs);
+    });
     return directory;
   }
 
@@ -298,7 +301,9 @@
     const demand = [...this._completions.usage()]
       .filter(([, { inUse, waiting }]) => inUse + waiting > 0)
       .map(([workspace, use]) => ({ workspace, ...use }));
-    const suspects = this._suspects.strikes().map(([fingerprint, strikes]) => `${fingerprint}:${strikes}`);
+    const suspects = this._suspects
+      .reportableStrikes()
+      .map(([fingerprint, strikes]) => `${fingerprint}:${strikes}`);
     return { demand, suspects };
   }
 
--- a/tests/core/policies.test.ts
+++ b/tests/core/policies.test.ts
@@ -162,6 +162,59 @@
   t.end();
 });
 
+// Two nodes gave each other back the strike of a request that one of them had cleared, and renewed it for ever.
+void t.test('the strikes of a request are gone from all nodes after it was cleared, or in time', (t) => {
+  const EXCHANGE_MS = 1_000;
+  const RETENTION_MS = 120_000;
+  const cases: readonly {
+    readonly name: string;
+    readonly isCleared: boolean;
+    /** Whether the other node gives a strike of its own. */
+    readonly isStruckTwice?: boolean;
+    readonly waitMs: number;
+    /** Status at the node that gave the strike, and at the other one. */
+    readonly statuses: readonly string[];
+  }[] = [
+    { name: 'just struck', isCleared: false, waitMs: EXCHANGE_MS, statuses: ['suspect', 'suspect'] },
+    { name: 'cleared', isCleared: true, waitMs: 2 * EXCHANGE_MS, statuses: ['clear', 'suspect'] },
+    { name: 'cleared long ago', isCleared: true, waitMs: 2 * RETENTION_MS, statuses: ['clear', 'clear'] },
+    { name: 'struck long ago', isCleared: false, waitMs: 3 * RETENTION_MS, statuses: ['clear', 'clear'] },
+    {
+      name: 'struck by both long ago',
+      isCleared: false,
+      isStruckTwice: true,
+      waitMs: 3 * RETENTION_MS,
+      statuses: ['clear', 'clear'],
+    },
+  ];
+  for (const { name, isCleared, isStruckTwice = false, waitMs, statuses } of cases) {
+    const clock = new ManualClock();
+    const nodes = [new CrashSuspects(clock), new CrashSuspects(clock)] as const;
+    const exchange = () => {
+      const reports = nodes.map((node) => node.reportableStrikes());
+      for (const [index, report] of reports.entries()) {
+        for (const [fingerprint, strikes] of report) nodes[1 - index]?.mergeStrikes(fingerprint, strikes);
+      }
+    };
+    for (const node of isStruckTwice ? nodes : [nodes[0]]) {
+      node.begin('a', 'g');
+      node.recordRequestLoss('a', 'g');
+    }
+    exchange();
+    if (isCleared) nodes[0].finish('a', 'g');
+    for (let passedMs = 0; passedMs < waitMs; passedMs += EXCHANGE_MS) {
+      clock.advance(EXCHANGE_MS);
+      exchange();
+    }
+    t.same(
+      nodes.map((node) => node.statusOf('a')),
+      statuses,
+      name,
+    );
+  }
+  t.end();
+});
+
 // A connection reset of one request gave a strike to each request that its group was running.
 void t.test('a request that a group broke off gets a strike, and the others only for their own', (t) => {
   const cases: readonly {
@@ -222,6 +275,95 @@
   t.end();
 });
 
+// A request was refused for 10 minutes, as one that broke two groups, after two connections to the same group broke.
+void t.test('connections that break at one group count as one group', (t) => {
+  const cases: readonly {
+    readonly name: string;
+    readonly groups: readonly string[];
+    readonly quarantined: readonly string[];
+    readonly strikes: number;
+  }[] = [
+    { name: 'the same group', groups: ['g', 'g', 'g'], quarantined: [], strikes: 1 },
+    { name: 'two groups', groups: ['g', 'h'], quarantined: ['a'], strikes: 2 },
+    { name: 'two groups, one of them twice', groups: ['g', 'g', 'h'], quarantined: ['a'], strikes: 2 },
+  ];
+  for (const { name, groups, quarantined, strikes } of cases) {
+    const suspects = new CrashSuspects(new ManualClock());
+    const ended = groups.flatMap((group) => {
+      suspects.begin('a', group);
+      return suspects.recordRequestLoss('a', group);
+    });
+    t.same(ended, quarantined, name);
+    t.same(suspects.strikes(), [['a', strikes]], `${name}: strikes`);
+  }
+  t.end();
+});
+
+// A request kept its strike for a connection that broke at a group that was seen whole right after.
+void t.test('a group that is seen whole after it broke off a request was not broken by it', (t) => {
+  const BROKEN_OFF_AT_MS = 1_000;
+  const breakOff = (suspects: CrashSuspects, group: string) => {
+    suspects.begin('a', group);
+    suspects.recordRequestLoss('a', group);
+  };
+  const cases: readonly {
+    readonly name: string;
+    readonly steps: (suspects: CrashSuspects) => void;
+    readonly strikes: number;
+  }[] = [
+    {
+      name: 'seen after it',
+      steps: (suspects) => {
+        breakOff(suspects, 'g');
+        suspects.recordWholeGroup('g', BROKEN_OFF_AT_MS + 1);
+      },
+      strikes: 0,
+    },
+    {
+      name: 'seen before it',
+      steps: (suspects) => {
+        breakOff(suspects, 'g');
+        suspects.recordWholeGroup('g', BROKEN_OFF_AT_MS);
+      },
+      strikes: 1,
+    },
+    {
+      name: 'another group seen',
+      steps: (suspects) => {
+        breakOff(suspects, 'g');
+        suspects.recordWholeGroup('h', BROKEN_OFF_AT_MS + 1);
+      },
+      strikes: 1,
+    },
+    {
+      name: 'beside a strike that another node gave',
+      steps: (suspects) => {
+        suspects.mergeStrikes('a', 1);
+        breakOff(suspects, 'g');
+        suspects.recordWholeGroup('g', BROKEN_OFF_AT_MS + 1);
+      },
+      strikes: 1,
+    },
+    {
+      name: 'a group that a steward reported as broken',
+      steps: (suspects) => {
+        suspects.begin('a', 'g');
+        suspects.recordGroupLoss('g');
+        suspects.recordWholeGroup('g', BROKEN_OFF_AT_MS + 1);
+      },
+      strikes: 1,
+    },
+  ];
+  for (const { name, steps, strikes } of cases) {
+    const clock = new ManualClock();
+    clock.advance(BROKEN_OFF_AT_MS);
+    const suspects = new CrashSuspects(clock);
+    steps(suspects);
+    t.equal(new Map(suspects.strikes()).get('a') ?? 0, strikes, name);
+  }
+  t.end();
+});
+
 void t.test('a request whose first-choice group was just lost is held back for a while', (t) => {
   const clock = new ManualClock();
   const losses = new RecentLosses(clock);
