Node: peers tell of members that were removed from the list

Cause: a member without an entry is asked whether it leaves, but only by a planner that has read its entry. When the nodes stop in turn, the shards pass to a node that has just started; those that have read the entry may have ended before it plans.

Change: digests carry the members of serving groups that were removed in the last 60 s, with their age, and nodes pass on what they were told. The planner asks such a member itself, so nothing is decided on a peer's word.

--- a/packages/core/src/serving/unlistedMembers.ts
+++ b/packages/core/src/serving/unlistedMembers.ts
@@ -1,6 +1,6 @@
 import { groupId, isHeadServing, type ObservedGroup } from './observedGroups.js';
 import { MAX_SOUND_SILENCE_MS } from './soundSilence.js';
-import { getIncarnationKey, type TargetInstance } from './targetInstance.js';
+import { getIncarnationKey, type GroupMembership, type TargetInstance } from './targetInstance.js';
 
 /** Minimum time between two requests for a member's health, in milliseconds. */
 const ASK_INTERVAL_MS = 400;
@@ -20,8 +20,16 @@
   readonly state: UnlistedMemberState;
 }
 
+/** What the last entry of a removed instance says of it. */
+export interface RemovedInstance extends Pick<
+  TargetInstance,
+  'id' | 'address' | 'service' | 'fabricDomain' | 'startedAtMs' | 'state'
+> {
+  readonly membership: Omit<GroupMembership, 'state'> | undefined;
+}
+
 interface TrackedMember {
-  readonly instance: TargetInstance;
+  readonly instance: RemovedInstance;
   readonly group: string;
   /** Monotonic time at which it last answered, or was first tracked, in milliseconds. */
   answeredAtMs: number;
@@ -49,30 +57,35 @@
    * Updates the tracked members from the groups as listed now.
    * @param removed instances that were removed from the list lately, as their last entries show them.
    */
-  update(groups: ReadonlyMap<string, ObservedGroup>, removed: Iterable<TargetInstance>, nowMs: number): void {
+  update(
+    groups: ReadonlyMap<string, ObservedGroup>,
+    removed: Iterable<RemovedInstance>,
+    nowMs: number,
+  ): void {
     const missing = new Map<string, TrackedMember>();
     for (const instance of removed) {
-      const { membership } = instance;
-      if (!membership || membership.rank === 0) continue;
-      const id = groupId(membership);
-      const group = groups.get(id);
-      if (!group || !isHeadServing(group) || isRankHeld(group, membership.rank)) continue;
+      const group = findUnlistedGroup(groups, instance);
+      if (group === undefined) continue;
       const key = getIncarnationKey(instance);
-      missing.set(key, this._members.get(key) ?? createMember(instance, id, nowMs));
+      missing.set(key, this._members.get(key) ?? createMember(instance, group, nowMs));
     }
     this._members.clear();
     for (const [key, member] of missing) this._members.set(key, member);
   }
 
   /** Returns the members to ask for their health now, and marks them as asked. */
-  takeDue(nowMs: number): readonly TargetInstance[] {
+  takeDue(nowMs: number): readonly RemovedInstance[] {
     const due = [...this._members.values()].filter(({ askedAtMs }) => nowMs - askedAtMs >= ASK_INTERVAL_MS);
     for (const member of due) member.askedAtMs = nowMs;
     return due.map(({ instance }) => instance);
   }
 
   /** Records what a member answered; returns whether that differs from its previous answer. */
-  recordHealth(instance: TargetInstance, health: InstanceHealth, nowMs: number): boolean {
+  recordHealth(
+    instance: Pick<RemovedInstance, 'id' | 'startedAtMs'>,
+    health: InstanceHealth,
+    nowMs: number,
+  ): boolean {
     const member = this._members.get(getIncarnationKey(instance));
     if (!member) return false;
     const isChanged = member.health !== health;
@@ -91,7 +104,18 @@
   }
 }
 
-function createMember(instance: TargetInstance, group: string, nowMs: number): TrackedMember {
+/** Returns the serving group that lacks a removed member, by `groupId`; undefined if there is none. */
+export function findUnlistedGroup(
+  groups: ReadonlyMap<string, ObservedGroup>,
+  { membership }: RemovedInstance,
+): string | undefined {
+  if (!membership || membership.rank === 0) return undefined;
+  const id = groupId(membership);
+  const group = groups.get(id);
+  return group && isHeadServing(group) && !isRankHeld(group, membership.rank) ? id : undefined;
+}
+
+function createMember(instance: RemovedInstance, group: string, nowMs: number): TrackedMember {
   return {
     instance,
     group,
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -15,6 +15,7 @@
 export * from './peerMessages.js';
 export * from './placement.js';
 export * from './planning.js';
+export * from './removedInstances.js';
 export * from './requestRun.js';
 export * from './servingContext.js';
 export * from './settings.js';
--- a/packages/node/src/instanceList.ts
+++ b/packages/node/src/instanceList.ts
@@ -21,7 +21,7 @@
  */
 const RESTORE_GRACE_MS = 5_000;
 /** Time for which a removed instance is remembered, in milliseconds; longer than a restored copy is old. */
-const REMOVED_TTL_MS = 60_000;
+export const REMOVED_TTL_MS = 60_000;
 
 /** When this node last had contact with the store, as monotonic times. */
 export interface StoreContact {
@@ -93,9 +93,12 @@
     return this._instances.get(id);
   }
 
-  /** Instances that were removed lately, as their last entries show them. */
-  listRemoved(): readonly TargetInstance[] {
-    return [...this._removed.values()].map(({ entry }) => entry.instance);
+  /** Instances that were removed lately, as their last entries show them, and the monotonic times of that. */
+  listRemoved(): readonly { readonly instance: TargetInstance; readonly removedAtMs: number }[] {
+    return [...this._removed.values()].map(({ entry: { instance }, removedAtMs }) => ({
+      instance,
+      removedAtMs,
+    }));
   }
 
   /** Replaces the list by the newest entry of every instance. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -51,6 +51,7 @@
 import { type Digest, type PeerMessage, type ReportMessage } from './peerMessages.js';
 import { type LocalPlacementCriteria, Placement } from './placement.js';
 import { Planning } from './planning.js';
+import { RemovedInstances } from './removedInstances.js';
 import type { RequestRun } from './requestRun.js';
 import type { ServingContext } from './servingContext.js';
 import type { NodeSettings } from './settings.js';
@@ -114,6 +115,7 @@
   private readonly _ownership: ShardOwnership;
   private readonly _discovery: PeerDiscovery;
   private readonly _heads: HeadMonitor;
+  private readonly _removed: RemovedInstances;
   private readonly _planning: Planning;
   private readonly _placement: Placement;
   private readonly _crashes: CrashMonitor;
@@ -187,6 +189,11 @@
       gate: this._gate,
     });
     this._heads = this._createHeadMonitor();
+    this._removed = new RemovedInstances({
+      list: this._list,
+      clock: this._clock,
+      configuration: () => this._table?.configuration,
+    });
     this._planning = this._createPlanning();
   }
 
@@ -599,6 +606,7 @@
       demand: () => this._reports.sumDemand(this._demand.getNeededGroups(this._clock.monotonic())),
       hasTraffic: () => this._hasFleetTraffic(),
       heads: this._heads,
+      removed: this._removed,
       countNodes: () => this._exchange.size + 1,
     });
   }
@@ -695,12 +703,14 @@
       hasTraffic: this._hasTraffic,
       ...this._ownership.describe(),
       crashes: [...this._crashes.describe()],
+      removed: this._removed.describe(),
     };
   }
 
   private _applyDigest(digest: Digest, address: string, receivedAtMs: number): void {
     this._ownership.answerDigest(digest, address);
     this._crashes.receive({ address, evidence: digest.crashes });
+    this._removed.recordPeer(digest.removed);
     if (digest.hasTraffic) this._hasPeerTraffic = true;
     // It confirms no keys: it may have waited for long, on its way or while this process stood still.
     this._keyConfirmation.recordPeer(digest.configurationVersion, receivedAtMs);
--- a/packages/node/src/peerExchange.ts
+++ b/packages/node/src/peerExchange.ts
@@ -59,6 +59,7 @@
   | 'ownershipStamp'
   | 'ownershipHash'
   | 'crashes'
+  | 'removed'
 >;
 
 /** The last digest of a peer and the monotonic time at which it arrived. */
--- a/packages/node/src/peerMessages.ts
+++ b/packages/node/src/peerMessages.ts
@@ -32,6 +32,19 @@
  */
 const evidenceSchema = z.tuple([z.string(), z.string(), z.nullable(count), z.array(crashSchema)]);
 
+/** An instance that was removed from the list, as its last entry showed it. */
+const removedSchema = z.object({
+  id: z.string(),
+  address: addressSchema,
+  service: z.string(),
+  fabricDomain: z.string(),
+  startedAtMs: z.number(),
+  state: z.enum(['ready', 'leaving']),
+  membership: z.object({ group: z.string(), epoch: z.number(), rank: count }),
+  /** Time since it was removed, in milliseconds. */
+  ageMs: count,
+});
+
 /** Requests per second, null if an instance names no limit any more, and the age of that statement in milliseconds. */
 const limitSchema = z.tuple([z.nullable(count), count]);
 
@@ -57,6 +70,8 @@
   members: z.array(memberRowSchema),
   /** What crashes targets, as far as the sender knows; absent from nodes of earlier versions. */
   crashes: z._default(z.array(evidenceSchema), []),
+  /** Members of serving groups that were removed from the list; absent from nodes of earlier versions. */
+  removed: z._default(z.array(removedSchema), []),
 });
 
 const ownershipSchema = z.object({
@@ -183,6 +198,8 @@
 export type CrashMessage = Readonly<z.infer<typeof crashesSchema>>;
 /** Limits by incarnation of an instance. */
 export type LimitRows = Readonly<Record<string, z.infer<typeof limitSchema>>>;
+/** A removed instance in a digest. */
+export type RemovedRow = Readonly<z.infer<typeof removedSchema>>;
 export type EvidenceRow = z.infer<typeof evidenceSchema>;
 
 /** A datagram is no message of this system. */
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -7,8 +7,8 @@
   MemberProbes,
   observeGroups,
   pause,
+  type RemovedInstance,
   type ServingConfiguration,
-  type TargetInstance,
   UnlistedMembers,
 } from '@monsoonreach/core';
 import { readHealth } from '@monsoonreach/platform';
@@ -16,6 +16,7 @@
 import type { HeadMonitor } from './headMonitor.js';
 import type { InstanceList } from './instanceList.js';
 import { OrderSender } from './orderSender.js';
+import type { RemovedInstances } from './removedInstances.js';
 import type { ShardOwnership } from './shardOwnership.js';
 
 /** Interval between two planning cycles, in milliseconds; a rejoin takes 200 ms. */
@@ -45,6 +46,7 @@
   readonly demand: () => ReadonlyMap<string, number>;
   readonly hasTraffic: () => boolean;
   readonly heads: HeadMonitor;
+  readonly removed: RemovedInstances;
   /** Number of nodes, this one included. */
   readonly countNodes: () => number;
 }
@@ -184,11 +186,11 @@
   }
 
   private _updateUnlistedMembers(configuration: ServingConfiguration, nowMs: number): void {
-    const version = this._describeInstancesVersion();
+    const version = `${this._describeInstancesVersion()}/${this._options.removed.version}`;
     if (version === this._unlistedVersion) return;
     this._unlistedVersion = version;
-    const removed = this._options.list
-      .listRemoved()
+    const removed = this._options.removed
+      .list()
       .filter(({ fabricDomain }) => this._findTerm(fabricDomain) !== undefined);
     const services = [...configuration.services.values()].filter(({ engine }) => engine);
     const instances = removed.length > 0 ? [...this._orders.listInstances().values()] : [];
@@ -196,7 +198,7 @@
     this._unlisted.update(new Map(groups), removed, nowMs);
   }
 
-  private async _askHealth(instance: TargetInstance, path: string): Promise<void> {
+  private async _askHealth(instance: RemovedInstance, path: string): Promise<void> {
     const { clock, log } = this._options;
     const health = await readHealth(instance, { path, timeoutMs: CHECK_TIMEOUT_MS });
     const isNew = this._unlisted.recordHealth(instance, health, clock.monotonic());
--- a/tests/node/stalls.test.ts
+++ b/tests/node/stalls.test.ts
@@ -20,6 +20,7 @@
   hasTraffic: true,
   ownershipStamp: 0,
   crashes: [],
+  removed: [],
 };
 
 const cases: readonly {
--- a/tests/support/planner.ts
+++ b/tests/support/planner.ts
@@ -1,5 +1,12 @@
 import { createMemberId, createRandom, systemClock } from '@monsoonreach/core';
-import { HeadMonitor, PeerExchange, Planning, ShardOwnership, StoreHistory } from '@monsoonreach/node';
+import {
+  HeadMonitor,
+  PeerExchange,
+  Planning,
+  RemovedInstances,
+  ShardOwnership,
+  StoreHistory,
+} from '@monsoonreach/node';
 import { decodeConfiguration, StoreClient } from '@monsoonreach/platform';
 import { createConfiguration } from '../platform/platformFleet.js';
 import { createInstanceList, replaceList } from './instanceList.js';
@@ -23,6 +30,7 @@
     capacity: 1,
   };
   const common = { clock: systemClock, random: createRandom(port), counters, log };
+  const removed = new RemovedInstances({ list, clock: systemClock, configuration: () => configuration });
   const exchange: PeerExchange = new PeerExchange({
     ...common,
     self,
@@ -35,8 +43,10 @@
       hasTraffic: true,
       ...ownership.describe(),
       crashes: [],
+      removed: removed.describe(),
     }),
     onDigest: (digest, from) => {
+      removed.recordPeer(digest.removed);
       ownership.answerDigest(digest, from);
     },
     onContact: () => undefined,
@@ -72,6 +82,7 @@
     demand: () => new Map(),
     hasTraffic: () => true,
     heads,
+    removed,
     countNodes: () => 1,
   });
   const start = async () => {
@@ -84,5 +95,5 @@
     ownership.stop();
     exchange.stop();
   };
-  return { self, planning, ownership, exchange, list, heads, counters, start, stop };
+  return { self, planning, ownership, exchange, list, heads, removed, counters, start, stop };
 }
