Planning: one node's refused connections do not end a group

Cause: the planner told the head to leave, which ends its requests, when its own connection to a member was refused twice. A firewall or a cut that answers with a reset refuses as an ended process does. Class: what befalls one path is taken as a fact about its far end.

Ruled out: two reports of a stall, as for a silent member: the refusal is one node's finding already, and the planner's own report adds no other path. Closing the group at once: one path would still take a sound group out of service.

Change: the group is ended if a node other than the planner's has also reported within 4 s that it makes no progress; a node without peers decides alone, as before.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -78,6 +78,8 @@
    * not cut off from one node only.
    */
   readonly isGroupStalled: (group: string, silentHead?: string) => boolean;
+  /** Whether another node lately found that a group makes no progress; always, for a node without peers. */
+  readonly isStallConfirmed: (group: string) => boolean;
   /** Heads that are missing from the instance list but accept requests. */
   readonly unlistedOpenHeads: readonly TargetInstance[];
   /** Members of a serving group that are missing from the instance list, as they answer. */
@@ -239,12 +241,13 @@
 
   /**
    * Returns why an open group is stalled, so that its head leaves before the engines detect that. As this ends the head's
-   * requests, silence for this node alone does not suffice: the member may be in touch with its head.
+   * requests, what one node finds does not suffice: only its path to the member may be broken, also if that refuses.
    */
   private _findLoss(view: FormationView, group: ObservedGroup): GroupEnd | undefined {
     const expected = group.members.filter((member) => !isDraining(view, member));
     const refusing = expected.filter(({ id }) => view.refusingInstances.has(id));
-    if (refusing.length > 0) return { reason: 'member-refuses', members: listIds(refusing) };
+    if (refusing.length > 0 && view.isStallConfirmed(toGroupId(group)))
+      return { reason: 'member-refuses', members: listIds(refusing) };
     const left = this._roster.listLeftMembers(group, view.instances);
     if (left.length > 0) return { reason: 'member-left', members: left };
     if (!view.isGroupStalled(toGroupId(group))) return undefined;
--- a/packages/core/src/serving/memberProbes.ts
+++ b/packages/core/src/serving/memberProbes.ts
@@ -57,6 +57,13 @@
     return times.filter((atMs) => atMs > sinceMs && nowMs - atMs < REPORT_TTL_MS).length;
   }
 
+  /** Whether a node other than the given one reported the group as silent lately. */
+  isReportedByPeer(group: string, node: string, nowMs: number): boolean {
+    return [...(this._reporters.get(group) ?? [])].some(
+      ([reporter, atMs]) => reporter !== node && nowMs - atMs < REPORT_TTL_MS,
+    );
+  }
+
   /** Whether any member may have to be probed. */
   get hasDueProbes(): boolean {
     return this._members.size > 0 || [...this._groups.values()].some(({ isProbed }) => !isProbed);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -596,6 +596,7 @@
 
   private _createPlanning(): Planning {
     return new Planning({
+      node: this._self.id,
       list: this._list,
       ownership: this._ownership,
       clock: this._clock,
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -36,6 +36,8 @@
 
 /** Dependencies of {@link Planning}. */
 export interface PlanningOptions {
+  /** Id of this start of the node, by which it reports silent groups. */
+  readonly node: string;
   readonly list: InstanceList;
   readonly ownership: ShardOwnership;
   readonly clock: Clock;
@@ -233,7 +235,7 @@
   }
 
   private _createView(configuration: ServingConfiguration, nowMs: number): FormationView {
-    const { isListSettled, demand, hasTraffic, heads, list, countNodes, ownership } = this._options;
+    const { node, isListSettled, demand, hasTraffic, heads, list, countNodes, ownership } = this._options;
     // While the store is out, the list does not change: what was complete stays so.
     if (nowMs - list.currentAtMs < OUTDATED_LIST_MS) this._wasListSettled = isListSettled();
     return {
@@ -248,6 +250,7 @@
       isHeadGone: (group) => heads.isReleased(group),
       isGroupStalled: (group, silentHead) =>
         this._checks.countReporters(group, nowMs, silentHead) >= Math.min(MIN_STALL_REPORTERS, countNodes()),
+      isStallConfirmed: (group) => countNodes() === 1 || this._checks.isReportedByPeer(group, node, nowMs),
       unlistedOpenHeads: heads.open().filter((head) => !this._orders.isClosing(head)),
       findUnlistedMembers: (group) => this._unlisted.list(group, nowMs),
       isListSettled: this._wasListSettled,
--- a/tests/serving/decisions.test.ts
+++ b/tests/serving/decisions.test.ts
@@ -589,3 +589,26 @@
     t.end();
   });
 }
+
+// Guards against a planner that takes its own report, or one of an earlier stall, for another node's.
+for (const { name, reports, isReported } of [
+  { name: 'nobody', reports: [], isReported: false },
+  { name: 'the node itself', reports: [['node-1', 3_900]], isReported: false },
+  { name: 'a peer', reports: [['node-2', 3_900]], isReported: true },
+  {
+    name: 'a peer long ago, and the node itself now',
+    reports: [
+      ['node-2', 0],
+      ['node-1', 3_900],
+    ],
+    isReported: false,
+  },
+] as const) {
+  void t.test(`a group that is reported as silent by ${name}`, (t) => {
+    const checks = new MemberProbes();
+    for (const [reporter, atMs] of reports) checks.suspectGroup('a@7', reporter, atMs);
+    t.equal(checks.isReportedByPeer('a@7', 'node-1', 4_000), isReported);
+    t.notOk(checks.isReportedByPeer('b@7', 'node-1', 4_000), 'another group');
+    t.end();
+  });
+}
--- a/tests/serving/fixtures.ts
+++ b/tests/serving/fixtures.ts
@@ -102,6 +102,7 @@
     goneInstances: new Set(),
     isHeadGone: () => false,
     isGroupStalled: () => false,
+    isStallConfirmed: () => false,
     unlistedOpenHeads: [],
     findUnlistedMembers: () => [],
     isListSettled: true,
--- a/tests/serving/simulatedFleet.ts
+++ b/tests/serving/simulatedFleet.ts
@@ -370,6 +370,7 @@
         this.heads.isReleased(group, [this._fleet.findPeer(this).heads.getFindings()], 1, nowMs),
       plannerCount: 1,
       isGroupStalled: (group, silentHead) => this.checks.countReporters(group, nowMs, silentHead) >= 2,
+      isStallConfirmed: (group) => this.checks.isReportedByPeer(group, `node-${this.index}`, nowMs),
       unlistedOpenHeads: this.heads.getOpenHeads(),
       findUnlistedMembers: () => [],
       isListSettled: true,
--- a/tests/support/planner.ts
+++ b/tests/support/planner.ts
@@ -75,6 +75,7 @@
   });
   const planning = new Planning({
     ...common,
+    node: self.id,
     list,
     ownership,
     configuration: () => configuration,
