--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -8,8 +8,8 @@
   MemberProbes,
   observeGroups,
   pause,
+  type RemovedInstance,
   type ServingConfiguration,
-  type TargetInstance,
   UnlistedMembers,
 } from '@monsoonreach/core';
 import { readHealth } from '@monsoonreach/platform';
@@ -17,6 +17,7 @@
 import type { HeadMonitor } from './headMonitor.js';
 import type { InstanceList } from './instanceList.js';
 import { OrderSender } from './orderSender.js';
+import type { RemovedInstances } from './removedInstances.js';
 import type { ShardOwnership } from './shardOwnership.js';
 
 /** Interval between two planning cycles, in milliseconds; a rejoin takes 200 ms. */
@@ -34,6 +35,8 @@
 
 /** Dependencies of {@link Planning}. */
 export interface PlanningOptions {
+  /** Id of this start of the node, by which it reports silent groups. */
+  readonly node: string;
   readonly list: InstanceList;
   readonly ownership: ShardOwnership;
   readonly clock: Clock;
@@ -44,6 +47,7 @@
   readonly demand: () => ReadonlyMap<string, number>;
   readonly hasTraffic: () => boolean;
   readonly heads: HeadMonitor;
+  readonly removed: RemovedInstances;
   /** Number of nodes, this one included. */
   readonly countNodes: () => number;
   /** Nodes that have requests at a group, as far as they have told this one. */
@@ -195,11 +199,11 @@
   }
 
   private _updateUnlistedMembers(configuration: ServingConfiguration, nowMs: number): void {
-    const version = this._describeInstancesVersion();
+    const version = `${this._describeInstancesVersion()}/${this._options.removed.version}`;
     if (version === this._unlistedVersion) return;
     this._unlistedVersion = version;
-    const removed = this._options.list
-      .listRemoved()
+    const removed = this._options.removed
+      .list()
       .filter(({ fabricDomain }) => this._findTerm(fabricDomain) !== undefined);
     const services = [...configuration.services.values()].filter(({ engine }) => engine);
     const instances = removed.length > 0 ? [...this._orders.listInstances().values()] : [];
@@ -207,7 +211,7 @@
     this._unlisted.update(new Map(groups), removed, nowMs);
   }
 
-  private async _askHealth(instance: TargetInstance, path: string): Promise<void> {
+  private async _askHealth(instance: RemovedInstance, path: string): Promise<void> {
     const { clock, log } = this._options;
     const health = await readHealth(instance, { path, timeoutMs: CHECK_TIMEOUT_MS });
     const isNew = this._unlisted.recordHealth(instance, health, clock.monotonic());
@@ -242,7 +246,7 @@
   }
 
   private _createView(configuration: ServingConfiguration, nowMs: number): FormationView {
-    const { isListSettled, demand, hasTraffic, heads, list, ownership } = this._options;
+    const { node, isListSettled, demand, hasTraffic, heads, list, countNodes, ownership } = this._options;
     // While the store is out, the list does not change: what was complete stays so.
     if (nowMs - list.currentAtMs < OUTDATED_LIST_MS) this._wasListSettled = isListSettled();
     return {
@@ -256,6 +260,7 @@
       goneInstances: this._checks.getGoneMembers(nowMs),
       isHeadGone: (group) => heads.isReleased(group),
       isGroupStalled: (group, silentHead) => this.isSilentForMost(group, silentHead),
+      isStallConfirmed: (group) => countNodes() === 1 || this._checks.isReportedByPeer(group, node, nowMs),
       unlistedOpenHeads: heads.open().filter((head) => !this._orders.isClosing(head)),
       findUnlistedMembers: (group) => this._unlisted.list(group, nowMs),
       isListSettled: this._wasListSettled,
