Soak: connections reset in series beside stops

All or half of the connections to all targets, and those of drawn nodes to the store, are reset again and again while nodes stop in turn and the targets serve on. Promise: what may be repeated is not cut, answered 502 or (timed only) refused as 'all-silent' by one reset.

Class: what befalls one path is taken as a fact about its far end.

--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -85,6 +85,8 @@
         node.harmedUntilMs + CALM_DELAY_MS < sentAtMs && this._fleet.harmedUntilMs + CALM_DELAY_MS < sentAtMs,
       isStopping: node.stoppedAtMs > stoppedAtMs || node.stoppedAtMs > sentAtMs - CALM_DELAY_MS,
       isPlanned: this._fleet.isPlannedWorkOnly,
+      areTargetsSound: this._fleet.areTargetsSound,
+      resetsAtMs: this._fleet.resetsAtMs.filter((atMs) => atMs >= sentAtMs && atMs <= endedAtMs),
       isInRotation,
       isNodeRunning: isRunning && node.child === child && !node.isTerminating,
     });
--- a/tests/soak/faultProxy.ts
+++ b/tests/soak/faultProxy.ts
@@ -47,9 +47,9 @@
     if (--this._silences === 0) this.setState({ kind: 'passes' });
   }
 
-  /** Resets every open connection. */
-  resetConnections(): void {
-    for (const { caller, server } of this._connections) {
+  /** Resets every open connection, or every `every`-th of them. */
+  resetConnections(every = 1): void {
+    for (const { caller, server } of [...this._connections].filter((_, index) => index % every === 0)) {
       caller.resetAndDestroy();
       server.resetAndDestroy();
     }
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -51,6 +51,13 @@
 /** Time between two events meanwhile, in milliseconds; most heads then have requests at all times. */
 const BUSY_EVENT_INTERVAL_MS = 40;
 
+/** Resets in one fault, and its spread. */
+const MIN_RESETS = 2;
+const RESETS_SPREAD = 3;
+/** Pause before a reset, and its spread, in milliseconds; more resets would need more retries than the nodes may send. */
+const MIN_RESET_PAUSE_MS = 1_000;
+const RESET_PAUSE_SPREAD_MS = 1_500;
+
 /** A fault in the timeline. */
 export interface FaultEvent {
   readonly atMs: number;
@@ -66,6 +73,13 @@
   readonly pauseMs: number;
 }
 
+/** A reset of each connection, or of every second one, to all targets, and to the store from some nodes. */
+interface ConnectionReset {
+  readonly every: number;
+  readonly nodes: readonly SoakNode[];
+  readonly pauseMs: number;
+}
+
 /** The faults that a soak injects. */
 export const FAULT_NAMES = [
   'kill',
@@ -105,6 +119,7 @@
   'key taken away',
   'key taken away beside a freeze and a cut',
   'members leave unlisted beside stops',
+  'connections reset beside stops',
 ] as const;
 export type FaultName = (typeof FAULT_NAMES)[number];
 
@@ -119,6 +134,16 @@
   'members leave unlisted beside stops',
 ]);
 
+/** During which all targets serve on. */
+const TARGETS_SERVE: ReadonlySet<FaultName> = new Set([
+  'stop',
+  'stop all in turn',
+  'reload',
+  'configuration',
+  'key taken away',
+  'connections reset beside stops',
+]);
+
 /** Injects faults that a seeded random generator draws; they may overlap. */
 export class FaultInjector {
   readonly timeline: FaultEvent[] = [];
@@ -132,6 +157,7 @@
   private _isRestoring = false;
   private _isSilencing = false;
   private _isStoppingInTurn = false;
+  private _isResetting = false;
   /** Number of such faults that run now. */
   private _unlistedLeaves = 0;
   /** Store faults in progress, the latest last. */
@@ -159,6 +185,7 @@
 
   private _start(name: FaultName, forMs: number): void {
     if (!PLANNED_WORK.has(name)) this._fleet.isPlannedWorkOnly = false;
+    if (!TARGETS_SERVE.has(name)) this._fleet.areTargetsSound = false;
     const fault = this._inject(name, forMs);
     this._running.add(fault);
     void fault.finally(() => this._running.delete(fault));
@@ -236,6 +263,8 @@
         return this._replaceKeyOfCutNode(name);
       case 'members leave unlisted beside stops':
         return this._injectUnlistedLeaves(name, forMs);
+      case 'connections reset beside stops':
+        return this._resetConnectionsInSeries(name);
     }
   }
 
@@ -479,6 +508,38 @@
     if (--this._unlistedLeaves === 0) instances.pauseBefore = () => EVENT_INTERVAL_MS;
   }
 
+  /** Resets connections again and again while all nodes stop in turn; the targets and the store serve on. */
+  private async _resetConnectionsInSeries(name: FaultName): Promise<void> {
+    if (this._isResetting) return;
+    this._isResetting = true;
+    const resets = this._drawResets();
+    const stops = this._stopAllInTurnOnce();
+    for (const { every, nodes, pauseMs } of resets) {
+      await sleep(pauseMs);
+      this._record(
+        name,
+        `1 of ${every} to targets; to the store: ${nodes.map((node) => node.name).join(' ')}`,
+        0,
+      );
+      this._fleet.harm(0);
+      this._fleet.resetsAtMs.push(Date.now());
+      const links = [...this._fleet.instanceLinks.values(), ...nodes.map(({ storeLink }) => storeLink)];
+      for (const link of links) link.resetConnections(every);
+    }
+    await stops;
+    this._isResetting = false;
+  }
+
+  /** Draws all resets at once, so that they depend on the seed alone. */
+  private _drawResets(): readonly ConnectionReset[] {
+    const count = MIN_RESETS + this._random.below(RESETS_SPREAD);
+    return Array.from({ length: count }, () => ({
+      every: 1 + this._random.below(2),
+      nodes: this._fleet.nodes.filter(() => this._random.below(2) === 0),
+      pauseMs: MIN_RESET_PAUSE_MS + this._random.next() * RESET_PAUSE_SPREAD_MS,
+    }));
+  }
+
   /** Stops all nodes in turn unless such a series runs already, which would leave no node in rotation. */
   private async _stopAllInTurnOnce(): Promise<void> {
     if (this._isStoppingInTurn) return;
--- a/tests/soak/program.ts
+++ b/tests/soak/program.ts
@@ -117,6 +117,14 @@
     faults: ['members leave unlisted beside stops'],
     foundWithinMs: 60_000,
   },
+  {
+    name: 'a broken connection is a silent target',
+    file: 'packages/node/lib/requestRun.js',
+    find: "if (isGroup && reason === 'unreachable') {",
+    replace: 'if (isGroup) {',
+    faults: ['connections reset beside stops'],
+    foundWithinMs: 60_000,
+  },
 ];
 
 /** Bundles the program as deployed, or a mutant of it, into a new directory; returns the file's path. */
--- a/tests/soak/promises.test.ts
+++ b/tests/soak/promises.test.ts
@@ -22,6 +22,8 @@
     isCalm: true,
     isStopping: false,
     isPlanned: false,
+    areTargetsSound: false,
+    resetsAtMs: [],
     isInRotation: true,
     isNodeRunning: true,
     ...options,
@@ -160,6 +162,50 @@
     history: { prematureExits: ['engine-1'] },
     broken: 'planned work cuts nothing',
   },
+  {
+    name: 'a stream cut by one reset',
+    call: {
+      kind: 'stream',
+      areTargetsSound: true,
+      resetsAtMs: [SENT_AT_MS + 10],
+      outcome: { kind: 'cut', body: 'id: 1\ndata: {}\n\n', hasBegun: true },
+    },
+    broken: 'one reset fails nothing that may be repeated',
+  },
+  {
+    name: 'a look-up failed by one reset',
+    call: { kind: 'status', areTargetsSound: true, resetsAtMs: [SENT_AT_MS + 10], outcome: answered(502) },
+    broken: 'one reset fails nothing that may be repeated',
+  },
+  {
+    name: 'a stream refused after a reset as no target responds',
+    call: { kind: 'stream', areTargetsSound: true, outcome: answered(503, '{"reason":"all-silent"}') },
+    broken: 'one reset fails nothing that may be repeated',
+  },
+  {
+    name: 'a look-up failed by two resets',
+    call: {
+      kind: 'status',
+      areTargetsSound: true,
+      resetsAtMs: [SENT_AT_MS + 10, SENT_AT_MS + 15],
+      outcome: answered(502),
+    },
+  },
+  {
+    name: 'a look-up failed by a reset that hit both attempts',
+    call: { kind: 'status', areTargetsSound: true, resetsAtMs: [SENT_AT_MS + 10], outcome: answered(502) },
+    runs: [describeRun(), describeRun({ instance: 'plain-2' })],
+  },
+  {
+    name: 'a look-up failed by a reset and another failure after it',
+    call: { kind: 'status', areTargetsSound: true, resetsAtMs: [SENT_AT_MS + 10], outcome: answered(502) },
+    runs: [describeRun(), describeRun({ instance: 'plain-2', atMs: SENT_AT_MS + 15 })],
+    broken: 'one reset fails nothing that may be repeated',
+  },
+  {
+    name: 'an order failed by one reset',
+    call: { areTargetsSound: true, resetsAtMs: [SENT_AT_MS + 10], outcome: answered(502) },
+  },
   {
     name: 'a failure answered long after the timeout',
     call: { endedAtMs: SENT_AT_MS + 3_000, outcome: answered(504) },
--- a/tests/soak/promises.ts
+++ b/tests/soak/promises.ts
@@ -17,6 +17,10 @@
   readonly isStopping: boolean;
   /** Whether nothing but planned work happened until the request ended. */
   readonly isPlanned: boolean;
+  /** Whether every target served until the request ended. */
+  readonly areTargetsSound: boolean;
+  /** When connections to all targets were reset while the request was in progress; wall-clock milliseconds. */
+  readonly resetsAtMs: readonly number[];
   /** Whether the balancer had the node in rotation. */
   readonly isInRotation: boolean;
   /** Whether the same process, not told to stop, ran at the node from the request to its end. */
@@ -51,6 +55,7 @@
   | 'a leaving target gets nothing new'
   | 'a stop cuts nothing'
   | 'planned work cuts nothing'
+  | 'one reset fails nothing that may be repeated'
   | 'a failure is answered in time'
   | 'service returns';
 
@@ -92,7 +97,7 @@
       requestId: undefined,
       detail: `${instance} left, and its group was not closed until it exited`,
     })),
-    ...history.calls.flatMap((call) => checkCall(call, runs.get(call.id) ?? [])),
+    ...history.calls.flatMap((call) => checkCall(call, runs.get(call.id) ?? [], isTimed)),
   ];
   return isTimed ? [...violations, ...checkTimeBounds(history, runs)] : violations;
 }
@@ -107,7 +112,7 @@
   return grouped;
 }
 
-function checkCall(call: CallRecord, runs: readonly RunRecord[]): readonly Violation[] {
+function checkCall(call: CallRecord, runs: readonly RunRecord[], isTimed: boolean): readonly Violation[] {
   const violations: Violation[] = [];
   const add = (promise: PromiseName, detail: string) =>
     violations.push({ promise, requestId: call.id, detail });
@@ -132,9 +137,31 @@
     if (outcome.hasBegun) add('planned work cuts nothing', `${call.node}: the answer was cut`);
     else if (call.isNodeRunning) add('planned work cuts nothing', `${call.node}: no answer arrived`);
   }
+  if (call.areTargetsSound && call.kind !== 'order' && isInTime && hasAttemptLeft(call, runs)) {
+    const failure = describeFailure(call, isTimed);
+    if (failure !== undefined)
+      add('one reset fails nothing that may be repeated', `${call.node}: ${failure}`);
+  }
   return violations;
 }
 
+/** Whether the request ran once at most when its only reset came; a second attempt may start beside a slow first one. */
+function hasAttemptLeft({ resetsAtMs }: CallRecord, runs: readonly RunRecord[]): boolean {
+  const [resetAtMs = Infinity] = resetsAtMs;
+  return resetsAtMs.length <= 1 && runs.filter(({ atMs }) => atMs <= resetAtMs).length <= 1;
+}
+
+/** What a request got instead of the answer of a target. Targets that this process delays may seem silent. */
+function describeFailure({ outcome, isNodeRunning }: CallRecord, isTimed: boolean): string | undefined {
+  if (outcome.kind === 'cut') {
+    if (outcome.hasBegun) return 'the answer was cut';
+    return isNodeRunning ? 'no answer arrived' : undefined;
+  }
+  if (outcome.status === 502) return 'answered 502';
+  const isRefusedAsSilent = outcome.status === 503 && outcome.body.includes('all-silent');
+  return isTimed && isRefusedAsSilent ? 'refused as all targets are silent' : undefined;
+}
+
 function checkAnswer(
   call: CallRecord,
   body: string,
--- a/tests/soak/soakFleet.ts
+++ b/tests/soak/soakFleet.ts
@@ -58,6 +58,10 @@
   version = 1;
   /** Whether all that happened was planned: nodes and targets that stop or leave, and changes. */
   isPlannedWorkOnly = true;
+  /** Whether nothing happened but resets of connections, and planned work at the nodes; every target serves. */
+  areTargetsSound = true;
+  /** When connections to all targets were reset; wall-clock milliseconds. */
+  readonly resetsAtMs: number[] = [];
   /** Until when a fault affects the store, a target or a link to a target; wall-clock milliseconds. */
   harmedUntilMs = 0;
   private _storeAddress = '';
