Node: a read whose connection ends is no failure of the peer

Callers saw nothing directly: after one reset of the connections to the readers, each follower doubted them for 2 s and turned to substitutes or the store; a node that the store refused had no source for 2 s when the connection to its only peer was reset.

Cause: any error of a read through a peer made the peer skipped for its topic. Class: what befalls one path is taken as a fact about its far end.

Change: when an established connection ends during a read, the peer is asked once more, over a new connection that is not kept and within the bounds of any search after a failure. A refused connection, a timeout, a refusal and a second broken connection make it skipped as before.

Ruled out: a fleet without any source when all peers are skipped; nodes then read the store themselves.

Test: node/topicSources 'not skipped when its connections are reset once' (failed reads 1 and 1 of two followers before, 0 and 0 after) and 'reads on through its peer when their connection is reset' (the change had not arrived after 500 ms) failed before; refused and silent readers are skipped before and after.

--- a/packages/node/src/topicSources.ts
+++ b/packages/node/src/topicSources.ts
@@ -14,6 +14,7 @@
   createConnector,
   decodeKeyedRecord,
   HistoryGoneError,
+  isBrokenConnection,
   type KeyedRecord,
   type StoreClient,
   type StorePosition,
@@ -51,6 +52,9 @@
   readonly code = 'peer-read';
 }
 
+/** An established connection to a peer ended during a read, which says nothing of the peer. */
+class BrokenReadError extends PeerReadError {}
+
 /** A peer refused a read because its answer would be too large; the store has to be read instead. */
 class LargeAnswerError extends PeerReadError {}
 
@@ -80,6 +84,13 @@
   readonly proven: Set<string>;
 }
 
+/** Options of {@link TopicSources._askPeer}. */
+interface AskOptions {
+  readonly maxMs?: number;
+  /** Whether to use a new connection that is not kept. */
+  readonly isFresh: boolean;
+}
+
 interface FallbackAnswer {
   readonly peer: ReaderCandidate;
   readonly answer: TopicReadResult;
@@ -137,7 +148,7 @@
  * answered last time is asked to wait for changes; all that is asked after a failure is asked for an immediate answer.
  */
 export class TopicSources {
-  private readonly _dispatcher = new Agent({ pipelining: 1, connect: createConnector(CONNECT_TIMEOUT_MS) });
+  private readonly _dispatcher = createDispatcher();
   /** What is known of peers by topic: a peer that cannot read one topic may well read another. */
   private readonly _peersByTopic = new Map<string, TopicPeers>();
   private _storeSkippedUntilMs = -Infinity;
@@ -184,6 +195,7 @@
     toRequest: (reader: ReaderCandidate, isAfterFailure: boolean) => PeerRequest,
   ): Promise<SearchResult> {
     const { clock } = this._options;
+    const broken = new Set<string>();
     let endsAtMs = Infinity;
     let hasPaused = false;
     for (;;) {
@@ -198,11 +210,12 @@
       if (remainingMs <= 0) return { answer: undefined, hasFailed };
       try {
         const peerRequest = toRequest(reader, hasFailed);
-        return { answer: await this._askPeer(reader, topic, peerRequest, remainingMs), hasFailed };
+        const options = { maxMs: remainingMs, isFresh: broken.has(reader.address) };
+        return { answer: await this._askPeer(reader, topic, peerRequest, options), hasFailed };
       } catch (error) {
         if (!(error instanceof PeerReadError)) throw error;
         if (error instanceof LargeAnswerError) return { answer: undefined, hasFailed };
-        this._skipPeer(reader, topic, error);
+        this._recordFailure(reader, topic, error, broken);
         endsAtMs = Math.min(endsAtMs, clock.monotonic() + SEARCH_MS);
       }
     }
@@ -259,15 +272,17 @@
     peerRequest: PeerRequest,
   ): Promise<FallbackAnswer | undefined> {
     const { clock } = this._options;
+    const broken = new Set<string>();
     const endsAtMs = clock.monotonic() + SEARCH_MS;
     for (;;) {
       const peer = this._findFreshestPeer(topic);
       if (!peer || clock.monotonic() >= endsAtMs) return undefined;
       try {
-        return { peer, answer: await this._askPeer(peer, topic, peerRequest) };
+        const options = { isFresh: broken.has(peer.address) };
+        return { peer, answer: await this._askPeer(peer, topic, peerRequest, options) };
       } catch (error) {
         if (!(error instanceof PeerReadError)) throw error;
-        this._skipPeer(peer, topic, error);
+        this._recordFailure(peer, topic, error, broken);
       }
     }
   }
@@ -276,11 +291,15 @@
     peer: ReaderCandidate,
     topic: string,
     { path, waitMs }: PeerRequest,
-    maxMs = Infinity,
+    { maxMs = Infinity, isFresh }: AskOptions,
   ): Promise<TopicReadResult> {
     this._options.counters.add('monsoonreach_topic_reads_total', { from: 'peer' });
     const sentAtMs = this._options.clock.monotonic();
-    const answer = await this._fetch(peer, path, Math.min(maxMs, waitMs + ANSWER_TIMEOUT_MS));
+    const timeoutMs = Math.min(maxMs, waitMs + ANSWER_TIMEOUT_MS);
+    const dispatcher = isFresh ? createDispatcher() : this._dispatcher;
+    const answer = await this._fetch(peer, path, timeoutMs, dispatcher).finally(() => {
+      if (isFresh) void dispatcher.destroy();
+    });
     if (answer.status === TOO_LARGE_STATUS)
       throw new LargeAnswerError(
         `The answer of peer ${peer.node} would be too large; the store is read instead.`,
@@ -302,10 +321,15 @@
     return { records, end, contactAtMs, askedAtMs: sentAtMs, regainedMs, isFromPeer: true };
   }
 
-  private async _fetch(peer: ReaderCandidate, path: string, timeoutMs: number): Promise<PeerAnswer> {
+  private async _fetch(
+    peer: ReaderCandidate,
+    path: string,
+    timeoutMs: number,
+    dispatcher: Agent,
+  ): Promise<PeerAnswer> {
     try {
       const response = await request(`http://${peer.address}${path}`, {
-        dispatcher: this._dispatcher,
+        dispatcher,
         headersTimeout: 0,
         bodyTimeout: 0,
         signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
@@ -313,6 +337,10 @@
       const { statusCode: status, headers } = response;
       return { status, headers, body: await readBoundedBody(response.body, MAX_ANSWER_BYTES) };
     } catch (error) {
+      if (isBrokenConnection(error))
+        throw new BrokenReadError(`The connection to peer ${peer.node} ended during a read.`, {
+          cause: error,
+        });
       throw new PeerReadError(`Peer ${peer.node} did not answer in time or cannot be reached.`, {
         cause: error,
       });
@@ -327,6 +355,19 @@
     }
   }
 
+  /** Skips the peer, unless it may be asked once more over a new connection as the first one ended. */
+  private _recordFailure(
+    peer: ReaderCandidate,
+    topic: string,
+    error: PeerReadError,
+    broken: Set<string>,
+  ): void {
+    if (error instanceof BrokenReadError && !broken.has(peer.address)) {
+      broken.add(peer.address);
+      this._options.counters.add('monsoonreach_topic_reads_broken_total');
+    } else this._skipPeer(peer, topic, error);
+  }
+
   private _skipPeer(peer: ReaderCandidate, topic: string, error: PeerReadError): void {
     const { clock, counters, log } = this._options;
     const { proven, skipped } = this._getPeers(topic);
@@ -373,6 +414,10 @@
   }
 }
 
+function createDispatcher(): Agent {
+  return new Agent({ pipelining: 1, connect: createConnector(CONNECT_TIMEOUT_MS) });
+}
+
 function toPath({ topic, from, waitMs }: Pick<TopicReadOptions, 'topic' | 'from' | 'waitMs'>): string {
   return `/topics/${topic}?from=${from.offset}&era=${from.era}&wait=${waitMs}`;
 }
--- a/tests/node/topicSources.test.ts
+++ b/tests/node/topicSources.test.ts
@@ -2,6 +2,7 @@
 import { Counters, systemClock } from '@monsoonreach/core';
 import { TopicMirror, TopicServer } from '@monsoonreach/node';
 import t from 'tap';
+import type { FaultProxy } from '../soak/faultProxy.js';
 import { sleep } from '../standins/http.js';
 import { findFreePorts } from '../support/ports.js';
 import { createFleet, DOMAIN, TOPIC, toStoredText } from './topicFleet.js';
@@ -62,6 +63,81 @@
   );
 }
 
+interface PathFault {
+  readonly name: string;
+  /** What befalls the way to each node that reads the store. */
+  readonly strike: (link: FaultProxy) => void;
+  readonly isSkipped: boolean;
+}
+
+const pathFaults: readonly PathFault[] = [
+  {
+    name: 'reset once',
+    strike: (link) => {
+      link.resetConnections();
+    },
+    isSkipped: false,
+  },
+  {
+    name: 'refused',
+    strike: (link) => {
+      link.close();
+    },
+    isSkipped: true,
+  },
+  {
+    name: 'silent',
+    strike: (link) => {
+      link.setState({ kind: 'silent' });
+    },
+    isSkipped: true,
+  },
+];
+
+// Guards against a reader that is not asked for seconds, and calls to the store instead, as one connection broke.
+for (const { name, strike, isSkipped } of pathFaults) {
+  void t.test(`a reader is ${isSkipped ? '' : 'not '}skipped when its connections are ${name}`, async (t) => {
+    const { nodes, put, stop } = await createFleet(4);
+    t.teardown(stop);
+    const [readers, followers] = [nodes.slice(0, 2), nodes.slice(2)];
+    const before = followers.map(({ store }) => store.callCount);
+    for (const { link } of readers) strike(link);
+    await sleep(700);
+    const failures = followers.map(({ counters }) => counters.count('monsoonreach_topic_reads_failed_total'));
+    t.ok(
+      failures.every((count) => count > 0 === isSkipped),
+      `failed reads: ${failures.join(', ')}`,
+    );
+    put('a', '2');
+    await sleep(isSkipped ? 2_000 : 200);
+    for (const { values } of nodes) t.equal(values.get('a'), toStoredText('2'));
+    if (isSkipped) return;
+    t.same(
+      followers.map(({ store }) => store.callCount),
+      before,
+      'no follower calls the store',
+    );
+  });
+}
+
+// Guards against a node without any source for seconds, as the connection to its only peer broke while the store refuses it.
+void t.test(
+  'a node that the store refuses reads on through its peer when their connection is reset',
+  async (t) => {
+    const { nodes, put, stop } = await createFleet(2);
+    t.teardown(stop);
+    const [node, peer] = nodes;
+    if (!node || !peer) throw new Error('Expected the fleet to have two nodes.');
+    node.store.mode = 'busy';
+    await sleep(2_500);
+    peer.link.resetConnections();
+    await sleep(50);
+    put('a', '2');
+    await sleep(500);
+    t.equal(node.values.get('a'), toStoredText('2'));
+  },
+);
+
 const outages = [
   { name: 'turned away alone', isForAll: false },
   { name: 'turned away with all others', isForAll: true },
