--- a/tests/platform/storeClient.test.ts
+++ b/tests/platform/storeClient.test.ts
@@ -95,3 +95,40 @@
     server.close();
   });
 }
+
+interface BreakCase {
+  readonly call: Call;
+  readonly broken: number;
+  /** Requests that reach the store. */
+  readonly sent: number;
+  readonly isAnswered: boolean;
+}
+
+const breaks: readonly BreakCase[] = [
+  { call: 'readNewest', broken: 1, sent: 2, isAnswered: true },
+  { call: 'read', broken: 1, sent: 2, isAnswered: true },
+  { call: 'read', broken: 2, sent: 2, isAnswered: false },
+  { call: 'append', broken: 1, sent: 1, isAnswered: false },
+  { call: 'appendKeyed', broken: 1, sent: 1, isAnswered: false },
+];
+
+// Guards against a store that counts as failed, for this node and all that read through it, as one connection broke.
+for (const { call, broken, sent, isAnswered } of breaks) {
+  void t.test(`"${call}" is sent ${sent} times when ${broken} of its connections break`, async (t) => {
+    let received = 0;
+    const server = createServer((request, response) => {
+      request.resume();
+      received++;
+      if (received <= broken) request.socket.resetAndDestroy();
+      else response.end(call === 'read' ? createTruncatedSlice(0) : '{"offset":7,"items":[],"end":8}');
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const store = new StoreClient(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+    const answer: Promise<unknown> = calls[call](store);
+    if (isAnswered) await t.resolves(answer);
+    else await t.rejects(answer, StoreUnavailableError);
+    t.equal(received, sent);
+    await store.close();
+    server.close();
+  });
+}
