--- a/scripts/bundle/undici.js
+++ b/scripts/bundle/undici.js
@@ -6,6 +6,7 @@
 export { default as Client } from '../../node_modules/undici/lib/dispatcher/client.js';
 export { default as Pool } from '../../node_modules/undici/lib/dispatcher/pool.js';
 export { default as buildConnector } from '../../node_modules/undici/lib/core/connect.js';
+export { default as errors } from '../../node_modules/undici/lib/core/errors.js';
 
 // undici's entry point attaches its API methods to Dispatcher in the same way.
 Object.assign(Dispatcher.prototype, { request: requestOn });
