Planner: a group that serves any node is not stalled

Callers saw: answers broken off at one moment at several nodes, and no place for seconds, as open groups that served were ended; nothing but the paths of some nodes had failed, the planner's among them.

Cause: a head that the planner's node cannot reach for 1.5 s and that most nodes report as silent counted as lost, while other nodes got whole answers from it up to 0.02 s before the order. Class: what befalls some paths is taken as a fact about their far end.

Ruled out: the measure 'most nodes', as four of six nodes were cut off; with two of seven groups were ended as well, whose other users had no request there at that moment.

Change: nodes report when they last got bytes from each target. A group from which any node has got some within the time for which a sound one may be silent is not stalled. A member that has ended is found no later: its loss takes that time anyway.

--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -23,6 +23,7 @@
 export * from './servingConfiguration.js';
 export * from './shards.js';
 export * from './silence.js';
+export * from './soundSilence.js';
 export * from './stallDetector.js';
 export * from './stopAdmission.js';
 export * from './streamPace.js';
--- a/packages/core/src/serving/targetHealth.ts
+++ b/packages/core/src/serving/targetHealth.ts
@@ -125,6 +125,12 @@
     return this._targets.get(target)?.progressAtMs ?? -Infinity;
   }
 
+  /** Returns the time of the last progress, in milliseconds, of the targets that made any since `sinceMs`. */
+  listProgress(sinceMs: number): ReadonlyMap<string, number> {
+    const targets = [...this._targets].filter(({ 1: { progressAtMs } }) => progressAtMs >= sinceMs);
+    return new Map(targets.map(([target, { progressAtMs }]) => [target, progressAtMs]));
+  }
+
   /** Usual time between two events of a stream, in milliseconds; 0 if unknown. */
   getUsualPauseMs(target: string): number {
     return this._targets.get(target)?.usualPauseMs ?? 0;
--- a/packages/node/src/fleetReports.ts
+++ b/packages/node/src/fleetReports.ts
@@ -11,10 +11,23 @@
     { readonly demand: ReadonlyMap<string, number>; readonly atMs: number }
   >();
 
+  /** When a peer last got bytes from a target, by target. */
+  private readonly _servedAtMs = new Map<string, number>();
+
   constructor(private readonly _clock: Clock) {}
 
-  record({ sender, demand }: ReportMessage): void {
-    this._demand.set(sender, { demand: new Map(Object.entries(demand)), atMs: this._clock.monotonic() });
+  record({ sender, demand, served }: ReportMessage): void {
+    const nowMs = this._clock.monotonic();
+    this._demand.set(sender, { demand: new Map(Object.entries(demand)), atMs: nowMs });
+    for (const [target, atMs] of this._servedAtMs)
+      if (nowMs - atMs > REPORT_TTL_MS) this._servedAtMs.delete(target);
+    for (const [target, ageMs] of Object.entries(served))
+      this._servedAtMs.set(target, Math.max(this.getServedAtMs(target), nowMs - ageMs));
+  }
+
+  /** Time at which a peer last got bytes from a target, as far as peers have told, in milliseconds; -Infinity if none did lately. */
+  getServedAtMs(target: string): number {
+    return this._servedAtMs.get(target) ?? -Infinity;
   }
 
   /** Number of groups that the requests of this node and its peers need, by model. */
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -14,6 +14,7 @@
   insertByPreference,
   KeyTrust,
   LoadTracker,
+  MAX_SOUND_SILENCE_MS,
   type Member,
   pause,
   type Random,
@@ -539,6 +540,7 @@
       describe: () => ({
         demand: Object.fromEntries(this._demand.getNeededGroups(this._clock.monotonic())),
         silent: [...this._silentTargets.list()],
+        served: this._describeServed(),
         heads: Object.fromEntries(this._heads.findings()),
       }),
       onReport: (report) => {
@@ -609,6 +611,13 @@
       : this._directory.findCandidates(configuration, service, model);
   }
 
+  /** Age of the last bytes from each target that has served this node lately, in milliseconds. */
+  private _describeServed(): Readonly<Record<string, number>> {
+    const nowMs = this._clock.monotonic();
+    const served = this._health.listProgress(nowMs - MAX_SOUND_SILENCE_MS);
+    return Object.fromEntries([...served].map(([target, atMs]) => [target, Math.round(nowMs - atMs)]));
+  }
+
   /** Nodes that have requests at a target. */
   private _listUsers(target: string): readonly string[] {
     const peers = this._loads.listPeersAt(target);
@@ -631,6 +640,8 @@
       removed: this._removed,
       countNodes: () => this._exchange.size + 1,
       listUsers: (group) => this._listUsers(group),
+      getServedAtMs: (group) =>
+        Math.max(this._health.getProgressAtMs(group), this._reports.getServedAtMs(group)),
     });
   }
 
--- a/packages/node/src/peerMessages.ts
+++ b/packages/node/src/peerMessages.ts
@@ -129,6 +129,8 @@
   demand: z.record(z.string(), z.number()),
   /** Targets that the sender found silent. */
   silent: z.array(z.string()),
+  /** Age of the last bytes that the sender got from targets, in milliseconds; absent from nodes of earlier versions. */
+  served: z._default(z.record(z.string(), z.number()), {}),
   /** State of heads that are missing from the instance list, by group, as the sender found it. */
   heads: z.record(z.string(), z.enum(['serving', 'idle', 'silent'])),
 });
--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -60,7 +60,7 @@
 }
 
 /** The part of a report that does not concern requests in progress. */
-export type Observations = Pick<ReportMessage, 'demand' | 'silent' | 'heads'>;
+export type Observations = Pick<ReportMessage, 'demand' | 'silent' | 'served' | 'heads'>;
 
 /** Dependencies of {@link Placement}. */
 export interface PlacementOptions {
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -5,6 +5,7 @@
   type FormationView,
   groupId,
   isSilentForMost,
+  MAX_SOUND_SILENCE_MS,
   MemberProbes,
   observeGroups,
   pause,
@@ -52,6 +53,8 @@
   readonly countNodes: () => number;
   /** Nodes that have requests at a group, as far as they have told this one. */
   readonly listUsers: (group: string) => Iterable<string>;
+  /** Monotonic time at which a node last got bytes from a group, in milliseconds; -Infinity if none did lately. */
+  readonly getServedAtMs: (group: string) => number;
 }
 
 /** Plans the groups of the shards that this node owns. */
@@ -246,7 +249,8 @@
   }
 
   private _createView(configuration: ServingConfiguration, nowMs: number): FormationView {
-    const { node, isListSettled, demand, hasTraffic, heads, list, countNodes, ownership } = this._options;
+    const { node, isListSettled, demand, hasTraffic, heads, list, countNodes, ownership, getServedAtMs } =
+      this._options;
     // While the store is out, the list does not change: what was complete stays so.
     if (nowMs - list.currentAtMs < OUTDATED_LIST_MS) this._wasListSettled = isListSettled();
     return {
@@ -259,7 +263,8 @@
       refusingInstances: this._checks.getRefusingMembers(),
       goneInstances: this._checks.getGoneMembers(nowMs),
       isHeadGone: (group) => heads.isReleased(group),
-      isGroupStalled: (group, silentHead) => this.isSilentForMost(group, silentHead),
+      isGroupStalled: (group, silentHead) =>
+        nowMs - getServedAtMs(group) >= MAX_SOUND_SILENCE_MS && this.isSilentForMost(group, silentHead),
       isStallConfirmed: (group) => countNodes() === 1 || this._checks.isReportedByPeer(group, node, nowMs),
       unlistedOpenHeads: heads.open().filter((head) => !this._orders.isClosing(head)),
       findUnlistedMembers: (group) => this._unlisted.list(group, nowMs),
--- a/tests/node/placement.test.ts
+++ b/tests/node/placement.test.ts
@@ -119,7 +119,7 @@
       findCandidate: (_need, key) => candidates(false).find((candidate) => candidate.key === key),
       avoidedTargets: () => [],
       connectedTargets: () => [],
-      describe: () => ({ demand: {}, silent: [], heads: {} }),
+      describe: () => ({ demand: {}, silent: [], served: {}, heads: {} }),
       onReport: () => undefined,
       onSuspectedOwner: () => undefined,
     });
--- a/tests/support/planner.ts
+++ b/tests/support/planner.ts
@@ -17,6 +17,7 @@
   name: string,
   store: string,
   entries: readonly (readonly [string, unknown])[],
+  options: { readonly getServedAtMs?: (group: string) => number } = {},
 ) {
   const { list, log, counters } = createInstanceList({ node: name });
   replaceList(list, entries);
@@ -86,6 +87,7 @@
     removed,
     countNodes: () => 1,
     listUsers: () => [],
+    getServedAtMs: options.getServedAtMs ?? (() => -Infinity),
   });
   const start = async () => {
     await exchange.start();
