Core: one record of the targets to which a request was sent

The node's requests, the entry's completions and its service calls each kept the targets that they tried and those that only broke off an answer, with the same rules. Behaviour is unchanged: entry/*, node/brokenConnections, brokenAnswers, requestRun and the streams of the platform's tests pass, with no change to them.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -40,4 +40,5 @@
 export * from './stragglers.js';
 export * from './streamClock.js';
 export * from './streamReducer.js';
+export * from './triedTargets.js';
 export * from './wholeLease.js';
--- a/packages/entry/src/completionRun.ts
+++ b/packages/entry/src/completionRun.ts
@@ -11,6 +11,7 @@
   type RouteCandidate,
   type Router,
   sha256,
+  TriedTargets,
   Undispatched,
 } from '@monsoonreach/core';
 import type { CallContext, CompletionAnswer, CompletionRequest, StreamPart } from '@monsoonreach/callers';
@@ -66,9 +67,7 @@
   readonly fingerprint: string;
   private readonly _deadline: Deadline;
   private readonly _affinityKey: string;
-  private readonly _triedGroups = new Set<string>();
-  /** Groups whose last attempt ended by its connection; they may be well. */
-  private readonly _brokenOffGroups = new Set<string>();
+  private readonly _groups = new TriedTargets();
   private _attempts = 0;
   private _lastEventId: string | undefined;
   private _hasDeliveredEvent = false;
@@ -261,7 +260,7 @@
       candidates.map(({ id }) => id),
     );
     if (isHeld) return undefined;
-    const chosen = router.choose(candidates, { affinityKey, isSuspect, tried: this._triedGroups });
+    const chosen = router.choose(candidates, { affinityKey, isSuspect, tried: this._groups.tried });
     return chosen ?? this._chooseTriedGroup(candidates, router);
   }
 
@@ -270,16 +269,15 @@
     candidates: readonly RouteCandidate[],
     router: Router,
   ): RouteCandidate | undefined {
-    const hasUntried = candidates.some(({ id }) => !this._triedGroups.has(id));
-    const usable = hasUntried ? candidates.filter(({ id }) => this._brokenOffGroups.has(id)) : candidates;
+    const hasUntried = candidates.some(({ id }) => !this._groups.tried.has(id));
+    const usable = hasUntried ? candidates.filter(({ id }) => this._groups.isBrokenOff(id)) : candidates;
     return router.choose(usable, { affinityKey: this._affinityKey, tried: new Set() });
   }
 
   private _startAttempt(candidate: RouteCandidate): Attempt {
     const { context, call, inFlight } = this._options;
     this._attempts++;
-    this._triedGroups.add(candidate.id);
-    this._brokenOffGroups.delete(candidate.id);
+    this._groups.add(candidate.id);
     context.counters.add('monsoonreach_dispatches_total', { kind: 'completion' });
     context.traces.addStep(call.requestId, `attempt ${this._attempts} at group ${candidate.id}`);
     context.directory.loads.begin(candidate.id);
@@ -397,7 +395,7 @@
     if (context.directory.isEnding(group)) context.suspects.endUnanswered(this.fingerprint, group);
     else context.recordRequestLoss(this.fingerprint, group);
     context.directory.recentLosses.recordLoss(group);
-    this._brokenOffGroups.add(group);
+    this._groups.recordBrokenOff(group);
   }
 
   /** Spends a retry of the workspace's budget and waits for the backoff; false if no retry is allowed. */
--- a/packages/entry/src/serviceCalls.ts
+++ b/packages/entry/src/serviceCalls.ts
@@ -7,6 +7,7 @@
   retryDelayMs,
   type RetryReason,
   type RouteConfiguration,
+  TriedTargets,
   Undispatched,
 } from '@monsoonreach/core';
 import type { CallContext, ServiceAnswer, ServiceRequest } from '@monsoonreach/callers';
@@ -20,32 +21,6 @@
 const TARGET_WAIT_MS = 1_000;
 const TARGET_POLL_MS = 20;
 
-/** The targets to which one call was sent. */
-class TriedTargets {
-  private readonly _tried = new Set<string>();
-  private readonly _brokenOff = new Set<string>();
-
-  add(target: string): void {
-    this._tried.add(target);
-    this._brokenOff.delete(target);
-  }
-
-  /** Records that a target's connection broke after the call was sent; the target may be well. */
-  recordBrokenOff(target: string): void {
-    this._brokenOff.add(target);
-  }
-
-  /** All targets to which the call was sent. */
-  get tried(): ReadonlySet<string> {
-    return this._tried;
-  }
-
-  /** Those among them that are of no use to another attempt. */
-  get unusable(): ReadonlySet<string> {
-    return new Set([...this._tried].filter((target) => !this._brokenOff.has(target)));
-  }
-}
-
 /** Calls plain services: idempotent routes with retries and hedging, the others at most once. */
 export class ServiceCalls {
   constructor(
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -13,6 +13,7 @@
   type ServingRoute,
   type TargetCandidate,
   type TargetChoice,
+  TriedTargets,
 } from '@monsoonreach/core';
 import {
   type CallerRequest,
@@ -114,10 +115,8 @@
 export class RequestRun {
   private readonly _deadlineMs: number;
   private readonly _timer: NodeJS.Timeout;
-  /** Keys of the targets that this request was sent to. */
-  private readonly _tried = new Set<string>();
-  /** Those of them that only broke off their answer; they get the request again if no other target is left. */
-  private readonly _lastResorts = new Set<string>();
+  /** By key; those that only broke off their answer get the request again if no other target is left. */
+  private readonly _targets = new TriedTargets();
   private readonly _trail: string[] = [];
   private readonly _service: string | undefined;
   private _attempt: Attempt | undefined;
@@ -332,17 +331,12 @@
       return;
     }
     placement.place(criteria, (choice) => {
-      const isOver = choice.kind === 'chosen' || this._isFinished || this._lastResorts.size === 0;
+      const isOver = choice.kind === 'chosen' || this._isFinished || !this._targets.hasBrokenOff;
       if (isOver) onChoice(choice);
-      else placement.place({ ...criteria, tried: this._listExcluded() }, onChoice);
+      else placement.place({ ...criteria, tried: this._targets.unusable }, onChoice);
     });
   }
 
-  /** Targets that do not get the request again, even if no other one is left. */
-  private _listExcluded(): ReadonlySet<string> {
-    return new Set([...this._tried].filter((key) => !this._lastResorts.has(key)));
-  }
-
   private _handleChoice(choice: TargetChoice): void {
     switch (choice.kind) {
       case 'chosen':
@@ -378,16 +372,16 @@
       service: this._service,
       model,
       size,
-      tried: this._tried,
+      tried: this._targets.tried,
       isContinuing: this._forwardedEvents > 0,
     };
   }
 
   /** Chooses a target by the load that this node knows, without asking the coordinator. */
   private _choose(): TargetChoice {
-    const choice = this._chooseUntried(this._tried);
-    return choice.kind === 'none' && this._lastResorts.size > 0
-      ? this._chooseUntried(this._listExcluded())
+    const choice = this._chooseUntried(this._targets.tried);
+    return choice.kind === 'none' && this._targets.hasBrokenOff
+      ? this._chooseUntried(this._targets.unusable)
       : choice;
   }
 
@@ -442,9 +436,8 @@
     if (role === 'current') this._attempt = attempt;
     else this._successor = attempt;
     this._attempts++;
-    const isRepeated = this._tried.has(candidate.key);
-    this._tried.add(candidate.key);
-    this._lastResorts.delete(candidate.key);
+    const isRepeated = this._targets.tried.has(candidate.key);
+    this._targets.add(candidate.key);
     context.limits.recordRequest(getIncarnationKey(candidate.instance));
     const ifCurrent = (handle: () => void) => {
       if (this._isCurrent(attempt)) handle();
@@ -693,7 +686,7 @@
     const { context } = this._options;
     if (UNCOUNTED_ENDS.has(reason)) this._attempts--;
     if (LOSSES.has(reason)) {
-      this._lastResorts.add(attempt.candidate.key);
+      this._targets.recordBrokenOff(attempt.candidate.key);
       this._isConnectionDoubted = true;
     }
     const isGroup = attempt.candidate.engine !== undefined;
