Planner: one list of the nodes that report a group

The number of reporters served tests only; what a peer reported repeated the rule for how long a report counts. The tests ask for the size of the list, with the same expectations.

--- a/packages/core/src/serving/memberProbes.ts
+++ b/packages/core/src/serving/memberProbes.ts
@@ -47,11 +47,6 @@
     return isNew;
   }
 
-  /** Number of the nodes that {@link listReporters} returns. */
-  countReporters(group: string, nowMs: number, head?: string): number {
-    return this.listReporters(group, nowMs, head).size;
-  }
-
   /**
    * Nodes that reported the group as silent lately.
    * @param head id of a head that is silent: reports from before it last answered are of an earlier silence.
@@ -65,9 +60,7 @@
 
   /** Whether a node other than the given one reported the group as silent lately. */
   isReportedByPeer(group: string, node: string, nowMs: number): boolean {
-    return [...(this._reporters.get(group) ?? [])].some(
-      ([reporter, atMs]) => reporter !== node && nowMs - atMs < REPORT_TTL_MS,
-    );
+    return [...this.listReporters(group, nowMs)].some((reporter) => reporter !== node);
   }
 
   /** Whether any member may have to be probed. */
--- a/tests/serving/decisions.test.ts
+++ b/tests/serving/decisions.test.ts
@@ -350,11 +350,11 @@
   const checks = new MemberProbes();
   checks.suspectGroup('g', 'node-1', 0);
   checks.suspectGroup('g', 'node-1', 100);
-  t.equal(checks.countReporters('g', 200), 1);
+  t.equal(checks.listReporters('g', 200).size, 1);
   checks.suspectGroup('g', 'node-2', 3_000);
-  t.equal(checks.countReporters('g', 3_500), 2);
-  t.equal(checks.countReporters('g', 6_000), 1);
-  t.equal(checks.countReporters('other', 0), 0);
+  t.equal(checks.listReporters('g', 3_500).size, 2);
+  t.equal(checks.listReporters('g', 6_000).size, 1);
+  t.equal(checks.listReporters('other', 0).size, 0);
   t.end();
 });
 
@@ -363,12 +363,12 @@
   const checks = new MemberProbes();
   checks.suspectGroup('g', 'node-1', 0);
   checks.suspectGroup('g', 'node-2', 100);
-  t.equal(checks.countReporters('g', 200, 'head'), 2, 'it has not answered since');
+  t.equal(checks.listReporters('g', 200, 'head').size, 2, 'it has not answered since');
   checks.recordResult('head', 'answered', 1_000);
-  t.equal(checks.countReporters('g', 2_000, 'head'), 0);
-  t.equal(checks.countReporters('g', 2_000), 2, 'the group may be stalled while its head answers');
+  t.equal(checks.listReporters('g', 2_000, 'head').size, 0);
+  t.equal(checks.listReporters('g', 2_000).size, 2, 'the group may be stalled while its head answers');
   checks.suspectGroup('g', 'node-2', 2_100);
-  t.equal(checks.countReporters('g', 2_200, 'head'), 1);
+  t.equal(checks.listReporters('g', 2_200, 'head').size, 1);
   t.end();
 });
 
--- a/tests/serving/simulatedFleet.ts
+++ b/tests/serving/simulatedFleet.ts
@@ -369,7 +369,7 @@
       isHeadGone: (group) =>
         this.heads.isReleased(group, [this._fleet.findPeer(this).heads.getFindings()], 1, nowMs),
       plannerCount: 1,
-      isGroupStalled: (group, silentHead) => this.checks.countReporters(group, nowMs, silentHead) >= 2,
+      isGroupStalled: (group, silentHead) => this.checks.listReporters(group, nowMs, silentHead).size >= 2,
       isStallConfirmed: (group) => this.checks.isReportedByPeer(group, `node-${this.index}`, nowMs),
       unlistedOpenHeads: this.heads.getOpenHeads(),
       findUnlistedMembers: () => [],
