--- a/tests/entry/hedgedCalls.test.ts
+++ b/tests/entry/hedgedCalls.test.ts
@@ -1,22 +1,7 @@
-import {
-  Counters,
-  CrashSuspects,
-  createRandom,
-  parseConfiguration,
-  RetryBudgets,
-  systemClock,
-  Undispatched,
-} from '@monsoonreach/core';
-import {
-  type AtMostOnce,
-  DrainWindow,
-  type EntryContext,
-  RequestTraces,
-  ServiceCalls,
-  ServiceTargets,
-} from '@monsoonreach/entry';
+import { parseConfiguration } from '@monsoonreach/core';
 import { type TargetAnswer, TargetCallError, TargetClient, TargetClients } from '@monsoonreach/targets';
 import t from 'tap';
+import { callService, createServiceCalls } from './serviceBench.js';
 
 const HEDGE_AFTER_MS = 20;
 const FAIL_AFTER_MS = 60;
@@ -56,24 +41,6 @@
   }
 }
 
-function createCalls(failures: TargetCallError[]): ServiceCalls {
-  const clock = systemClock;
-  const random = createRandom(1);
-  const context = {
-    clock,
-    counters: new Counters(),
-    random,
-    traces: new RequestTraces(clock),
-    targets: new FailingTargets(failures),
-    suspects: new CrashSuspects(clock),
-    retryBudgets: new RetryBudgets({ share: () => 0 }),
-    drainWindow: new DrainWindow(clock),
-    configuration: () => CONFIGURATION,
-  } as unknown as EntryContext;
-  const targets = new ServiceTargets({ clock, random, isLeaving: () => false });
-  return new ServiceCalls(context, targets, undefined as unknown as AtMostOnce);
-}
-
 // A call was refused as not run when the first of two hedged calls was not sent, though the second had been.
 void t.test('a hedged call is refused as not run only if neither call was sent', async (t) => {
   const cases = [
@@ -83,21 +50,8 @@
     { name: 'both were sent', failures: [sent(), sent()], kind: 'failed' },
   ];
   for (const { name, failures, kind } of cases) {
-    const outcome = await createCalls(failures).call(
-      {
-        service: 's',
-        method: 'GET',
-        path: '/a',
-        contentType: undefined,
-        idempotencyKey: undefined,
-        body: Buffer.of(),
-      },
-      {
-        requestId: 'id',
-        workspace: 'w',
-        signal: new AbortController().signal,
-        undispatched: new Undispatched(),
-      },
+    const outcome = await callService(
+      createServiceCalls({ configuration: CONFIGURATION, targets: new FailingTargets(failures) }),
     );
     t.equal(outcome.kind, kind, name);
   }
--- a/tests/entry/serviceRetries.test.ts
+++ b/tests/entry/serviceRetries.test.ts
@@ -1,24 +1,10 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import {
-  Counters,
-  createRandom,
-  parseConfiguration,
-  RetryBudgets,
-  systemClock,
-  Undispatched,
-} from '@monsoonreach/core';
-import {
-  type AtMostOnce,
-  DrainWindow,
-  type EntryContext,
-  RequestTraces,
-  ServiceCalls,
-  ServiceTargets,
-} from '@monsoonreach/entry';
+import { type Configuration, parseConfiguration } from '@monsoonreach/core';
 import { TargetClients } from '@monsoonreach/targets';
 import t from 'tap';
 import { listen } from '../standins/http.js';
+import { callService, createServiceCalls } from './serviceBench.js';
 
 type Reaction = 'reset' | 'cut' | 'answer';
 
@@ -42,12 +28,8 @@
   }, 0);
 }
 
-function createCalls(
-  addresses: readonly string[],
-  idempotent: boolean,
-  targets: TargetClients,
-): ServiceCalls {
-  const configuration = parseConfiguration(`[deployment]
+function createConfiguration(addresses: readonly string[], idempotent: boolean): Configuration {
+  return parseConfiguration(`[deployment]
 name = test
 [service.s]
 targets = ${addresses.join(',')}
@@ -61,21 +43,6 @@
 token-sha256 = ${'0'.repeat(64)}
 services = s
 `);
-  const clock = systemClock;
-  const random = createRandom(1);
-  const context = {
-    clock,
-    counters: new Counters(),
-    random,
-    traces: new RequestTraces(clock),
-    targets,
-    retryBudgets: new RetryBudgets({ share: () => 0 }),
-    drainWindow: new DrainWindow(clock),
-    configuration: () => configuration,
-  } as unknown as EntryContext;
-  const once = { run: (prepared, send) => send(prepared.call.undispatched) } as Pick<AtMostOnce, 'run'>;
-  const chosen = new ServiceTargets({ clock, random, isLeaving: () => false });
-  return new ServiceCalls(context, chosen, once as AtMostOnce);
 }
 
 // A call failed with attempts left when a connection to each target of its service had been reset.
@@ -111,21 +78,8 @@
     for (const server of servers) server.on('request', () => count++);
     const addresses = servers.map((server) => `127.0.0.1:${(server.address() as AddressInfo).port}`);
     const clients = new TargetClients();
-    const outcome = await createCalls(addresses, idempotent, clients).call(
-      {
-        service: 's',
-        method: 'GET',
-        path: '/a',
-        contentType: undefined,
-        idempotencyKey: undefined,
-        body: Buffer.of(),
-      },
-      {
-        requestId: 'id',
-        workspace: 'w',
-        signal: new AbortController().signal,
-        undispatched: new Undispatched(),
-      },
+    const outcome = await callService(
+      createServiceCalls({ configuration: createConfiguration(addresses, idempotent), targets: clients }),
     );
     t.equal(outcome.kind, kind, name);
     t.equal(count, calls, `${name}: calls`);
