--- a/tests/node/planning.test.ts
+++ b/tests/node/planning.test.ts
@@ -1,31 +1,11 @@
-import type { TargetInstance } from '@monsoonreach/core';
 import type { ShardOwnership } from '@monsoonreach/node';
 import t from 'tap';
 import { sleep } from '../standins/http.js';
 import { InstanceFleet } from '../platform/instanceStandin.js';
 import { StoreStandin } from '../platform/storeStandin.js';
-import { replaceList } from '../support/instanceList.js';
+import { createMemberEntry, replaceList } from '../support/instanceList.js';
 import { createPlanner } from '../support/planner.js';
 
-function createEntry(
-  id: string,
-  address: string,
-  group: Partial<NonNullable<TargetInstance['membership']>>,
-): unknown {
-  return {
-    service: 'engines',
-    address,
-    zone: 'zone-1',
-    state: 'ready',
-    domain: 'domain-1',
-    staged: ['model-a'],
-    models: [{ name: 'model-a' }],
-    group: { name: 'old', epoch: 5, state: 'ready', ...group },
-    born: 1,
-    id,
-  };
-}
-
 // Orders decided on an outdated list were sent with the condition of a newer report, and took an open head.
 for (const spareId of ['spare', 'a-spare']) {
   void t.test(
@@ -44,8 +24,8 @@
       head.setGroup({ name: 'old', epoch: 5, rank: 0, members: ['head', 'gone'], state: 'open' }, 2);
       spare.setGroup({ name: 'other', epoch: 4, rank: 0, members: [spareId], state: 'ready' }, 1);
       const { ownership, start, stop } = await createPlanner('node-1', address, [
-        ['head', createEntry('head', head.address, { rank: 0 })],
-        [spareId, { ...(createEntry(spareId, spare.address, { rank: 0, epoch: 4 }) as object) }],
+        ['head', createMemberEntry(head.address, { rank: 0 })],
+        [spareId, createMemberEntry(spare.address, { rank: 0, epoch: 4 })],
       ]);
       await start();
       await sleep(3_000);
@@ -68,9 +48,9 @@
   const members = ['head', 'member'];
   head.setGroup({ name: 'old', epoch: 5, rank: 0, members, state: 'open' }, 2);
   member.setGroup({ name: 'old', epoch: 5, rank: 1, members, state: 'ready' }, 1);
-  const memberEntry = ['member', createEntry('member', member.address, { rank: 1 })] as const;
+  const memberEntry = ['member', createMemberEntry(member.address, { rank: 1 })] as const;
   const planner = await createPlanner('node-1', address, [
-    ['head', createEntry('head', head.address, { rank: 0, state: 'open' })],
+    ['head', createMemberEntry(head.address, { rank: 0, state: 'open' })],
     memberEntry,
   ]);
   const { ownership, list, heads, counters } = planner;
--- a/tests/node/removedInstances.test.ts
+++ b/tests/node/removedInstances.test.ts
@@ -6,32 +6,17 @@
 import { InstanceFleet } from '../platform/instanceStandin.js';
 import { StoreStandin } from '../platform/storeStandin.js';
 import { sleep } from '../standins/http.js';
-import { createInstanceList, replaceList } from '../support/instanceList.js';
+import { createInstanceList, createMemberEntry, replaceList } from '../support/instanceList.js';
 import { createPlanner } from '../support/planner.js';
 
 const CONFIGURATION = decodeConfiguration(Buffer.from(JSON.stringify(createConfiguration(1))));
 
-function createEntry(
-  rank: number,
-  { epoch = 5, state = 'ready', address = `127.0.0.1:${9 + rank}` } = {},
-): unknown {
-  return {
-    service: 'engines',
-    address,
-    zone: 'zone-1',
-    state: 'ready',
-    domain: 'domain-1',
-    staged: ['model-a'],
-    models: [{ name: 'model-a' }],
-    group: { name: 'old', epoch, rank, state },
-    born: 1,
-  };
-}
-
-const HEAD = ['head', createEntry(0, { state: 'open' })] as const;
-const IDLE_HEAD = ['head', createEntry(0)] as const;
-const MEMBER = ['member', createEntry(1)] as const;
-const FORMER_MEMBER = ['other', createEntry(1, { epoch: 4 })] as const;
+const HEAD_ADDRESS = '127.0.0.1:9';
+const MEMBER_ADDRESS = '127.0.0.1:10';
+const HEAD = ['head', createMemberEntry(HEAD_ADDRESS, { rank: 0, state: 'open' })] as const;
+const IDLE_HEAD = ['head', createMemberEntry(HEAD_ADDRESS, { rank: 0 })] as const;
+const MEMBER = ['member', createMemberEntry(MEMBER_ADDRESS, { rank: 1 })] as const;
+const FORMER_MEMBER = ['other', createMemberEntry(MEMBER_ADDRESS, { rank: 1, epoch: 4 })] as const;
 
 /** Creates what one node knows, with the entries that it lists. */
 function createNode(clock: ManualClock, entries: readonly (readonly [string, unknown])[]) {
@@ -124,7 +109,7 @@
     member.setGroup({ name: 'old', epoch: 5, rank: 1, members, state: 'ready' }, 1);
     const { address } = member;
     const planner = await createPlanner('node-1', storeAddress, [
-      ['head', createEntry(0, { state: 'open', address: head.address })],
+      ['head', createMemberEntry(head.address, { rank: 0, state: 'open' })],
     ]);
     t.teardown(() => {
       planner.stop();
--- a/tests/node/silentPaths.test.ts
+++ b/tests/node/silentPaths.test.ts
@@ -4,6 +4,7 @@
 import { StoreStandin } from '../platform/storeStandin.js';
 import { FaultProxy } from '../soak/faultProxy.js';
 import { sleep } from '../standins/http.js';
+import { createMemberEntry } from '../support/instanceList.js';
 import { createPlanner } from '../support/planner.js';
 import { findFreePorts } from '../support/ports.js';
 
@@ -15,12 +16,6 @@
   { name: 'loses its members when it serves no node', isServed: false, isEnded: true },
 ];
 
-function createEntry(id: string, address: string, rank: number): readonly [string, unknown] {
-  const group = { name: 'old', epoch: 5, rank, state: rank === 0 ? 'open' : 'ready' };
-  const instance = { service: 'engines', address, zone: 'zone-1', state: 'ready', domain: 'domain-1' };
-  return [id, { ...instance, staged: ['model-a'], models: [{ name: 'model-a' }], group, born: 1, id }];
-}
-
 for (const { name, isServed, isEnded } of cases) {
   // Guards against an open group that serves and is ended as its planner has lost its own path to the head.
   void t.test(`a head that is silent for its planner and another node ${name}`, async (t) => {
@@ -36,7 +31,10 @@
     const [port = 0] = await findFreePorts(1);
     await link.listen(port);
     link.setState({ kind: 'silent' });
-    const entries = [createEntry('head', `127.0.0.1:${port}`, 0), createEntry('member', member.address, 1)];
+    const entries = [
+      ['head', createMemberEntry(`127.0.0.1:${port}`, { rank: 0, state: 'open' })],
+      ['member', createMemberEntry(member.address, { rank: 1 })],
+    ] as const;
     const planner = await createPlanner('node-1', address, entries, {
       getServedAtMs: () => (isServed ? systemClock.monotonic() - 500 : -Infinity),
     });
--- a/tests/support/instanceList.ts
+++ b/tests/support/instanceList.ts
@@ -1,4 +1,4 @@
-import { type Clock, Counters, systemClock } from '@monsoonreach/core';
+import { type Clock, Counters, systemClock, type TargetInstance } from '@monsoonreach/core';
 import { DecisionLog, InstanceList } from '@monsoonreach/node';
 
 /** Creates an empty list of a node whose contact with the store was never lost, with what it needs. */
@@ -22,3 +22,21 @@
 export function replaceList(list: InstanceList, entries: Iterable<readonly [string, unknown]>): void {
   list.replaceAll([...entries].map(([key, entry]) => ({ key, value: Buffer.from(JSON.stringify(entry)) })));
 }
+
+/** Returns the entry of an engine in group `old`, epoch 5, unless `group` tells otherwise. */
+export function createMemberEntry(
+  address: string,
+  group: Partial<NonNullable<TargetInstance['membership']>>,
+): unknown {
+  return {
+    service: 'engines',
+    address,
+    zone: 'zone-1',
+    state: 'ready',
+    domain: 'domain-1',
+    staged: ['model-a'],
+    models: [{ name: 'model-a' }],
+    group: { name: 'old', epoch: 5, state: 'ready', ...group },
+    born: 1,
+  };
+}
