--- a/tests/platform/rawFleet.ts
+++ b/tests/platform/rawFleet.ts
@@ -61,6 +61,11 @@
   /** Starts a target, or starts it again after a crash, and announces it. */
   async startTarget(target: RawTarget): Promise<void> {
     await target.start();
+    this.announceTarget(target);
+  }
+
+  /** Announces another start of a target. */
+  announceTarget(target: RawTarget): void {
     const id = `plain-${this.targets.indexOf(target) + 1}`;
     this.store.put('keyed.servers', id, createEntry(target.address, ++this._startCount));
   }
