Node: a lost target may turn out later to have crashed

Cause: the only proof of a crash was one connection tried right after the loss, so that a port which closes 20 ms later, or belongs to a proxy, cleared the request; and streams without a head, or with more than 250 ms of events, were never examined. A kept connection that ended before the first byte was repeated at the same target without examination.

Whatever the target held is suspected under kinds of its own, which need three crashes (a part of a prompt: five) and are cleared by completed answers only, because most of it is sound. Factors are bounded by kind, so that the larger number of these pushes out no others.

--- a/packages/core/src/serving/crashEvidence.ts
+++ b/packages/core/src/serving/crashEvidence.ts
@@ -1,8 +1,13 @@
 import type { Clock } from '../clock.js';
-import type { CrashFactor } from './crashFactors.js';
-
-/** Successive crashes after which a factor is quarantined. */
-const MAX_CRASHES: Readonly<Record<CrashFactor['kind'], number>> = { request: 2, part: 3 };
+import { CRASH_FACTOR_KINDS, type CrashFactor } from './crashFactors.js';
+
+/** Successive crashes after which a factor is quarantined; more where sound requests are suspected as well. */
+const MAX_CRASHES: Readonly<Record<CrashFactor['kind'], number>> = {
+  request: 2,
+  part: 3,
+  'pending-request': 3,
+  'pending-part': 5,
+};
 /** Duration of a quarantine, in milliseconds; doubles with each further crash. */
 const QUARANTINE_MS = 60_000;
 const MAX_QUARANTINE_MS = 600_000;
@@ -10,16 +15,18 @@
 const CRASH_TTL_MS = 120_000;
 /** Interval at which old evidence is looked for, in milliseconds. */
 const EXPIRY_INTERVAL_MS = 1_000;
-/** Factors that are remembered; the oldest that one crash concerns is forgotten first. */
+/** Factors of each kind that are remembered; the oldest that one crash concerns is forgotten first. */
 const MAX_FACTORS = 1_024;
 /** Crashes of one factor that are remembered. */
 const MAX_REMEMBERED_CRASHES = 8;
 /** Crashes of a factor from which on peers are told repeatedly, so that those who missed a message learn of it. */
 const MIN_SHARED_CRASHES = 2;
+/** Time after the loss of a target from which a request to it was sent to another start of it, in milliseconds. */
+const RESTART_SLACK_MS = 20;
 /** Factors that peers are told of repeatedly. */
 const MAX_SHARED_FACTORS = 16;
 
-/** The crash of a target that had just begun to answer a request; times are monotonic, in milliseconds. */
+/** The crash of a target that held a request; times are monotonic, in milliseconds. */
 export interface TargetCrash {
   readonly target: string;
   /** When the request was sent to the target. */
@@ -61,7 +68,13 @@
    * @returns the evidence that this changed.
    */
   recordCrash(factors: readonly CrashFactor[], crash: TargetCrash): readonly FactorEvidence[] {
-    const blamed = factors.filter((factor, index) => !this._isExplained(factor, factors.slice(index + 1)));
+    const blamed = factors.filter(
+      (factor, index) =>
+        !this._isExplained(
+          factor,
+          factors.slice(index + 1).filter(({ kind }) => kind === factor.kind),
+        ),
+    );
     const changed = blamed.map((factor) =>
       this._merge({ factor, crashes: [crash], survivedAtMs: -Infinity }),
     );
@@ -83,6 +96,11 @@
     });
   }
 
+  /** Largest number of successive crashes of one of these factors. */
+  countCrashes(factors: readonly CrashFactor[]): number {
+    return Math.max(0, ...factors.map((factor) => this._countSuccessive(factor)));
+  }
+
   /** Time until which requests with one of these factors are refused, monotonic; undefined if they may run. */
   findQuarantineEndMs(factors: readonly CrashFactor[]): number | undefined {
     if (this.isEmpty) return undefined;
@@ -125,7 +143,7 @@
    * it is blamed only if it crashes targets with different continuations.
    */
   private _isExplained(factor: CrashFactor, continuations: readonly CrashFactor[]): boolean {
-    if (factor.kind !== 'part') return false;
+    if (factor.kind !== 'part' && factor.kind !== 'pending-part') return false;
     const count = this._countSuccessive(factor);
     return continuations.some((later) => {
       const laterCount = this._countSuccessive(later);
@@ -150,16 +168,20 @@
     return merged;
   }
 
+  /** Forgets factors of a kind beyond their bound, first those that one crash concerns. */
+  private _removeExcess(kind: CrashFactor['kind']): void {
+    if (this._evidence.size <= MAX_FACTORS) return;
+    const known = [...this._evidence].filter(([, { factor }]) => factor.kind === kind);
+    const excess = known.length - MAX_FACTORS;
+    if (excess <= 0) return;
+    const single = known.filter(([, evidence]) => findSuccessive(evidence).length < MIN_SHARED_CRASHES);
+    const repeated = known.filter(([, evidence]) => findSuccessive(evidence).length >= MIN_SHARED_CRASHES);
+    for (const [key] of [...single, ...repeated].slice(0, excess)) this._evidence.delete(key);
+  }
+
   private _removeExpired(): void {
     const nowMs = this._clock.monotonic();
-    for (const [key, evidence] of this._evidence) {
-      if (this._evidence.size <= MAX_FACTORS) break;
-      if (findSuccessive(evidence).length < MIN_SHARED_CRASHES) this._evidence.delete(key);
-    }
-    for (const key of this._evidence.keys()) {
-      if (this._evidence.size <= MAX_FACTORS) break;
-      this._evidence.delete(key);
-    }
+    for (const kind of CRASH_FACTOR_KINDS) this._removeExcess(kind);
     if (nowMs - this._expiredAtMs < EXPIRY_INTERVAL_MS) return;
     this._expiredAtMs = nowMs;
     for (const [key, evidence] of this._evidence) {
@@ -171,19 +193,20 @@
 
 /**
  * Joins what several nodes saw of each crash: its first sign, and the latest of the requests that it ended. The result is
- * in the order of the losses, and the same in whatever order the crashes were reported.
+ * in the order of the losses, and the same in whatever order the crashes were reported. A target may start and crash
+ * again before the list shows that it did.
  */
 function joinCrashes(crashes: readonly TargetCrash[]): readonly TargetCrash[] {
-  const byTarget = new Map<string, TargetCrash>();
-  for (const crash of crashes) {
-    const known = byTarget.get(crash.target) ?? crash;
-    byTarget.set(crash.target, {
-      target: crash.target,
-      sentAtMs: Math.max(known.sentAtMs, crash.sentAtMs),
-      lostAtMs: Math.min(known.lostAtMs, crash.lostAtMs),
-    });
+  const joined: TargetCrash[] = [];
+  for (const crash of [...crashes].sort((a, b) => a.lostAtMs - b.lostAtMs)) {
+    const index = joined.findIndex(
+      ({ target, lostAtMs }) => target === crash.target && crash.sentAtMs <= lostAtMs + RESTART_SLACK_MS,
+    );
+    const known = joined[index];
+    if (known) joined[index] = { ...known, sentAtMs: Math.max(known.sentAtMs, crash.sentAtMs) };
+    else joined.push(crash);
   }
-  return [...byTarget.values()].sort((a, b) => a.lostAtMs - b.lostAtMs);
+  return joined;
 }
 
 /** Crashes since the latest survival, each of a request that was sent after the crash before. */
--- a/packages/core/src/serving/crashFactors.ts
+++ b/packages/core/src/serving/crashFactors.ts
@@ -3,13 +3,14 @@
 /** Hexadecimal digits of a fingerprint: 64 bits. */
 const FINGERPRINT_DIGITS = 16;
 
-const CRASH_FACTOR_KINDS = ['request', 'part'] as const;
+export const CRASH_FACTOR_KINDS = ['request', 'part', 'pending-request', 'pending-part'] as const;
 
 /** Something that requests have in common and that may crash the targets that run them. */
 export interface CrashFactor {
   /**
    * `request`: the whole request, which comes again; its id is a fingerprint. `part`: a part of a prompt, which many
-   * requests may share.
+   * requests may share. Both concern targets that had just begun to answer. `pending-request` and `pending-part`: the
+   * same for targets that held the request at any stage, as sound requests do in larger number.
    */
   readonly kind: (typeof CRASH_FACTOR_KINDS)[number];
   readonly id: string;
@@ -43,3 +44,15 @@
   const parts = sharedParts.map((id) => ({ kind: 'part' as const, id }));
   return [{ kind: 'request', id: createFingerprint(request) }, ...parts];
 }
+
+const PENDING_KINDS: Readonly<Record<CrashFactor['kind'], CrashFactor['kind']>> = {
+  request: 'pending-request',
+  part: 'pending-part',
+  'pending-request': 'pending-request',
+  'pending-part': 'pending-part',
+};
+
+/** Returns the factors that stand for the same requests and parts at any stage of their answers. */
+export function toPendingFactors(factors: readonly CrashFactor[]): readonly CrashFactor[] {
+  return factors.map(({ kind, id }) => ({ kind: PENDING_KINDS[kind], id }));
+}
--- a/packages/node/src/crashMonitor.ts
+++ b/packages/node/src/crashMonitor.ts
@@ -1,4 +1,3 @@
-import { connect } from 'node:net';
 import {
   type Clock,
   type Counters,
@@ -6,16 +5,20 @@
   type CrashFactor,
   type FactorEvidence,
   isCrashFactorKind,
-  splitAddress,
   type TargetCandidate,
+  type TargetInstance,
 } from '@monsoonreach/core';
 import type { DecisionLog } from './decisionLog.js';
+import { LossWatch } from './lossWatch.js';
 import type { CrashMessage, EvidenceRow, PeerMessage, WithoutVersion } from './peerMessages.js';
 
-/** Time within which a lost target accepts or refuses a connection, in milliseconds; many round trips. */
-const PROBE_TIMEOUT_MS = 120;
+/** Factors that one message carries, so that it fits into a datagram. */
+const MAX_FACTORS_PER_MESSAGE = 200;
 
-/** The loss of a connection to a target that had just begun to answer. */
+/** Crashes from which on a part of a prompt is suspected; sound requests may share it. */
+const MIN_PART_CRASHES = 2;
+
+/** The loss of a connection to a target that held a request. */
 export interface TargetLoss {
   readonly candidate: TargetCandidate;
   readonly requestId: string;
@@ -24,6 +27,11 @@
   readonly sentAtMs: number;
 }
 
+/** A loss of which it is not known yet whether the target crashed. */
+interface OpenLoss extends TargetLoss {
+  readonly lostAtMs: number;
+}
+
 /** Dependencies of {@link CrashMonitor}. */
 export interface CrashMonitorOptions {
   /** Address to which peers send corrections. */
@@ -31,15 +39,17 @@
   readonly clock: Clock;
   readonly counters: Counters;
   readonly log: DecisionLog;
+  /** Finds an instance in the list by its id. */
+  readonly findListed: (id: string) => TargetInstance | undefined;
   readonly send: (address: string, message: WithoutVersion<PeerMessage>) => void;
   readonly broadcast: (message: WithoutVersion<PeerMessage>) => void;
 }
 
-/** Finds out which lost targets have crashed, and shares with all nodes what these had just begun to answer. */
+/** Finds out which lost targets have crashed, and shares with all nodes what these had held. */
 export class CrashMonitor {
   private readonly _evidence: CrashEvidence;
-  /** Probes in progress, by target. */
-  private readonly _probes = new Map<string, Promise<boolean>>();
+  /** Losses of targets that may still turn out to have crashed. */
+  private readonly _watches = new Map<LossWatch, OpenLoss[]>();
 
   constructor(private readonly _options: CrashMonitorOptions) {
     this._evidence = new CrashEvidence(_options.clock);
@@ -55,23 +65,44 @@
     return this._evidence.findQuarantineEndMs(factors);
   }
 
-  /** Finds out whether a lost target has crashed; if so, the request's factors are suspected from then on. */
-  async examineLoss({ candidate, requestId, factors, sentAtMs }: TargetLoss): Promise<void> {
-    const { clock, counters, log } = this._options;
-    const lostAtMs = clock.monotonic();
-    // A target that still listens has closed one connection, for which there are many reasons.
-    if (await this._isListening(candidate)) return;
-    const changed = this._evidence.recordCrash(factors, { target: candidate.key, sentAtMs, lostAtMs });
-    counters.add('monsoonreach_crashes_total');
-    const quarantineEndMs = this.findQuarantineEndMs(factors);
-    log.warn('target crashed under request', {
-      target: candidate.key,
-      instance: candidate.instance.id,
-      request: requestId,
-      factors: factors.map(({ kind, id }) => `${kind} ${id}`),
-      quarantinedMs: quarantineEndMs === undefined ? undefined : Math.round(quarantineEndMs - lostAtMs),
-    });
-    this._options.broadcast(this._createMessage(changed));
+  /** Number of targets that crashed in succession under the request with these factors. */
+  countRequestCrashes(factors: readonly CrashFactor[]): number {
+    return this._evidence.countCrashes(factors.filter(({ kind }) => !isPartKind(kind)));
+  }
+
+  /** Whether targets have crashed under the request, or repeatedly under a part of its prompt. */
+  isSuspected(factors: readonly CrashFactor[]): boolean {
+    const parts = factors.filter(({ kind }) => isPartKind(kind));
+    return this.countRequestCrashes(factors) > 0 || this._evidence.countCrashes(parts) >= MIN_PART_CRASHES;
+  }
+
+  /**
+   * Finds out whether a lost target has crashed; if so, the request's factors are suspected from then on. Resolves when
+   * the request may be sent to another target: once it is suspected, no other is risked before the outcome is known.
+   */
+  async examineLoss(loss: TargetLoss, { canRetry }: { readonly canRetry: boolean }): Promise<void> {
+    const isSuspected = canRetry && this.isSuspected(loss.factors);
+    const { first, last } = this._recordLoss(loss).probe();
+    await (isSuspected ? last : first);
+  }
+
+  /** Records a loss that a following attempt at the same target examines. */
+  recordUnexaminedLoss(loss: TargetLoss): void {
+    this._recordLoss(loss);
+  }
+
+  /** Records that a target refuses connections. */
+  recordRefusedConnection(target: string): void {
+    for (const watch of this._watches.keys()) if (watch.target === target) watch.recordCrash();
+  }
+
+  /** Compares the lost targets with the instance list. */
+  tick(): void {
+    const nowMs = this._options.clock.monotonic();
+    for (const watch of this._watches.keys()) {
+      watch.checkList();
+      if (watch.hasCrashed ? !watch.covers(nowMs) : watch.isOver(nowMs)) this._watches.delete(watch);
+    }
   }
 
   /** Records that a target has survived an answer that it began at `begunAtMs`. */
@@ -111,33 +142,60 @@
     ]);
   }
 
-  private _isListening({ key, instance }: TargetCandidate): Promise<boolean> {
-    const current = this._probes.get(key);
-    if (current) return current;
-    const probe = isListening(instance.address).finally(() => this._probes.delete(key));
-    this._probes.set(key, probe);
-    return probe;
+  private _recordLoss(loss: TargetLoss): LossWatch {
+    const { clock, findListed } = this._options;
+    const lostAtMs = clock.monotonic();
+    const { candidate } = loss;
+    let watch = [...this._watches.keys()].find(
+      (other) => other.target === candidate.key && other.covers(lostAtMs),
+    );
+    const losses = (watch && this._watches.get(watch)) ?? [];
+    losses.push({ ...loss, lostAtMs });
+    if (!watch) {
+      const onCrash = () => {
+        this._recordCrash(losses);
+      };
+      watch = new LossWatch({ candidate, clock, findListed, onCrash });
+      this._watches.set(watch, losses);
+    } else if (watch.hasCrashed) this._recordCrash(losses.slice(-1));
+    return watch;
   }
-}
 
-/** Whether connections to the address are not refused; an instance that cannot be reached may still run. */
-function isListening(address: string): Promise<boolean> {
-  return new Promise((resolve) => {
-    const socket = connect({ ...splitAddress(address), timeout: PROBE_TIMEOUT_MS });
-    const finish = (result: boolean) => {
-      socket.destroy();
-      resolve(result);
-    };
-    socket.once('connect', () => {
-      finish(true);
-    });
-    socket.once('timeout', () => {
-      finish(true);
-    });
-    socket.once('error', (error: NodeJS.ErrnoException) => {
-      finish(error.code !== 'ECONNREFUSED');
+  /** Suspects all requests that a crashed target held. */
+  private _recordCrash(losses: readonly OpenLoss[]): void {
+    const changed = new Map<string, FactorEvidence>();
+    for (const { candidate, factors, sentAtMs, lostAtMs } of losses) {
+      for (const evidence of this._evidence.recordCrash(factors, {
+        target: candidate.key,
+        sentAtMs,
+        lostAtMs,
+      }))
+        changed.set(`${evidence.factor.kind}/${evidence.factor.id}`, evidence);
+    }
+    this._options.counters.add('monsoonreach_crashes_total');
+    for (const loss of losses) this._logCrash(loss);
+    const rows = [...changed.values()];
+    for (let start = 0; start < rows.length; start += MAX_FACTORS_PER_MESSAGE)
+      this._options.broadcast(this._createMessage(rows.slice(start, start + MAX_FACTORS_PER_MESSAGE)));
+  }
+
+  private _logCrash({ candidate, requestId, factors, lostAtMs }: OpenLoss): void {
+    const { clock, log } = this._options;
+    const nowMs = clock.monotonic();
+    const quarantineEndMs = this.findQuarantineEndMs(factors);
+    log.warn('target crashed under request', {
+      target: candidate.key,
+      instance: candidate.instance.id,
+      request: requestId,
+      factors: factors.map(({ kind, id }) => `${kind} ${id}`),
+      knownAfterMs: Math.round(nowMs - lostAtMs),
+      quarantinedMs: quarantineEndMs === undefined ? undefined : Math.round(quarantineEndMs - nowMs),
     });
-  });
+  }
+}
+
+function isPartKind(kind: CrashFactor['kind']): boolean {
+  return kind === 'part' || kind === 'pending-part';
 }
 
 function toEvidence(
--- a/packages/node/src/crashWitness.ts
+++ b/packages/node/src/crashWitness.ts
@@ -1,9 +1,15 @@
-import { type CrashFactor, createCrashFactors, type TargetCandidate } from '@monsoonreach/core';
+import {
+  type CrashFactor,
+  createCrashFactors,
+  toPendingFactors,
+  type TargetCandidate,
+} from '@monsoonreach/core';
 import type { CallerRequest } from '@monsoonreach/platform';
+import type { TargetLoss } from './crashMonitor.js';
 import type { ServingContext } from './servingContext.js';
 import type { OpenCall } from './targetConnections.js';
 
-/** Time after a stream's first event from which on its target counts as having survived the request, in milliseconds. */
+/** Time after a stream's first event from which on its target counts as having survived the beginning, in milliseconds. */
 const SURVIVAL_MS = 250;
 
 /** How far one attempt of a request has come; times are monotonic, in milliseconds. */
@@ -28,6 +34,7 @@
 /** Tells the {@link CrashMonitor} of one request's targets: which of them crashed under it, and which survived. */
 export class CrashWitness {
   private _cachedFactors: readonly CrashFactor[] | undefined;
+  private _cachedPendingFactors: readonly CrashFactor[] | undefined;
   private readonly _survivors = new WeakSet<AttemptProgress>();
 
   constructor(
@@ -38,40 +45,77 @@
   /** Time until which the request is refused, monotonic; undefined if it may run. */
   findQuarantineEndMs(): number | undefined {
     const { crashes } = this._context;
-    return crashes.isIdle ? undefined : crashes.findQuarantineEndMs(this._factors);
+    return crashes.isIdle ? undefined : crashes.findQuarantineEndMs(this._allFactors);
   }
 
   /** Records an event of a stream. */
   recordEvent(attempt: AttemptProgress, nowMs: number): void {
-    if (nowMs - (attempt.firstEventAtMs ?? nowMs) >= SURVIVAL_MS) this.recordSurvival(attempt);
+    if (nowMs - (attempt.firstEventAtMs ?? nowMs) < SURVIVAL_MS || this._survivors.has(attempt)) return;
+    this._survivors.add(attempt);
+    this._recordSurvival(attempt, this._factors);
   }
 
-  /** Records that the target has survived the attempt. */
+  /** Records that the target has completed the answer. */
   recordSurvival(attempt: AttemptProgress): void {
-    const { crashes } = this._context;
-    if (crashes.isIdle || this._survivors.has(attempt)) return;
-    this._survivors.add(attempt);
-    const begunAtMs = this._request.isStream ? attempt.headAtMs : attempt.startedAtMs;
-    if (begunAtMs !== undefined) crashes.recordSurvival(this._factors, begunAtMs);
+    this._recordSurvival(attempt, this._allFactors);
   }
 
   /** Finds out whether the target that broke off an attempt crashed under it, before the request may crash another. */
-  async examineLoss(attempt: AttemptProgress, reason: string): Promise<void> {
+  async examineLoss(
+    attempt: AttemptProgress,
+    { reason, canRetry }: { readonly reason: string; readonly canRetry: boolean },
+  ): Promise<void> {
+    this._logLoss(attempt, reason);
+    await this._context.crashes.examineLoss(this._createLoss(attempt), { canRetry });
+  }
+
+  /** Records the loss of an attempt that is repeated at the same target. */
+  recordRepeatedLoss(attempt: AttemptProgress, reason: string): void {
     this._logLoss(attempt, reason);
-    if (!this._hasJustBegun(attempt)) return;
-    await this._context.crashes.examineLoss({
+    this._context.crashes.recordUnexaminedLoss(this._createLoss(attempt));
+  }
+
+  /** Number of targets that crashed in succession under the request. */
+  get crashCount(): number {
+    const { crashes } = this._context;
+    return crashes.isIdle ? 0 : crashes.countRequestCrashes(this._allFactors);
+  }
+
+  /** Whether targets may have crashed under the request before. */
+  get isSuspected(): boolean {
+    const { crashes } = this._context;
+    return !crashes.isIdle && crashes.isSuspected(this._allFactors);
+  }
+
+  private _createLoss(attempt: AttemptProgress): TargetLoss {
+    return {
       candidate: attempt.candidate,
       requestId: this._request.caller.requestId,
-      factors: this._factors,
+      factors: this._hasJustBegun(attempt) ? this._allFactors : this._pendingFactors,
       sentAtMs: attempt.startedAtMs,
-    });
+    };
+  }
+
+  private _recordSurvival(attempt: AttemptProgress, factors: readonly CrashFactor[]): void {
+    const { crashes } = this._context;
+    if (crashes.isIdle) return;
+    const begunAtMs = this._request.isStream ? attempt.headAtMs : attempt.startedAtMs;
+    if (begunAtMs !== undefined) crashes.recordSurvival(factors, begunAtMs);
   }
 
   private get _factors(): readonly CrashFactor[] {
     return (this._cachedFactors ??= createCrashFactors(this._request, this._request.caller.sharedParts));
   }
 
-  /** Whether the target may have begun the answer and has not survived it yet. */
+  private get _pendingFactors(): readonly CrashFactor[] {
+    return (this._cachedPendingFactors ??= toPendingFactors(this._factors));
+  }
+
+  private get _allFactors(): readonly CrashFactor[] {
+    return [...this._factors, ...this._pendingFactors];
+  }
+
+  /** Whether the target may have begun the answer and has not survived its beginning yet. */
   private _hasJustBegun({ headAtMs, firstEventAtMs }: AttemptProgress): boolean {
     if (!this._request.isStream) return true;
     const nowMs = this._context.clock.monotonic();
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -454,6 +454,7 @@
       clock: this._clock,
       counters: this._counters,
       log: this._log,
+      findListed: (id) => this._list.get(id),
       send: (address, message) => {
         this._exchange.send(address, message);
       },
@@ -807,6 +808,7 @@
     this._askContact(nowMs);
     for (const run of this._runs) run.checkProgress(nowMs);
     this._placement.tick(nowMs);
+    this._crashes.tick();
     this._list.removeExpired();
     if (!this._listFollower.isFailing) this._heads.tick();
   }
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -34,6 +34,8 @@
 const MAX_EVENT_BYTES = 262_144;
 /** Interval at which another target is sought while an attempt is silent, in milliseconds. */
 const MOVE_INTERVAL_MS = 200;
+/** Targets that crashed under a request, from which on it is sent to no other in the same attempt of its caller. */
+const MAX_RETRIED_CRASHES = 2;
 /** Largest share of the remaining time that Retry-After may ask for; callers do not honour a longer wait. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
 
@@ -662,7 +664,11 @@
   }
 
   private _handleError(attempt: Attempt, error: CallError): void {
-    if (error.failure === 'stale' && this._isRepeatable() && this._tryTakeRetry('stale')) {
+    const { crashes } = this._options.context;
+    if (isConnectionRefused(error)) crashes.recordRefusedConnection(attempt.candidate.key);
+    const canRepeat = error.failure === 'stale' && this._isRepeatable() && !this._witness.isSuspected;
+    if (canRepeat && this._tryTakeRetry('stale')) {
+      this._witness.recordRepeatedLoss(attempt, 'stale');
       this._sendAgain(attempt);
       return;
     }
@@ -702,7 +708,10 @@
         context.onSilentTarget(attempt.candidate);
       }
     }
-    const examined = LOSSES.has(reason) ? this._witness.examineLoss(attempt, reason) : undefined;
+    const canRetry = (!mayHaveRun || this._isRepeatable()) && this._canRetry();
+    const examined = LOSSES.has(reason)
+      ? this._witness.examineLoss(attempt, { reason, canRetry })
+      : undefined;
     if (attempt === this._successor) this._dropSuccessor(attempt, reason);
     else if (this._successor) this._promoteSuccessor(reason);
     else if (!examined) this._retryOrGiveUp(attempt, reason, mayHaveRun);
@@ -746,7 +755,8 @@
     const { context, route } = this._options;
     if (this._attempts >= route.maxAttempts) return 'attempts-used';
     if (context.clock.monotonic() >= this._deadlineMs) return 'timeout';
-    if (this._witness.findQuarantineEndMs() !== undefined) return 'quarantined';
+    const isQuarantined = this._witness.findQuarantineEndMs() !== undefined;
+    if (isQuarantined || this._witness.crashCount >= MAX_RETRIED_CRASHES) return 'quarantined';
     if (this._estimateFinish()?.canFinish === false) return 'stopping';
     const choice = this._choose();
     return choice.kind === 'none' ? choice.reason : undefined;
@@ -901,6 +911,10 @@
 /** Failures in which the target closed the connection before its answer was complete. */
 const LOSSES: ReadonlySet<CallOutcomeReason> = new Set(['target-lost', 'truncated']);
 
+function isConnectionRefused({ failure, cause }: CallError): boolean {
+  return failure === 'unreachable' && (cause as NodeJS.ErrnoException | undefined)?.code === 'ECONNREFUSED';
+}
+
 /** Rounds a time for the log; JSON cannot represent infinity. */
 function toLoggedMs(ms: number | undefined): number | undefined {
   return ms === undefined || !Number.isFinite(ms) ? undefined : Math.round(ms);
--- a/tests/node/groupFixture.ts
+++ b/tests/node/groupFixture.ts
@@ -141,11 +141,12 @@
       clock: systemClock,
       counters,
       log,
+      findListed: () => undefined,
       send: () => undefined,
       broadcast: () => undefined,
     });
     const examineLoss = crashes.examineLoss.bind(crashes);
-    crashes.examineLoss = (loss) => this.examineLoss?.() ?? examineLoss(loss);
+    crashes.examineLoss = (...loss) => this.examineLoss?.() ?? examineLoss(...loss);
     return {
       clock: systemClock,
       random: createRandom(1),
--- a/tests/serving/crashEvidence.test.ts
+++ b/tests/serving/crashEvidence.test.ts
@@ -19,6 +19,7 @@
       readonly sentAtMs: number;
       readonly lostAtMs: number;
       readonly of?: CrashFactor;
+      readonly target?: string;
     }
   | { readonly kind: 'survival'; readonly begunAtMs: number; readonly of?: CrashFactor };
 
@@ -27,7 +28,7 @@
     const factors = [step.of ?? REQUEST];
     switch (step.kind) {
       case 'crash':
-        evidence.recordCrash(factors, { ...step, target: `target-${step.lostAtMs}-${step.sentAtMs}` });
+        evidence.recordCrash(factors, { target: `target-${step.lostAtMs}-${step.sentAtMs}`, ...step });
         break;
       case 'survival':
         evidence.recordSurvival(factors, step.begunAtMs);
@@ -227,6 +228,40 @@
   t.end();
 });
 
+const PENDING: CrashFactor = { kind: 'pending-request', id: 'f1' };
+
+const pendingCases = [
+  { name: 'two crashes may befall a sound request', steps: [crash(0, 10, PENDING), crash(20, 30, PENDING)] },
+  {
+    name: 'a third quarantines it',
+    steps: [crash(0, 10, PENDING), crash(20, 30, PENDING), crash(40, 50, PENDING)],
+    endMs: 60_050,
+  },
+  {
+    name: 'a completed answer clears it',
+    steps: [crash(0, 10, PENDING), crash(20, 30, PENDING), survival(35, PENDING), crash(40, 50, PENDING)],
+  },
+  {
+    name: 'a target that starts and crashes again before the list shows it counts each time',
+    steps: [
+      { ...crash(0, 10, PENDING), target: 'same' },
+      { ...crash(200, 210, PENDING), target: 'same' },
+      { ...crash(400, 410, PENDING), target: 'same' },
+    ],
+    endMs: 60_410,
+  },
+];
+
+// Guards against requests that are never suspected because their target had not begun, or had gone on for long.
+void t.test('quarantine of a request that a target held at any stage', (t) => {
+  for (const { name, steps, endMs } of pendingCases) {
+    const evidence = createEvidence(60);
+    apply(evidence, steps);
+    t.equal(evidence.findQuarantineEndMs([PENDING]), endMs, name);
+  }
+  t.end();
+});
+
 void t.test('evidence about many requests is bounded', (t) => {
   const evidence = createEvidence();
   const all: readonly CrashFactor[] = Array.from({ length: 3_000 }, (_, index) => ({
