Placement: what a target answered one node as misdirected holds for all

A target that answers 421 is left alone for two seconds by the node, and by its owner for the requests of all nodes, as the target says it itself. Test: eleven of twelve groups end, one node is told, and all three place at the twelfth.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -16,6 +16,7 @@
   LoadTracker,
   MAX_SOUND_SILENCE_MS,
   type Member,
+  Misdirections,
   pause,
   type Random,
   RetryWindowBudget,
@@ -107,6 +108,7 @@
     this._placement.scheduleReport(target);
   });
   private readonly _limits: TargetLimits;
+  private readonly _misdirections: Misdirections;
   private readonly _availability: TargetAvailability;
   private readonly _demand = new DemandMeter();
   private readonly _health = new TargetHealth();
@@ -172,6 +174,7 @@
     this._connections = new TargetConnections(_clock);
     this._reports = new FleetReports(_clock);
     this._limits = new TargetLimits(_clock, () => this._exchange.size + 1);
+    this._misdirections = new Misdirections(_clock);
     this._availability = new TargetAvailability(_clock);
     this._silentTargets = new SilentTargets(_clock);
     this._list = this._createList();
@@ -521,6 +524,7 @@
       log: this._log,
       loads: this._loads,
       limits: this._limits,
+      misdirections: this._misdirections,
       isOwnedBy: (incarnation, address) =>
         this._directory.findOwnerOfIncarnation(incarnation)?.address === address,
       findOwners: ({ service, model }) => {
--- a/packages/node/src/peerMessages.ts
+++ b/packages/node/src/peerMessages.ts
@@ -120,6 +120,11 @@
   loads: z.record(z.string(), loadSchema),
   /** Limits that the receiver's targets named to the sender, by incarnation; absent from nodes of earlier versions. */
   limits: z._default(z.record(z.string(), limitSchema), {}),
+  /**
+   * Time since the receiver's targets answered the sender that they do not serve what was sent, in milliseconds; absent
+   * from nodes of earlier versions.
+   */
+  misdirected: z._default(z.record(z.string(), count), {}),
 };
 
 const reportSchema = z.object({
--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -2,6 +2,7 @@
   Clock,
   Counters,
   LoadTracker,
+  Misdirections,
   Random,
   RequestSize,
   ShardOwner,
@@ -74,6 +75,7 @@
   readonly log: DecisionLog;
   readonly loads: LoadTracker;
   readonly limits: TargetLimits;
+  readonly misdirections: Misdirections;
   /** Whether the node at the address assigns the requests for this incarnation of an instance. */
   readonly isOwnedBy: (incarnation: string, address: string) => boolean;
   /** Time to wait for an owner's answer before this node chooses locally, in milliseconds; 40 by default. */
@@ -161,6 +163,15 @@
     }, REPORT_DELAY_MS);
   }
 
+  /** Records that a target does not serve what was sent to it, and tells its owner, which places the requests of all. */
+  recordMisdirection(target: string): void {
+    const { misdirections, findOwner, log } = this._options;
+    if (!misdirections.record(target)) return;
+    log.info('target does not serve what was sent to it', { target });
+    const owner = findOwner(target);
+    if (owner) this.reportNow(owner.address);
+  }
+
   /** Reports to an owner without delay. */
   reportNow(owner: string): void {
     if (owner !== this._options.address) this._sendReports([owner]);
@@ -206,7 +217,7 @@
       promptTokens: criteria.size.promptTokens,
       answerTokens: criteria.size.answerTokens,
       isContinuing: criteria.isContinuing,
-      avoided: [...criteria.tried, ...this._options.avoidedTargets()],
+      avoided: [...this._addMisdirected(criteria.tried), ...this._options.avoidedTargets()],
       connected: this._options.connectedTargets().slice(0, MAX_CONNECTED_TARGETS),
     });
   }
@@ -254,6 +265,7 @@
     const connected = new Set(this._options.connectedTargets());
     return this._options.chooseLocally({
       ...criteria,
+      tried: this._addMisdirected(criteria.tried),
       failureDomain,
       connected,
       isOwner,
@@ -291,6 +303,8 @@
       const limit = { requestsPerS: requestsPerS ?? undefined, namedAtMs: nowMs - ageMs };
       this._options.limits.record(incarnation, limit);
     }
+    for (const [target, ageMs] of Object.entries(message.misdirected))
+      this._options.misdirections.record(target, ageMs);
   }
 
   private _answerRequest(request: AskMessage): void {
@@ -303,6 +317,7 @@
     const connected = new Set(request.connected);
     const choice = chooseLocally({
       ...criteria,
+      tried: this._addMisdirected(criteria.tried),
       failureDomain,
       connected,
       isOwner: true,
@@ -383,9 +398,22 @@
         ),
       ),
       limits: this._describeLimits(owner),
+      misdirected: this._describeMisdirections(owner),
     };
   }
 
+  private _addMisdirected(tried: ReadonlySet<string>): ReadonlySet<string> {
+    const misdirected = this._options.misdirections.list();
+    return misdirected.size === 0 ? tried : new Set([...tried, ...misdirected]);
+  }
+
+  private _describeMisdirections(owner: string): Readonly<Record<string, number>> {
+    const { misdirections, findOwner } = this._options;
+    return Object.fromEntries(
+      [...misdirections.describe()].filter(([target]) => findOwner(target)?.address === owner),
+    );
+  }
+
   private _describeLimits(owner: string): LimitRows {
     const { limits, clock, isOwnedBy } = this._options;
     const nowMs = clock.monotonic();
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -536,6 +536,7 @@
       // A head that is full, closing or no head any more names itself; its group need not be stalled.
       if (isOtherInstance(faultyInstance, candidate.instance)) context.onSilentTarget(candidate);
     }
+    if (head.status === 421 && candidate.engine) context.placement.recordMisdirection(candidate.key);
     this._handleFailure(attempt, head.status === 421 ? 'misdirected' : 'refused-by-target', false);
   }
 
--- a/tests/node/groupFixture.ts
+++ b/tests/node/groupFixture.ts
@@ -170,6 +170,7 @@
           this.candidates.map((index) => this._createCandidate(this.targets[index], index)),
       } as unknown as TargetDirectory,
       placement: {
+        recordMisdirection: () => undefined,
         place: (...options: Parameters<Placement['place']>) => {
           this.place(...options);
         },
--- a/tests/node/placement.test.ts
+++ b/tests/node/placement.test.ts
@@ -6,6 +6,7 @@
   getIncarnationKey,
   LoadTracker,
   ManualClock,
+  Misdirections,
   type ShardOwner,
   systemClock,
   type TargetCandidate,
@@ -86,6 +87,7 @@
       log: new DecisionLog(name, 'hidden', this._clock, counters),
       loads,
       limits,
+      misdirections: new Misdirections(this._clock),
       isOwnedBy: (incarnation, address) =>
         this._findOwner(incarnation.split('#')[0] ?? '')?.address === address,
       ...(this._answerTimeoutMs === undefined ? {} : { answerTimeoutMs: this._answerTimeoutMs }),
@@ -289,6 +291,33 @@
   t.equal(getKeyOrReason(await fleet.place('node-1', tried)), `group-${GROUPS - 1}`);
 });
 
+// Guards against heads that no longer serve, while the list still shows them, taking requests and retries of every node.
+void t.test(
+  'load pattern, groups end at once: what one node was answered holds for the requests of all',
+  async (t) => {
+    const fleet = new PlacementFleet(3, ANSWER_TIMEOUT_MS);
+    const ended = new Set(Array.from({ length: GROUPS - 1 }, (_, index) => `group-${index}`));
+    for (const key of ended) fleet.nodes.get('node-1')?.placement.recordMisdirection(key);
+    await sleep(50);
+    for (const node of ['node-0', 'node-1', 'node-2'])
+      t.equal(getKeyOrReason(await fleet.place(node)), `group-${GROUPS - 1}`, node);
+  },
+);
+
+void t.test('a target that was left alone after a wrong answer is used again', (t) => {
+  const clock = new ManualClock();
+  const misdirections = new Misdirections(clock);
+  t.equal(misdirections.record('group-1'), true);
+  t.equal(misdirections.record('group-1'), false);
+  clock.advance(1_999);
+  t.same([...misdirections.list()], ['group-1']);
+  clock.advance(1);
+  t.equal(misdirections.list().size, 0);
+  t.equal(misdirections.record('group-1', 2_000), true, 'an answer that was given long ago says nothing');
+  t.equal(misdirections.list().size, 0);
+  t.end();
+});
+
 void t.test('load pattern: the owner tells every node when all groups are full', async (t) => {
   const fleet = new PlacementFleet(3, ANSWER_TIMEOUT_MS);
   const capacity = GROUPS * Math.ceil(ENGINE_PROFILE.slots * 1.25);
