Limits: bound the requests to cold targets

Cause: a target that has just started tolerates fewer requests, and nothing kept requests from it: TargetLimits knew only limits that targets state themselves.

Ruled out: the cold time as part of TargetInstance, since an entry that only counts down would then be a change of the list each time; one bucket for both sources, since a stated limit and a cold one would replace each other.

Change: entries, reports and health answers tell the time for which a target stays cold; TargetLimits keeps it below a rate for each owner and for two nodes without one. A warm target of such a service is bounded too. A request whose connection was closed is placed again instead of repeated at the same target. Without [bounds] cold-overrun, or on services without coldPerS, nothing changes.

--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -22,6 +22,7 @@
 export * from './routeTable.js';
 export * from './servingConfiguration.js';
 export * from './shards.js';
+export * from './coldRates.js';
 export * from './silence.js';
 export * from './soundSilence.js';
 export * from './stallDetector.js';
--- a/packages/core/src/serving/servingConfiguration.ts
+++ b/packages/core/src/serving/servingConfiguration.ts
@@ -80,6 +80,10 @@
   readonly healthPath: string | undefined;
   /** Only for services whose targets form groups. */
   readonly engine: EngineProfile | undefined;
+  /** Time for which a target is cold after its start, in milliseconds; 0 if targets are never cold. */
+  readonly coldStartMs: number;
+  /** Requests per second that a cold target tolerates from all nodes together; 0 if that is not bounded. */
+  readonly coldRequestsPerS: number;
 }
 
 /** Limits on a caller's requests. */
--- a/packages/core/src/serving/targetChoice.ts
+++ b/packages/core/src/serving/targetChoice.ts
@@ -8,6 +8,8 @@
 const REMOTE_PENALTY_MS = 4;
 /** Added for a target to which a connection has to be opened, in milliseconds: a round trip and the processor time of both ends. */
 const CONNECT_COST_MS = 8;
+/** Assumed factor on the times of a cold target; it has not loaded all that it needs. */
+const COLD_FACTOR = 2;
 /** Predicted cost of one failure, in milliseconds: a second attempt that repeats the prefill. */
 const FAILURE_COST_MS = 400;
 /** Added for a suspect ungrouped instance, in milliseconds, so that it is used only when no other is available. */
@@ -46,6 +48,8 @@
   readonly connected?: ReadonlySet<string>;
   /** Incarnations of instances that take no request now, as they said themselves; none by default. */
   readonly unavailable?: ReadonlySet<string>;
+  /** Incarnations of instances that are cold, and slower for some seconds; none by default. */
+  readonly cold?: ReadonlySet<string>;
   /** Whether the request resumes a partially delivered answer; it then queues at a full target instead of failing. */
   readonly isContinuing?: boolean;
 }
@@ -74,7 +78,8 @@
   const jitterShare = context.isExact === true ? EXACT_JITTER_SHARE : JITTER_SHARE;
   let best: { readonly candidate: TargetCandidate; readonly costMs: number; predictedMs: number } | undefined;
   for (const candidate of free) {
-    const predictedMs = predictMs(candidate, context.size);
+    const isCold = context.cold?.has(getIncarnationKey(candidate.instance)) === true;
+    const predictedMs = predictMs(candidate, context.size) * (isCold ? COLD_FACTOR : 1);
     const costMs =
       predictedMs * (1 + jitterShare * context.random.next()) + computePenaltyMs(candidate, context);
     if (!best || costMs < best.costMs) best = { candidate, costMs, predictedMs };
--- a/packages/node/src/headMonitor.ts
+++ b/packages/node/src/headMonitor.ts
@@ -103,7 +103,8 @@
     const { clock } = this._options;
     const previous = this._getFinding(head);
     try {
-      const { state } = await readReport(head, ANSWER_TIMEOUT_MS);
+      const { state, coldRemainingMs } = await readReport(head, ANSWER_TIMEOUT_MS);
+      this._options.list.recordCold({ id: head.id, startedAtMs: state.startedAtMs }, coldRemainingMs);
       const membership = state.startedAtMs === head.startedAtMs ? state.membership : undefined;
       this._heads.recordAnswer(head, membership, clock.monotonic());
     } catch (error) {
--- a/packages/node/src/instanceList.ts
+++ b/packages/node/src/instanceList.ts
@@ -55,6 +55,8 @@
   /** Entries that are missing after an outage, with the monotonic time until which they are kept. */
   private readonly _missing = new Map<string, number>();
   private readonly _changedAtMs = new Map<string, number>();
+  /** Until when instances are cold, as monotonic time, for this start of each. */
+  private readonly _cold = new Map<string, { readonly startedAtMs: number; readonly untilMs: number }>();
   private _version = 0;
   private _lastAddedAtMs = -Infinity;
 
@@ -89,6 +91,22 @@
     return this._changedAtMs.get(id) ?? -Infinity;
   }
 
+  /** Monotonic time until which the listed instance is cold; -Infinity if it is not known to be. */
+  getColdUntilMs({ id, startedAtMs }: Pick<TargetInstance, 'id' | 'startedAtMs'>): number {
+    const cold = this._cold.get(id);
+    return cold?.startedAtMs === startedAtMs ? cold.untilMs : -Infinity;
+  }
+
+  /**
+   * Records that an instance stays cold for this time from now. A shorter time does not shorten a longer one: it may have
+   * been stated before the instance became cold, and is read late.
+   */
+  recordCold({ id, startedAtMs }: Pick<TargetInstance, 'id' | 'startedAtMs'>, coldRemainingMs: number): void {
+    if (coldRemainingMs <= 0 || startedAtMs < (this._cold.get(id)?.startedAtMs ?? -Infinity)) return;
+    const untilMs = this._clock.monotonic() + coldRemainingMs;
+    this._cold.set(id, { startedAtMs, untilMs: Math.max(untilMs, this.getColdUntilMs({ id, startedAtMs })) });
+  }
+
   get(id: string): TargetInstance | undefined {
     return this._instances.get(id);
   }
@@ -126,6 +144,7 @@
     for (const [id, { removedAtMs }] of this._removed) {
       if (nowMs - removedAtMs > REMOVED_TTL_MS) this._removed.delete(id);
     }
+    for (const [id, { untilMs }] of this._cold) if (nowMs > untilMs) this._cold.delete(id);
     if (this._isRestoring()) return;
     for (const entry of this._withheld.values()) this._put(entry);
     this._withheld.clear();
@@ -163,12 +182,18 @@
     return removed !== undefined && entry.instance.startedAtMs <= removed.entry.instance.startedAtMs;
   }
 
-  private _put({ instance, revision }: InstanceEntry): void {
+  private _put({ instance, revision, coldRemainingMs }: InstanceEntry): void {
     this._missing.delete(instance.id);
     this._withheld.delete(instance.id);
     this._removed.delete(instance.id);
-    this._revisions.set(instance.id, revision);
     const previous = this._instances.get(instance.id);
+    // A snapshot repeats entries that were read before; their time has run since.
+    const isRepeated =
+      previous?.startedAtMs === instance.startedAtMs &&
+      revision > 0 &&
+      revision === this._revisions.get(instance.id);
+    if (!isRepeated) this.recordCold(instance, coldRemainingMs);
+    this._revisions.set(instance.id, revision);
     if (previous && previous.state !== instance.state) {
       this._log.info('target state changed', { target: instance.id, state: instance.state });
     }
@@ -194,10 +219,11 @@
   private _delete(id: string): void {
     const instance = this._instances.get(id);
     if (!instance) return;
-    const entry = { instance, revision: this._revisions.get(id) ?? 0 };
+    const entry = { instance, revision: this._revisions.get(id) ?? 0, coldRemainingMs: 0 };
     this._removed.set(id, { entry, removedAtMs: this._clock.monotonic() });
     this._revisions.delete(id);
     this._changedAtMs.delete(id);
+    this._cold.delete(id);
     this._instances.delete(id);
     this._version++;
   }
@@ -215,7 +241,7 @@
 }
 
 /** Whether an entry was written before another one of the same instance; an instance that leaves does not come back. */
-function isOlder(entry: InstanceEntry, other: InstanceEntry): boolean {
+function isOlder(entry: InstanceEntry, other: Pick<InstanceEntry, 'instance' | 'revision'>): boolean {
   const { startedAtMs } = other.instance;
   if (entry.instance.startedAtMs !== startedAtMs) return entry.instance.startedAtMs < startedAtMs;
   if (entry.revision !== other.revision) return entry.revision < other.revision;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -40,6 +40,7 @@
   Topic,
 } from '@monsoonreach/platform';
 import { AnswerBuffers } from './answerBuffers.js';
+import { ColdTargets, countColdSkip, rankNode } from './coldTargets.js';
 import { CrashMonitor } from './crashMonitor.js';
 import { DecisionLog } from './decisionLog.js';
 import { FleetReports } from './fleetReports.js';
@@ -107,6 +108,7 @@
     this._placement.scheduleReport(target);
   });
   private readonly _limits: TargetLimits;
+  private readonly _cold: ColdTargets;
   private readonly _availability: TargetAvailability;
   private readonly _demand = new DemandMeter();
   private readonly _health = new TargetHealth();
@@ -171,10 +173,22 @@
     });
     this._connections = new TargetConnections(_clock);
     this._reports = new FleetReports(_clock);
-    this._limits = new TargetLimits(_clock, () => this._exchange.size + 1);
+    this._limits = new TargetLimits(
+      _clock,
+      () => this._exchange.size + 1,
+      (incarnation) => this._rankFor(incarnation),
+    );
     this._availability = new TargetAvailability(_clock);
     this._silentTargets = new SilentTargets(_clock);
     this._list = this._createList();
+    this._cold = new ColdTargets({
+      bounds: _settings.bounds,
+      list: this._list,
+      limits: this._limits,
+      counters: this._counters,
+      log: this._log,
+      configuration: () => this._table?.configuration,
+    });
     this._configurationFollower = this._createConfigurationFollower();
     this._listFollower = this._createListFollower();
     this._exchange = this._createExchange();
@@ -554,20 +568,30 @@
   }
 
   private _chooseTarget(criteria: LocalPlacementCriteria): TargetChoice {
-    const choice = chooseTarget(this._findCandidates(criteria), {
+    const candidates = this._findCandidates(criteria);
+    const exhausted = this._limits.listColdExhausted(criteria.isOwner ? 'fleet' : 'node');
+    const choice = chooseTarget(candidates, {
       ...criteria,
+      cold: this._limits.listCold(),
       isExact: criteria.isOwner,
       nowMs: this._clock.monotonic(),
       random: this._random,
       health: this._judgeFor(criteria),
       unavailable: this._listUnavailable(criteria),
     });
+    countColdSkip(this._counters, choice, candidates, exhausted);
     if (criteria.isOwner && choice.kind === 'chosen') {
       this._limits.recordGrant(getIncarnationKey(choice.candidate.instance));
     }
     return choice;
   }
 
+  /** This node's rank for a target among all nodes that it has known lately, also those that it cannot reach. */
+  private _rankFor(incarnation: string): number {
+    const others = this._exchange.listMembers().map(({ node }) => node);
+    return rankNode(incarnation, this._self.node, others);
+  }
+
   private _judgeFor({ isOwnRequest }: Pick<LocalPlacementCriteria, 'isOwnRequest'>): TargetJudgement {
     return isOwnRequest ? this._health : this._suspicions.judgeForPeers();
   }
@@ -688,12 +712,14 @@
       peerIntervalMs: PEER_LIST_INTERVAL_MS,
       onSnapshot: (records) => {
         this._list.replaceAll(records);
+        this._cold.update();
         this._hasList = true;
         this._listReadAtMs = Math.min(this._listReadAtMs, this._clock.monotonic());
         this._openGateIfReady();
       },
       onChanges: (records) => {
         this._list.applyChanges(records);
+        this._cold.update();
       },
     });
   }
@@ -717,6 +743,7 @@
     if (version <= current) return;
     this._table = new RouteTable(configuration);
     this._front.configure(configuration.limits);
+    this._cold.update();
     this._openGateIfReady();
     this._log.info('configuration in force', {
       version,
@@ -810,6 +837,7 @@
     this._placement.tick(nowMs);
     this._crashes.tick();
     this._list.removeExpired();
+    this._cold.update();
     if (!this._listFollower.isFailing) this._heads.tick();
   }
 
--- a/packages/node/src/orderSender.ts
+++ b/packages/node/src/orderSender.ts
@@ -134,8 +134,9 @@
     // A suspension of this process is no silence of the instance.
     const getWaitedMs = () => Math.min(clock.monotonic() - askedAtMs, timeoutMs);
     try {
-      const { state, orderCount } = await readReport(instance, timeoutMs);
+      const { state, orderCount, coldRemainingMs } = await readReport(instance, timeoutMs);
       this._overlay.recordReport({ ...(list.get(id) ?? instance), ...state }, orderCount, clock.monotonic());
+      list.recordCold({ id, startedAtMs: state.startedAtMs }, coldRemainingMs);
       onReportResult(id, 'answered', getWaitedMs());
       return true;
     } catch (error) {
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -215,8 +215,9 @@
   }
 
   private async _askHealth(instance: RemovedInstance, path: string): Promise<void> {
-    const { clock, log } = this._options;
-    const health = await readHealth(instance, { path, timeoutMs: CHECK_TIMEOUT_MS });
+    const { clock, list, log } = this._options;
+    const { health, coldRemainingMs } = await readHealth(instance, { path, timeoutMs: CHECK_TIMEOUT_MS });
+    list.recordCold(instance, coldRemainingMs);
     const isNew = this._unlisted.recordHealth(instance, health, clock.monotonic());
     if (isNew) log.info('unlisted member answered', { target: instance.id, health });
   }
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -22,6 +22,7 @@
   type ResponseHead,
 } from '@monsoonreach/platform';
 import type { BufferedAnswer } from './answerBuffers.js';
+import { countColdSkip } from './coldTargets.js';
 import { CrashWitness } from './crashWitness.js';
 import type { PlacementCriteria } from './placement.js';
 import type { ServingContext } from './servingContext.js';
@@ -329,7 +330,9 @@
     const { placement } = this._options.context;
     const criteria = this._createPlacementCriteria();
     if (!criteria) {
-      onChoice(this._choose());
+      const choice = this._choose();
+      this._countColdSkip(choice);
+      onChoice(choice);
       return;
     }
     placement.place(criteria, (choice) => {
@@ -339,6 +342,16 @@
     });
   }
 
+  /** Counts a choice among the targets of a plain service for which cold ones were left out. */
+  private _countColdSkip(choice: TargetChoice): void {
+    const { context } = this._options;
+    const configuration = context.configuration();
+    const exhausted = context.limits.listColdExhausted('node');
+    if (exhausted.size === 0 || !configuration || this._service === undefined) return;
+    const candidates = context.directory.findCandidates(configuration, this._service, undefined);
+    countColdSkip(context.counters, choice, candidates, exhausted);
+  }
+
   private _handleChoice(choice: TargetChoice): void {
     switch (choice.kind) {
       case 'chosen':
@@ -392,7 +405,8 @@
     const configuration = context.configuration();
     if (!configuration || this._service === undefined) return { kind: 'none', reason: 'no-target' };
     const model = this._isStream ? caller.model : undefined;
-    return chooseTarget(context.directory.findCandidates(configuration, this._service, model), {
+    const candidates = context.directory.findCandidates(configuration, this._service, model);
+    return chooseTarget(candidates, {
       nowMs: context.clock.monotonic(),
       random: context.random,
       health: context.health,
@@ -402,6 +416,7 @@
       // The owners of groups know how many requests these still take.
       unavailable: model === undefined ? listUnavailable(context) : context.availability.listUnavailable(),
       isContinuing: this._forwardedEvents > 0,
+      cold: context.limits.listCold(),
     });
   }
 
@@ -664,12 +679,14 @@
   }
 
   private _handleError(attempt: Attempt, error: CallError): void {
-    const { crashes } = this._options.context;
-    if (isConnectionRefused(error)) crashes.recordRefusedConnection(attempt.candidate.key);
+    const { context } = this._options;
+    if (isConnectionRefused(error)) context.crashes.recordRefusedConnection(attempt.candidate.key);
     const canRepeat = error.failure === 'stale' && this._isRepeatable() && !this._witness.isSuspected;
     if (canRepeat && this._tryTakeRetry('stale')) {
       this._witness.recordRepeatedLoss(attempt, 'stale');
-      this._sendAgain(attempt);
+      // A request that arrives twice has to be counted twice where a bound on cold targets holds.
+      if (context.limits.isBounded(getIncarnationKey(attempt.candidate.instance))) this._placeAgain(attempt);
+      else this._sendAgain(attempt);
       return;
     }
     this._handleFailure(attempt, OUTCOMES[error.failure], !error.isUnsent);
@@ -686,6 +703,20 @@
     this._send(candidate, predictedMs, { role });
   }
 
+  /** Places the request again, at the same target only if there is no other; the attempt on the closed connection does not count. */
+  private _placeAgain(attempt: Attempt): void {
+    const { key } = attempt.candidate;
+    this._mayHaveRun = true;
+    this._trail.push(`${key} stale ${this._elapsedMs(attempt.startedAtMs)}ms`);
+    this._releaseAttempt(attempt);
+    this._attempts--;
+    this._targets.recordBrokenOff(key);
+    const successor = attempt === this._successor ? undefined : this._successor;
+    if (attempt === this._attempt) this._attempt = successor;
+    this._successor = undefined;
+    if (!this._attempt) this._dispatch();
+  }
+
   /** Handles an attempt without an answer that can be forwarded: retries, or ends the request. */
   private _handleFailure(attempt: Attempt, reason: CallOutcomeReason, mayHaveRun: boolean): void {
     if (mayHaveRun) this._mayHaveRun = true;
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -38,6 +38,12 @@
     'retry-share': numberField({ min: 0, max: 10, isWhole: false }),
     'retry-window': durationField,
     'retry-slack': numberField({ min: 0, max: 1_000_000, isWhole: false }),
+    /**
+     * Requests that may reach a cold target in any second: its rate times a factor, plus a fixed number. Without the
+     * factor, cold targets get as many as others.
+     */
+    'cold-overrun': numberField({ min: 0, max: 1_000, isWhole: false }).optional(),
+    'cold-slack': numberField({ min: 0, max: 1_000_000, isWhole: false }).optional(),
   }),
 });
 
--- a/tests/node/instanceList.test.ts
+++ b/tests/node/instanceList.test.ts
@@ -178,3 +178,86 @@
     t.end();
   });
 }
+
+/** An entry that is read at a time, and how long the instance is cold afterwards. */
+interface ColdCase {
+  readonly name: string;
+  readonly reads: readonly {
+    readonly atMs: number;
+    readonly seqNo: number;
+    readonly cold?: unknown;
+    readonly born?: number;
+    readonly isSnapshot?: boolean;
+  }[];
+  /** Time at which the instance is no longer cold; undefined if it is not. */
+  readonly untilMs: number | undefined;
+}
+
+const coldCases: readonly ColdCase[] = [
+  { name: 'a warm target', reads: [{ atMs: 0, seqNo: 1 }], untilMs: undefined },
+  { name: 'a target that has started', reads: [{ atMs: 0, seqNo: 1, cold: 3_000 }], untilMs: 3_000 },
+  {
+    name: 'later entries count down',
+    reads: [
+      { atMs: 0, seqNo: 1, cold: 3_000 },
+      { atMs: 1_000, seqNo: 2, cold: 2_000 },
+    ],
+    untilMs: 3_000,
+  },
+  {
+    name: 'a snapshot repeats an entry that was read before',
+    reads: [
+      { atMs: 0, seqNo: 1, cold: 3_000 },
+      { atMs: 2_000, seqNo: 1, cold: 3_000, isSnapshot: true },
+    ],
+    untilMs: 3_000,
+  },
+  {
+    name: 'an entry without the time does not end it',
+    reads: [
+      { atMs: 0, seqNo: 1, cold: 3_000 },
+      { atMs: 100, seqNo: 2 },
+    ],
+    untilMs: 3_000,
+  },
+  {
+    name: 'a target becomes cold again',
+    reads: [
+      { atMs: 0, seqNo: 1, cold: 500 },
+      { atMs: 2_000, seqNo: 2, cold: 3_000 },
+    ],
+    untilMs: 5_000,
+  },
+  {
+    name: 'a start that is warm follows one that was cold',
+    reads: [
+      { atMs: 0, seqNo: 1, cold: 3_000 },
+      { atMs: 100, seqNo: 1, born: 2 },
+    ],
+    untilMs: undefined,
+  },
+  { name: 'a time that cannot be read', reads: [{ atMs: 0, seqNo: 1, cold: 'long' }], untilMs: undefined },
+];
+
+// Guards against a cold time that starts anew with each read or ends early, and against a countdown that makes each
+// write a change of the list, so that everything derived from it is computed again.
+for (const { name, reads, untilMs } of coldCases) {
+  void t.test(`cold time: ${name}`, (t) => {
+    const clock = new ManualClock();
+    const log = new DecisionLog('node-1', 'hidden', clock, new Counters());
+    const contact = { reconnectedAtMs: -Infinity, restoredAtMs: -Infinity, currentAtMs: 0 };
+    const list = new InstanceList(clock, log, new Counters(), contact);
+    let version: number | undefined;
+    for (const { atMs, cold, isSnapshot = false, ...entry } of reads) {
+      clock.advance(atMs - clock.monotonic());
+      const fields = { ...entry, coldRemainingMs: cold };
+      if (isSnapshot) list.replaceAll(createRecords(fields, true));
+      else list.applyChanges(createRecords(fields, false));
+      if (entry.born === undefined) t.equal((version ??= list.version), list.version, 'unchanged');
+    }
+    const instance = list.get(ID);
+    const until = instance && list.getColdUntilMs(instance);
+    t.equal(until === -Infinity ? undefined : until, untilMs);
+    t.end();
+  });
+}
--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -1,8 +1,10 @@
 import {
   type CallerRequest,
   decodeCallerRequest,
+  decodeColdMs,
   decodeConfiguration,
   decodeInstance,
+  decodeInstanceEntry,
   decodeKeyedRecord,
   decodeReport,
   decodeResponseHead,
@@ -102,6 +104,56 @@
   });
 }
 
+const coldCases = [
+  { name: 'none', value: undefined, coldRemainingMs: 0 },
+  { name: 'a warm target', value: 0, coldRemainingMs: 0 },
+  { name: 'a cold target', value: 2_400.5, coldRemainingMs: 2_400.5 },
+  { name: 'a negative time', value: -1, coldRemainingMs: 0 },
+  { name: 'a text', value: '3000', coldRemainingMs: 0 },
+  { name: 'a time without end', value: 1e300, coldRemainingMs: 0 },
+  { name: 'null', value: null, coldRemainingMs: 0 },
+] as const;
+
+// Guards against a target that is lost because its cold time cannot be read, or that stays cold for ever.
+for (const { name, value, coldRemainingMs } of coldCases) {
+  void t.test(`the cold time of an entry and a report: ${name}`, (t) => {
+    const bytes = encode({ ...ENTRY, coldRemainingMs: value });
+    t.equal(decodeInstanceEntry('i', bytes).coldRemainingMs, coldRemainingMs);
+    t.equal(decodeReport(bytes).coldRemainingMs, coldRemainingMs);
+    t.notOk('coldRemainingMs' in decodeInstance('i', bytes), 'no part of the instance');
+    t.end();
+  });
+}
+
+// Guards against a header of another writer that makes a target cold for ever.
+for (const [text, expected] of [
+  [undefined, 0],
+  ['1500', 1_500],
+  ['0', 0],
+  ['-5', 0],
+  ['soon', 0],
+  ['999999999', 0],
+  [['1', '2'], 0],
+] as const) {
+  void t.test(`the cold time of a health answer: ${String(text)}`, (t) => {
+    t.equal(decodeColdMs(typeof text === 'object' ? [...text] : text), expected);
+    t.end();
+  });
+}
+
+// Guards against a configuration without cold targets that is refused, or that bounds requests.
+void t.test('the cold times of services', (t) => {
+  const configuration = createConfiguration(1) as { readonly services: readonly object[] };
+  const [service] = configuration.services;
+  const decodeService = (fields: object) =>
+    decodeConfiguration(encode({ ...configuration, services: [{ ...service, ...fields }] })).services.get(
+      'engines',
+    );
+  t.match(decodeService({}), { coldStartMs: 0, coldRequestsPerS: 0 });
+  t.match(decodeService({ coldStartS: 3, coldPerS: 17 }), { coldStartMs: 3_000, coldRequestsPerS: 17 });
+  t.end();
+});
+
 void t.test('an entry is decoded into an instance', (t) => {
   t.match(decodeInstance('i', encode(ENTRY)), {
     id: 'i',
--- a/tests/serving/fixtures.ts
+++ b/tests/serving/fixtures.ts
@@ -47,6 +47,8 @@
   maxConnections: 400,
   healthPath: undefined,
   engine: ENGINE_PROFILE,
+  coldStartMs: 0,
+  coldRequestsPerS: 0,
 };
 
 /** Creates an instance of the service `engines`. */
--- a/tests/serving/stopAdmission.test.ts
+++ b/tests/serving/stopAdmission.test.ts
@@ -21,7 +21,17 @@
   routes: [ROUTE],
   services: new Map([
     [SERVICE.name, SERVICE],
-    ['plain', { name: 'plain', maxConnections: 10, healthPath: undefined, engine: undefined }],
+    [
+      'plain',
+      {
+        name: 'plain',
+        maxConnections: 10,
+        healthPath: undefined,
+        engine: undefined,
+        coldStartMs: 0,
+        coldRequestsPerS: 0,
+      },
+    ],
   ]),
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   workspaces: undefined,
