Tests: requests that reach cold targets

Cause: the shares of the bound on cold targets were not shown to add up.

Ruled out: bounding every member of a group, since only heads get requests and each choice looks at all bounds.

--- a/packages/node/src/coldTargets.ts
+++ b/packages/node/src/coldTargets.ts
@@ -23,7 +23,7 @@
   readonly configuration: () => ServingConfiguration | undefined;
 }
 
-/** Tells the limits which listed targets are cold. Does nothing unless the settings bound the requests to them. */
+/** Tells the limits which listed targets are cold, instances of plain services and heads of groups. Does nothing unless the settings bound the requests to them. */
 export class ColdTargets {
   private _version = -1;
   private _configuration: ServingConfiguration | undefined;
@@ -58,7 +58,9 @@
     for (const instance of list.instances.values()) {
       const service = configuration.services.get(instance.service);
       const bound = service && this._findBound(service);
-      if (!bound) continue;
+      // Only the heads of groups get requests.
+      const isTarget = !bound?.hasOwner || instance.membership?.rank === 0;
+      if (!bound || !isTarget) continue;
       const incarnation = getIncarnationKey(instance);
       bounds.set(incarnation, bound);
       this._bounded.set(incarnation, { id: instance.id, startedAtMs: instance.startedAtMs });
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,4 +1,5 @@
 export * from './answerBuffers.js';
+export * from './coldTargets.js';
 export * from './crashMonitor.js';
 export * from './crashWitness.js';
 export * from './decisionLog.js';
--- a/tests/node/settings.test.ts
+++ b/tests/node/settings.test.ts
@@ -37,6 +37,27 @@
   });
 }
 
+const coldCases = [
+  { lines: '', expected: { 'cold-overrun': undefined, 'cold-slack': undefined } },
+  {
+    lines: 'cold-overrun = 1.5\ncold-slack = 5\n',
+    expected: { 'cold-overrun': 1.5, 'cold-slack': 5 },
+  },
+  { lines: 'cold-overrun = 2\n', expected: { 'cold-overrun': 2, 'cold-slack': undefined } },
+  { lines: 'cold-overrun = much\n', expected: undefined },
+  { lines: 'cold-slack = -1\n', expected: undefined },
+] as const;
+
+// Guards against a node that does not start on a deployment without cold targets, or that ignores a wrong bound.
+for (const { lines, expected } of coldCases) {
+  void t.test(`the bound on cold targets: ${JSON.stringify(lines)}`, (t) => {
+    const text = TEXT.replace(/^(retry-slack = .*)$/m, `$1\n${lines}`);
+    if (expected) t.match(parseNodeSettings(text).bounds, expected);
+    else t.throws(() => parseNodeSettings(text), DocumentError);
+    t.end();
+  });
+}
+
 void t.test('a setting that is missing or wrong is named', (t) => {
   t.throws(() => parseNodeSettings(TEXT.replace(/^retry-slack = .*$/m, 'retry-slack = many')), DocumentError);
   t.throws(() => parseNodeSettings(TEXT.replace(/^retry-slack = .*\n/m, '')), /retry-slack/);
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -189,6 +189,8 @@
   readonly drainTimeout?: string;
   /** Whether all nodes start at the same time, for the first time; true by default. */
   readonly isFirstStart?: boolean;
+  /** More lines of the section `bounds`; none by default. */
+  readonly bounds?: readonly string[];
 }): string {
   return `[node]
 name = ${options.name}
@@ -209,5 +211,5 @@
 retry-share = 0.2
 retry-window = 10s
 retry-slack = 130
-`;
+${(options.bounds ?? []).map((line) => `${line}\n`).join('')}`;
 }
--- a/tests/platform/rawFleet.ts
+++ b/tests/platform/rawFleet.ts
@@ -42,6 +42,8 @@
   address = '';
   /** The nodes that were started, in order. */
   readonly nodes: Node[] = [];
+  /** More lines of the section `bounds` in the settings of nodes that start from now on. */
+  bounds: readonly string[] = [];
   private _metrics = '';
   private _storeAddress = '';
   private _requestCount = 0;
@@ -82,7 +84,8 @@
   /** Starts another node in this process. */
   async startNode(name: string): Promise<RawNode> {
     const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
-    const settings = { name, domain: 'zone-1', store: this._storeAddress, front, readiness, peers, metrics };
+    const ports = { front, readiness, peers, metrics };
+    const settings = { name, domain: 'zone-1', store: this._storeAddress, bounds: this.bounds, ...ports };
     const node = new Node(parseNodeSettings(formatSettings({ ...settings, log: 'hidden' })), systemClock);
     this.nodes.push(node);
     await node.start();
