Node, core: evacuation of a failure domain by order of the operator

Cause: requests and groups could not be moved out of a failure domain before it is removed.

Ruled out: a second agreement among the nodes (the store already holds the order, and every node reads it); a new reason in grants (peers of earlier versions refuse such messages); a first phase of a fixed time after the read (a node that was disconnected reads old orders as changes).

Change: Evacuations (core) holds the orders of `evacuate/ZONE` records and their phase. Avoided targets are chosen only if no other has capacity; excluded ones are never candidates, and the node that holds a request checks again before each send. The planner uses no instance there and closes groups with a member there once it is excluded. Setting `[bounds] evacuation`; without it orders exclude at once.

--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -1,3 +1,4 @@
+import type { EvacuationPhase } from './evacuations.js';
 import { layOutGroups } from './groupLayout.js';
 import { createGroupName, createStandbyName, findModelOfGroup, isStandbyName } from './groupName.js';
 import { GroupRoster } from './groupRoster.js';
@@ -21,6 +22,7 @@
   | 'member-lost'
   | 'member-unknown'
   | 'member-leaving'
+  | 'domain-evacuated'
   | 'head-left'
   | 'head-lost'
   | 'head-unlisted'
@@ -92,6 +94,8 @@
   readonly plannerCount: number;
   /** Whether requests have been served; from then on the weight store's rate limits the loads. */
   readonly hasTraffic: boolean;
+  /** Phase of the evacuation of a failure domain, undefined for domains in service; none is evacuated by default. */
+  readonly findEvacuation?: ((failureDomain: string) => EvacuationPhase | undefined) | undefined;
 }
 
 interface Formation {
@@ -196,7 +200,7 @@
     if (!head || view.instancesWithPendingOrder.has(head.id) || view.silentInstances.has(head.id)) return [];
     const order = { instance: head, group: group.name, epoch: group.epoch };
     const state = head.membership?.state;
-    if (state === 'ready' && isWhole(group) && isAnswering(view, group)) return [{ ...order, kind: 'open' }];
+    if (state === 'ready' && isWhole(group) && isOpenable(view, group)) return [{ ...order, kind: 'open' }];
     // The others follow once the head has left, except in a broken group, which does not serve any more.
     const cause = this._findEnd(view, group);
     if (cause) {
@@ -204,11 +208,19 @@
       return state === 'broken' ? [leave, ...planMemberLeaves(view, group, cause)] : [leave];
     }
     const departing = listDepartingMembers(view, group);
-    return state === 'open' && departing.length > 0
-      ? [{ ...order, kind: 'close', cause: { reason: 'member-leaving', members: departing } }]
+    if (state === 'open' && departing.length > 0)
+      return [{ ...order, kind: 'close', cause: { reason: 'member-leaving', members: departing } }];
+    return state === 'open' && this._isExcluded(view, group)
+      ? [{ ...order, kind: 'close', cause: { reason: 'domain-evacuated', members: [] } }]
       : [];
   }
 
+  /** Whether requests no longer reach the group, as a known member is in an excluded failure domain. */
+  private _isExcluded({ findEvacuation }: FormationView, group: ObservedGroup): boolean {
+    if (!findEvacuation) return false;
+    return this._roster.listFailureDomains(group).some((domain) => findEvacuation(domain) === 'excluded');
+  }
+
   /** Returns why the group has no head that serves, or could be told to end; undefined if it has one. */
   private _findHeadLoss(view: FormationView, group: ObservedGroup): GroupEnd | undefined {
     // The head of a formation in progress has yet to join.
@@ -275,7 +287,8 @@
         !view.instancesWithPendingOrder.has(instance.id) &&
         !view.silentInstances.has(instance.id) &&
         findLoadingModel(instance) === undefined &&
-        isFree(instance),
+        isFree(instance) &&
+        !isEvacuated(view, instance),
     );
   }
 
@@ -304,8 +317,11 @@
       nowMs: view.nowMs,
       engine,
       instances: [...view.instances.values()].filter(
-        ({ id, service: name, state }) =>
-          name === service.name && state === 'ready' && !view.silentInstances.has(id),
+        (instance) =>
+          instance.service === service.name &&
+          instance.state === 'ready' &&
+          !view.silentInstances.has(instance.id) &&
+          !isEvacuated(view, instance),
       ),
       freeIds: new Set(free.map(({ id }) => id)),
       findFormingModel: (id) => formingModels.get(id),
@@ -439,6 +455,7 @@
   const isUsable =
     member.state === 'ready' &&
     !view.silentInstances.has(member.id) &&
+    !isEvacuated(view, member) &&
     view.findTerm(member.fabricDomain) === formation.term;
   if (!isUsable) return false;
   if (isMemberOf(member, formation)) return member.membership?.state !== 'broken';
@@ -446,9 +463,14 @@
   return isFree(member) || view.instancesWithPendingOrder.has(member.id);
 }
 
-/** Whether no member of the group is silent. */
-function isAnswering(view: FormationView, { members }: ObservedGroup): boolean {
-  return members.every(({ id }) => !view.silentInstances.has(id));
+/** Whether the instance is in a failure domain that is evacuated, in either phase, so that nothing is formed with it. */
+function isEvacuated(view: FormationView, { failureDomain }: TargetInstance): boolean {
+  return view.findEvacuation?.(failureDomain) !== undefined;
+}
+
+/** Whether no member of the group is silent or in an evacuated failure domain, so that it may still be opened. */
+function isOpenable(view: FormationView, { members }: ObservedGroup): boolean {
+  return members.every((member) => !view.silentInstances.has(member.id) && !isEvacuated(view, member));
 }
 
 /** Whether a member that leaves has stopped listening: it remains in its group while the head has requests. */
@@ -477,7 +499,7 @@
 function isAssembling(view: FormationView, group: ObservedGroup): boolean {
   return (
     group.members.length === group.model?.groupSize &&
-    isAnswering(view, group) &&
+    isOpenable(view, group) &&
     group.members.every(({ state, membership }) => state === 'ready' && membership?.state !== 'broken')
   );
 }
--- a/packages/core/src/serving/groupRoster.ts
+++ b/packages/core/src/serving/groupRoster.ts
@@ -11,7 +11,7 @@
 type GroupEpoch = Pick<ObservedGroup, 'name' | 'epoch'>;
 
 /** The start of an instance that holds a rank of a group. */
-type RankHolder = Pick<TargetInstance, 'id' | 'startedAtMs'>;
+type RankHolder = Pick<TargetInstance, 'id' | 'startedAtMs' | 'failureDomain'>;
 
 interface KnownGroup {
   readonly holders: Map<number, RankHolder>;
@@ -79,6 +79,11 @@
       .map(({ id }) => id);
   }
 
+  /** Failure domains of the group's known members, also of those that are not listed any more. */
+  listFailureDomains(group: GroupEpoch): readonly string[] {
+    return [...new Set(this._listHolders(group).map(({ failureDomain }) => failureDomain))];
+  }
+
   private _listHolders(group: GroupEpoch): readonly RankHolder[] {
     return [...(this._find(group)?.holders.values() ?? [])];
   }
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -2,6 +2,7 @@
 export * from './crashFactors.js';
 export * from './demandMeter.js';
 export * from './engineCost.js';
+export * from './evacuations.js';
 export * from './eventFramer.js';
 export * from './fleetMembers.js';
 export * from './formationPlanner.js';
--- a/packages/core/src/serving/ownerChoice.ts
+++ b/packages/core/src/serving/ownerChoice.ts
@@ -8,6 +8,8 @@
   readonly address: string;
   /** Requests that all its targets for the request can take in total. */
   readonly capacity: number;
+  /** Whether all these targets are in evacuated failure domains; false by default. */
+  readonly isAvoided?: boolean;
 }
 
 /** An owner and what it last said of its free capacity. */
--- a/packages/core/src/serving/targetChoice.ts
+++ b/packages/core/src/serving/targetChoice.ts
@@ -1,5 +1,6 @@
 import type { Random } from '../random.js';
 import { type BatchLoad, predictFirstEventMs, type RequestSize } from './engineCost.js';
+import type { Evacuations } from './evacuations.js';
 import type { EngineProfile, ModelProfile } from './servingConfiguration.js';
 import type { TargetJudgement } from './targetHealth.js';
 import { getIncarnationKey, type TargetInstance } from './targetInstance.js';
@@ -24,6 +25,8 @@
   /** Identifies the target in load and health records: one incarnation of an instance, or one epoch of a group. */
   readonly key: string;
   readonly instance: TargetInstance;
+  /** Failure domains of the head and the known members of a group; undefined for ungrouped instances. */
+  readonly failureDomains?: readonly string[] | undefined;
   readonly slots: number;
   /** Undefined for ungrouped instances. */
   readonly engine: { readonly profile: EngineProfile; readonly model: ModelProfile } | undefined;
@@ -48,23 +51,28 @@
   readonly unavailable?: ReadonlySet<string>;
   /** Whether the request resumes a partially delivered answer; it then queues at a full target instead of failing. */
   readonly isContinuing?: boolean;
+  /** Failure domains that are evacuated; none by default. */
+  readonly evacuations?: Evacuations;
 }
 
 /** The chosen target, or why there is none. */
 export type TargetChoice =
   | { readonly kind: 'chosen'; readonly candidate: TargetCandidate; readonly predictedMs: number }
-  | { readonly kind: 'none'; readonly reason: 'no-target' | 'all-full' | 'all-silent' };
+  | { readonly kind: 'none'; readonly reason: 'no-target' | 'all-full' | 'all-silent' | 'evacuated' };
 
 /**
  * Chooses the target with the shortest predicted time to the first bytes, plus penalties.
  *
  * Full targets are skipped, which matters when traffic surges. Silent groups are skipped. A target that fails part of
- * its requests is penalized by the expected cost of a retry.
+ * its requests is penalized by the expected cost of a retry. Targets in evacuated failure domains are used only if no
+ * other has capacity, and never once they are excluded.
  */
 export function chooseTarget(candidates: readonly TargetCandidate[], context: ChoiceContext): TargetChoice {
   const untried = candidates.filter(({ key }) => !context.tried.has(key));
   if (untried.length === 0) return { kind: 'none', reason: 'no-target' };
-  const responsive = untried.filter((candidate) => isResponsive(candidate, context));
+  const allowed = dropExcluded(untried, context);
+  if (allowed.length === 0) return { kind: 'none', reason: 'evacuated' };
+  const responsive = allowed.filter((candidate) => isResponsive(candidate, context));
   if (responsive.length === 0) return { kind: 'none', reason: 'all-silent' };
   const free = responsive.filter(
     (candidate) =>
@@ -73,7 +81,7 @@
   );
   const jitterShare = context.isExact === true ? EXACT_JITTER_SHARE : JITTER_SHARE;
   let best: { readonly candidate: TargetCandidate; readonly costMs: number; predictedMs: number } | undefined;
-  for (const candidate of free) {
+  for (const candidate of preferInService(free, context)) {
     const predictedMs = predictMs(candidate, context.size);
     const costMs =
       predictedMs * (1 + jitterShare * context.random.next()) + computePenaltyMs(candidate, context);
@@ -83,6 +91,29 @@
   return { kind: 'chosen', candidate: best.candidate, predictedMs: best.predictedMs };
 }
 
+function dropExcluded(
+  candidates: readonly TargetCandidate[],
+  { evacuations }: ChoiceContext,
+): readonly TargetCandidate[] {
+  if (!evacuations || evacuations.isEmpty) return candidates;
+  return candidates.filter((candidate) => evacuations.findPhaseOf(candidate) !== 'excluded');
+}
+
+/** Returns the targets outside of evacuated failure domains that have capacity; all of them if there is none. */
+function preferInService(
+  candidates: readonly TargetCandidate[],
+  { evacuations, health, nowMs }: ChoiceContext,
+): readonly TargetCandidate[] {
+  if (!evacuations || evacuations.isEmpty) return candidates;
+  const inService = candidates.filter(
+    (candidate) =>
+      evacuations.findPhaseOf(candidate) === undefined &&
+      hasCapacity(candidate) &&
+      !health.isSuspect(candidate.key, nowMs),
+  );
+  return inService.length > 0 ? inService : candidates;
+}
+
 /** Whether the target is not a suspect group; a suspect ungrouped instance only gets a penalty. */
 function isResponsive({ key, engine }: TargetCandidate, { health, nowMs }: ChoiceContext): boolean {
   return engine === undefined || !health.isSuspect(key, nowMs);
--- a/packages/core/src/serving/unlistedMembers.ts
+++ b/packages/core/src/serving/unlistedMembers.ts
@@ -26,6 +26,8 @@
   'id' | 'address' | 'service' | 'fabricDomain' | 'startedAtMs' | 'state'
 > {
   readonly membership: Omit<GroupMembership, 'state'> | undefined;
+  /** Undefined if a node of an earlier version told of it. */
+  readonly failureDomain?: string | undefined;
 }
 
 interface TrackedMember {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -9,6 +9,9 @@
   createMemberId,
   createRandom,
   DemandMeter,
+  type EvacuationEvent,
+  type EvacuationRecord,
+  Evacuations,
   getIncarnationKey,
   hash32,
   insertByPreference,
@@ -34,6 +37,7 @@
   CONFIGURATION_KEY,
   decodeConfiguration,
   DecodeError,
+  parseEvacuationKey,
   type KeyedRecord,
   READINESS_PATH,
   StoreClient,
@@ -109,6 +113,7 @@
   private readonly _limits: TargetLimits;
   private readonly _availability: TargetAvailability;
   private readonly _demand = new DemandMeter();
+  private readonly _evacuations: Evacuations;
   private readonly _health = new TargetHealth();
   private readonly _pace = new StreamPace();
   private readonly _reports: FleetReports;
@@ -169,6 +174,7 @@
       trust: this._trust,
       history: this._history,
     });
+    this._evacuations = new Evacuations(_clock, _settings.bounds.evacuation);
     this._connections = new TargetConnections(_clock);
     this._reports = new FleetReports(_clock);
     this._limits = new TargetLimits(_clock, () => this._exchange.size + 1);
@@ -180,7 +186,7 @@
     this._exchange = this._createExchange();
     this._ownership = this._createOwnership();
     this._discovery = this._createDiscovery();
-    this._directory = new TargetDirectory(this._list, this._loads, this._ownership);
+    this._directory = new TargetDirectory(this._list, this._loads, this._ownership, this._evacuations);
     this._placement = this._createPlacement();
     this._crashes = this._createCrashMonitor();
     this._context = this._createContext();
@@ -477,6 +483,7 @@
       loads: this._loads,
       limits: this._limits,
       availability: this._availability,
+      evacuations: this._evacuations,
       demand: this._demand,
       retries: new RetryWindowBudget(
         { share: bounds['retry-share'], slack: bounds['retry-slack'], windowMs: bounds['retry-window'] },
@@ -561,6 +568,7 @@
       random: this._random,
       health: this._judgeFor(criteria),
       unavailable: this._listUnavailable(criteria),
+      evacuations: this._evacuations,
     });
     if (criteria.isOwner && choice.kind === 'chosen') {
       this._limits.recordGrant(getIncarnationKey(choice.candidate.instance));
@@ -595,7 +603,10 @@
     const limited = this._limits.listExhausted('fleet');
     return candidates
       .filter(
-        ({ key, instance }) => !judgement.isSuspect(key, nowMs) && !limited.has(getIncarnationKey(instance)),
+        (candidate) =>
+          !judgement.isSuspect(candidate.key, nowMs) &&
+          !limited.has(getIncarnationKey(candidate.instance)) &&
+          this._evacuations.findPhaseOf(candidate) === undefined,
       )
       .reduce((sum, { slots, load }) => sum + Math.max(0, slots - load.requests), 0);
   }
@@ -637,6 +648,7 @@
       isListSettled: () => this._isListSettled() && this._isListKnown(),
       demand: () => this._reports.sumDemand(this._demand.getNeededGroups(this._clock.monotonic())),
       hasTraffic: () => this._hasFleetTraffic(),
+      evacuations: this._evacuations,
       heads: this._heads,
       removed: this._removed,
       countNodes: () => this._exchange.size + 1,
@@ -664,10 +676,15 @@
       peerWaitMs: waitMs,
       intervalMs: () => 0,
       onSnapshot: (records) => {
+        // The configuration lets the requests that wait at the start gate pass.
+        this._applyEvacuationSnapshot(records);
         for (const record of records) this._applyConfiguration(record, false);
       },
       onChanges: (records) => {
-        for (const record of records) this._applyConfiguration(record, true);
+        for (const record of records) {
+          this._applyConfiguration(record, true);
+          this._applyEvacuationChange(record);
+        }
       },
       onContact: (atMs, askedAtMs) => {
         this._keyConfirmation.confirm(atMs, askedAtMs);
@@ -725,6 +742,44 @@
     });
   }
 
+  /** A snapshot holds all keys: an order that is not in it is no longer in force. */
+  private _applyEvacuationSnapshot(records: readonly KeyedRecord[]): void {
+    this._recordEvacuations(this._evacuations.applySnapshot(records.flatMap(toEvacuationOrders)));
+  }
+
+  private _applyEvacuationChange(record: KeyedRecord): void {
+    const failureDomain = parseEvacuationKey(record.key);
+    if (failureDomain === undefined) return;
+    const order = { failureDomain, offset: record.offset };
+    // The contact is that of the previous answer, in which this record was not yet.
+    const previousAtMs = this._configurationFollower.mirror.contactAtMs;
+    this._recordEvacuations(
+      hasValue(record) ? this._evacuations.order(order, previousAtMs) : this._evacuations.revoke(order),
+    );
+  }
+
+  private _recordEvacuations(events: readonly EvacuationEvent[]): void {
+    if (events.length === 0) return;
+    for (const { kind, failureDomain, offset, ...event } of events) {
+      this._log.info(EVACUATION_MESSAGES[kind], { failureDomain, offset, ...event });
+      if (kind === 'revoked') this._counters.set('monsoonreach_evacuated_requests', 0, { failureDomain });
+    }
+    this._counters.set('monsoonreach_evacuated_domains', this._evacuations.list().length);
+  }
+
+  /** Reports phases that have changed, and counts this node's requests that still run in evacuated failure domains. */
+  private _checkEvacuations(): void {
+    if (this._evacuations.isEmpty) return;
+    this._recordEvacuations(this._evacuations.advance());
+    const targets = [...this._runs].flatMap((run) => run.listTargets());
+    for (const { failureDomain } of this._evacuations.list()) {
+      const running = targets.filter(({ instance, failureDomains }) =>
+        (failureDomains ?? [instance.failureDomain]).includes(failureDomain),
+      );
+      this._counters.set('monsoonreach_evacuated_requests', running.length, { failureDomain });
+    }
+  }
+
   private _openGateIfReady(): void {
     if (this._table && this._hasList) this._gate.open();
   }
@@ -806,6 +861,7 @@
     if (this._trust.detectClockJump()) this._log.warn('clock jump detected; keys are not trusted', {});
     if (this._runs.size > 0) this._hasTraffic = true;
     this._askContact(nowMs);
+    this._checkEvacuations();
     for (const run of this._runs) run.checkProgress(nowMs);
     this._placement.tick(nowMs);
     this._crashes.tick();
@@ -838,6 +894,22 @@
   }
 }
 
+const EVACUATION_MESSAGES: Readonly<Record<EvacuationEvent['kind'], string>> = {
+  ordered: 'evacuation ordered',
+  phase: 'evacuation phase changed',
+  revoked: 'evacuation revoked',
+};
+
+/** Whether a record orders what its key names; one without a value revokes it. */
+function hasValue({ value }: KeyedRecord): boolean {
+  return value !== undefined && value.length > 0;
+}
+
+function toEvacuationOrders(record: KeyedRecord): readonly EvacuationRecord[] {
+  const failureDomain = parseEvacuationKey(record.key);
+  return failureDomain === undefined || !hasValue(record) ? [] : [{ failureDomain, offset: record.offset }];
+}
+
 /** Characters that distinguish the starts of a node. */
 const INCARNATION_LENGTH = 8;
 /** Longest time for which a node looks for others before it reads the store itself, in milliseconds. */
--- a/packages/node/src/peerMessages.ts
+++ b/packages/node/src/peerMessages.ts
@@ -41,6 +41,8 @@
   startedAtMs: z.number(),
   state: z.enum(['ready', 'leaving']),
   membership: z.object({ group: z.string(), epoch: z.number(), rank: count }),
+  /** Absent from nodes of earlier versions. */
+  failureDomain: z.optional(z.string()),
   /** Time since it was removed, in milliseconds. */
   ageMs: count,
 });
--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -213,9 +213,9 @@
 
   private _chooseOwner(criteria: PlacementCriteria, asked: ReadonlySet<string>): string | undefined {
     const nowMs = this._options.clock.monotonic();
-    const options = this._options
-      .findOwners(criteria)
-      .filter(({ address }) => !asked.has(address) && !this._isSuspected(address, nowMs))
+    const others = this._options.findOwners(criteria).filter(({ address }) => !asked.has(address));
+    const options = preferInService(others, asked.size >= MAX_ASKED_OWNERS)
+      .filter(({ address }) => !this._isSuspected(address, nowMs))
       .map((option) => ({ ...option, free: this._findFree(option.address, criteria, nowMs) }));
     return chooseOwner(options, this._options.random);
   }
@@ -240,14 +240,20 @@
     onChoice: (choice: TargetChoice) => void,
   ): void {
     const askedNow = new Set([...asked, owner]);
-    const isAnotherOwner =
-      choice.kind === 'none' &&
-      askedNow.size < MAX_ASKED_OWNERS &&
-      this._options.findOwners(criteria).some(({ address }) => !askedNow.has(address));
+    const isAnotherOwner = choice.kind === 'none' && this._hasAnotherOwner(criteria, askedNow);
     if (isAnotherOwner) this._place(criteria, askedNow, onChoice);
     else onChoice(choice);
   }
 
+  /** Whether one more owner is to be asked; at the end one whose targets are all in evacuated failure domains. */
+  private _hasAnotherOwner(criteria: PlacementCriteria, asked: ReadonlySet<string>): boolean {
+    if (asked.size > MAX_ASKED_OWNERS) return false;
+    const others = this._options.findOwners(criteria).filter(({ address }) => !asked.has(address));
+    return asked.size < MAX_ASKED_OWNERS
+      ? others.length > 0
+      : others.some(({ isAvoided }) => isAvoided === true);
+  }
+
   private _chooseLocally(criteria: PlacementCriteria, isOwner: boolean): TargetChoice {
     const { failureDomain, counters } = this._options;
     counters.add('monsoonreach_placements_total', { by: isOwner ? 'owner' : 'alone' });
@@ -320,7 +326,12 @@
         return;
       }
       case 'none':
-        send(request.address, { ...grant, reason: choice.reason, free: 0 });
+        // Peers of earlier versions know no other reason; each node finds out itself that it is the evacuation.
+        send(request.address, {
+          ...grant,
+          reason: choice.reason === 'evacuated' ? 'no-target' : choice.reason,
+          free: 0,
+        });
     }
   }
 
@@ -409,6 +420,13 @@
   }
 }
 
+/** Returns the owners that have targets outside of evacuated failure domains; the others as a last resort, or without any. */
+function preferInService(owners: readonly OwnerOption[], isLast: boolean): readonly OwnerOption[] {
+  if (isLast) return owners.filter(({ isAvoided }) => isAvoided === true);
+  const inService = owners.filter(({ isAvoided }) => isAvoided !== true);
+  return inService.length > 0 ? inService : owners;
+}
+
 function toFreeKey({ service, model }: PlacementCriteria): string {
   return `${service}/${model}`;
 }
--- a/packages/node/src/planning.ts
+++ b/packages/node/src/planning.ts
@@ -1,6 +1,7 @@
 import {
   type Clock,
   type Counters,
+  type Evacuations,
   FormationPlanner,
   type FormationView,
   groupId,
@@ -47,6 +48,8 @@
   readonly isListSettled: () => boolean;
   readonly demand: () => ReadonlyMap<string, number>;
   readonly hasTraffic: () => boolean;
+  /** Failure domains that are evacuated; none by default. */
+  readonly evacuations?: Evacuations;
   readonly heads: HeadMonitor;
   readonly removed: RemovedInstances;
   /** Number of nodes, this one included. */
@@ -169,7 +172,8 @@
   private _describeVersion(nowMs: number): string {
     const lost = [...this._checks.getLostMembers()].join();
     const gone = [...this._checks.getGoneMembers(nowMs)].join();
-    return [this._describeInstancesVersion(), this._unlisted.version, lost, gone].join('/');
+    const evacuations = this._options.evacuations?.version ?? 0;
+    return [this._describeInstancesVersion(), this._unlisted.version, lost, gone, evacuations].join('/');
   }
 
   /** Changes with the instances, as far as this node knows their state, and with the domains that it plans. */
@@ -197,10 +201,20 @@
     this._updateUnlistedMembers(configuration, nowMs);
     for (const instance of this._unlisted.takeDue(nowMs)) {
       const path = configuration.services.get(instance.service)?.healthPath;
+      if (this._isExcluded(instance)) continue;
       if (path !== undefined) void this._askHealth(instance, path);
     }
   }
 
+  /** Whether the instance may get no request, not even as a health check; assumed if its failure domain is unknown. */
+  private _isExcluded({ failureDomain }: RemovedInstance): boolean {
+    const { evacuations } = this._options;
+    if (!evacuations || evacuations.isEmpty) return false;
+    return failureDomain === undefined
+      ? evacuations.list().some(({ phase }) => phase === 'excluded')
+      : evacuations.findPhase(failureDomain) === 'excluded';
+  }
+
   private _updateUnlistedMembers(configuration: ServingConfiguration, nowMs: number): void {
     const version = `${this._describeInstancesVersion()}/${this._options.removed.version}`;
     if (version === this._unlistedVersion) return;
@@ -251,6 +265,7 @@
   private _createView(configuration: ServingConfiguration, nowMs: number): FormationView {
     const { node, isListSettled, demand, hasTraffic, heads, list, countNodes, ownership, getServedAtMs } =
       this._options;
+    const { evacuations } = this._options;
     // While the store is out, the list does not change: what was complete stays so.
     if (nowMs - list.currentAtMs < OUTDATED_LIST_MS) this._wasListSettled = isListSettled();
     return {
@@ -272,6 +287,8 @@
       demand: demand(),
       plannerCount: Math.max(1, ownership.listAddresses().size),
       hasTraffic: hasTraffic(),
+      findEvacuation:
+        evacuations && !evacuations.isEmpty ? (domain) => evacuations.findPhase(domain) : undefined,
     };
   }
 }
--- a/packages/node/src/removedInstances.ts
+++ b/packages/node/src/removedInstances.ts
@@ -105,7 +105,7 @@
 }
 
 function toRow(
-  { id, address, service, fabricDomain, startedAtMs, state, membership }: RemovedInstance,
+  { id, address, service, fabricDomain, failureDomain, startedAtMs, state, membership }: RemovedInstance,
   ageMs: number,
 ): RemovedRow[] {
   if (!membership) return [];
@@ -119,6 +119,7 @@
       startedAtMs,
       state,
       membership: { group, epoch, rank },
+      ...(failureDomain === undefined ? {} : { failureDomain }),
       ageMs: Math.round(ageMs),
     },
   ];
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -41,9 +41,11 @@
 
 type ChosenTarget = Extract<TargetChoice, { readonly kind: 'chosen' }>;
 
+/** Reason for which no target was chosen. */
+type NoTargetReason = Extract<TargetChoice, { readonly kind: 'none' }>['reason'];
+
 /** Reason for refusing a request that was not run. */
-export type RefusalReason =
-  Extract<TargetChoice, { readonly kind: 'none' }>['reason'] | 'not-run-by-target' | 'quarantined';
+export type RefusalReason = NoTargetReason | 'not-run-by-target' | 'quarantined';
 
 /** Reason for the failure of a request that may have been run. */
 export type FailureReason = RefusalReason | 'no-answer' | 'timeout' | 'stopping';
@@ -56,7 +58,7 @@
   | 'stopping'
   | 'not-repeatable'
   | 'budget-used'
-  | Extract<TargetChoice, { readonly kind: 'none' }>['reason'];
+  | NoTargetReason;
 
 /** Why an attempt was given up; `overtaken`: another one went on first. */
 type AttemptEnd = CallOutcomeReason | 'caller-gone' | 'overtaken' | 'stopping' | 'timeout';
@@ -136,6 +138,8 @@
   private _firstEventAtMs: number | undefined;
   private _lastEventAtMs: number | undefined;
   private _longestPauseMs = 0;
+  /** Keys of targets that must not get the request, as their failure domains are evacuated; undefined if none was chosen. */
+  private _excluded: ReadonlySet<string> | undefined;
   private _isFinished = false;
   /** Whether a connection broke, or brought the answer to another request, so that no other idle one is used. */
   private _isConnectionDoubted = false;
@@ -234,6 +238,10 @@
     const sendTo = (choice: TargetChoice) => {
       const isSilent = this._attempt === attempt && attempt.progressAtMs === progressAtMs;
       if (this._isFinished || !isSilent || this._successor || choice.kind === 'none') return;
+      if (this._isExcluded(choice.candidate)) {
+        this._recordExcluded(choice.candidate);
+        return;
+      }
       if (this._estimateFinish(choice)?.canFinish === false) return;
       if (!this._tryTakeRetry('silent')) return;
       this._mayHaveRun = true;
@@ -272,6 +280,11 @@
     if (attempt.events > 0) this._recordPause(attempt, this._options.context.clock.monotonic(), 0);
   }
 
+  /** Targets that have the request now. */
+  listTargets(): readonly TargetCandidate[] {
+    return [this._attempt, this._successor].flatMap((attempt) => (attempt ? [attempt.candidate] : []));
+  }
+
   /** Ends all attempts. */
   private _abandonAttempts(reason: AttemptEnd): void {
     for (const attempt of [this._successor, this._attempt])
@@ -335,13 +348,17 @@
     placement.place(criteria, (choice) => {
       const isOver = choice.kind === 'chosen' || this._isFinished || !this._targets.hasBrokenOff;
       if (isOver) onChoice(choice);
-      else placement.place({ ...criteria, tried: this._targets.unusable }, onChoice);
+      else placement.place({ ...criteria, tried: this._withExcluded(this._targets.unusable) }, onChoice);
     });
   }
 
   private _handleChoice(choice: TargetChoice): void {
     switch (choice.kind) {
       case 'chosen':
+        if (this._isExcluded(choice.candidate)) {
+          this._replaceExcluded(choice.candidate);
+          return;
+        }
         this._estimate = this._estimateFinish(choice);
         if (this._estimate?.canFinish === false) {
           this._giveUp('stopping', 0);
@@ -349,12 +366,53 @@
         }
         this._send(choice.candidate, choice.predictedMs);
         return;
-      case 'none':
-        this._trail.push(choice.reason);
-        this._giveUp(choice.reason, NO_TARGET_RETRY_AFTER_MS[choice.reason]);
+      case 'none': {
+        const reason = this._explainNone(choice.reason);
+        this._trail.push(reason);
+        this._giveUp(reason, NO_TARGET_RETRY_AFTER_MS[reason]);
+      }
     }
   }
 
+  /** An owner does not tell that only targets in evacuated failure domains are left. */
+  private _explainNone(reason: NoTargetReason): NoTargetReason {
+    if (reason !== 'no-target' || this._options.context.evacuations.isEmpty) return reason;
+    const choice = this._choose();
+    return choice.kind === 'none' ? choice.reason : reason;
+  }
+
+  /** Whether the target must not get the request; the node that has chosen it may not have read the order yet. */
+  private _isExcluded(candidate: TargetCandidate): boolean {
+    return this._options.context.evacuations.findPhaseOf(candidate) === 'excluded';
+  }
+
+  /** Asks for another target, or chooses one itself if it was given an excluded one again. */
+  private _replaceExcluded(candidate: TargetCandidate): void {
+    const isFirst = this._excluded === undefined;
+    this._recordExcluded(candidate);
+    if (isFirst) this._dispatch();
+    else this._handleChoice(this._choose());
+  }
+
+  private _recordExcluded(candidate: TargetCandidate): void {
+    const { context, caller } = this._options;
+    context.counters.add('monsoonreach_evacuation_moves_total');
+    const configuration = context.configuration();
+    const model = this._isStream ? caller.model : undefined;
+    const targets =
+      configuration && this._service !== undefined
+        ? context.directory.findCandidates(configuration, this._service, model)
+        : [];
+    const excluded = targets.filter((target) => this._isExcluded(target));
+    this._excluded = new Set([candidate, ...excluded].map(({ key }) => key));
+  }
+
+  private _withExcluded(tried: ReadonlySet<string>): ReadonlySet<string> {
+    return this._excluded && !this._options.context.evacuations.isEmpty
+      ? new Set([...tried, ...this._excluded])
+      : tried;
+  }
+
   /** Estimates whether an attempt that begins now ends before the process; undefined if it is to be made in any case. */
   private _estimateFinish(choice?: ChosenTarget): FinishEstimate | undefined {
     const { context, route, caller, startedAtMs } = this._options;
@@ -374,7 +432,7 @@
       service: this._service,
       model,
       size,
-      tried: this._targets.tried,
+      tried: this._withExcluded(this._targets.tried),
       isContinuing: this._forwardedEvents > 0,
     };
   }
@@ -402,6 +460,7 @@
       // The owners of groups know how many requests these still take.
       unavailable: model === undefined ? listUnavailable(context) : context.availability.listUnavailable(),
       isContinuing: this._forwardedEvents > 0,
+      evacuations: context.evacuations,
     });
   }
 
@@ -666,7 +725,8 @@
   private _handleError(attempt: Attempt, error: CallError): void {
     const { crashes } = this._options.context;
     if (isConnectionRefused(error)) crashes.recordRefusedConnection(attempt.candidate.key);
-    const canRepeat = error.failure === 'stale' && this._isRepeatable() && !this._witness.isSuspected;
+    const isAllowed = !this._witness.isSuspected && !this._isExcluded(attempt.candidate);
+    const canRepeat = error.failure === 'stale' && this._isRepeatable() && isAllowed;
     if (canRepeat && this._tryTakeRetry('stale')) {
       this._witness.recordRepeatedLoss(attempt, 'stale');
       this._sendAgain(attempt);
@@ -888,7 +948,12 @@
 /** Retry-After for a request that its target has not run, in milliseconds; another target may then accept it. */
 const NOT_RUN_RETRY_AFTER_MS = 150;
 /** Retry-After by reason, in milliseconds: a group forms in about 2 s; a batch frees a slot in less than 200 ms. */
-const NO_TARGET_RETRY_AFTER_MS = { 'no-target': 1_500, 'all-full': 200, 'all-silent': 700 } as const;
+const NO_TARGET_RETRY_AFTER_MS = {
+  'no-target': 1_500,
+  'all-full': 200,
+  'all-silent': 700,
+  evacuated: 1_500,
+} as const;
 
 /** Ends of an attempt of which no byte was sent. */
 const UNSENT_ENDS: ReadonlySet<CallOutcomeReason> = new Set(['unreachable', 'unsent']);
--- a/packages/node/src/servingContext.ts
+++ b/packages/node/src/servingContext.ts
@@ -3,6 +3,7 @@
   Clock,
   Counters,
   DemandMeter,
+  Evacuations,
   LoadTracker,
   Random,
   RetryWindowBudget,
@@ -36,6 +37,8 @@
   readonly availability: TargetAvailability;
   /** Limits that targets named. */
   readonly limits: TargetLimits;
+  /** Failure domains to which no requests are sent, as the operator has ordered. */
+  readonly evacuations: Evacuations;
   readonly demand: DemandMeter;
   readonly retries: RetryWindowBudget;
   readonly connections: TargetConnections;
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -38,6 +38,8 @@
     'retry-share': numberField({ min: 0, max: 10, isWhole: false }),
     'retry-window': durationField,
     'retry-slack': numberField({ min: 0, max: 1_000_000, isWhole: false }),
+    /** Time from an evacuation's order until no request reaches the zone; without it, orders exclude the zone at once. */
+    evacuation: durationField.optional(),
   }),
 });
 
--- a/packages/node/src/targetDirectory.ts
+++ b/packages/node/src/targetDirectory.ts
@@ -1,4 +1,5 @@
 import {
+  type Evacuations,
   getIncarnationKey,
   groupBy,
   GroupRoster,
@@ -17,6 +18,7 @@
 interface KnownTarget {
   readonly key: string;
   readonly instance: TargetInstance;
+  readonly failureDomains?: readonly string[];
   readonly slots: number;
   readonly engine: TargetCandidate['engine'];
 }
@@ -29,13 +31,15 @@
   private _targetsByKey = new Map<string, KnownTarget>();
   private _keysByAddress = new Map<string, string>();
   private _ownersById = new Map<string, readonly OwnerOption[]>();
-  private _ownershipStamp = -1;
+  /** State of ownership and evacuations in which the owners were looked up. */
+  private _ownersVersion = '';
   private readonly _roster = new GroupRoster();
 
   constructor(
     private readonly _list: InstanceList,
     private readonly _loads: LoadTracker,
     private readonly _ownership: ShardOwnership,
+    private readonly _evacuations?: Evacuations,
   ) {}
 
   /** Returns the targets with the load that this node knows. */
@@ -69,11 +73,12 @@
     return target && this._toCandidate(target);
   }
 
-  /** Returns the owners of the shards that have targets for the model. */
+  /** Returns the owners of the shards that have targets for the model outside of excluded failure domains. */
   findOwners(configuration: ServingConfiguration, service: string, model: string): readonly OwnerOption[] {
     this._refresh(configuration);
-    if (this._ownershipStamp !== this._ownership.stamp) {
-      this._ownershipStamp = this._ownership.stamp;
+    const version = `${this._ownership.stamp}/${this._evacuations?.version ?? 0}`;
+    if (this._ownersVersion !== version) {
+      this._ownersVersion = version;
       this._ownersById = new Map();
     }
     const id = toTargetsId(service, model);
@@ -139,13 +144,18 @@
   }
 
   private _listOwners(targets: readonly KnownTarget[]): readonly OwnerOption[] {
+    const phases = new Map(targets.map((target) => [target, this._evacuations?.findPhaseOf(target)]));
     const byOwner = groupBy(
-      targets,
+      targets.filter((target) => phases.get(target) !== 'excluded'),
       ({ instance }) => this._ownership.findOwner(instance.fabricDomain)?.address ?? '',
     );
-    return [...byOwner].flatMap(([address, owned]) =>
-      address === '' ? [] : [{ address, capacity: owned.reduce((sum, { slots }) => sum + slots, 0) }],
-    );
+    return [...byOwner].flatMap(([address, owned]) => {
+      if (address === '') return [];
+      const inService = owned.filter((target) => phases.get(target) === undefined);
+      const isAvoided = inService.length === 0;
+      const capacity = (isAvoided ? owned : inService).reduce((sum, { slots }) => sum + slots, 0);
+      return [isAvoided ? { address, capacity, isAvoided } : { address, capacity }];
+    });
   }
 
   private _findTargets(service: ServingService): ReadonlyMap<string, readonly KnownTarget[]> {
@@ -161,7 +171,14 @@
       // A head whose members have left, while it was silent, goes on accepting requests that cannot run.
       if (this._roster.hasMemberLeft(group, this._list.instances)) continue;
       const id = toTargetsId(service.name, model.name);
-      const target = { key, instance: head, slots: engine.slots, engine: { profile: engine, model } };
+      const failureDomains = this._roster.listFailureDomains(group);
+      const target = {
+        key,
+        instance: head,
+        failureDomains,
+        slots: engine.slots,
+        engine: { profile: engine, model },
+      };
       byModel.set(id, [...(byModel.get(id) ?? []), target]);
     }
     return byModel;
--- a/tests/node/groupFixture.ts
+++ b/tests/node/groupFixture.ts
@@ -4,6 +4,7 @@
   Counters,
   createRandom,
   DemandMeter,
+  Evacuations,
   LoadTracker,
   RetryWindowBudget,
   type ServingConfiguration,
@@ -62,6 +63,8 @@
   /** Groups that the node knows. */
   candidates: readonly (0 | 1)[] = [0, 1];
   route = ROUTE;
+  /** The second member of each group is in a failure domain of its own: `zone-2` and `zone-3`. */
+  readonly evacuations = new Evacuations(systemClock);
   retries = new RetryWindowBudget({ share: 0.2, slack: 130, windowMs: 10_000 }, () => 1);
   /** Replaces the search for a crash of a lost group. */
   examineLoss: (() => Promise<void>) | undefined;
@@ -107,6 +110,7 @@
     return {
       key: `group-${index}`,
       instance: { ...createInstance(`head-${index}`), address },
+      failureDomains: ['zone-1', `zone-${index + 2}`],
       slots: 8,
       engine: { profile: ENGINE_PROFILE, model: LARGE_MODEL },
       load: { requests: 0, contextTokens: 0, pendingPromptTokens: 0 },
@@ -160,6 +164,7 @@
       loads: new LoadTracker(),
       limits: new TargetLimits(systemClock, () => 1),
       availability: new TargetAvailability(systemClock),
+      evacuations: this.evacuations,
       demand: new DemandMeter(),
       get retries() {
         return fixture().retries;
--- a/tests/serving/formationPlanner.test.ts
+++ b/tests/serving/formationPlanner.test.ts
@@ -2,6 +2,7 @@
   assignVacantShards,
   createGroupName,
   createStandbyName,
+  type EvacuationPhase,
   findModelOfGroup,
   findShard,
   FormationPlanner,
@@ -80,6 +81,15 @@
   return { ...member, membership: undefined, models: [] };
 }
 
+/** The instance in the failure domain that `withEvacuation` evacuates. */
+function inEvacuatedDomain(instance: TargetInstance): TargetInstance {
+  return { ...instance, failureDomain: 'zone-2' };
+}
+
+function withEvacuation(phase: EvacuationPhase): Partial<FormationView> {
+  return { findEvacuation: (failureDomain) => (failureDomain === 'zone-2' ? phase : undefined) };
+}
+
 /** The third member is missing from the list. */
 function withUnlisted(state: UnlistedMemberState, isStalled = false): Partial<FormationView> {
   return { findUnlistedMembers: () => [{ id: 'a-2', state }], isGroupStalled: () => isStalled };
@@ -373,6 +383,69 @@
     view: { instancesWithPendingOrder: new Set(['a-0']) },
     orders: [],
   },
+  // Guards against capacity that is taken away before it is provided elsewhere.
+  {
+    name: 'an open group with a member in an avoided domain stays open',
+    instances: [head, second, inEvacuatedDomain(third)],
+    view: withEvacuation('avoided'),
+    orders: [],
+  },
+  // Guards against a group that fails as its domain is removed, although the order came in time.
+  {
+    name: 'an open group with a member in an excluded domain is closed',
+    instances: [head, second, inEvacuatedDomain(third)],
+    view: withEvacuation('excluded'),
+    orders: ['close a-0'],
+  },
+  {
+    name: 'an open group whose head is in an excluded domain is closed',
+    instances: [inEvacuatedDomain(head), second, third],
+    view: withEvacuation('excluded'),
+    orders: ['close a-0'],
+  },
+  {
+    name: 'requests of a closing group in an excluded domain go on',
+    instances: [withState(inEvacuatedDomain(head), 'closing'), second, third],
+    view: withEvacuation('excluded'),
+    orders: [],
+  },
+  // Guards against groups and weight loads in a domain that is about to be removed.
+  ...(['avoided', 'excluded'] as const).flatMap((phase) => [
+    {
+      name: `a ready group with a member in an ${phase} domain is not opened`,
+      instances: [withState(head, 'ready'), second, inEvacuatedDomain(third)],
+      view: withEvacuation(phase),
+      orders: ['leave a-0'],
+    },
+    {
+      name: `instances in an ${phase} domain form no group`,
+      instances: [
+        ...createStandbys('large', 2),
+        inEvacuatedDomain(standby),
+        ...createGroupMembers('s', 8, SMALL_MODEL, ['open', 'ready']),
+      ],
+      view: withEvacuation(phase),
+      orders: [],
+    },
+    {
+      name: `an instance in an ${phase} domain loads no weights`,
+      instances: [inEvacuatedDomain(createInstance('new'))],
+      view: withEvacuation(phase),
+      orders: [],
+    },
+    // Guards against capacity elsewhere that is provided only after the domain is drained.
+    {
+      name: `spares elsewhere form a group at once while a group in an ${phase} domain still exists`,
+      instances: [
+        withState(inEvacuatedDomain(head), 'closing'),
+        inEvacuatedDomain(second),
+        inEvacuatedDomain(third),
+        ...createStandbys('large', 3),
+      ],
+      view: withEvacuation(phase),
+      orders: ['join large-standby-0', 'join large-standby-1', 'join large-standby-2'],
+    },
+  ]),
 ];
 
 for (const { name, instances, view, orders } of cases) {
@@ -395,6 +468,57 @@
   },
 );
 
+// Guards against a group that opens in a domain whose evacuation was ordered while it formed.
+void t.test('a formation is given up when the domain of a member is evacuated', (t) => {
+  const planner = new FormationPlanner();
+  const instances = [withoutGroup(head), withoutGroup(second), inEvacuatedDomain(withoutGroup(third))];
+  const joins = planner.plan(createView(instances));
+  t.equal(joins.length, 3);
+  const [join] = joins;
+  const group = join?.kind === 'join' ? join.group : '';
+  const epoch = join?.kind === 'join' ? join.epoch : 0;
+  const joined = instances.map((instance) => {
+    const rank = join?.kind === 'join' ? join.members.indexOf(instance.id) : -1;
+    return { ...instance, models: ['large'], membership: { group, epoch, rank, state: 'ready' as const } };
+  });
+  t.same(
+    summarize(new FormationPlanner().plan(createView(joined))),
+    [`open ${joined.find(({ membership }) => membership.rank === 0)?.id}`],
+    'without an evacuation the group is opened',
+  );
+  t.same(
+    summarize(planner.plan(createView(joined, withEvacuation('avoided')))).map(
+      (order) => order.split(' ')[0],
+    ),
+    ['leave'],
+  );
+  t.notOk(planner.isForming);
+  t.end();
+});
+
+// Guards against a domain whose instances stay unused after it has returned.
+void t.test('instances of a domain are used again when its evacuation is revoked', (t) => {
+  const planner = new FormationPlanner();
+  const instances = [withoutGroup(head), withoutGroup(second), inEvacuatedDomain(standby)];
+  planner.plan(createView(instances, { ...withEvacuation('excluded'), nowMs: 0 }));
+  const orders = planner.plan(createView(instances, { nowMs: 5_000 }));
+  t.same(summarize(orders), ['join a-0', 'join a-1', 'join standby']);
+  t.ok(
+    orders.every((order) => order.kind === 'join' && order.members.length === 3),
+    'in one group',
+  );
+  t.end();
+});
+
+// Guards against a group that is not closed since the entry of its member in the domain is missing.
+void t.test('a group is closed if a member that is no longer listed is in an excluded domain', (t) => {
+  const planner = new FormationPlanner();
+  planner.plan(createView([head, second, inEvacuatedDomain(third)]));
+  const orders = planner.plan(createView([head, second], withEvacuation('excluded')));
+  t.match(orders, [{ kind: 'close', cause: { reason: 'domain-evacuated' } }]);
+  t.end();
+});
+
 void t.test('a later term uses higher epochs', (t) => {
   const epochOf = (term: number) => {
     const view = createView([withoutGroup(head), withoutGroup(second), standby], { findTerm: () => term });
