Tests: evacuation of zones while requests run

Cause: the exclusion right before a send and the course of orders over nodes that start, two zones and repeated orders had no tests.

Ruled out: nodes in a zone of the targets, which prefer those so that the others get no requests.

--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -189,6 +189,8 @@
   readonly drainTimeout?: string;
   /** Whether all nodes start at the same time, for the first time; true by default. */
   readonly isFirstStart?: boolean;
+  /** Time from the order of an evacuation until no request reaches the zone; none by default. */
+  readonly evacuation?: string;
 }): string {
   return `[node]
 name = ${options.name}
@@ -209,5 +211,5 @@
 retry-share = 0.2
 retry-window = 10s
 retry-slack = 130
-`;
+${options.evacuation === undefined ? '' : `evacuation = ${options.evacuation}\n`}`;
 }
--- a/tests/platform/rawFleet.ts
+++ b/tests/platform/rawFleet.ts
@@ -40,6 +40,9 @@
   readonly store = new StoreStandin();
   readonly targets = [new RawTarget(), new RawTarget()] as const;
   address = '';
+  /** Further settings of nodes that are started from now on. */
+  settings: Partial<Pick<Parameters<typeof formatSettings>[0], 'domain' | 'evacuation' | 'isFirstStart'>> =
+    {};
   /** The nodes that were started, in order. */
   readonly nodes: Node[] = [];
   private _metrics = '';
@@ -82,7 +85,8 @@
   /** Starts another node in this process. */
   async startNode(name: string): Promise<RawNode> {
     const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
-    const settings = { name, domain: 'zone-1', store: this._storeAddress, front, readiness, peers, metrics };
+    const ports = { front, readiness, peers, metrics };
+    const settings = { name, domain: 'zone-1', store: this._storeAddress, ...ports, ...this.settings };
     const node = new Node(parseNodeSettings(formatSettings({ ...settings, log: 'hidden' })), systemClock);
     this.nodes.push(node);
     await node.start();
