--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -44,6 +44,8 @@
      */
     'cold-overrun': numberField({ min: 0, max: 1_000, isWhole: false }).optional(),
     'cold-slack': numberField({ min: 0, max: 1_000_000, isWhole: false }).optional(),
+    /** Time from an evacuation's order until no request reaches the zone; without it, orders exclude the zone at once. */
+    evacuation: durationField.optional(),
   }),
 });
 
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -191,6 +191,8 @@
   readonly isFirstStart?: boolean;
   /** More lines of the section `bounds`; none by default. */
   readonly bounds?: readonly string[];
+  /** Time from the order of an evacuation until no request reaches the zone; none by default. */
+  readonly evacuation?: string;
 }): string {
   return `[node]
 name = ${options.name}
@@ -211,5 +213,5 @@
 retry-share = 0.2
 retry-window = 10s
 retry-slack = 130
-${(options.bounds ?? []).map((line) => `${line}\n`).join('')}`;
+${[...(options.bounds ?? []), ...(options.evacuation === undefined ? [] : [`evacuation = ${options.evacuation}`])].map((line) => `${line}\n`).join('')}`;
 }
--- a/tests/platform/rawFleet.ts
+++ b/tests/platform/rawFleet.ts
@@ -40,6 +40,9 @@
   readonly store = new StoreStandin();
   readonly targets = [new RawTarget(), new RawTarget()] as const;
   address = '';
+  /** Further settings of nodes that are started from now on. */
+  settings: Partial<Pick<Parameters<typeof formatSettings>[0], 'domain' | 'evacuation' | 'isFirstStart'>> =
+    {};
   /** The nodes that were started, in order. */
   readonly nodes: Node[] = [];
   /** More lines of the section `bounds` in the settings of nodes that start from now on. */
@@ -85,7 +88,15 @@
   async startNode(name: string): Promise<RawNode> {
     const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
     const ports = { front, readiness, peers, metrics };
-    const settings = { name, domain: 'zone-1', store: this._storeAddress, bounds: this.bounds, ...ports };
+    const { bounds } = this;
+    const settings = {
+      name,
+      domain: 'zone-1',
+      store: this._storeAddress,
+      bounds,
+      ...ports,
+      ...this.settings,
+    };
     const node = new Node(parseNodeSettings(formatSettings({ ...settings, log: 'hidden' })), systemClock);
     this.nodes.push(node);
     await node.start();
