Requests: place a request again on a new connection where its target is bounded

Cause: after a target closed an idle connection, its request went to another idle connection of the next target, and from there back to the first one on a new connection, counted only once more.

Change: the repeat opens a new connection at the target that it is placed at.

--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -711,6 +711,7 @@
     this._releaseAttempt(attempt);
     this._attempts--;
     this._targets.recordBrokenOff(key);
+    this._isConnectionDoubted = true;
     const successor = attempt === this._successor ? undefined : this._successor;
     if (attempt === this._attempt) this._attempt = successor;
     this._successor = undefined;
--- a/tests/platform/coldTargets.test.ts
+++ b/tests/platform/coldTargets.test.ts
@@ -136,3 +136,34 @@
     });
   }
 });
+
+const repeatCases = [
+  { name: 'a bounded target gets no request twice', service: BOUNDED, isRepeated: false },
+  { name: 'another one gets it again on a new connection', service: {}, isRepeated: true },
+];
+
+// Guards against repeats on new connections that nobody counts: a target that closes its connections gets them all.
+void t.test('requests whose reused connection is closed', async (t) => {
+  // Another start after a closed connection would be a crash.
+  for (const index of fleet.targets.keys()) announce(index, 0);
+  for (const { name, service, isRepeated } of repeatCases) {
+    await t.test(name, async (t) => {
+      configure(service);
+      await sleep(NOTICE_MS);
+      await fleet.setHandler(() => undefined);
+      const received: string[] = [];
+      for (const [index, target] of fleet.targets.entries()) {
+        target.handle = ({ socket, id, ordinal }) => {
+          received.push(`${index} ${id}`);
+          const head = `HTTP/1.1 200 OK\r\nServer-Seal: s\r\nAttempt-Id: ${id}\r\nContent-Length: 2\r\n`;
+          if (ordinal === 1) socket.write(`${head}\r\nok`);
+          else socket.resetAndDestroy();
+        };
+      }
+      const requests = 12;
+      for (let count = 0; count < requests; count++) t.equal((await fleet.send('/status/')).status, 200);
+      t.ok(received.length > requests, `${received.length} requests received`);
+      t.equal(new Set(received).size < received.length, isRepeated);
+    });
+  }
+});
