--- a/packages/core/src/serving/formationPlanner.ts
+++ b/packages/core/src/serving/formationPlanner.ts
@@ -210,9 +210,9 @@
     const departing = listDepartingMembers(view, group);
     if (state === 'open' && departing.length > 0)
       return [{ ...order, kind: 'close', cause: { reason: 'member-leaving', members: departing } }];
-    return state === 'open' && this._isExcluded(view, group)
-      ? [{ ...order, kind: 'close', cause: { reason: 'domain-evacuated', members: [] } }]
-      : [];
+    if (state !== 'open' || !this._isExcluded(view, group)) return [];
+    const evacuated = listIds(group.members.filter((member) => isEvacuated(view, member)));
+    return [{ ...order, kind: 'close', cause: { reason: 'domain-evacuated', members: evacuated } }];
   }
 
   /** Whether requests no longer reach the group, as a known member is in an excluded failure domain. */
@@ -239,7 +239,11 @@
       case 'ready': {
         const isGivenUp =
           view.isListSettled && !this._formations.has(group.name) && !isAssembling(view, group);
-        return isGivenUp ? { reason: 'incomplete-before-opening', members: [] } : undefined;
+        if (!isGivenUp) return undefined;
+        const evacuated = group.members.filter((member) => isEvacuated(view, member));
+        return evacuated.length > 0
+          ? { reason: 'domain-evacuated', members: listIds(evacuated) }
+          : { reason: 'incomplete-before-opening', members: [] };
       }
       case 'open':
       case 'closing':
--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -119,6 +119,8 @@
   requestsPerS: number | undefined;
   /** Number of streams that its group runs at the same time; it refuses others. */
   slots = Infinity;
+  /** Failure domain that it announces. */
+  failureDomain = 'zone-1';
   /** Whether the instance cannot reach the store. Its entry expires, but requests still reach it. */
   isDisconnectedFromStore = false;
   /** Number of starts, announced as the start time so that each start has another one. */
@@ -277,7 +279,7 @@
     return {
       service: this._service,
       address: this.publicAddress,
-      zone: 'zone-1',
+      zone: this.failureDomain,
       version: 'v1',
       slots: 4,
       state: this._state,
