--- a/packages/core/src/serving/groupRoster.ts
+++ b/packages/core/src/serving/groupRoster.ts
@@ -10,8 +10,8 @@
 /** Identifies an epoch of a group. */
 type GroupEpoch = Pick<ObservedGroup, 'name' | 'epoch'>;
 
-/** The start of an instance that holds a rank of a group. */
-type RankHolder = Pick<TargetInstance, 'id' | 'startedAtMs'>;
+/** The start of an instance that holds a rank of a group, and where it runs, if that is known. */
+type RankHolder = Pick<TargetInstance, 'id' | 'startedAtMs'> & Partial<Pick<TargetInstance, 'failureDomain'>>;
 
 interface KnownGroup {
   readonly holders: Map<number, RankHolder>;
@@ -79,6 +79,11 @@
       .map(({ id }) => id);
   }
 
+  /** Failure domains of the instances that hold a rank of the group, as far as they were listed. */
+  listFailureDomains(group: GroupEpoch): ReadonlySet<string> {
+    return new Set(this._listHolders(group).flatMap(({ failureDomain }) => failureDomain ?? []));
+  }
+
   private _listHolders(group: GroupEpoch): readonly RankHolder[] {
     return [...(this._find(group)?.holders.values() ?? [])];
   }
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -10,6 +10,7 @@
 export * from './groupLayout.js';
 export * from './groupName.js';
 export * from './groupRoster.js';
+export * from './homes.js';
 export * from './instanceStateOverlay.js';
 export * from './keyTrust.js';
 export * from './loadTracker.js';
--- a/packages/core/src/serving/servingConfiguration.ts
+++ b/packages/core/src/serving/servingConfiguration.ts
@@ -27,6 +27,8 @@
   readonly priority: number;
   readonly isKeyRequired: boolean;
   readonly isResumable: boolean;
+  /** Regions in which its requests may be run; any if undefined. */
+  readonly homes?: readonly string[] | undefined;
 }
 
 /** A model that groups of a service can serve. */
@@ -96,6 +98,8 @@
   readonly keys: readonly string[];
   /** Overrides the route's priority. */
   readonly priority: number | undefined;
+  /** Regions in which its requests may be run, besides the route's homes; any if undefined. */
+  readonly homes?: readonly string[] | undefined;
 }
 
 /** One complete version of the serving configuration. */
--- a/packages/core/src/serving/targetChoice.ts
+++ b/packages/core/src/serving/targetChoice.ts
@@ -1,5 +1,6 @@
 import type { Random } from '../random.js';
 import { type BatchLoad, predictFirstEventMs, type RequestSize } from './engineCost.js';
+import { isAllowedTarget } from './homes.js';
 import type { EngineProfile, ModelProfile } from './servingConfiguration.js';
 import type { TargetJudgement } from './targetHealth.js';
 import { getIncarnationKey, type TargetInstance } from './targetInstance.js';
@@ -29,6 +30,8 @@
   readonly engine: { readonly profile: EngineProfile; readonly model: ModelProfile } | undefined;
   /** Load that all nodes together have placed on the target, as far as this node knows. */
   readonly load: BatchLoad;
+  /** Failure domains of the known members of its group; undefined for ungrouped instances. */
+  readonly memberDomains?: ReadonlySet<string> | undefined;
 }
 
 /** Input of a choice besides the candidates. */
@@ -48,12 +51,17 @@
   readonly unavailable?: ReadonlySet<string>;
   /** Whether the request resumes a partially delivered answer; it then queues at a full target instead of failing. */
   readonly isContinuing?: boolean;
+  /** Failure domains in which the request may be run; any if undefined. */
+  readonly allowedDomains?: ReadonlySet<string> | undefined;
 }
 
 /** The chosen target, or why there is none. */
 export type TargetChoice =
   | { readonly kind: 'chosen'; readonly candidate: TargetCandidate; readonly predictedMs: number }
-  | { readonly kind: 'none'; readonly reason: 'no-target' | 'all-full' | 'all-silent' };
+  | { readonly kind: 'none'; readonly reason: NoTargetReason };
+
+/** `no-target-in-homes`: none runs only in the home regions of the request. */
+export type NoTargetReason = 'no-target' | 'all-full' | 'all-silent' | 'no-target-in-homes';
 
 /**
  * Chooses the target with the shortest predicted time to the first bytes, plus penalties.
@@ -62,7 +70,14 @@
  * its requests is penalized by the expected cost of a retry.
  */
 export function chooseTarget(candidates: readonly TargetCandidate[], context: ChoiceContext): TargetChoice {
-  const untried = candidates.filter(({ key }) => !context.tried.has(key));
+  const { allowedDomains } = context;
+  const allowed =
+    allowedDomains === undefined
+      ? candidates
+      : candidates.filter((candidate) => isAllowedTarget(candidate, allowedDomains));
+  if (allowedDomains !== undefined && allowed.length === 0)
+    return { kind: 'none', reason: 'no-target-in-homes' };
+  const untried = allowed.filter(({ key }) => !context.tried.has(key));
   if (untried.length === 0) return { kind: 'none', reason: 'no-target' };
   const responsive = untried.filter((candidate) => isResponsive(candidate, context));
   if (responsive.length === 0) return { kind: 'none', reason: 'all-silent' };
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -2,7 +2,13 @@
 import type { Socket } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
 import { CallerConnections, type OpenRequest } from '@monsoonreach/callers/connections';
-import { type KeyTrust, type RouteTable, type ServingRoute, splitAddress } from '@monsoonreach/core';
+import {
+  type Homes,
+  type KeyTrust,
+  type RouteTable,
+  type ServingRoute,
+  splitAddress,
+} from '@monsoonreach/core';
 import { type CallerRequest, decodeCallerRequest, encodeRetryAfter } from '@monsoonreach/platform';
 import { RequestRun } from './requestRun.js';
 import type { ServingContext } from './servingContext.js';
@@ -179,6 +185,7 @@
     readonly startedAtMs: number;
     readonly workspace: string | undefined;
     readonly priority: number | undefined;
+    readonly workspaceHomes?: Homes;
   }): void {
     const { priority, ...rest } = options;
     const { caller, route, response, startedAtMs } = rest;
@@ -235,7 +242,12 @@
     if (!trust.isTrusted()) return { kind: 'stale' };
     const workspace = caller.apiKey === undefined ? undefined : table.findWorkspace(caller.apiKey);
     if (!workspace) return { kind: 'unknown-key' };
-    return { kind: 'allowed', workspace: workspace.name, priority: workspace.priority ?? priority };
+    return {
+      kind: 'allowed',
+      workspace: workspace.name,
+      priority: workspace.priority ?? priority,
+      workspaceHomes: workspace.homes,
+    };
   }
 
   private async _readBody(
@@ -325,6 +337,7 @@
       readonly kind: 'allowed';
       readonly workspace: string | undefined;
       readonly priority: number | undefined;
+      readonly workspaceHomes?: Homes;
     }
   | { readonly kind: 'unknown-key' }
   | { readonly kind: 'stale' };
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -12,6 +12,7 @@
   getIncarnationKey,
   hash32,
   insertByPreference,
+  isAllowedTarget,
   KeyTrust,
   LoadTracker,
   MAX_SOUND_SILENCE_MS,
@@ -465,13 +466,14 @@
   }
 
   private _createContext(): ServingContext {
-    const { bounds, node } = this._settings;
+    const { bounds, node, regions } = this._settings;
     return {
       clock: this._clock,
       random: this._random,
       counters: this._counters,
       log: this._log,
       failureDomain: node['failure-domain'],
+      regions: new Map(Object.entries(regions)),
       health: this._health,
       pace: this._pace,
       loads: this._loads,
@@ -523,9 +525,9 @@
       limits: this._limits,
       isOwnedBy: (incarnation, address) =>
         this._directory.findOwnerOfIncarnation(incarnation)?.address === address,
-      findOwners: ({ service, model }) => {
+      findOwners: ({ service, model, allowedDomains }) => {
         const configuration = this._table?.configuration;
-        return configuration ? this._directory.findOwners(configuration, service, model) : [];
+        return configuration ? this._directory.findOwners(configuration, service, model, allowedDomains) : [];
       },
       findOwner: (target) => this._directory.findOwner(target),
       owners: () => this._ownership.listAddresses(),
@@ -587,13 +589,14 @@
 
   /** Number of places that responsive targets of this node's shards still have, as far as their limits allow. */
   private _countFreePlaces(
-    criteria: Pick<LocalPlacementCriteria, 'service' | 'model' | 'isOwnRequest'>,
+    criteria: Pick<LocalPlacementCriteria, 'service' | 'model' | 'isOwnRequest' | 'allowedDomains'>,
   ): number {
     const candidates = this._findCandidates({ ...criteria, isOwner: true });
     const judgement = this._judgeFor(criteria);
     const nowMs = this._clock.monotonic();
     const limited = this._limits.listExhausted('fleet');
     return candidates
+      .filter((candidate) => isAllowedTarget(candidate, criteria.allowedDomains))
       .filter(
         ({ key, instance }) => !judgement.isSuspect(key, nowMs) && !limited.has(getIncarnationKey(instance)),
       )
--- a/packages/node/src/peerMessages.ts
+++ b/packages/node/src/peerMessages.ts
@@ -148,6 +148,11 @@
   avoided: z.array(z.string()),
   /** Keys of targets to which the sender has an idle connection. */
   connected: z.array(z.string()),
+  /**
+   * Failure domains in which the request may be run; absent if it may be run in any. Nodes of earlier versions ignore it,
+   * so that the sender has to check their grants.
+   */
+  allowedDomains: z.optional(z.array(z.string())),
 });
 
 const grantSchema = z.object({
@@ -157,7 +162,7 @@
   target: z.optional(z.string()),
   predictedMs: z.optional(z.number()),
   /** Reason for which no target is granted. */
-  reason: z.optional(z.enum(['no-target', 'all-full', 'all-silent'])),
+  reason: z.optional(z.enum(['no-target', 'all-full', 'all-silent', 'no-target-in-homes'])),
   /** Requests that the owner's other targets of the model can take. */
   free: count,
 });
--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -10,7 +10,7 @@
   TargetLimits,
   TargetLoad,
 } from '@monsoonreach/core';
-import { chooseOwner, type OwnerOption } from '@monsoonreach/core';
+import { chooseOwner, isAllowedTarget, type OwnerOption } from '@monsoonreach/core';
 import type { DecisionLog } from './decisionLog.js';
 import type {
   AskMessage,
@@ -45,6 +45,8 @@
   readonly tried: ReadonlySet<string>;
   /** Whether the request resumes an answer that has already begun. */
   readonly isContinuing: boolean;
+  /** Failure domains in which the request may be run; any if undefined. */
+  readonly allowedDomains?: ReadonlySet<string> | undefined;
 }
 
 /** Criteria for a choice among the targets that this node knows. */
@@ -111,7 +113,7 @@
 interface KnownOwner {
   missedAnswers: number;
   suspectedUntilMs: number;
-  /** Requests that its targets could take, by service and model, and when it said so. */
+  /** Requests that its targets could take, by service, model and failure domains allowed, and when it said so. */
   readonly free: Map<string, { readonly count: number; readonly atMs: number }>;
 }
 
@@ -208,6 +210,7 @@
       isContinuing: criteria.isContinuing,
       avoided: [...criteria.tried, ...this._options.avoidedTargets()],
       connected: this._options.connectedTargets().slice(0, MAX_CONNECTED_TARGETS),
+      ...(criteria.allowedDomains && { allowedDomains: [...criteria.allowedDomains] }),
     });
   }
 
@@ -299,7 +302,9 @@
     this._recordLoad(request);
     const { service, model, failureDomain, isContinuing } = request;
     const size = { promptTokens: request.promptTokens, answerTokens: request.answerTokens };
-    const criteria = { service, model, size, tried: new Set(request.avoided), isContinuing };
+    const allowedDomains = request.allowedDomains && new Set(request.allowedDomains);
+    const tried = new Set(request.avoided);
+    const criteria = { service, model, size, tried, isContinuing, allowedDomains };
     const connected = new Set(request.connected);
     const choice = chooseLocally({
       ...criteria,
@@ -334,9 +339,37 @@
     known.missedAnswers = 0;
     known.free.set(toFreeKey(criteria), { count: grant.free, atMs: this._options.clock.monotonic() });
     this._options.counters.add('monsoonreach_placements_total', { by: 'answer' });
+    if (this._isOutsideHomes(criteria, grant)) {
+      this._replaceOutsideGrant(pending, grant);
+      return;
+    }
     this._finishOrAskAnother(criteria, asked, owner, this._toChoice(criteria, grant), onChoice);
   }
 
+  /** Whether a grant is for a target outside of the failure domains allowed; its owner may be of an earlier version. */
+  private _isOutsideHomes(criteria: PlacementCriteria, { target }: GrantMessage): boolean {
+    if (criteria.allowedDomains === undefined || target === undefined) return false;
+    const candidate = this._options.findCandidate(criteria, target);
+    return candidate !== undefined && !isAllowedTarget(candidate, criteria.allowedDomains);
+  }
+
+  /** Asks another owner instead of using the grant, or chooses locally if there is none. */
+  private _replaceOutsideGrant(
+    { criteria, owner, asked, onChoice }: PendingRequest,
+    grant: GrantMessage,
+  ): void {
+    const { counters, log } = this._options;
+    counters.add('monsoonreach_grants_outside_homes_total');
+    log.warn('owner granted a target outside of the home regions; it is not used', {
+      owner,
+      target: grant.target,
+      allowedDomains: [...(criteria.allowedDomains ?? [])],
+    });
+    const askedNow = new Set([...asked, owner]);
+    if (askedNow.size < MAX_ASKED_OWNERS) this._place(criteria, askedNow, onChoice);
+    else onChoice(this._chooseLocally(criteria, false));
+  }
+
   /** Converts a grant to a choice; a target that this node does not know yet counts as none. */
   private _toChoice(
     criteria: PlacementCriteria,
@@ -409,6 +442,6 @@
   }
 }
 
-function toFreeKey({ service, model }: PlacementCriteria): string {
-  return `${service}/${model}`;
+function toFreeKey({ service, model, allowedDomains }: PlacementCriteria): string {
+  return allowedDomains === undefined ? `${service}/${model}` : [service, model, ...allowedDomains].join('/');
 }
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -4,8 +4,11 @@
   chooseService,
   chooseTarget,
   EventFramer,
+  findAllowedDomains,
   type FinishEstimate,
   getIncarnationKey,
+  type Homes,
+  isAllowedTarget,
   classifySilence,
   isNextEvent,
   predictBusyPauseMs,
@@ -91,6 +94,8 @@
   readonly caller: CallerRequest;
   readonly route: ServingRoute;
   readonly workspace: string | undefined;
+  /** Home regions of the workspace, which apply besides those of the route. */
+  readonly workspaceHomes?: Homes;
   readonly urgency: number;
   readonly body: Buffer | undefined;
   readonly startedAtMs: number;
@@ -121,6 +126,8 @@
   private readonly _targets = new TriedTargets();
   private readonly _trail: string[] = [];
   private readonly _service: string | undefined;
+  /** Failure domains in which the request may be run; undefined without home regions. */
+  private readonly _allowedDomains: ReadonlySet<string> | undefined;
   private _attempt: Attempt | undefined;
   /** Attempt at another target while the current one is silent; whichever goes on first is kept. */
   private _successor: Attempt | undefined;
@@ -143,10 +150,11 @@
   private _isFirstFramed = true;
 
   constructor(private readonly _options: RequestRunOptions) {
-    const { context, caller, request, route, startedAtMs, workspace, body } = _options;
+    const { context, caller, request, route, startedAtMs, workspace, workspaceHomes, body } = _options;
     this._deadlineMs = startedAtMs + Math.min(caller.timeoutMs ?? Infinity, route.timeoutMs);
     this._lastEventId = caller.lastEventId;
     this._service = chooseService(route, context.random);
+    this._allowedDomains = findAllowedDomains(context.regions, route.homes, workspaceHomes);
     this._witness = new CrashWitness(context, {
       caller,
       path: request.url ?? '/',
@@ -351,10 +359,24 @@
         return;
       case 'none':
         this._trail.push(choice.reason);
+        if (choice.reason === 'no-target-in-homes') this._recordNoTargetInHomes();
         this._giveUp(choice.reason, NO_TARGET_RETRY_AFTER_MS[choice.reason]);
     }
   }
 
+  private _recordNoTargetInHomes(): void {
+    const { context, caller, route, workspace, workspaceHomes } = this._options;
+    context.counters.add('monsoonreach_no_target_in_homes_total', { route: route.name });
+    context.log.warn('no target in the home regions', {
+      request: caller.requestId,
+      route: route.name,
+      workspace,
+      routeHomes: route.homes,
+      workspaceHomes,
+      allowedDomains: [...(this._allowedDomains ?? [])],
+    });
+  }
+
   /** Estimates whether an attempt that begins now ends before the process; undefined if it is to be made in any case. */
   private _estimateFinish(choice?: ChosenTarget): FinishEstimate | undefined {
     const { context, route, caller, startedAtMs } = this._options;
@@ -376,6 +398,7 @@
       size,
       tried: this._targets.tried,
       isContinuing: this._forwardedEvents > 0,
+      allowedDomains: this._allowedDomains,
     };
   }
 
@@ -402,6 +425,7 @@
       // The owners of groups know how many requests these still take.
       unavailable: model === undefined ? listUnavailable(context) : context.availability.listUnavailable(),
       isContinuing: this._forwardedEvents > 0,
+      allowedDomains: this._allowedDomains,
     });
   }
 
@@ -666,7 +690,11 @@
   private _handleError(attempt: Attempt, error: CallError): void {
     const { crashes } = this._options.context;
     if (isConnectionRefused(error)) crashes.recordRefusedConnection(attempt.candidate.key);
-    const canRepeat = error.failure === 'stale' && this._isRepeatable() && !this._witness.isSuspected;
+    const canRepeat =
+      error.failure === 'stale' &&
+      this._isRepeatable() &&
+      !this._witness.isSuspected &&
+      this._isStillAllowed(attempt.candidate);
     if (canRepeat && this._tryTakeRetry('stale')) {
       this._witness.recordRepeatedLoss(attempt, 'stale');
       this._sendAgain(attempt);
@@ -675,6 +703,15 @@
     this._handleFailure(attempt, OUTCOMES[error.failure], !error.isUnsent);
   }
 
+  /** Whether the target, of which more members may be known by now, is in the failure domains allowed. */
+  private _isStillAllowed(candidate: TargetCandidate): boolean {
+    if (this._allowedDomains === undefined) return true;
+    const { directory, configuration } = this._options.context;
+    const current = configuration();
+    const known = current && directory.findCandidate(current, candidate.key);
+    return isAllowedTarget(known ?? candidate, this._allowedDomains);
+  }
+
   /** Sends the request to the same target on a new connection; the attempt on the closed one does not count. */
   private _sendAgain(attempt: Attempt): void {
     const { candidate, predictedMs } = attempt;
@@ -888,7 +925,12 @@
 /** Retry-After for a request that its target has not run, in milliseconds; another target may then accept it. */
 const NOT_RUN_RETRY_AFTER_MS = 150;
 /** Retry-After by reason, in milliseconds: a group forms in about 2 s; a batch frees a slot in less than 200 ms. */
-const NO_TARGET_RETRY_AFTER_MS = { 'no-target': 1_500, 'all-full': 200, 'all-silent': 700 } as const;
+const NO_TARGET_RETRY_AFTER_MS = {
+  'no-target': 1_500,
+  'all-full': 200,
+  'all-silent': 700,
+  'no-target-in-homes': 1_500,
+} as const;
 
 /** Ends of an attempt of which no byte was sent. */
 const UNSENT_ENDS: ReadonlySet<CallOutcomeReason> = new Set(['unreachable', 'unsent']);
--- a/packages/node/src/servingContext.ts
+++ b/packages/node/src/servingContext.ts
@@ -5,6 +5,7 @@
   DemandMeter,
   LoadTracker,
   Random,
+  Regions,
   RetryWindowBudget,
   ServingConfiguration,
   StreamPace,
@@ -29,6 +30,7 @@
   readonly counters: Counters;
   readonly log: DecisionLog;
   readonly failureDomain: string;
+  readonly regions: Regions;
   readonly health: TargetHealth;
   readonly pace: StreamPace;
   readonly loads: LoadTracker;
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -39,6 +39,8 @@
     'retry-window': durationField,
     'retry-slack': numberField({ min: 0, max: 1_000_000, isWhole: false }),
   }),
+  /** Region of each failure domain; one that is not listed is a region of its own name. */
+  regions: z.record(z.string(), textField).default({}),
 });
 
 /** Settings of one `monsoonreach-node` process. */
--- a/packages/node/src/targetDirectory.ts
+++ b/packages/node/src/targetDirectory.ts
@@ -2,6 +2,7 @@
   getIncarnationKey,
   groupBy,
   GroupRoster,
+  isAllowedTarget,
   type LoadTracker,
   observeGroups,
   type OwnerOption,
@@ -19,6 +20,7 @@
   readonly instance: TargetInstance;
   readonly slots: number;
   readonly engine: TargetCandidate['engine'];
+  readonly memberDomains?: TargetCandidate['memberDomains'];
 }
 
 /** Looks up the targets that accept requests for a service and a model, according to the instance list. */
@@ -69,9 +71,18 @@
     return target && this._toCandidate(target);
   }
 
-  /** Returns the owners of the shards that have targets for the model. */
-  findOwners(configuration: ServingConfiguration, service: string, model: string): readonly OwnerOption[] {
+  /** Returns the owners of the shards that have targets for the model, in the allowed failure domains if any are given. */
+  findOwners(
+    configuration: ServingConfiguration,
+    service: string,
+    model: string,
+    allowedDomains?: ReadonlySet<string>,
+  ): readonly OwnerOption[] {
     this._refresh(configuration);
+    if (allowedDomains !== undefined) {
+      const targets = this._targetsById.get(toTargetsId(service, model)) ?? [];
+      return this._listOwners(targets.filter((target) => isAllowedTarget(target, allowedDomains)));
+    }
     if (this._ownershipStamp !== this._ownership.stamp) {
       this._ownershipStamp = this._ownership.stamp;
       this._ownersById = new Map();
@@ -161,7 +172,13 @@
       // A head whose members have left, while it was silent, goes on accepting requests that cannot run.
       if (this._roster.hasMemberLeft(group, this._list.instances)) continue;
       const id = toTargetsId(service.name, model.name);
-      const target = { key, instance: head, slots: engine.slots, engine: { profile: engine, model } };
+      const target = {
+        key,
+        instance: head,
+        slots: engine.slots,
+        engine: { profile: engine, model },
+        memberDomains: this._roster.listFailureDomains(group),
+      };
       byModel.set(id, [...(byModel.get(id) ?? []), target]);
     }
     return byModel;
--- a/tests/node/groupFixture.ts
+++ b/tests/node/groupFixture.ts
@@ -155,6 +155,7 @@
       buffers: new AnswerBuffers(MAX_BUFFERED_BYTES),
       crashes,
       failureDomain: 'zone-1',
+      regions: new Map(),
       health: new TargetHealth(),
       pace: new StreamPace(),
       loads: new LoadTracker(),
--- a/tests/node/placement.test.ts
+++ b/tests/node/placement.test.ts
@@ -13,7 +13,14 @@
   TargetHealth,
   TargetLimits,
 } from '@monsoonreach/core';
-import { DecisionLog, type PeerMessage, Placement, type WithoutVersion } from '@monsoonreach/node';
+import {
+  DecisionLog,
+  decodePeerMessage,
+  encodePeerMessage,
+  type PeerMessage,
+  Placement,
+  type WithoutVersion,
+} from '@monsoonreach/node';
 import t from 'tap';
 import { createInstance, ENGINE_PROFILE, SMALL_MODEL } from '../serving/fixtures.js';
 import { sleep } from '../standins/http.js';
@@ -37,6 +44,12 @@
   readonly unreachable = new Set<string>();
   /** Owners; the groups are divided among them. */
   owners: readonly string[] = [OWNER];
+  /** Nodes of an earlier version, which ignore the failure domains allowed. */
+  readonly ignoringHomes = new Set<string>();
+  /** Failure domain of a group; that of the nodes by default. */
+  domainOf: (group: number) => string = () => 'zone-1';
+  /** Failure domains in which requests may be run; any by default. */
+  allowedDomains: ReadonlySet<string> | undefined;
   /** Number of messages by kind. */
   readonly messages = new Map<string, number>();
 
@@ -49,7 +62,15 @@
   }
 
   place(node: string, tried: ReadonlySet<string> = new Set()): Promise<TargetChoice> {
-    const need = { service: 'engines', model: SMALL_MODEL.name, size: SIZE, tried, isContinuing: false };
+    const { allowedDomains } = this;
+    const need = {
+      service: 'engines',
+      model: SMALL_MODEL.name,
+      size: SIZE,
+      tried,
+      isContinuing: false,
+      allowedDomains,
+    };
     return new Promise((resolve) => this.nodes.get(node)?.placement.place(need, resolve));
   }
 
@@ -65,11 +86,11 @@
       placement.scheduleReport(target);
     });
     const candidates = (isOwner: boolean): readonly TargetCandidate[] =>
-      Array.from({ length: GROUPS }, (_, index) => `group-${index}`)
-        .filter((key) => !isOwner || this._findOwner(key)?.address === name)
-        .map((key) => ({
+      Array.from({ length: GROUPS }, (_, index) => ({ key: `group-${index}`, index }))
+        .filter(({ key }) => !isOwner || this._findOwner(key)?.address === name)
+        .map(({ key, index }) => ({
           key,
-          instance: createInstance(key),
+          instance: createInstance(key, { failureDomain: this.domainOf(index) }),
           slots: ENGINE_PROFILE.slots,
           engine: { profile: ENGINE_PROFILE, model: SMALL_MODEL },
           load: loads.getLoad(key),
@@ -130,7 +151,8 @@
     this.messages.set(message.kind, (this.messages.get(message.kind) ?? 0) + 1);
     if (this.unreachable.has(address)) return;
     if (message.kind !== 'report' && message.kind !== 'ask' && message.kind !== 'grant') return;
-    const copy = { version: 2 as const, ...message };
+    const isIgnoring = this.ignoringHomes.has(address) && message.kind === 'ask';
+    const copy = { version: 2 as const, ...message, ...(isIgnoring ? { allowedDomains: undefined } : {}) };
     setImmediate(() => this.nodes.get(address)?.placement.receive(copy));
   }
 }
@@ -328,3 +350,80 @@
   t.equal(fleet.nodes.get('node-0')?.loads.getLoad('group-1').requests, 0);
   t.equal(fleet.messages.get('report'), 1);
 });
+
+const HOME_GROUPS = 3;
+const homeCases: readonly {
+  readonly name: string;
+  readonly owners: readonly string[];
+  readonly ignoring?: readonly string[];
+  readonly allowed: readonly string[];
+  readonly chosen: 'home' | 'no-target-in-homes';
+}[] = [
+  { name: 'an owner knows them', owners: [OWNER], allowed: ['home'], chosen: 'home' },
+  { name: 'an owner ignores them', owners: [OWNER], ignoring: [OWNER], allowed: ['home'], chosen: 'home' },
+  {
+    name: 'one of two owners ignores them',
+    owners: [OWNER, 'node-1'],
+    ignoring: [OWNER],
+    allowed: ['home'],
+    chosen: 'home',
+  },
+  { name: 'there is no owner', owners: [], allowed: ['home'], chosen: 'home' },
+  { name: 'no group is in them', owners: [OWNER], allowed: ['east'], chosen: 'no-target-in-homes' },
+  {
+    name: 'no group is in them and the owner ignores them',
+    owners: [OWNER],
+    ignoring: [OWNER],
+    allowed: ['east'],
+    chosen: 'no-target-in-homes',
+  },
+];
+
+// Guards against a group outside of the homes of a request, whoever chooses it.
+for (const { name, owners, ignoring = [], allowed, chosen } of homeCases) {
+  void t.test(`home regions: ${name}`, async (t) => {
+    const fleet = new PlacementFleet(3, ANSWER_TIMEOUT_MS);
+    fleet.owners = owners;
+    for (const owner of ignoring) fleet.ignoringHomes.add(owner);
+    fleet.domainOf = (group) => (group < HOME_GROUPS ? 'home' : 'zone-1');
+    fleet.allowedDomains = new Set(allowed);
+    for (let round = 0; round < 5; round++) {
+      for (const node of fleet.nodes.keys()) {
+        const key = getKeyOrReason(await fleet.place(node));
+        const isHome = key.startsWith('group-') && Number(key.split('-')[1]) < HOME_GROUPS;
+        t.equal(isHome ? 'home' : key, chosen);
+      }
+    }
+  });
+}
+
+// Guards against owners that cannot read an ask with a field of a later version, which would leave it unanswered.
+void t.test('asks with unknown fields are read', (t) => {
+  const ask = {
+    kind: 'ask' as const,
+    sender: 'a',
+    address: '127.0.0.1:1',
+    sequence: 1,
+    lastAsk: 1,
+    openAsks: [],
+    loads: {},
+    limits: {},
+    failureDomain: 'zone-1',
+    service: 's',
+    model: 'm',
+    promptTokens: 1,
+    answerTokens: 1,
+    isContinuing: false,
+    avoided: [],
+    connected: [],
+  };
+  t.same(decodePeerMessage(encodePeerMessage({ ...ask, later: ['x'] } as typeof ask)), {
+    ...ask,
+    version: 2,
+  });
+  t.notOk(
+    'allowedDomains' in decodePeerMessage(encodePeerMessage(ask)),
+    'requests without homes send no field',
+  );
+  t.end();
+});
--- a/tests/node/settings.test.ts
+++ b/tests/node/settings.test.ts
@@ -1,3 +1,4 @@
+import { readFileSync } from 'node:fs';
 import { DocumentError } from '@monsoonreach/core';
 import { parseNodeSettings } from '@monsoonreach/node';
 import t from 'tap';
@@ -42,3 +43,60 @@
   t.throws(() => parseNodeSettings(TEXT.replace(/^retry-slack = .*\n/m, '')), /retry-slack/);
   t.end();
 });
+
+/** Expands a template as the users' platform does, with the table `zones`; all other values are those of `TEXT`. */
+function expandRegions(zones: Readonly<Record<string, string>>, keepsMarkerLines: boolean): string {
+  const template = readFileSync('deploy/node.ini', 'utf8');
+  const regions = template.slice(template.indexOf('[regions]'));
+  const marker = keepsMarkerLines ? '' : '\\n';
+  return regions.replace(
+    new RegExp(`\\{\\{#zones\\}\\}${marker}([^]*?)\\{\\{/zones\\}\\}${marker}`),
+    (_match, body: string) =>
+      Object.entries(zones)
+        .map(([key, value]) => body.replace('{{@}}', key).replace('{{.}}', value))
+        .join(''),
+  );
+}
+
+const regionCases: readonly {
+  readonly name: string;
+  readonly text: string;
+  readonly regions: Readonly<Record<string, string>>;
+}[] = [
+  { name: 'without the section', text: '', regions: {} },
+  { name: 'with an empty section', text: '[regions]\n', regions: {} },
+  {
+    name: 'with zones whose names hold dots or digits only',
+    text: '[regions]\nzone.1 = eu.north\n2 = 3\n',
+    regions: { 'zone.1': 'eu.north', '2': '3' },
+  },
+  ...[true, false].flatMap((keepsMarkerLines) => {
+    const suffix = keepsMarkerLines ? ', lines of markers kept' : '';
+    const zones = { 'zone-1': 'north', 'zone-2': 'north', 'zone-3': 'south' };
+    return [
+      {
+        name: `from the template${suffix}`,
+        text: expandRegions(zones, keepsMarkerLines),
+        regions: zones,
+      },
+      {
+        name: `from the template without zones${suffix}`,
+        text: expandRegions({}, keepsMarkerLines),
+        regions: {},
+      },
+    ];
+  }),
+];
+
+// Guards against a node that does not start, or takes a zone for a region of its own name, because of the settings' form.
+for (const { name, text, regions } of regionCases) {
+  void t.test(`regions are read: ${name}`, (t) => {
+    t.same(parseNodeSettings(`${TEXT}${text}`).regions, regions);
+    t.end();
+  });
+}
+
+void t.test('a region that is empty is named', (t) => {
+  t.throws(() => parseNodeSettings(`${TEXT}[regions]\nzone-1 =\n`), /zone-1/);
+  t.end();
+});
--- a/tests/node/targetDirectory.test.ts
+++ b/tests/node/targetDirectory.test.ts
@@ -5,16 +5,16 @@
 import { createConfiguration } from '../platform/platformFleet.js';
 import { createInstanceList, replaceList } from '../support/instanceList.js';
 
-type Entry = Partial<TargetInstance['membership']> & { readonly born?: number };
+type Entry = Partial<TargetInstance['membership']> & { readonly born?: number; readonly zone?: string };
 
 /** The entry of an instance that is in a group, or in none. */
-function createEntry(id: string, { born = 1, ...group }: Entry): readonly [string, unknown] {
+function createEntry(id: string, { born = 1, zone = 'zone-1', ...group }: Entry): readonly [string, unknown] {
   return [
     id,
     {
       service: 'engines',
       address: '127.0.0.1:1',
-      zone: 'zone-1',
+      zone,
       state: 'ready',
       staged: ['model-a'],
       models: [{ name: 'model-a' }],
@@ -64,3 +64,54 @@
     t.end();
   });
 }
+
+const farMember = createEntry('member', {
+  group: 'model-a.5',
+  epoch: 5,
+  rank: 1,
+  state: 'ready',
+  zone: 'zone-3',
+});
+const homeCases: readonly {
+  readonly name: string;
+  readonly before?: readonly (readonly [string, unknown])[];
+  readonly listed: readonly (readonly [string, unknown])[];
+  readonly domains: readonly string[];
+  readonly isOwnerAsked: boolean;
+}[] = [
+  { name: 'all members at home', listed: [head, member], domains: ['zone-1'], isOwnerAsked: true },
+  {
+    name: 'a member elsewhere',
+    listed: [head, farMember],
+    domains: ['zone-1', 'zone-3'],
+    isOwnerAsked: false,
+  },
+  {
+    name: 'a member elsewhere that is no longer listed',
+    before: [head, farMember],
+    listed: [head],
+    domains: ['zone-1', 'zone-3'],
+    isOwnerAsked: false,
+  },
+];
+
+// Guards against a group that counts as at home because its head is, and against asking an owner that has none at home.
+for (const { name, before = [], listed, domains, isOwnerAsked } of homeCases) {
+  void t.test(`failure domains of a group: ${name}`, (t) => {
+    const { list } = createInstanceList();
+    const owner = { id: 'node-1', address: '127.0.0.1:2', term: 1 };
+    const ownership = { stamp: 0, findOwner: () => owner } as unknown as ShardOwnership;
+    const directory = new TargetDirectory(list, new LoadTracker(() => undefined), ownership);
+    const configuration = decodeConfiguration(Buffer.from(JSON.stringify(createConfiguration(1))));
+    for (const entries of [before, listed]) {
+      replaceList(list, entries);
+      directory.findCandidates(configuration, 'engines', 'model-a');
+    }
+    const [candidate] = directory.findCandidates(configuration, 'engines', 'model-a');
+    t.same([...(candidate?.memberDomains ?? [])].sort(), domains);
+    const home = new Set(['zone-1']);
+    t.equal(directory.findOwners(configuration, 'engines', 'model-a').length, 1);
+    t.equal(directory.findOwners(configuration, 'engines', 'model-a', home).length, isOwnerAsked ? 1 : 0);
+    t.end();
+  });
+}
--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -296,3 +296,39 @@
     t.end();
   });
 }
+
+const homeCases: readonly { readonly name: string; readonly field: object; readonly homes: unknown }[] = [
+  { name: 'absent', field: {}, homes: undefined },
+  { name: 'empty', field: { allowedRegions: [] }, homes: undefined },
+  { name: 'named', field: { allowedRegions: ['north', 'south'] }, homes: ['north', 'south'] },
+];
+
+// Guards against home regions that are lost or made up between the operator's configuration and the choice of a target.
+for (const { name, field, homes } of homeCases) {
+  void t.test(`home regions of routes and workspaces: ${name}`, (t) => {
+    const record = createConfiguration(1) as { routes: object[]; tenants: object[] };
+    const [route, ...routes] = record.routes;
+    const [tenant, ...tenants] = record.tenants;
+    const configuration = decodeConfiguration(
+      encode({
+        ...record,
+        routes: [{ ...route, ...field }, ...routes],
+        tenants: [{ ...tenant, ...field }, ...tenants],
+      }),
+    );
+    t.same(configuration.routes[0]?.homes, homes);
+    t.same(configuration.workspaces?.[0]?.homes, homes);
+    t.equal(configuration.routes[1]?.homes, undefined);
+    t.end();
+  });
+}
+
+for (const allowedRegions of ['north', [1], null]) {
+  // Guards against a request that leaves its home regions because these cannot be read.
+  void t.test(`home regions that cannot be read are an error: ${JSON.stringify(allowedRegions)}`, (t) => {
+    const record = createConfiguration(1) as { routes: object[] };
+    const routes = record.routes.map((route) => ({ ...route, allowedRegions }));
+    t.throws(() => decodeConfiguration(encode({ ...record, routes })), DecodeError);
+    t.end();
+  });
+}
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -189,7 +189,10 @@
   readonly drainTimeout?: string;
   /** Whether all nodes start at the same time, for the first time; true by default. */
   readonly isFirstStart?: boolean;
+  /** Region of each failure domain; none by default. */
+  readonly regions?: Readonly<Record<string, string>>;
 }): string {
+  const regions = Object.entries(options.regions ?? {}).map(([domain, region]) => `${domain} = ${region}\n`);
   return `[node]
 name = ${options.name}
 failure-domain = ${options.domain}
@@ -209,5 +212,5 @@
 retry-share = 0.2
 retry-window = 10s
 retry-slack = 130
-`;
+${regions.length === 0 ? '' : `[regions]\n${regions.join('')}`}`;
 }
--- a/tests/platform/rawFleet.ts
+++ b/tests/platform/rawFleet.ts
@@ -42,19 +42,28 @@
   address = '';
   /** The nodes that were started, in order. */
   readonly nodes: Node[] = [];
-  private _metrics = '';
+  metrics = '';
   private _storeAddress = '';
   private _requestCount = 0;
   /** Number of starts of targets, announced as their time so that each has another one. */
   private _startCount = 0;
 
+  constructor(
+    private readonly _options: {
+      readonly configuration?: unknown;
+      /** Failure domain of the nodes; `zone-1` by default. */
+      readonly nodeDomain?: string;
+      readonly regions?: Readonly<Record<string, string>>;
+    } = {},
+  ) {}
+
   async start(): Promise<void> {
     this._storeAddress = await this.store.start();
-    this.store.put('keyed.op', 'config', createConfiguration(1));
+    this.store.put('keyed.op', 'config', this._options.configuration ?? createConfiguration(1));
     for (const target of this.targets) await this.startTarget(target);
     const node = await this.startNode('node-1');
     this.address = node.address;
-    this._metrics = node.metrics;
+    this.metrics = node.metrics;
     while (!(await node.isReady())) await sleep(50);
   }
 
@@ -82,8 +91,10 @@
   /** Starts another node in this process. */
   async startNode(name: string): Promise<RawNode> {
     const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
-    const settings = { name, domain: 'zone-1', store: this._storeAddress, front, readiness, peers, metrics };
-    const node = new Node(parseNodeSettings(formatSettings({ ...settings, log: 'hidden' })), systemClock);
+    const { nodeDomain: domain = 'zone-1', regions = {} } = this._options;
+    const addresses = { store: this._storeAddress, front, readiness, peers, metrics };
+    const settings = formatSettings({ ...addresses, name, domain, regions, log: 'hidden' });
+    const node = new Node(parseNodeSettings(settings), systemClock);
     this.nodes.push(node);
     await node.start();
     return {
@@ -130,18 +141,18 @@
 
   /** Returns the value of a counter; `labels` as in the exposition, such as `{reason="timeout"}`. */
   async readCounter(name: string, labels = ''): Promise<number> {
-    const text = await (await fetch(this._metrics)).text();
+    const text = await (await fetch(this.metrics)).text();
     const line = text.split('\n').find((line) => line.startsWith(`${name}${labels} `));
     return Number(line?.split(' ').at(-1) ?? 0);
   }
 }
 
 /** Returns the entry of a plain target. */
-export function createEntry(address: string, born: number): unknown {
+export function createEntry(address: string, born: number, zone = 'zone-1'): object {
   return {
     service: 'plain',
     address,
-    zone: 'zone-1',
+    zone,
     version: 'v1',
     slots: 8,
     state: 'ready',
@@ -151,7 +162,7 @@
 }
 
 /** Returns a configuration with the routes of a {@link RoutePrefix} and one key. */
-export function createConfiguration(version: number, key = API_KEY): unknown {
+export function createConfiguration(version: number, key = API_KEY) {
   return {
     version,
     routes: Object.entries(ROUTES).map(([pathPrefix, route]) => ({
