Operators: `monsoonreach check` reads configurations of the serving nodes

Cause: nodes refuse a serving configuration that they cannot read and serve by any other, so that a route that never matches, a key of two workspaces or homes without a common region were found by callers.

`check` tells JSON from INI by its first character. `--in-force FILE` prints what changes, compared by name and with keys as hashes; `--json` prints one document. Exit codes: 2 after an error as before, 6 (new) after warnings only. Lines about INI files are unchanged. A file that cannot be read is an error of its own.

operators may now import platform (scripts/checkLayers.ts): the format of that configuration is only known there, and platform imports nothing but core, so that no cycle arises. Ruled out: a second schema in operators.

--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -1,3 +1,4 @@
+export * from './configurationRules.js';
 export * from './crashEvidence.js';
 export * from './crashFactors.js';
 export * from './demandMeter.js';
--- a/packages/operators/src/commands.ts
+++ b/packages/operators/src/commands.ts
@@ -1,16 +1,15 @@
 import { readFileSync, writeFileSync } from 'node:fs';
 import { createInterface } from 'node:readline/promises';
 import {
-  describeFault,
   DocumentError,
   LogUnavailableError,
   MonsoonreachError,
-  parseConfiguration,
   pause,
   systemClock,
 } from '@monsoonreach/core';
 import { HttpLog } from '@monsoonreach/log';
 import { Command, Option } from 'clipanion';
+import { checkDocument, describeFinding, type DocumentCheck, type NamedText } from './documentCheck.js';
 import { describeDifference, diffDocuments } from './documentDiff.js';
 import { appendDrain } from './appendDrain.js';
 import { describeSummary, summariseFleet } from './fleetSummary.js';
@@ -20,7 +19,15 @@
 import { generateDeployment, parseAnswers, QUESTIONS } from './questionnaire.js';
 
 /** Exit codes of the `monsoonreach` command line. */
-export const ExitCode = { done: 0, failed: 1, invalid: 2, race: 3, lagging: 4, unreachable: 5 } as const;
+export const ExitCode = {
+  done: 0,
+  failed: 1,
+  invalid: 2,
+  race: 3,
+  lagging: 4,
+  unreachable: 5,
+  warned: 6,
+} as const;
 
 const DEFAULT_SETTINGS_FILE = 'operator.ini';
 const WATCH_INTERVAL_MS = 2_000;
@@ -119,25 +126,57 @@
   static override paths = [['check']];
   static override usage = Command.Usage({
     description: 'Check a configuration without publishing it.',
-    details: 'Reports the section, key and line of each error, the value found and the values allowed.',
-    examples: [['Check a file', 'monsoonreach check deployment.ini']],
+    details:
+      'Checks the configuration of a deployment (INI) or of the serving nodes (JSON). Reports each error with its place, and for the serving nodes also entries that never match and limits that contradict each other. Exits with 2 after an error, and with 6 after warnings only.',
+    examples: [
+      ['Check a file', 'monsoonreach check deployment.ini'],
+      [
+        'Check a serving configuration and show what it changes',
+        'monsoonreach check serving.json --in-force current.json',
+      ],
+      ['As JSON, for scripts', 'monsoonreach check serving.json --json'],
+    ],
   });
 
   file = Option.String({ name: 'file' });
+  inForce = Option.String('--in-force', {
+    description: 'configuration in force; prints what the file changes',
+  });
+  json = Option.Boolean('--json', false, { description: 'print one JSON document' });
 
   protected run(): Promise<number> {
-    try {
-      parseConfiguration(readFileSync(this.file, 'utf8'));
-    } catch (error) {
-      if (!(error instanceof DocumentError)) throw error;
-      this.print(error.faults.map((fault) => `${this.file}: ${describeFault(fault)}`));
-      return Promise.resolve(ExitCode.invalid);
-    }
-    this.print([`${this.file}: no errors`]);
-    return Promise.resolve(ExitCode.done);
+    const inForce = this.inForce === undefined ? undefined : readNamedText(this.inForce);
+    const check = checkDocument(readNamedText(this.file), inForce);
+    const { findings, differences = [] } = check;
+    if (this.json) this.print([JSON.stringify(check)]);
+    else
+      this.print([
+        ...findings.map(describeFinding),
+        ...(findings.length === 0 ? [`${this.file}: no errors`] : []),
+        ...differences.map(describeDifference),
+      ]);
+    return Promise.resolve(toExitCode(check));
+  }
+}
+
+function readNamedText(file: string): NamedText {
+  try {
+    return { file, text: readFileSync(file, 'utf8') };
+  } catch (error) {
+    throw new UnreadableFileError(`${file} cannot be read: ${String(error)}`, { cause: error });
   }
 }
 
+/** A file named on the command line cannot be read. */
+class UnreadableFileError extends MonsoonreachError {
+  readonly code = 'file';
+}
+
+function toExitCode({ findings }: DocumentCheck): number {
+  if (findings.some(({ severity }) => severity === 'error')) return ExitCode.invalid;
+  return findings.length === 0 ? ExitCode.done : ExitCode.warned;
+}
+
 /** `monsoonreach diff`: compares a file with the published configuration. */
 export class DiffCommand extends FleetCommand {
   static override paths = [['diff']];
--- a/packages/operators/src/documentDiff.ts
+++ b/packages/operators/src/documentDiff.ts
@@ -8,8 +8,13 @@
 
 /** Compares two INI documents key by key, ignoring order and comments. The result is sorted by key. */
 export function diffDocuments(before: string, after: string): readonly Difference[] {
-  const left = flatten(parse(before));
-  const right = flatten(parse(after));
+  return diffValues(parse(before), parse(after));
+}
+
+/** Compares two values of nested records key by key; an undefined value counts as absent. The result is sorted by key. */
+export function diffValues(before: unknown, after: unknown): readonly Difference[] {
+  const left = flatten(before);
+  const right = flatten(after);
   const keys = [...new Set([...left.keys(), ...right.keys()])].sort();
   return keys.flatMap((key): readonly Difference[] => {
     const from = left.get(key);
@@ -34,6 +39,7 @@
 }
 
 function flatten(value: unknown, path: readonly string[] = []): Map<string, string> {
+  if (value === undefined) return new Map();
   if (typeof value !== 'object' || value === null) return new Map([[path.join('.'), String(value)]]);
   return new Map(Object.entries(value).flatMap(([key, inner]) => [...flatten(inner, [...path, key])]));
 }
--- a/scripts/checkLayers.ts
+++ b/scripts/checkLayers.ts
@@ -8,7 +8,7 @@
   targets: ['core'],
   log: ['core'],
   peers: ['core'],
-  operators: ['core', 'log', 'peers'],
+  operators: ['core', 'log', 'peers', 'platform'],
   daemon: ['core', 'log', 'peers', 'operators'],
   entry: ['core', 'callers', 'targets', 'log', 'peers', 'operators', 'daemon'],
   steward: ['core', 'targets', 'log', 'peers', 'operators', 'daemon'],
