Tests: a repeat on a new connection is checked against the home regions again

Cause: nothing guarded the check before a repeat; a member elsewhere may become known between two sends.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -596,9 +596,11 @@
     const nowMs = this._clock.monotonic();
     const limited = this._limits.listExhausted('fleet');
     return candidates
-      .filter((candidate) => isAllowedTarget(candidate, criteria.allowedDomains))
       .filter(
-        ({ key, instance }) => !judgement.isSuspect(key, nowMs) && !limited.has(getIncarnationKey(instance)),
+        (candidate) =>
+          isAllowedTarget(candidate, criteria.allowedDomains) &&
+          !judgement.isSuspect(candidate.key, nowMs) &&
+          !limited.has(getIncarnationKey(candidate.instance)),
       )
       .reduce((sum, { slots, load }) => sum + Math.max(0, slots - load.requests), 0);
   }
--- a/tests/node/groupFixture.ts
+++ b/tests/node/groupFixture.ts
@@ -61,6 +61,8 @@
   place: Placement['place'] = () => undefined;
   /** Groups that the node knows. */
   candidates: readonly (0 | 1)[] = [0, 1];
+  /** What the node's list shows of a group by now; nothing by default. */
+  findCandidate: (key: string) => TargetCandidate | undefined = () => undefined;
   route = ROUTE;
   retries = new RetryWindowBudget({ share: 0.2, slack: 130, windowMs: 10_000 }, () => 1);
   /** Replaces the search for a crash of a lost group. */
@@ -169,6 +171,7 @@
       directory: {
         findCandidates: () =>
           this.candidates.map((index) => this._createCandidate(this.targets[index], index)),
+        findCandidate: (_configuration: ServingConfiguration, key: string) => this.findCandidate(key),
       } as unknown as TargetDirectory,
       placement: {
         place: (...options: Parameters<Placement['place']>) => {
--- a/tests/node/requestRun.test.ts
+++ b/tests/node/requestRun.test.ts
@@ -155,6 +155,44 @@
     });
   }
 
+  for (const memberDomain of ['zone-1', 'zone-3']) {
+    // Guards against a repeat at a group of which a member outside of the home regions has become known meanwhile.
+    await t.test(`a repeat on a new connection, with a member in ${memberDomain}`, async (t) => {
+      const isHome = memberDomain === 'zone-1';
+      fixture.route = { ...ROUTE, homes: ['zone-1'] };
+      t.teardown(() => {
+        fixture.route = ROUTE;
+        fixture.findCandidate = () => undefined;
+      });
+      const answer: RawHandler = ({ socket }) => {
+        socket.write(`HTTP/1.1 200 OK\r\n${CHUNKED}${toChunk(toEvent(1))}0\r\n\r\n`);
+      };
+      const [first, second] = fixture.targets;
+      let next: 0 | 1 = 0;
+      fixture.place = (_criteria, onChoice) => {
+        onChoice(fixture.choose(next));
+      };
+      second.reset(answer);
+      first.reset((request) => {
+        if (request.ordinal === 1) {
+          answer(request);
+          return;
+        }
+        next = 1;
+        fixture.findCandidate = (key) => {
+          const choice = fixture.choose(0);
+          if (choice.kind === 'none' || choice.candidate.key !== key) return undefined;
+          return { ...choice.candidate, memberDomains: new Set([memberDomain]) };
+        };
+        request.socket.destroy();
+      });
+      for (let index = 0; index < 2; index++)
+        t.equal((await fixture.caller().exchange(REQUEST)).body, toEvent(1));
+      t.equal(first.requests.length, isHome ? 3 : 2);
+      t.equal(second.requests.length, isHome ? 0 : 1);
+    });
+  }
+
   // Guards against a request that is refused because the only attempt of its route reached an instance that is no head.
   await t.test('an attempt that reached another instance than the one meant does not count', async (t) => {
     fixture.route = { ...ROUTE, maxAttempts: 1 };
