--- a/packages/core/src/serving/groupRoster.ts
+++ b/packages/core/src/serving/groupRoster.ts
@@ -10,8 +10,8 @@
 /** Identifies an epoch of a group. */
 type GroupEpoch = Pick<ObservedGroup, 'name' | 'epoch'>;
 
-/** The start of an instance that holds a rank of a group. */
-type RankHolder = Pick<TargetInstance, 'id' | 'startedAtMs' | 'failureDomain'>;
+/** The start of an instance that holds a rank of a group, and where it runs, if that is known. */
+type RankHolder = Pick<TargetInstance, 'id' | 'startedAtMs'> & Partial<Pick<TargetInstance, 'failureDomain'>>;
 
 interface KnownGroup {
   readonly holders: Map<number, RankHolder>;
@@ -81,7 +81,7 @@
 
   /** Failure domains of the group's known members, also of those that are not listed any more. */
   listFailureDomains(group: GroupEpoch): readonly string[] {
-    return [...new Set(this._listHolders(group).map(({ failureDomain }) => failureDomain))];
+    return [...new Set(this._listHolders(group).flatMap(({ failureDomain }) => failureDomain ?? []))];
   }
 
   private _listHolders(group: GroupEpoch): readonly RankHolder[] {
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -1,3 +1,4 @@
+export * from './configurationRules.js';
 export * from './crashEvidence.js';
 export * from './crashFactors.js';
 export * from './demandMeter.js';
@@ -11,6 +12,7 @@
 export * from './groupLayout.js';
 export * from './groupName.js';
 export * from './groupRoster.js';
+export * from './homes.js';
 export * from './instanceStateOverlay.js';
 export * from './keyTrust.js';
 export * from './loadTracker.js';
--- a/packages/core/src/serving/targetChoice.ts
+++ b/packages/core/src/serving/targetChoice.ts
@@ -1,6 +1,7 @@
 import type { Random } from '../random.js';
 import { type BatchLoad, predictFirstEventMs, type RequestSize } from './engineCost.js';
 import type { Evacuations } from './evacuations.js';
+import { isAllowedTarget } from './homes.js';
 import type { EngineProfile, ModelProfile } from './servingConfiguration.js';
 import type { TargetJudgement } from './targetHealth.js';
 import { getIncarnationKey, type TargetInstance } from './targetInstance.js';
@@ -57,12 +58,20 @@
   readonly isContinuing?: boolean;
   /** Failure domains that are evacuated; none by default. */
   readonly evacuations?: Evacuations;
+  /** Failure domains in which the request may be run; any if undefined. */
+  readonly allowedDomains?: ReadonlySet<string> | undefined;
 }
 
 /** The chosen target, or why there is none. */
 export type TargetChoice =
   | { readonly kind: 'chosen'; readonly candidate: TargetCandidate; readonly predictedMs: number }
-  | { readonly kind: 'none'; readonly reason: 'no-target' | 'all-full' | 'all-silent' | 'evacuated' };
+  | { readonly kind: 'none'; readonly reason: NoTargetReason };
+
+/**
+ * Why no target is chosen. `evacuated`: all that are left are in evacuated failure domains; `no-target-in-homes`: none
+ * runs only in the home regions of the request.
+ */
+export type NoTargetReason = 'no-target' | 'all-full' | 'all-silent' | 'evacuated' | 'no-target-in-homes';
 
 /**
  * Chooses the target with the shortest predicted time to the first bytes, plus penalties.
@@ -72,11 +81,18 @@
  * other has capacity, and never once they are excluded.
  */
 export function chooseTarget(candidates: readonly TargetCandidate[], context: ChoiceContext): TargetChoice {
-  const untried = candidates.filter(({ key }) => !context.tried.has(key));
+  const { allowedDomains } = context;
+  const allowed =
+    allowedDomains === undefined
+      ? candidates
+      : candidates.filter((candidate) => isAllowedTarget(candidate, allowedDomains));
+  if (allowedDomains !== undefined && allowed.length === 0)
+    return { kind: 'none', reason: 'no-target-in-homes' };
+  const untried = allowed.filter(({ key }) => !context.tried.has(key));
   if (untried.length === 0) return { kind: 'none', reason: 'no-target' };
-  const allowed = dropExcluded(untried, context);
-  if (allowed.length === 0) return { kind: 'none', reason: 'evacuated' };
-  const responsive = allowed.filter((candidate) => isResponsive(candidate, context));
+  const inService = dropExcluded(untried, context);
+  if (inService.length === 0) return { kind: 'none', reason: 'evacuated' };
+  const responsive = inService.filter((candidate) => isResponsive(candidate, context));
   if (responsive.length === 0) return { kind: 'none', reason: 'all-silent' };
   const free = responsive.filter(
     (candidate) =>
--- a/packages/node/src/servingContext.ts
+++ b/packages/node/src/servingContext.ts
@@ -6,6 +6,7 @@
   Evacuations,
   LoadTracker,
   Random,
+  Regions,
   RetryWindowBudget,
   ServingConfiguration,
   StreamPace,
@@ -30,6 +31,7 @@
   readonly counters: Counters;
   readonly log: DecisionLog;
   readonly failureDomain: string;
+  readonly regions: Regions;
   readonly health: TargetHealth;
   readonly pace: StreamPace;
   readonly loads: LoadTracker;
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -47,6 +47,8 @@
     /** Time from an evacuation's order until no request reaches the zone; without it, orders exclude the zone at once. */
     evacuation: durationField.optional(),
   }),
+  /** Region of each failure domain; one that is not listed is a region of its own name. */
+  regions: z.record(z.string(), textField).default({}),
 });
 
 /** Settings of one `monsoonreach-node` process. */
--- a/packages/node/src/targetDirectory.ts
+++ b/packages/node/src/targetDirectory.ts
@@ -3,6 +3,7 @@
   getIncarnationKey,
   groupBy,
   GroupRoster,
+  isAllowedTarget,
   type LoadTracker,
   observeGroups,
   type OwnerOption,
@@ -73,9 +74,21 @@
     return target && this._toCandidate(target);
   }
 
-  /** Returns the owners of the shards that have targets for the model outside of excluded failure domains. */
-  findOwners(configuration: ServingConfiguration, service: string, model: string): readonly OwnerOption[] {
+  /**
+   * Returns the owners of the shards that have targets for the model outside of excluded failure domains, in the allowed
+   * ones if any are given.
+   */
+  findOwners(
+    configuration: ServingConfiguration,
+    service: string,
+    model: string,
+    allowedDomains?: ReadonlySet<string>,
+  ): readonly OwnerOption[] {
     this._refresh(configuration);
+    if (allowedDomains !== undefined) {
+      const targets = this._targetsById.get(toTargetsId(service, model)) ?? [];
+      return this._listOwners(targets.filter((target) => isAllowedTarget(target, allowedDomains)));
+    }
     const version = `${this._ownership.stamp}/${this._evacuations?.version ?? 0}`;
     if (this._ownersVersion !== version) {
       this._ownersVersion = version;
--- a/tests/node/groupFixture.ts
+++ b/tests/node/groupFixture.ts
@@ -62,6 +62,8 @@
   place: Placement['place'] = () => undefined;
   /** Groups that the node knows. */
   candidates: readonly (0 | 1)[] = [0, 1];
+  /** What the node's list shows of a group by now; nothing by default. */
+  findCandidate: (key: string) => TargetCandidate | undefined = () => undefined;
   route = ROUTE;
   /** The second member of each group is in a failure domain of its own: `zone-2` and `zone-3`. */
   readonly evacuations = new Evacuations(systemClock);
@@ -159,6 +161,7 @@
       buffers: new AnswerBuffers(MAX_BUFFERED_BYTES),
       crashes,
       failureDomain: 'zone-1',
+      regions: new Map(),
       health: new TargetHealth(),
       pace: new StreamPace(),
       loads: new LoadTracker(),
@@ -173,6 +176,7 @@
       directory: {
         findCandidates: () =>
           this.candidates.map((index) => this._createCandidate(this.targets[index], index)),
+        findCandidate: (_configuration: ServingConfiguration, key: string) => this.findCandidate(key),
       } as unknown as TargetDirectory,
       placement: {
         recordMisdirection: () => undefined,
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -199,7 +199,10 @@
   readonly bounds?: readonly string[];
   /** Time from the order of an evacuation until no request reaches the zone; none by default. */
   readonly evacuation?: string;
+  /** Region of each failure domain; none by default. */
+  readonly regions?: Readonly<Record<string, string>>;
 }): string {
+  const regions = Object.entries(options.regions ?? {}).map(([domain, region]) => `${domain} = ${region}\n`);
   return `[node]
 name = ${options.name}
 failure-domain = ${options.domain}
@@ -219,5 +222,5 @@
 retry-share = 0.2
 retry-window = 10s
 retry-slack = 130
-${[...(options.bounds ?? []), ...(options.evacuation === undefined ? [] : [`evacuation = ${options.evacuation}`])].map((line) => `${line}\n`).join('')}`;
+${[...(options.bounds ?? []), ...(options.evacuation === undefined ? [] : [`evacuation = ${options.evacuation}`])].map((line) => `${line}\n`).join('')}${regions.length === 0 ? '' : `[regions]\n${regions.join('')}`}`;
 }
