--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -18,6 +18,7 @@
 export * from './modelAssignment.js';
 export * from './observedGroups.js';
 export * from './ownerChoice.js';
+export * from './promptHarm.js';
 export * from './retryWindowBudget.js';
 export * from './routeTable.js';
 export * from './servingConfiguration.js';
--- a/packages/core/src/serving/targetChoice.ts
+++ b/packages/core/src/serving/targetChoice.ts
@@ -1,5 +1,6 @@
 import type { Random } from '../random.js';
 import { type BatchLoad, predictFirstEventMs, type RequestSize } from './engineCost.js';
+import { predictPromptHarmMs, type PromptObjectives } from './promptHarm.js';
 import type { EngineProfile, ModelProfile } from './servingConfiguration.js';
 import type { TargetJudgement } from './targetHealth.js';
 import { getIncarnationKey, type TargetInstance } from './targetInstance.js';
@@ -48,6 +49,10 @@
   readonly unavailable?: ReadonlySet<string>;
   /** Whether the request resumes a partially delivered answer; it then queues at a full target instead of failing. */
   readonly isContinuing?: boolean;
+  /** Objectives of the callers of the service; only if given, the harm to other requests at a group counts as cost. */
+  readonly promptObjectives?: PromptObjectives | undefined;
+  /** Objective for the first event of this request, in milliseconds; the strictest of `promptObjectives` by default. */
+  readonly firstEventObjectiveMs?: number | undefined;
 }
 
 /** The chosen target, or why there is none. */
@@ -76,7 +81,9 @@
   for (const candidate of free) {
     const predictedMs = predictMs(candidate, context.size);
     const costMs =
-      predictedMs * (1 + jitterShare * context.random.next()) + computePenaltyMs(candidate, context);
+      predictedMs * (1 + jitterShare * context.random.next()) +
+      computePenaltyMs(candidate, context) +
+      computeHarmMs(candidate, context);
     if (!best || costMs < best.costMs) best = { candidate, costMs, predictedMs };
   }
   if (!best) return { kind: 'none', reason: 'all-full' };
@@ -101,6 +108,13 @@
 /** Duration of a call to an idle ungrouped instance, in milliseconds; only its ratio to the penalties matters. */
 const UNLOADED_CALL_MS = 20;
 
+function computeHarmMs({ engine, load }: TargetCandidate, context: ChoiceContext): number {
+  const { size, promptObjectives, firstEventObjectiveMs } = context;
+  if (!engine || !promptObjectives) return 0;
+  const { profile, model } = engine;
+  return predictPromptHarmMs(profile, model, load, size, promptObjectives, firstEventObjectiveMs);
+}
+
 function computePenaltyMs(candidate: TargetCandidate, context: ChoiceContext): number {
   const isRemote = candidate.instance.failureDomain !== context.failureDomain;
   const failureRate = context.health.getFailureRate(candidate.key, context.nowMs);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -4,11 +4,13 @@
 import {
   chooseTarget,
   type Clock,
+  computeUnreadBound,
   Counters,
   createErrorReport,
   createMemberId,
   createRandom,
   DemandMeter,
+  findPromptObjectives,
   getIncarnationKey,
   hash32,
   insertByPreference,
@@ -17,6 +19,7 @@
   MAX_SOUND_SILENCE_MS,
   type Member,
   pause,
+  type PromptObjectives,
   type Random,
   RetryWindowBudget,
   RouteTable,
@@ -91,6 +94,9 @@
 /** Time for the last answers to leave after that, in milliseconds. */
 const FLUSH_TIMEOUT_MS = 200;
 
+/** Largest sum of prompt tokens that is recorded; the largest value that the histogram holds. */
+const MAX_RECORDED_TOKENS = 3_600_000;
+
 /** A node: forwards callers' requests to targets, follows the store, and plans the groups of the shards that it owns. */
 export class Node {
   private readonly _counters = new Counters();
@@ -561,13 +567,33 @@
       random: this._random,
       health: this._judgeFor(criteria),
       unavailable: this._listUnavailable(criteria),
+      promptObjectives: this._findPromptObjectives(criteria.service),
     });
+    this._recordUnreadTokens(criteria, choice);
     if (criteria.isOwner && choice.kind === 'chosen') {
       this._limits.recordGrant(getIncarnationKey(choice.candidate.instance));
     }
     return choice;
   }
 
+  /** Objectives that the choice of a group has to protect; undefined if the settings do not ask for it. */
+  private _findPromptObjectives(service: string): PromptObjectives | undefined {
+    const configuration = this._table?.configuration;
+    if (!this._settings.routing['prompt-harm'] || !configuration) return undefined;
+    return findPromptObjectives(configuration, service);
+  }
+
+  /** Records how many prompt tokens a chosen group had not read yet, and whether that is more than callers bear. */
+  private _recordUnreadTokens({ service, isOwner }: LocalPlacementCriteria, choice: TargetChoice): void {
+    if (choice.kind === 'none' || !choice.candidate.engine) return;
+    const { load, engine } = choice.candidate;
+    const unread = Math.min(MAX_RECORDED_TOKENS, load.pendingPromptTokens);
+    this._counters.record('monsoonreach_unread_prompt_tokens', unread);
+    const objectives = this._findPromptObjectives(service);
+    if (!objectives || unread <= computeUnreadBound(engine.profile, engine.model, objectives)) return;
+    this._counters.add('monsoonreach_unread_bound_exceeded_total', { by: isOwner ? 'owner' : 'alone' });
+  }
+
   private _judgeFor({ isOwnRequest }: Pick<LocalPlacementCriteria, 'isOwnRequest'>): TargetJudgement {
     return isOwnRequest ? this._health : this._suspicions.judgeForPeers();
   }
--- a/packages/node/src/peerMessages.ts
+++ b/packages/node/src/peerMessages.ts
@@ -144,6 +144,8 @@
   promptTokens: count,
   answerTokens: count,
   isContinuing: z.boolean(),
+  /** Objective for the first event, in milliseconds; not sent by nodes of earlier versions. */
+  firstEventObjectiveMs: z.optional(z.number()),
   /** Keys of the targets to which the request was already sent, or that the sender may not use. */
   avoided: z.array(z.string()),
   /** Keys of targets to which the sender has an idle connection. */
--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -45,6 +45,8 @@
   readonly tried: ReadonlySet<string>;
   /** Whether the request resumes an answer that has already begun. */
   readonly isContinuing: boolean;
+  /** Objective for the first event, in milliseconds; undefined if the node that asks did not state it. */
+  readonly firstEventObjectiveMs?: number | undefined;
 }
 
 /** Criteria for a choice among the targets that this node knows. */
@@ -206,6 +208,7 @@
       promptTokens: criteria.size.promptTokens,
       answerTokens: criteria.size.answerTokens,
       isContinuing: criteria.isContinuing,
+      firstEventObjectiveMs: criteria.firstEventObjectiveMs,
       avoided: [...criteria.tried, ...this._options.avoidedTargets()],
       connected: this._options.connectedTargets().slice(0, MAX_CONNECTED_TARGETS),
     });
@@ -297,9 +300,10 @@
     const { loads, chooseLocally, counters, send, countFree, owners, address } = this._options;
     if (!owners().has(address)) return;
     this._recordLoad(request);
-    const { service, model, failureDomain, isContinuing } = request;
+    const { service, model, failureDomain, isContinuing, firstEventObjectiveMs } = request;
     const size = { promptTokens: request.promptTokens, answerTokens: request.answerTokens };
-    const criteria = { service, model, size, tried: new Set(request.avoided), isContinuing };
+    const tried = new Set(request.avoided);
+    const criteria = { service, model, size, tried, isContinuing, firstEventObjectiveMs };
     const connected = new Set(request.connected);
     const choice = chooseLocally({
       ...criteria,
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -376,6 +376,7 @@
       size,
       tried: this._targets.tried,
       isContinuing: this._forwardedEvents > 0,
+      firstEventObjectiveMs: this._options.route.latencyObjectiveMs,
     };
   }
 
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -39,6 +39,12 @@
     'retry-window': durationField,
     'retry-slack': numberField({ min: 0, max: 1_000_000, isWhole: false }),
   }),
+  routing: z
+    .strictObject({
+      /** Whether the delay that reading a prompt causes to other requests at a group counts in the choice of the group. */
+      'prompt-harm': switchField.default(false),
+    })
+    .prefault({}),
 });
 
 /** Settings of one `monsoonreach-node` process. */
--- a/tests/node/placement.test.ts
+++ b/tests/node/placement.test.ts
@@ -37,6 +37,8 @@
   readonly unreachable = new Set<string>();
   /** Owners; the groups are divided among them. */
   owners: readonly string[] = [OWNER];
+  /** Objectives for the first event with which targets were chosen. */
+  readonly objectives: (number | undefined)[] = [];
   /** Number of messages by kind. */
   readonly messages = new Map<string, number>();
 
@@ -48,8 +50,19 @@
     for (let index = 0; index < size; index++) this._add(`node-${index}`);
   }
 
-  place(node: string, tried: ReadonlySet<string> = new Set()): Promise<TargetChoice> {
-    const need = { service: 'engines', model: SMALL_MODEL.name, size: SIZE, tried, isContinuing: false };
+  place(
+    node: string,
+    tried: ReadonlySet<string> = new Set(),
+    firstEventObjectiveMs?: number,
+  ): Promise<TargetChoice> {
+    const need = {
+      service: 'engines',
+      model: SMALL_MODEL.name,
+      size: SIZE,
+      tried,
+      isContinuing: false,
+      firstEventObjectiveMs,
+    };
     return new Promise((resolve) => this.nodes.get(node)?.placement.place(need, resolve));
   }
 
@@ -100,6 +113,7 @@
         this._deliver(address, message);
       },
       chooseLocally: (criteria) => {
+        this.objectives.push(criteria.firstEventObjectiveMs);
         const choice = chooseTarget(candidates(criteria.isOwner), {
           ...criteria,
           isExact: criteria.isOwner,
@@ -185,6 +199,29 @@
   t.equal(countRequests(), 0);
 });
 
+const objectiveCases = [
+  { name: 'its owner', owners: [OWNER], node: 'node-1', objectiveMs: 400 },
+  { name: 'its owner, for itself', owners: [OWNER], node: OWNER, objectiveMs: 400 },
+  { name: 'a node without an owner', owners: [], node: 'node-1', objectiveMs: 400 },
+  {
+    name: 'an owner that a node of an earlier version asks',
+    owners: [OWNER],
+    node: 'node-1',
+    objectiveMs: undefined,
+  },
+];
+
+// Guards against an owner that lets a prompt wait behind others beyond the prompt's own objective.
+for (const { name, owners, node, objectiveMs } of objectiveCases) {
+  void t.test(`the objective of a request is known where its target is chosen: ${name}`, async (t) => {
+    const fleet = new PlacementFleet(2, ANSWER_TIMEOUT_MS);
+    fleet.owners = owners;
+    const choice = await fleet.place(node, new Set(), objectiveMs);
+    t.equal(choice.kind, 'chosen');
+    t.same(fleet.objectives, [objectiveMs]);
+  });
+}
+
 const LIMIT_PER_S = 2;
 const limitCases = [
   { name: 'its owner assigns all requests', owners: [OWNER] },
--- a/tests/node/settings.test.ts
+++ b/tests/node/settings.test.ts
@@ -37,6 +37,20 @@
   });
 }
 
+const switchCases = [
+  { name: 'absent', text: '', expected: false },
+  { name: 'no', text: '\n[routing]\nprompt-harm = no\n', expected: false },
+  { name: 'yes', text: '\n[routing]\nprompt-harm = yes\n', expected: true },
+];
+
+// Guards against nodes whose choice of groups changes without the operator's request.
+for (const { name, text, expected } of switchCases) {
+  void t.test(`harm by prompts counts only if the setting asks for it: ${name}`, (t) => {
+    t.equal(parseNodeSettings(`${TEXT}${text}`).routing['prompt-harm'], expected);
+    t.end();
+  });
+}
+
 void t.test('a setting that is missing or wrong is named', (t) => {
   t.throws(() => parseNodeSettings(TEXT.replace(/^retry-slack = .*$/m, 'retry-slack = many')), DocumentError);
   t.throws(() => parseNodeSettings(TEXT.replace(/^retry-slack = .*\n/m, '')), /retry-slack/);
