--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -8,6 +8,7 @@
 export * from './targetAvailability.js';
 export * from './targetChoice.js';
 export * from './groupLayout.js';
+export * from './groupMemory.js';
 export * from './groupName.js';
 export * from './groupRoster.js';
 export * from './instanceStateOverlay.js';
--- a/packages/core/src/serving/targetChoice.ts
+++ b/packages/core/src/serving/targetChoice.ts
@@ -1,5 +1,6 @@
 import type { Random } from '../random.js';
 import { type BatchLoad, predictFirstEventMs, type RequestSize } from './engineCost.js';
+import { hasMemoryFor } from './groupMemory.js';
 import { predictPromptHarmMs, type PromptObjectives } from './promptHarm.js';
 import type { EngineProfile, ModelProfile } from './servingConfiguration.js';
 import type { TargetJudgement } from './targetHealth.js';
@@ -74,7 +75,7 @@
   const free = responsive.filter(
     (candidate) =>
       context.unavailable?.has(getIncarnationKey(candidate.instance)) !== true &&
-      (context.isContinuing === true || hasCapacity(candidate)),
+      (context.isContinuing === true || hasCapacity(candidate, context.size)),
   );
   const jitterShare = context.isExact === true ? EXACT_JITTER_SHARE : JITTER_SHARE;
   let best: { readonly candidate: TargetCandidate; readonly costMs: number; predictedMs: number } | undefined;
@@ -96,8 +97,8 @@
 }
 
 /** Whether the target can accept one more request without a long wait. */
-export function hasCapacity({ load, slots }: TargetCandidate): boolean {
-  return load.requests < slots * (1 + QUEUE_SHARE);
+export function hasCapacity({ engine, load, slots }: TargetCandidate, size: RequestSize): boolean {
+  return load.requests < slots * (1 + QUEUE_SHARE) && (!engine || hasMemoryFor(engine.profile, load, size));
 }
 
 function predictMs({ engine, load, slots }: TargetCandidate, size: RequestSize): number {
