--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -100,6 +100,7 @@
   readonly store = new StoreStandin();
   readonly fleet = new InstanceFleet(this.store, EVENTS_PER_STREAM);
   address = '';
+  metrics = '';
   private _node: Node | undefined;
   private _storeAddress = '';
 
@@ -120,23 +121,28 @@
     await this.fleet.add('plain-1', 'plain', 'domain-1');
     await this.fleet.add('plain-2', 'plain', 'domain-1');
     this._storeAddress = store;
-    const { node, address } = await this.startNode('node-1', nodeOptions);
+    const { node, address, metrics } = await this.startNode('node-1', nodeOptions);
     this._node = node;
     this.address = address;
+    this.metrics = metrics;
     await this._waitForOpenGroups(2);
   }
 
   /** Starts another node in this process. */
   async startNode(
     name: string,
-    options: { readonly drainTimeout?: string; readonly isFirstStart?: boolean } = {},
-  ): Promise<{ readonly node: Node; readonly address: string }> {
+    options: {
+      readonly drainTimeout?: string;
+      readonly isFirstStart?: boolean;
+      readonly routing?: string;
+    } = {},
+  ): Promise<{ readonly node: Node; readonly address: string; readonly metrics: string }> {
     const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
     const common = { domain: 'zone-1', store: this._storeAddress, log: 'hidden' as const };
     const settings = { ...common, name, front, readiness, peers, metrics, ...options };
     const node = new Node(parseNodeSettings(formatSettings(settings)), systemClock);
     await node.start();
-    return { node, address: `127.0.0.1:${front}` };
+    return { node, address: `127.0.0.1:${front}`, metrics: `127.0.0.1:${metrics}` };
   }
 
   /** Sends a request to a node, the first one by default, as a caller does. */
@@ -189,6 +195,8 @@
   readonly drainTimeout?: string;
   /** Whether all nodes start at the same time, for the first time; true by default. */
   readonly isFirstStart?: boolean;
+  /** Lines of the section `routing`; none by default. */
+  readonly routing?: string;
 }): string {
   return `[node]
 name = ${options.name}
@@ -209,5 +217,5 @@
 retry-share = 0.2
 retry-window = 10s
 retry-slack = 130
-`;
+${options.routing === undefined ? '' : `[routing]\n${options.routing}\n`}`;
 }
