--- a/tests/serving/promptFleet.ts
+++ b/tests/serving/promptFleet.ts
@@ -149,6 +149,8 @@
 export interface FleetOptions {
   readonly groups: number;
   readonly seed: number;
+  /** Nodes that choose by their own loads, as without an owner; by default an owner that knows all loads chooses. */
+  readonly nodes?: number;
   /** Given to the choice; undefined: the harm to others does not count. */
   readonly objectives: PromptObjectives | undefined;
 }
@@ -156,10 +158,10 @@
 /** Serves a load with an owner that knows all loads, until the last answer is complete. */
 export function runPromptFleet(
   arrivals: readonly Arrival[],
-  { groups: groupCount, seed, objectives }: FleetOptions,
+  { groups: groupCount, seed, nodes = 1, objectives }: FleetOptions,
 ): FleetResult {
   const clock = new ManualClock();
-  const loads = new LoadTracker();
+  const trackers = Array.from({ length: nodes }, () => new LoadTracker());
   const health = new TargetHealth();
   const random = createRandom(seed);
   const ended: Run[] = [];
@@ -169,7 +171,9 @@
   const engine = { profile: PROMPT_PROFILE, model: PROMPT_MODEL };
   const startedAtMs = clock.monotonic();
 
+  let arrivalCount = 0;
   const serve = ({ kind, atMs }: Arrival) => {
+    const loads = trackers[arrivalCount++ % nodes] ?? new LoadTracker();
     const choice = chooseTarget(
       instances.map((instance) => ({
         key: instance.id,
@@ -185,7 +189,7 @@
         failureDomain: 'zone-1',
         size: kind,
         tried: new Set(),
-        isExact: true,
+        isExact: nodes === 1,
         promptObjectives: objectives,
         firstEventObjectiveMs: kind.firstEventMs,
       },
--- a/tests/serving/promptHarm.test.ts
+++ b/tests/serving/promptHarm.test.ts
@@ -77,6 +77,8 @@
   readonly failure: string;
   readonly create: (seed: number) => readonly Arrival[];
   readonly expected: Expectation;
+  /** Nodes that choose without an owner; by default an owner chooses. */
+  readonly nodes?: number;
 }
 
 const patternCases: readonly PatternCase[] = [
@@ -164,6 +166,13 @@
     create: createMixedLoad(createMix(SHORT, LONG_TIGHT, 0.3), 0.8),
     expected: 'both-kinds',
   },
+  ...[2, 6].map((nodes) => ({
+    pattern: `three long prompts in ten at 80 %, the owner is lost and ${nodes} nodes choose by their own loads`,
+    failure: 'a node that sees few of the requests moves long prompts to groups that are busy for others',
+    create: createMixedLoad(createMix(SHORT, LONG, 0.3), 0.8),
+    expected: 'both-kinds' as const,
+    nodes,
+  })),
   ...[0.6, 0.7, 0.8, 0.9, 0.95].map((utilization) => ({
     pattern: `the kinds of the page at ${utilization * 100} %`,
     failure: 'prompts that take a small part of a pass are moved without need',
@@ -178,11 +187,11 @@
   firstP99Ms: number;
 }
 
-function runSeeds(create: PatternCase['create'], objectives: typeof OBJECTIVES | undefined) {
+function runSeeds({ create, nodes = 1 }: PatternCase, objectives: typeof OBJECTIVES | undefined) {
   const totals = new Map<string, KindTotal>();
   const requests: (readonly number[])[] = [];
   for (const seed of SEEDS) {
-    const result = runPromptFleet(create(seed), { groups: GROUPS, seed, objectives });
+    const result = runPromptFleet(create(seed), { groups: GROUPS, seed, nodes, objectives });
     requests.push(result.requests);
     for (const [name, { count, late, firstP99Ms }] of result.kinds) {
       const total = totals.get(name) ?? { count: 0, late: 0, firstP99Ms: 0 };
@@ -195,10 +204,11 @@
   return { totals, requests };
 }
 
-for (const { pattern, failure, create, expected } of patternCases) {
+for (const patternCase of patternCases) {
+  const { pattern, failure, create, expected } = patternCase;
   void t.test(`load pattern, ${pattern}; guards against: ${failure}`, (t) => {
-    const without = runSeeds(create, undefined);
-    const withHarm = runSeeds(create, OBJECTIVES);
+    const without = runSeeds(patternCase, undefined);
+    const withHarm = runSeeds(patternCase, OBJECTIVES);
     t.ok(
       withHarm.requests.every((requests) => Math.min(...requests) > 0),
       'no target starves',
