--- a/packages/core/src/serving/targetChoice.ts
+++ b/packages/core/src/serving/targetChoice.ts
@@ -2,6 +2,8 @@
 import { type BatchLoad, predictFirstEventMs, type RequestSize } from './engineCost.js';
 import type { Evacuations } from './evacuations.js';
 import { isAllowedTarget } from './homes.js';
+import { hasMemoryFor } from './groupMemory.js';
+import { predictPromptHarmMs, type PromptObjectives } from './promptHarm.js';
 import type { EngineProfile, ModelProfile } from './servingConfiguration.js';
 import type { TargetJudgement } from './targetHealth.js';
 import { getIncarnationKey, type TargetInstance } from './targetInstance.js';
@@ -60,6 +62,10 @@
   readonly evacuations?: Evacuations;
   /** Failure domains in which the request may be run; any if undefined. */
   readonly allowedDomains?: ReadonlySet<string> | undefined;
+  /** Objectives of the callers of the service; only if given, the harm to other requests at a group counts as cost. */
+  readonly promptObjectives?: PromptObjectives | undefined;
+  /** Objective for the first event of this request, in milliseconds; the strictest of `promptObjectives` by default. */
+  readonly firstEventObjectiveMs?: number | undefined;
 }
 
 /** The chosen target, or why there is none. */
@@ -97,7 +103,7 @@
   const free = responsive.filter(
     (candidate) =>
       context.unavailable?.has(getIncarnationKey(candidate.instance)) !== true &&
-      (context.isContinuing === true || hasCapacity(candidate)),
+      (context.isContinuing === true || hasCapacity(candidate, context.size)),
   );
   const jitterShare = context.isExact === true ? EXACT_JITTER_SHARE : JITTER_SHARE;
   let best: { readonly candidate: TargetCandidate; readonly costMs: number; predictedMs: number } | undefined;
@@ -105,7 +111,9 @@
     const isCold = context.cold?.has(getIncarnationKey(candidate.instance)) === true;
     const predictedMs = predictMs(candidate, context.size) * (isCold ? COLD_FACTOR : 1);
     const costMs =
-      predictedMs * (1 + jitterShare * context.random.next()) + computePenaltyMs(candidate, context);
+      predictedMs * (1 + jitterShare * context.random.next()) +
+      computePenaltyMs(candidate, context) +
+      computeHarmMs(candidate, context);
     if (!best || costMs < best.costMs) best = { candidate, costMs, predictedMs };
   }
   if (!best) return { kind: 'none', reason: 'all-full' };
@@ -123,13 +131,13 @@
 /** Returns the targets outside of evacuated failure domains that have capacity; all of them if there is none. */
 function preferInService(
   candidates: readonly TargetCandidate[],
-  { evacuations, health, nowMs }: ChoiceContext,
+  { evacuations, health, nowMs, size }: ChoiceContext,
 ): readonly TargetCandidate[] {
   if (!evacuations || evacuations.isEmpty) return candidates;
   const inService = candidates.filter(
     (candidate) =>
       evacuations.findPhaseOf(candidate) === undefined &&
-      hasCapacity(candidate) &&
+      hasCapacity(candidate, size) &&
       !health.isSuspect(candidate.key, nowMs),
   );
   return inService.length > 0 ? inService : candidates;
@@ -141,8 +149,8 @@
 }
 
 /** Whether the target can accept one more request without a long wait. */
-export function hasCapacity({ load, slots }: TargetCandidate): boolean {
-  return load.requests < slots * (1 + QUEUE_SHARE);
+export function hasCapacity({ engine, load, slots }: TargetCandidate, size: RequestSize): boolean {
+  return load.requests < slots * (1 + QUEUE_SHARE) && (!engine || hasMemoryFor(engine.profile, load, size));
 }
 
 function predictMs({ engine, load, slots }: TargetCandidate, size: RequestSize): number {
@@ -153,6 +161,13 @@
 /** Duration of a call to an idle ungrouped instance, in milliseconds; only its ratio to the penalties matters. */
 const UNLOADED_CALL_MS = 20;
 
+function computeHarmMs({ engine, load }: TargetCandidate, context: ChoiceContext): number {
+  const { size, promptObjectives, firstEventObjectiveMs } = context;
+  if (!engine || !promptObjectives) return 0;
+  const { profile, model } = engine;
+  return predictPromptHarmMs(profile, model, load, size, promptObjectives, firstEventObjectiveMs);
+}
+
 function computePenaltyMs(candidate: TargetCandidate, context: ChoiceContext): number {
   const isRemote = candidate.instance.failureDomain !== context.failureDomain;
   const failureRate = context.health.getFailureRate(candidate.key, context.nowMs);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -4,6 +4,7 @@
 import {
   chooseTarget,
   type Clock,
+  computeUnreadBound,
   Counters,
   createErrorReport,
   createMemberId,
@@ -12,6 +13,7 @@
   type EvacuationEvent,
   type EvacuationRecord,
   Evacuations,
+  findPromptObjectives,
   getIncarnationKey,
   hash32,
   insertByPreference,
@@ -22,6 +24,7 @@
   type Member,
   Misdirections,
   pause,
+  type PromptObjectives,
   type Random,
   RetryWindowBudget,
   RouteTable,
@@ -98,6 +101,9 @@
 /** Time for the last answers to leave after that, in milliseconds. */
 const FLUSH_TIMEOUT_MS = 200;
 
+/** Largest sum of prompt tokens that is recorded; the largest value that the histogram holds. */
+const MAX_RECORDED_TOKENS = 3_600_000;
+
 /** A node: forwards callers' requests to targets, follows the store, and plans the groups of the shards that it owns. */
 export class Node {
   private readonly _counters = new Counters();
@@ -592,8 +598,10 @@
       health: this._judgeFor(criteria),
       unavailable: this._listUnavailable(criteria),
       evacuations: this._evacuations,
+      promptObjectives: this._findPromptObjectives(criteria.service),
     });
     countColdSkip(this._counters, choice, candidates, exhausted);
+    this._recordUnreadTokens(criteria, choice);
     if (criteria.isOwner && choice.kind === 'chosen') {
       this._limits.recordGrant(getIncarnationKey(choice.candidate.instance));
     }
@@ -606,6 +614,24 @@
     return rankNode(incarnation, this._self.node, others);
   }
 
+  /** Objectives that the choice of a group has to protect; undefined if the settings do not ask for it. */
+  private _findPromptObjectives(service: string): PromptObjectives | undefined {
+    const configuration = this._table?.configuration;
+    if (!this._settings.routing['prompt-harm'] || !configuration) return undefined;
+    return findPromptObjectives(configuration, service);
+  }
+
+  /** Records how many prompt tokens a chosen group had not read yet, and whether that is more than callers bear. */
+  private _recordUnreadTokens({ service, isOwner }: LocalPlacementCriteria, choice: TargetChoice): void {
+    if (choice.kind === 'none' || !choice.candidate.engine) return;
+    const { load, engine } = choice.candidate;
+    const unread = Math.min(MAX_RECORDED_TOKENS, load.pendingPromptTokens);
+    this._counters.record('monsoonreach_unread_prompt_tokens', unread);
+    const objectives = this._findPromptObjectives(service);
+    if (!objectives || unread <= computeUnreadBound(engine.profile, engine.model, objectives)) return;
+    this._counters.add('monsoonreach_unread_bound_exceeded_total', { by: isOwner ? 'owner' : 'alone' });
+  }
+
   private _judgeFor({ isOwnRequest }: Pick<LocalPlacementCriteria, 'isOwnRequest'>): TargetJudgement {
     return isOwnRequest ? this._health : this._suspicions.judgeForPeers();
   }
--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -48,6 +48,8 @@
   readonly isContinuing: boolean;
   /** Failure domains in which the request may be run; any if undefined. */
   readonly allowedDomains?: ReadonlySet<string> | undefined;
+  /** Objective for the first event, in milliseconds; undefined if the node that asks did not state it. */
+  readonly firstEventObjectiveMs?: number | undefined;
 }
 
 /** Criteria for a choice among the targets that this node knows. */
@@ -219,6 +221,7 @@
       promptTokens: criteria.size.promptTokens,
       answerTokens: criteria.size.answerTokens,
       isContinuing: criteria.isContinuing,
+      firstEventObjectiveMs: criteria.firstEventObjectiveMs,
       avoided: [...this._addMisdirected(criteria.tried), ...this._options.avoidedTargets()],
       connected: this._options.connectedTargets().slice(0, MAX_CONNECTED_TARGETS),
       ...(criteria.allowedDomains && { allowedDomains: [...criteria.allowedDomains] }),
@@ -320,11 +323,11 @@
     const { loads, chooseLocally, counters, send, countFree, owners, address } = this._options;
     if (!owners().has(address)) return;
     this._recordLoad(request);
-    const { service, model, failureDomain, isContinuing } = request;
+    const { service, model, failureDomain, isContinuing, firstEventObjectiveMs } = request;
     const size = { promptTokens: request.promptTokens, answerTokens: request.answerTokens };
     const allowedDomains = request.allowedDomains && new Set(request.allowedDomains);
     const tried = new Set(request.avoided);
-    const criteria = { service, model, size, tried, isContinuing, allowedDomains };
+    const criteria = { service, model, size, tried, isContinuing, allowedDomains, firstEventObjectiveMs };
     const connected = new Set(request.connected);
     const choice = chooseLocally({
       ...criteria,
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -470,6 +470,7 @@
       tried: this._withExcluded(this._targets.tried),
       isContinuing: this._forwardedEvents > 0,
       allowedDomains: this._allowedDomains,
+      firstEventObjectiveMs: this._options.route.latencyObjectiveMs,
     };
   }
 
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -49,6 +49,12 @@
   }),
   /** Region of each failure domain; one that is not listed is a region of its own name. */
   regions: z.record(z.string(), textField).default({}),
+  routing: z
+    .strictObject({
+      /** Whether the delay that reading a prompt causes to other requests at a group counts in the choice of the group. */
+      'prompt-harm': switchField.default(false),
+    })
+    .prefault({}),
 });
 
 /** Settings of one `monsoonreach-node` process. */
--- a/tests/node/settings.test.ts
+++ b/tests/node/settings.test.ts
@@ -55,6 +55,19 @@
     const text = TEXT.replace(/^(retry-slack = .*)$/m, `$1\n${lines}`);
     if (expected) t.match(parseNodeSettings(text).bounds, expected);
     else t.throws(() => parseNodeSettings(text), DocumentError);
+  });
+}
+
+const switchCases = [
+  { name: 'absent', text: '', expected: false },
+  { name: 'no', text: '\n[routing]\nprompt-harm = no\n', expected: false },
+  { name: 'yes', text: '\n[routing]\nprompt-harm = yes\n', expected: true },
+];
+
+// Guards against nodes whose choice of groups changes without the operator's request.
+for (const { name, text, expected } of switchCases) {
+  void t.test(`harm by prompts counts only if the setting asks for it: ${name}`, (t) => {
+    t.equal(parseNodeSettings(`${TEXT}${text}`).routing['prompt-harm'], expected);
     t.end();
   });
 }
