Tests: requests that reach the cold heads of groups

Cause: the bound was tested with real nodes only for plain targets, which no owner assigns.

Change: two nodes and two groups; the stand-ins' entries may tell how long they are cold.

--- a/tests/platform/instanceStandin.ts
+++ b/tests/platform/instanceStandin.ts
@@ -117,6 +117,8 @@
   mode: InstanceMode = 'well';
   /** Requests per second that it takes, as it tells in its answers; it names no limit by default. */
   requestsPerS: number | undefined;
+  /** Time until which it is cold, on the clock of `performance.now()`; undefined if its entry does not tell. */
+  coldUntilMs: number | undefined;
   /** Number of streams that its group runs at the same time; it refuses others. */
   slots = Infinity;
   /** Whether the instance cannot reach the store. Its entry expires, but requests still reach it. */
@@ -284,6 +286,7 @@
       domain: this.fabricDomain,
       ...this._describeState(),
       seqNo: this._announcementCount,
+      coldRemainingMs: this.coldUntilMs && Math.max(0, this.coldUntilMs - performance.now()),
     };
   }
 
--- a/tests/platform/platformFleet.ts
+++ b/tests/platform/platformFleet.ts
@@ -109,7 +109,13 @@
   }
 
   /** Starts everything and waits until two groups are open. */
-  async start(options: { readonly drainTimeout?: string; readonly stepMs?: number } = {}): Promise<void> {
+  async start(
+    options: {
+      readonly drainTimeout?: string;
+      readonly stepMs?: number;
+      readonly bounds?: readonly string[];
+    } = {},
+  ): Promise<void> {
     const { stepMs = 5, ...nodeOptions } = options;
     const store = await this.store.start();
     this.store.put('keyed.op', 'config', createConfiguration(1, [API_KEY], { stepMs }));
@@ -129,7 +135,11 @@
   /** Starts another node in this process. */
   async startNode(
     name: string,
-    options: { readonly drainTimeout?: string; readonly isFirstStart?: boolean } = {},
+    options: {
+      readonly drainTimeout?: string;
+      readonly isFirstStart?: boolean;
+      readonly bounds?: readonly string[];
+    } = {},
   ): Promise<{ readonly node: Node; readonly address: string }> {
     const [front = 0, readiness = 0, peers = 0, metrics = 0] = await findFreePorts(4);
     const common = { domain: 'zone-1', store: this._storeAddress, log: 'hidden' as const };
