--- a/packages/core/src/serving/crashEvidence.ts
+++ b/packages/core/src/serving/crashEvidence.ts
@@ -21,8 +21,6 @@
 const MAX_REMEMBERED_CRASHES = 8;
 /** Crashes of a factor from which on peers are told repeatedly, so that those who missed a message learn of it. */
 const MIN_SHARED_CRASHES = 2;
-/** Time after the loss of a target from which a request to it was sent to another start of it, in milliseconds. */
-const RESTART_SLACK_MS = 20;
 /** Factors that peers are told of repeatedly. */
 const MAX_SHARED_FACTORS = 16;
 
@@ -193,20 +191,20 @@
 
 /**
  * Joins what several nodes saw of each crash: its first sign, and the latest of the requests that it ended. The result is
- * in the order of the losses, and the same in whatever order the crashes were reported. A target may start and crash
- * again before the list shows that it did.
+ * in the order of the losses, and the same in whatever order the crashes were reported. Times of peers shift by the time
+ * that their messages take, so that the target alone identifies a crash.
  */
 function joinCrashes(crashes: readonly TargetCrash[]): readonly TargetCrash[] {
-  const joined: TargetCrash[] = [];
-  for (const crash of [...crashes].sort((a, b) => a.lostAtMs - b.lostAtMs)) {
-    const index = joined.findIndex(
-      ({ target, lostAtMs }) => target === crash.target && crash.sentAtMs <= lostAtMs + RESTART_SLACK_MS,
-    );
-    const known = joined[index];
-    if (known) joined[index] = { ...known, sentAtMs: Math.max(known.sentAtMs, crash.sentAtMs) };
-    else joined.push(crash);
+  const byTarget = new Map<string, TargetCrash>();
+  for (const crash of crashes) {
+    const known = byTarget.get(crash.target) ?? crash;
+    byTarget.set(crash.target, {
+      target: crash.target,
+      sentAtMs: Math.max(known.sentAtMs, crash.sentAtMs),
+      lostAtMs: Math.min(known.lostAtMs, crash.lostAtMs),
+    });
   }
-  return joined;
+  return [...byTarget.values()].sort((a, b) => a.lostAtMs - b.lostAtMs);
 }
 
 /** Crashes since the latest survival, each of a request that was sent after the crash before. */
