Tests: avoided owners, health checks and the setting of an evacuation

Cause: the choice among owners, the health checks of unlisted members and the optional setting had no tests for evacuated domains.

Change: cases in node/placement, node/planning and node/settings.

--- a/tests/node/placement.test.ts
+++ b/tests/node/placement.test.ts
@@ -37,6 +37,8 @@
   readonly unreachable = new Set<string>();
   /** Owners; the groups are divided among them. */
   owners: readonly string[] = [OWNER];
+  /** Owners whose groups are all in evacuated failure domains. */
+  avoidedOwners: readonly string[] = [];
   /** Number of messages by kind. */
   readonly messages = new Map<string, number>();
 
@@ -93,6 +95,7 @@
         this.owners.map((address) => ({
           address,
           capacity: (GROUPS / this.owners.length) * ENGINE_PROFILE.slots,
+          isAvoided: this.avoidedOwners.includes(address),
         })),
       findOwner: (key) => this._findOwner(key),
       owners: () => new Set(this.owners),
@@ -319,6 +322,36 @@
   },
 );
 
+// Guards against requests in a domain that is being evacuated while other owners have capacity, and against requests that
+// are refused while only that domain has capacity.
+for (const owners of [
+  ['node-0', 'node-1'],
+  ['node-0', 'node-1', 'node-2'],
+]) {
+  void t.test(
+    `one of ${owners.length} owners, whose groups are all avoided, is asked when the others are full`,
+    async (t) => {
+      const fleet = new PlacementFleet(4, ANSWER_TIMEOUT_MS);
+      fleet.owners = owners;
+      fleet.avoidedOwners = ['node-1'];
+      const capacity = GROUPS * Math.ceil(ENGINE_PROFILE.slots * 1.25);
+      const placed: string[] = [];
+      for (let index = 0; index < capacity; index++) {
+        const key = getKeyOrReason(await fleet.place('node-3'));
+        fleet.nodes.get('node-3')?.loads.startRequest(key, SIZE);
+        placed.push(owners[Number(key.split('-')[1]) % owners.length] ?? key);
+      }
+      const elsewhere = capacity - capacity / owners.length;
+      t.equal(placed.indexOf('node-1'), elsewhere);
+      t.ok(
+        placed.slice(elsewhere).every((owner) => owner === 'node-1'),
+        'all others are placed there',
+      );
+      t.equal(getKeyOrReason(await fleet.place('node-3')), 'all-full');
+    },
+  );
+}
+
 void t.test('a node reports its requests at a target to the owner of that target only', async (t) => {
   const fleet = new PlacementFleet(3, ANSWER_TIMEOUT_MS);
   fleet.owners = ['node-0', 'node-1'];
--- a/tests/node/planning.test.ts
+++ b/tests/node/planning.test.ts
@@ -1,3 +1,4 @@
+import { Evacuations, systemClock } from '@monsoonreach/core';
 import type { ShardOwnership } from '@monsoonreach/node';
 import t from 'tap';
 import { sleep } from '../standins/http.js';
@@ -5,6 +6,7 @@
 import { StoreStandin } from '../platform/storeStandin.js';
 import { createMemberEntry, replaceList } from '../support/instanceList.js';
 import { createPlanner } from '../support/planner.js';
+import { RawTarget } from '../support/rawHttp.js';
 
 // Orders decided on an outdated list were sent with the condition of a newer report, and took an open head.
 for (const spareId of ['spare', 'a-spare']) {
@@ -77,6 +79,44 @@
   t.equal((await answer.text()).match(/^id: /gm)?.length, 20, 'the stream is complete');
 });
 
+// Guards against health checks, which run as requests, that reach an evacuated domain after the bound.
+for (const { name, domains, isChecked } of [
+  { name: 'no domain is excluded', domains: [], isChecked: true },
+  { name: 'another domain is excluded', domains: ['zone-9'], isChecked: true },
+  { name: 'its domain is excluded', domains: ['zone-1'], isChecked: false },
+]) {
+  void t.test(
+    `a member that is missing from the list is ${isChecked ? '' : 'not '}checked if ${name}`,
+    async (t) => {
+      const store = new StoreStandin();
+      const address = await store.start();
+      const fleet = new InstanceFleet(store, 1);
+      const head = await fleet.add('head', 'engines', 'domain-1');
+      const member = new RawTarget();
+      await member.start();
+      const evacuations = new Evacuations(systemClock);
+      evacuations.applySnapshot(domains.map((failureDomain) => ({ failureDomain, offset: 1 })));
+      const headEntry = ['head', createMemberEntry(head.address, { rank: 0, state: 'open' })] as const;
+      const memberEntry = ['member', createMemberEntry(member.address, { rank: 1 })] as const;
+      const planner = await createPlanner('node-1', address, [headEntry, memberEntry], { evacuations });
+      t.teardown(() => {
+        planner.stop();
+        fleet.stop();
+        store.stop();
+        member.crash();
+      });
+      await planner.start();
+      while (!planner.ownership.isOwner) await sleep(50);
+      replaceList(planner.list, [headEntry]);
+      await sleep(1_000);
+      t.equal(
+        member.requests.some(({ head: text }) => text.includes('/healthz')),
+        isChecked,
+      );
+    },
+  );
+}
+
 /** Creates nodes that know each other, with a store. */
 async function createFleet(size: number) {
   const store = new StoreStandin();
--- a/tests/node/settings.test.ts
+++ b/tests/node/settings.test.ts
@@ -37,6 +37,14 @@
   });
 }
 
+// Guards against a deployment without evacuations whose settings are refused.
+void t.test('the bound evacuation is optional', (t) => {
+  t.equal(parseNodeSettings(TEXT).bounds.evacuation, undefined);
+  t.equal(parseNodeSettings(`${TEXT}evacuation = 5000ms\n`).bounds.evacuation, 5_000);
+  t.throws(() => parseNodeSettings(`${TEXT}evacuation = 5000\n`), /evacuation/);
+  t.end();
+});
+
 void t.test('a setting that is missing or wrong is named', (t) => {
   t.throws(() => parseNodeSettings(TEXT.replace(/^retry-slack = .*$/m, 'retry-slack = many')), DocumentError);
   t.throws(() => parseNodeSettings(TEXT.replace(/^retry-slack = .*\n/m, '')), /retry-slack/);
--- a/tests/support/planner.ts
+++ b/tests/support/planner.ts
@@ -1,4 +1,4 @@
-import { createMemberId, createRandom, systemClock } from '@monsoonreach/core';
+import { createMemberId, createRandom, type Evacuations, systemClock } from '@monsoonreach/core';
 import {
   HeadMonitor,
   PeerExchange,
@@ -17,7 +17,10 @@
   name: string,
   store: string,
   entries: readonly (readonly [string, unknown])[],
-  options: { readonly getServedAtMs?: (group: string) => number } = {},
+  options: {
+    readonly getServedAtMs?: (group: string) => number;
+    readonly evacuations?: Evacuations;
+  } = {},
 ) {
   const { list, log, counters } = createInstanceList({ node: name });
   replaceList(list, entries);
@@ -83,6 +86,7 @@
     isListSettled: () => true,
     demand: () => new Map(),
     hasTraffic: () => true,
+    ...(options.evacuations ? { evacuations: options.evacuations } : {}),
     heads,
     removed,
     countNodes: () => 1,
