Tests: owners of evacuated groups, and orders from a disconnection

Cause: which owners are asked, the failure domains of a group with an unlisted member, and the age of an order that is read late were covered by the pure modules only.

Ruled out: counting arrivals after the disconnection, as avoided targets get none while another zone is left; the test evacuates all zones instead.

Change: cases in node/targetDirectory and platform/evacuations.

--- a/tests/node/targetDirectory.test.ts
+++ b/tests/node/targetDirectory.test.ts
@@ -1,6 +1,6 @@
-import { LoadTracker, type TargetInstance } from '@monsoonreach/core';
+import { Evacuations, LoadTracker, systemClock, type TargetInstance } from '@monsoonreach/core';
 import { type ShardOwnership, TargetDirectory } from '@monsoonreach/node';
-import { decodeConfiguration } from '@monsoonreach/platform';
+import { decodeConfiguration, parseEvacuationKey } from '@monsoonreach/platform';
 import t from 'tap';
 import { createConfiguration } from '../platform/platformFleet.js';
 import { createInstanceList, replaceList } from '../support/instanceList.js';
@@ -64,3 +64,40 @@
     t.end();
   });
 }
+
+const inZone2 = ([id, entry]: readonly [string, unknown]) =>
+  [id, { ...(entry as Readonly<Record<string, unknown>>), zone: 'zone-2' }] as const;
+
+// Guards against an owner that is asked for targets which no request may reach, and against a group whose member in an
+// evacuated domain is forgotten as its entry is removed.
+void t.test('the owner of a group is not asked while a domain of a known member is excluded', (t) => {
+  const { list } = createInstanceList();
+  const ownership = { stamp: 0, findOwner: () => ({ id: 'o', address: 'o', term: 1 }) } as unknown;
+  const evacuations = new Evacuations(systemClock, 60_000);
+  const loads = new LoadTracker(() => undefined);
+  const directory = new TargetDirectory(list, loads, ownership as ShardOwnership, evacuations);
+  const configuration = decodeConfiguration(Buffer.from(JSON.stringify(createConfiguration(1))));
+  const findOwners = () => directory.findOwners(configuration, 'engines', 'model-a');
+  replaceList(list, [head, inZone2(member)]);
+  t.match(findOwners(), [{ address: 'o', capacity: 8 }]);
+  replaceList(list, [head]);
+  const [candidate] = directory.findCandidates(configuration, 'engines', 'model-a');
+  t.same(candidate?.failureDomains, ['zone-1', 'zone-2']);
+  evacuations.order({ failureDomain: 'zone-2', offset: 1 }, systemClock.monotonic());
+  t.match(findOwners(), [{ address: 'o', capacity: 8, isAvoided: true }]);
+  evacuations.applySnapshot([]);
+  evacuations.applySnapshot([{ failureDomain: 'zone-2', offset: 1 }]);
+  t.same(findOwners(), []);
+  evacuations.applySnapshot([]);
+  t.same(findOwners(), [{ address: 'o', capacity: 8 }]);
+  t.end();
+});
+
+// Guards against records of other keys that are taken for orders.
+void t.test('the key of an evacuation names its failure domain', (t) => {
+  t.equal(parseEvacuationKey('evacuate/zone-1'), 'zone-1');
+  for (const key of ['config', 'evacuate/', 'evacuate', 'other/evacuate/zone-1']) {
+    t.equal(parseEvacuationKey(key), undefined, key);
+  }
+  t.end();
+});
--- a/tests/platform/evacuations.test.ts
+++ b/tests/platform/evacuations.test.ts
@@ -183,4 +183,22 @@
     t.equal((await fleet.send('/status/')).status, 200);
     t.match(await readMetrics(nodes[1] as RawNode), /^monsoonreach_evacuated_domains 0$/m);
   });
+
+  // Guards against a node that was disconnected and takes the order that it then reads for a new one.
+  await t.test('an order from the time of a disconnection excludes as soon as it is read', async (t) => {
+    const node = nodes[1] as RawNode;
+    fleet.store.failsWaitingReads = true;
+    fleet.store.mode = 'silent';
+    for (const zone of ZONES) write(zone);
+    await sleep(3_000);
+    t.match(await readMetrics(node), /^monsoonreach_evacuated_domains 0$/m, 'the last known state holds');
+    fleet.store.mode = 'well';
+    for (let waitedMs = 0; waitedMs < 3_000; waitedMs += 20) {
+      if (/^monsoonreach_evacuated_domains 3$/m.test(await readMetrics(node))) break;
+      await sleep(20);
+    }
+    const { status, body } = await new RawCaller(node.address).exchange(`${fleet.createHead('/status/')}{}`);
+    t.equal(status, 503);
+    t.match(body, /"reason":"evacuated"/);
+  });
 });
