--- a/tests/support/nodeProcess.ts
+++ b/tests/support/nodeProcess.ts
@@ -34,6 +34,10 @@
   readonly isOutputStalled?: boolean;
   /** Environment variables beyond those of this process. */
   readonly environment?: Readonly<Record<string, string>>;
+  /** Options of Node.js for the process. */
+  readonly processOptions?: readonly string[];
+  /** Largest number of descriptors that the system allows the process; that of this process by default. */
+  readonly maxDescriptors?: number;
 }
 
 /** A real node process. */
@@ -45,14 +49,25 @@
   readonly end: Promise<ProcessEnd>;
 
   constructor(options: NodeProcessOptions) {
-    const { program, ports, store = '127.0.0.1:9', isOutputStalled = false, environment } = options;
+    const {
+      program,
+      ports,
+      store = '127.0.0.1:9',
+      isOutputStalled = false,
+      environment,
+      processOptions = [],
+      maxDescriptors,
+    } = options;
     this._front = ports.front;
     const settings = join(mkdtempSync(join(tmpdir(), 'monsoonreach-node-')), 'node.ini');
     writeFileSync(
       settings,
       formatSettings({ name: 'node-1', domain: 'zone-1', store, log: 'json', ...ports }),
     );
-    this._child = spawn(process.execPath, [program, settings], {
+    const command =
+      maxDescriptors === undefined ? [] : ['sh', '-c', `ulimit -n ${maxDescriptors}; exec "$0" "$@"`];
+    const [file = '', ...args] = [...command, process.execPath, ...processOptions, program, settings];
+    this._child = spawn(file, args, {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: { ...process.env, ...environment },
     });
@@ -74,6 +89,10 @@
     return this._stdout;
   }
 
+  get pid(): number {
+    return this._child.pid ?? 0;
+  }
+
   get isRunning(): boolean {
     return this._child.exitCode === null && this._child.signalCode === null;
   }
