--- a/packages/callers/src/body.ts
+++ b/packages/callers/src/body.ts
@@ -1,4 +1,5 @@
 import { MonsoonreachError } from '@monsoonreach/core';
+import { BodyBuffer } from './bodyBuffer.js';
 
 /** Why a caller's request body could not be read. */
 export type BodyErrorCode = 'body-too-large' | 'body-too-slow' | 'body-cut';
@@ -46,14 +47,12 @@
   reader: ReadableStreamDefaultReader<Uint8Array>,
   maxBytes: number,
 ): Promise<Uint8Array> {
-  const chunks: Uint8Array[] = [];
-  let totalBytes = 0;
+  const body = new BodyBuffer();
   for (let result = await reader.read(); !result.done; result = await reader.read()) {
-    totalBytes += result.value.byteLength;
-    if (totalBytes > maxBytes) throw toTooLargeError(maxBytes);
-    chunks.push(result.value);
+    if (body.length + result.value.byteLength > maxBytes) throw toTooLargeError(maxBytes);
+    body.append(result.value);
   }
-  return Buffer.concat(chunks);
+  return body.toBuffer();
 }
 
 function toTooLargeError(maxBytes: number): BodyError {
--- a/packages/callers/src/callerServer.ts
+++ b/packages/callers/src/callerServer.ts
@@ -47,7 +47,7 @@
       },
       (request, response) => {
         if (this._isClosing && !this._prepareLaterRequest(response)) return;
-        this._connections.startRequest(response);
+        if (!this._connections.startRequest(response)) return;
         if (this._isClosing) this._announceClose(response);
         // Run at once, a request would be lost with its answer if the connection ends with an earlier one.
         void this._connections.waitForTurn(response).then(() => {
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -1,7 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
-import { CallerConnections, type OpenRequest } from '@monsoonreach/callers/connections';
+import { BodyBuffer } from '@monsoonreach/callers/body-buffer';
+import { CallerConnections, type CallerLimit, type OpenRequest } from '@monsoonreach/callers/connections';
+import type { CallerMemory } from '@monsoonreach/callers/memory';
 import { type KeyTrust, type RouteTable, type ServingRoute, splitAddress } from '@monsoonreach/core';
 import { type CallerRequest, decodeCallerRequest, encodeRetryAfter } from '@monsoonreach/platform';
 import { RequestRun } from './requestRun.js';
@@ -16,6 +18,12 @@
 const HEAD_CHECK_INTERVAL_MS = 1_000;
 /** Retry-After while this node has no configuration or no trusted keys, in milliseconds; it may reach the store by then. */
 const STALE_RETRY_AFTER_MS = 700;
+/** Retry-After of a request that is refused because of the memory, in milliseconds. */
+const MEMORY_RETRY_AFTER_MS = 700;
+/** Bytes of a body that are collected before there is a configuration with a limit. */
+const MAX_UNCONFIGURED_BODY_BYTES = 4_194_304;
+/** Event of a request whose body has exceeded the limit. */
+const BODY_TOO_LARGE = 'monsoonreach:body-too-large';
 /** Urgency that targets assume when a request names none. */
 const DEFAULT_URGENCY = 5;
 
@@ -26,15 +34,30 @@
   readonly trust: KeyTrust;
   readonly table: () => RouteTable | undefined;
   readonly gate: StartGate;
+  readonly memory: CallerMemory;
+  /** Largest number of connections. */
+  readonly maxConnections: number;
+  /** Called when a caller has reached a limit of this process. */
+  readonly onLimit: (limit: CallerLimit) => void;
 }
 
 /** HTTP server for callers: finds the route and workspace of each request, and starts forwarding it. */
 export class FrontServer {
   readonly connections: CallerConnections;
   private readonly _server: Server;
+  /** Bodies that are being read. */
+  private readonly _bodies = new Map<ServerResponse, BodyBuffer>();
 
   constructor(private readonly _options: FrontServerOptions) {
-    this.connections = new CallerConnections(_options.context.clock);
+    const { memory, maxConnections, onLimit } = _options;
+    this.connections = new CallerConnections(_options.context.clock, {
+      memory,
+      maxConnections,
+      onLimit,
+      refuse: (requests) => {
+        this._refuseForMemory(requests);
+      },
+    });
     // Plain node:http, as requests are forwarded byte for byte and connections are closed individually.
     this._server = createServer(
       {
@@ -125,7 +148,8 @@
       this._options.context.counters.add('monsoonreach_caller_errors_total');
     });
     const caller = decodeCallerRequest(request.headers);
-    this.connections.startRequest(response, caller.requestId);
+    if (!this.connections.startRequest(response, caller.requestId)) return;
+    const content = this._collectBody(request, response);
     await this._options.gate.pass();
     this.connections.setStage(response, 'reading');
     const bounds = this._findBodyBounds(request, caller);
@@ -134,6 +158,7 @@
       return;
     }
     const body = await this._readBody(request, response, caller, {
+      content,
       maxBytes: bounds.maxBytes,
       remainingMs: startedAtMs + bounds.timeoutMs - this._options.context.clock.monotonic(),
     });
@@ -145,7 +170,7 @@
     // Run at once, it would be lost with its answer if the connection ends with an earlier one.
     await this.connections.waitForTurn(response);
     await waitForPendingCloses();
-    if (request.socket.destroyed) return;
+    if (request.socket.destroyed || this.connections.isEnding(request.socket)) return;
     // The configuration may have changed while the body was read; the trust in keys concerns the one in force now.
     const table = this._options.table();
     if (!table) {
@@ -238,12 +263,8 @@
     return { kind: 'allowed', workspace: workspace.name, priority: workspace.priority ?? priority };
   }
 
-  private async _readBody(
-    request: IncomingMessage,
-    response: ServerResponse,
-    caller: CallerRequest,
-    { maxBytes, remainingMs }: { readonly maxBytes: number; readonly remainingMs: number },
-  ): Promise<Buffer | undefined | 'ended'> {
+  /** Collects a request's body from its head on, so that its chunks do not queue up; undefined if it has none. */
+  private _collectBody(request: IncomingMessage, response: ServerResponse): BodyBuffer | undefined {
     if (
       request.headers['content-length'] === undefined &&
       request.headers['transfer-encoding'] === undefined
@@ -251,38 +272,99 @@
       request.resume();
       return undefined;
     }
-    const chunks: Buffer[] = [];
-    let length = 0;
-    let isLate = false;
-    const timer = setTimeout(
-      () => {
-        isLate = true;
+    const content = new BodyBuffer();
+    this._bodies.set(response, content);
+    request.on('data', (chunk: Buffer) => {
+      this.connections.recordChunk(response);
+      if (!this._bodies.has(response)) return;
+      const limit = this._options.table()?.configuration.limits.maxBodyBytes ?? MAX_UNCONFIGURED_BODY_BYTES;
+      if (content.length + chunk.length > limit) {
+        this._bodies.delete(response);
+        content.clear();
+        this.connections.stopReading(request.socket);
+        request.emit(BODY_TOO_LARGE);
+      } else content.append(chunk);
+      this.connections.recordBody(response, content.capacity);
+    });
+    return content;
+  }
+
+  private async _readBody(
+    request: IncomingMessage,
+    response: ServerResponse,
+    caller: CallerRequest,
+    {
+      content,
+      maxBytes,
+      remainingMs,
+    }: {
+      readonly content: BodyBuffer | undefined;
+      readonly maxBytes: number;
+      readonly remainingMs: number;
+    },
+  ): Promise<Buffer | undefined | 'ended'> {
+    if (!content) return undefined;
+    const isTooLarge = () =>
+      Number(request.headers['content-length'] ?? 0) > maxBytes || content.length > maxBytes;
+    const end = await new Promise<'complete' | 'too-large' | 'late' | 'gone'>((resolve) => {
+      const timer = setTimeout(resolve, Math.max(0, remainingMs), 'late');
+      const finish = (end: 'complete' | 'too-large' | 'gone') => {
+        clearTimeout(timer);
+        resolve(end);
+      };
+      if (isTooLarge() || (!this._bodies.has(response) && !request.socket.destroyed)) finish('too-large');
+      else if (request.readableEnded) finish('complete');
+      else if (request.destroyed) finish('gone');
+      request.once(BODY_TOO_LARGE, () => {
+        finish('too-large');
+      });
+      request.once('end', () => {
+        finish('complete');
+      });
+      request.once('error', () => {
+        finish('gone');
+      });
+      request.once('close', () => {
+        finish('gone');
+      });
+    });
+    this._bodies.delete(response);
+    if (end === 'complete' && !response.writableEnded) {
+      const body = content.toBuffer();
+      this.connections.recordBody(response, body.length);
+      return body;
+    }
+    content.clear();
+    this.connections.recordBody(response, 0);
+    if (response.writableEnded) return 'ended';
+    switch (end) {
+      case 'too-large':
+        this.connections.stopReading(request.socket);
+        this._refuse(response, caller.requestId, 413, 'body-too-large', { Connection: 'close' });
+        break;
+      case 'late':
         this._refuse(response, caller.requestId, 408, 'body-late', { Connection: 'close' });
         request.destroy();
-      },
-      Math.max(0, remainingMs),
-    );
-    try {
-      for await (const chunk of request as AsyncIterable<Buffer>) {
-        length += chunk.length;
-        if (length > maxBytes) {
-          this._refuse(response, caller.requestId, 413, 'body-too-large', { Connection: 'close' });
-          return 'ended';
-        }
-        chunks.push(chunk);
-      }
-    } catch (error) {
-      if (isLate) return 'ended';
-      this._options.context.counters.add('monsoonreach_callers_gone_total');
-      this._options.context.log.info('caller disconnected before its request was read', {
-        request: caller.requestId,
-        error: String(error),
-      });
-      return 'ended';
-    } finally {
-      clearTimeout(timer);
+        break;
+      case 'complete':
+      case 'gone':
+        this._options.context.counters.add('monsoonreach_callers_gone_total');
+        this._options.context.log.info('caller disconnected before its request was read', {
+          request: caller.requestId,
+        });
+    }
+    return 'ended';
+  }
+
+  /** Refuses the first request of a connection that is closed to free memory; the others get no answer. */
+  private _refuseForMemory(requests: readonly [OpenRequest, ...OpenRequest[]]): void {
+    for (const { response } of requests) {
+      this._bodies.get(response)?.clear();
+      this._bodies.delete(response);
     }
-    return Buffer.concat(chunks, length);
+    const [{ response, requestId }] = requests;
+    const headers = { ...encodeRetryAfter(MEMORY_RETRY_AFTER_MS), Connection: 'close' };
+    this._refuse(response, requestId, 503, 'memory', headers);
   }
 
   private _refuse(
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
-import type { OpenRequest } from '@monsoonreach/callers/connections';
+import { CallerConnections, type CallerLimit, type OpenRequest } from '@monsoonreach/callers/connections';
+import { CallerMemory } from '@monsoonreach/callers/memory';
 import {
   chooseTarget,
   type Clock,
@@ -40,6 +41,7 @@
   Topic,
 } from '@monsoonreach/platform';
 import { AnswerBuffers } from './answerBuffers.js';
+import { CallerLimitReports, deriveMaxConnections, readDescriptorLimit } from './callerLimits.js';
 import { CrashMonitor } from './crashMonitor.js';
 import { DecisionLog } from './decisionLog.js';
 import { FleetReports } from './fleetReports.js';
@@ -82,6 +84,14 @@
 const BUSY_LIST_INTERVAL_MS = 150;
 /** Interval of the checks for requests without progress, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
+/** Interval at which the memory held for callers is checked, in milliseconds. */
+const MEMORY_CHECK_INTERVAL_MS = 250;
+/** Connections to a port for operators or the balancer, which connect one by one. */
+const MAX_OPERATOR_CONNECTIONS = 32;
+/** Time for the head of a request to such a port, in milliseconds. */
+const OPERATOR_HEAD_TIMEOUT_MS = 3_000;
+/** Largest header block of a request to such a port, in bytes. */
+const MAX_OPERATOR_HEADER_BYTES = 8_192;
 /** Interval at which connection pools unused for that long, and the health of removed targets, are dropped, in milliseconds. */
 const UNUSED_POOL_TIMEOUT_MS = 10_000;
 /** Time after SIGTERM in which the balancer still connects, in milliseconds: two failed readiness checks, a second apart. */
@@ -124,6 +134,10 @@
   private readonly _placement: Placement;
   private readonly _crashes: CrashMonitor;
   private readonly _gate: StartGate;
+  private readonly _callerMemory: CallerMemory;
+  private readonly _callerLimits: CallerLimitReports;
+  /** The connections of all ports for HTTP, whose memory is accounted together. */
+  private readonly _callerConnections: CallerConnections[] = [];
   private readonly _front: FrontServer;
   private readonly _directory: TargetDirectory;
   private readonly _context: ServingContext;
@@ -156,6 +170,8 @@
     };
     this._random = createRandom(hash32(this._self.id));
     this._log = new DecisionLog('monsoonreach-node', node.log, _clock, this._counters);
+    this._callerMemory = new CallerMemory(_clock, node.memory);
+    this._callerLimits = new CallerLimitReports(_clock, this._counters, this._log);
     this._history = new StoreHistory({ clock: _clock, log: this._log });
     this._store = new StoreClient(_settings.store.address, {
       onEra: (era) => {
@@ -191,7 +207,13 @@
       trust: this._trust,
       table: () => this._table,
       gate: this._gate,
+      memory: this._callerMemory,
+      maxConnections: deriveMaxConnections(Math.min(node.descriptors, readDescriptorLimit())),
+      onLimit: (limit) => {
+        this._reportCallerLimit(limit);
+      },
     });
+    this._callerConnections.push(this._front.connections);
     this._heads = this._createHeadMonitor();
     this._removed = new RemovedInstances({
       list: this._list,
@@ -222,6 +244,9 @@
     setInterval(() => {
       this._runChecks();
     }, CHECK_INTERVAL_MS);
+    setInterval(() => {
+      this._checkCallers();
+    }, MEMORY_CHECK_INTERVAL_MS);
     setInterval(() => {
       this._dropUnused();
     }, UNUSED_POOL_TIMEOUT_MS);
@@ -302,6 +327,20 @@
     this._log.warn('process warning', { warning: createErrorReport(warning) });
   }
 
+  private _checkCallers(): void {
+    for (const connections of this._callerConnections) connections.check();
+    this._counters.set('monsoonreach_caller_memory_bytes', this._callerMemory.totalBytes);
+    this._counters.set('monsoonreach_caller_connections', this._front.connections.size);
+  }
+
+  private _reportCallerLimit(limit: CallerLimit): void {
+    this._callerLimits.report(limit, {
+      bytes: this._callerMemory.totalBytes,
+      maxBytes: this._callerMemory.maxBytes,
+      connections: this._front.connections.size,
+    });
+  }
+
   /** Closes unused connection pools and drops what is known of targets that no longer exist. */
   private _dropUnused(): void {
     this._connections.closeUnused(UNUSED_POOL_TIMEOUT_MS);
@@ -826,11 +865,27 @@
     answer: (path: string) => { readonly status: number; readonly text: string } | undefined,
   ): Promise<void> {
     const { host, port } = splitAddress(address);
-    const server = createServer((request, response) => {
+    const connections = new CallerConnections(this._clock, {
+      memory: this._callerMemory,
+      maxConnections: MAX_OPERATOR_CONNECTIONS,
+      onLimit: (limit) => {
+        this._reportCallerLimit(limit);
+      },
+    });
+    const options = {
+      maxHeaderSize: MAX_OPERATOR_HEADER_BYTES,
+      headersTimeout: OPERATOR_HEAD_TIMEOUT_MS,
+      requestTimeout: OPERATOR_HEAD_TIMEOUT_MS,
+      connectionsCheckingInterval: 1_000,
+    };
+    const server = createServer(options, (request, response) => {
+      if (!connections.startRequest(response)) return;
       const { status, text } = answer(request.url ?? '/') ?? { status: 404, text: '' };
       response.writeHead(status, { 'Content-Type': 'text/plain', 'Content-Length': Buffer.byteLength(text) });
       response.end(text);
     });
+    connections.attach(server);
+    this._callerConnections.push(connections);
     return new Promise((resolve, reject) => {
       server.once('error', reject);
       server.listen({ host, port }, resolve);
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -3,6 +3,7 @@
   durationField,
   numberField,
   parseDocument,
+  sizeField,
   switchField,
   textField,
 } from '@monsoonreach/core';
@@ -17,6 +18,10 @@
     'processor-share': numberField({ min: 0.001, max: 1_024, isWhole: false }).default(1),
     /** Whether the whole system starts for the first time, so that there has been no traffic yet. */
     'first-start': switchField.default(false),
+    /** Memory of the instance; the smallest that the platform has by default. */
+    memory: sizeField.default(262_144_000),
+    /** Descriptors that the instance allows the process; the fewest that the platform allows by default. */
+    descriptors: numberField({ min: 1, max: 10_000_000 }).default(4_100),
     log: z.enum(['json', 'pretty', 'hidden']).default('json'),
   }),
   callers: z.strictObject({
