--- a/packages/callers/src/callerConnections.ts
+++ b/packages/callers/src/callerConnections.ts
@@ -3,6 +3,9 @@
 import type { Clock } from '@monsoonreach/core';
 import type { CallerMemory, MemoryHolder } from './callerMemory.js';
 
+export { BodyBuffer } from './bodyBuffer.js';
+export { CallerMemory } from './callerMemory.js';
+
 /** Unanswered requests on a connection from which on no more are read from it; callers send a few dozen ahead. */
 const HOLD_REQUESTS = 64;
 /** Unanswered requests on a connection at which it is closed: what was read before the hold may exceed that one. */
--- a/packages/node/src/frontServer.ts
+++ b/packages/node/src/frontServer.ts
@@ -1,9 +1,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
-import { BodyBuffer } from '@monsoonreach/callers/body-buffer';
-import { CallerConnections, type CallerLimit, type OpenRequest } from '@monsoonreach/callers/connections';
-import type { CallerMemory } from '@monsoonreach/callers/memory';
+import {
+  BodyBuffer,
+  CallerConnections,
+  type CallerLimit,
+  type CallerMemory,
+  type OpenRequest,
+} from '@monsoonreach/callers/connections';
 import {
   type Homes,
   type KeyTrust,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,7 +1,11 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
-import { CallerConnections, type CallerLimit, type OpenRequest } from '@monsoonreach/callers/connections';
-import { CallerMemory } from '@monsoonreach/callers/memory';
+import {
+  CallerConnections,
+  type CallerLimit,
+  CallerMemory,
+  type OpenRequest,
+} from '@monsoonreach/callers/connections';
 import {
   chooseTarget,
   type Clock,
--- a/tests/callers/bodyBuffer.test.ts
+++ b/tests/callers/bodyBuffer.test.ts
@@ -1,4 +1,4 @@
-import { BodyBuffer } from '@monsoonreach/callers/body-buffer';
+import { BodyBuffer } from '@monsoonreach/callers/connections';
 import t from 'tap';
 
 // Guards against a body whose chunks are kept as one object each.
--- a/tests/callers/callerMemory.test.ts
+++ b/tests/callers/callerMemory.test.ts
@@ -1,4 +1,4 @@
-import { CallerMemory, type MemoryHolder } from '@monsoonreach/callers/memory';
+import { CallerMemory, type MemoryHolder } from '@monsoonreach/callers/connections';
 import type { Clock } from '@monsoonreach/core';
 import t from 'tap';
 
