--- a/packages/callers/src/callerConnections.ts
+++ b/packages/callers/src/callerConnections.ts
@@ -4,7 +4,7 @@
 import type { CallerMemory, MemoryHolder } from './callerMemory.js';
 
 export { BodyBuffer } from './bodyBuffer.js';
-export { CallerMemory } from './callerMemory.js';
+export { CallerMemory, type MemoryHolder } from './callerMemory.js';
 
 /** Unanswered requests on a connection from which on no more are read from it; callers send a few dozen ahead. */
 const HOLD_REQUESTS = 64;
