Node: the descriptors of the settings bound callers' connections

Cause: the lower of the settings and the system's own limit counted, and the limit that the system names to a process need not be that of its sockets. Ruled out: want of memory (166 KB of 45 MB were held).

--- a/packages/node/src/callerLimits.ts
+++ b/packages/node/src/callerLimits.ts
@@ -17,13 +17,16 @@
   return Math.max(MIN_CONNECTIONS, Math.floor((descriptors - RESERVED_DESCRIPTORS) * CALLERS_SHARE));
 }
 
-/** Descriptors that the system allows this process; Infinity if they cannot be read. */
+/** Descriptors that are assumed where the system names no limit; the fewest that the platform allows. */
+const DEFAULT_DESCRIPTORS = 4_100;
+
+/** Descriptors that the system allows this process, at most the default. */
 export function readDescriptorLimit(): number {
   try {
     const limits = readFileSync('/proc/self/limits', 'utf8');
-    return Number(/^Max open files\s+(\d+)/m.exec(limits)?.[1] ?? Infinity);
+    return Math.min(DEFAULT_DESCRIPTORS, Number(/^Max open files\s+(\d+)/m.exec(limits)?.[1] ?? Infinity));
   } catch {
-    return Infinity;
+    return DEFAULT_DESCRIPTORS;
   }
 }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -242,7 +242,7 @@
       table: () => this._table,
       gate: this._gate,
       memory: this._callerMemory,
-      maxConnections: deriveMaxConnections(Math.min(node.descriptors, readDescriptorLimit())),
+      maxConnections: deriveMaxConnections(node.descriptors ?? readDescriptorLimit()),
       onLimit: (limit) => {
         this._reportCallerLimit(limit);
       },
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -20,8 +20,8 @@
     'first-start': switchField.default(false),
     /** Memory of the instance; the smallest that the platform has by default. */
     memory: sizeField.default(262_144_000),
-    /** Descriptors that the instance allows the process; the fewest that the platform allows by default. */
-    descriptors: numberField({ min: 1, max: 10_000_000 }).default(4_100),
+    /** Descriptors that the instance allows the process; by default what the system allows it. */
+    descriptors: numberField({ min: 1, max: 10_000_000 }).optional(),
     log: z.enum(['json', 'pretty', 'hidden']).default('json'),
   }),
   callers: z.strictObject({
