Crash evidence: one key and one test of parts for all users, factors of a request built once

The monitor wrote the key of a factor and the test for parts of a prompt again, each beside its twin in core; the list of a request's factors was built anew at each use, for every request once any crash is known; and the bound by kind copied all evidence four times. Behaviour is unchanged: crashEvidence, crashingRequests and crashEvidenceKinds pass.

--- a/packages/core/src/serving/crashEvidence.ts
+++ b/packages/core/src/serving/crashEvidence.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../clock.js';
-import { CRASH_FACTOR_KINDS, type CrashFactor } from './crashFactors.js';
+import { type CrashFactor, isPartKind, toFactorKey } from './crashFactors.js';
+import { groupBy } from './groupLayout.js';
 
 /** Successive crashes after which a factor is quarantined; more where sound requests are suspected as well. */
 const MAX_CRASHES: Readonly<Record<CrashFactor['kind'], number>> = {
@@ -86,7 +87,7 @@
    */
   recordSurvival(factors: readonly CrashFactor[], begunAtMs: number): readonly FactorEvidence[] {
     return factors.flatMap((factor) => {
-      const known = this._evidence.get(toKey(factor));
+      const known = this._evidence.get(toFactorKey(factor));
       if (!known || known.survivedAtMs >= begunAtMs) return [];
       const isCleared = findSuccessive(known).length >= MIN_SHARED_CRASHES;
       const merged = this._merge({ factor, crashes: [], survivedAtMs: begunAtMs });
@@ -103,7 +104,7 @@
   findQuarantineEndMs(factors: readonly CrashFactor[]): number | undefined {
     if (this.isEmpty) return undefined;
     const endsAtMs = Math.max(
-      ...factors.map((factor) => getQuarantineEndMs(this._evidence.get(toKey(factor)))),
+      ...factors.map((factor) => getQuarantineEndMs(this._evidence.get(toFactorKey(factor)))),
     );
     return endsAtMs > this._clock.monotonic() ? endsAtMs : undefined;
   }
@@ -123,7 +124,7 @@
 
   /** What is known of these factors. */
   describe(factors: readonly CrashFactor[]): readonly FactorEvidence[] {
-    return factors.flatMap((factor) => this._evidence.get(toKey(factor)) ?? []);
+    return factors.flatMap((factor) => this._evidence.get(toFactorKey(factor)) ?? []);
   }
 
   /** The evidence that peers are told repeatedly, the latest first. */
@@ -141,7 +142,7 @@
    * it is blamed only if it crashes targets with different continuations.
    */
   private _isExplained(factor: CrashFactor, continuations: readonly CrashFactor[]): boolean {
-    if (factor.kind !== 'part' && factor.kind !== 'pending-part') return false;
+    if (!isPartKind(factor.kind)) return false;
     const count = this._countSuccessive(factor);
     return continuations.some((later) => {
       const laterCount = this._countSuccessive(later);
@@ -150,12 +151,12 @@
   }
 
   private _countSuccessive(factor: CrashFactor): number {
-    const known = this._evidence.get(toKey(factor));
+    const known = this._evidence.get(toFactorKey(factor));
     return known ? findSuccessive(known).length : 0;
   }
 
   private _merge({ factor, crashes, survivedAtMs }: FactorEvidence): FactorEvidence {
-    const key = toKey(factor);
+    const key = toFactorKey(factor);
     const known = this._evidence.get(key);
     const merged: FactorEvidence = {
       factor,
@@ -166,20 +167,23 @@
     return merged;
   }
 
-  /** Forgets factors of a kind beyond their bound, first those that one crash concerns. */
-  private _removeExcess(kind: CrashFactor['kind']): void {
+  /** Forgets the factors of each kind that exceed their bound, first those that one crash concerns. */
+  private _removeExcess(): void {
     if (this._evidence.size <= MAX_FACTORS) return;
-    const known = [...this._evidence].filter(([, { factor }]) => factor.kind === kind);
-    const excess = known.length - MAX_FACTORS;
-    if (excess <= 0) return;
-    const single = known.filter(([, evidence]) => findSuccessive(evidence).length < MIN_SHARED_CRASHES);
-    const repeated = known.filter(([, evidence]) => findSuccessive(evidence).length >= MIN_SHARED_CRASHES);
-    for (const [key] of [...single, ...repeated].slice(0, excess)) this._evidence.delete(key);
+    for (const known of groupBy(this._evidence, ([, { factor }]) => factor.kind).values()) {
+      const excess = known.length - MAX_FACTORS;
+      if (excess <= 0) continue;
+      const isSingle = ([, evidence]: (typeof known)[number]) =>
+        findSuccessive(evidence).length < MIN_SHARED_CRASHES;
+      const single = known.filter(isSingle);
+      const repeated = known.filter((entry) => !isSingle(entry));
+      for (const [key] of [...single, ...repeated].slice(0, excess)) this._evidence.delete(key);
+    }
   }
 
   private _removeExpired(): void {
     const nowMs = this._clock.monotonic();
-    for (const kind of CRASH_FACTOR_KINDS) this._removeExcess(kind);
+    this._removeExcess();
     if (nowMs - this._expiredAtMs < EXPIRY_INTERVAL_MS) return;
     this._expiredAtMs = nowMs;
     for (const [key, evidence] of this._evidence) {
@@ -230,7 +234,3 @@
 function getLatestLossMs({ crashes }: FactorEvidence): number {
   return crashes.at(-1)?.lostAtMs ?? -Infinity;
 }
-
-function toKey({ kind, id }: CrashFactor): string {
-  return `${kind}/${id}`;
-}
--- a/packages/core/src/serving/crashFactors.ts
+++ b/packages/core/src/serving/crashFactors.ts
@@ -3,7 +3,7 @@
 /** Hexadecimal digits of a fingerprint: 64 bits. */
 const FINGERPRINT_DIGITS = 16;
 
-export const CRASH_FACTOR_KINDS = ['request', 'part', 'pending-request', 'pending-part'] as const;
+const CRASH_FACTOR_KINDS = ['request', 'part', 'pending-request', 'pending-part'] as const;
 
 /** Something that requests have in common and that may crash the targets that run them. */
 export interface CrashFactor {
@@ -16,6 +16,16 @@
   readonly id: string;
 }
 
+/** Whether the kind concerns a part of a prompt, which sound requests may share. */
+export function isPartKind(kind: CrashFactor['kind']): boolean {
+  return kind === 'part' || kind === 'pending-part';
+}
+
+/** Identifies a factor among those of all kinds. */
+export function toFactorKey({ kind, id }: CrashFactor): string {
+  return `${kind}/${id}`;
+}
+
 export function isCrashFactorKind(kind: string): kind is CrashFactor['kind'] {
   return (CRASH_FACTOR_KINDS as readonly string[]).includes(kind);
 }
--- a/packages/node/src/crashMonitor.ts
+++ b/packages/node/src/crashMonitor.ts
@@ -5,8 +5,10 @@
   type CrashFactor,
   type FactorEvidence,
   isCrashFactorKind,
+  isPartKind,
   type TargetCandidate,
   type TargetInstance,
+  toFactorKey,
 } from '@monsoonreach/core';
 import type { DecisionLog } from './decisionLog.js';
 import { LossWatch } from './lossWatch.js';
@@ -170,7 +172,7 @@
         sentAtMs,
         lostAtMs,
       }))
-        changed.set(`${evidence.factor.kind}/${evidence.factor.id}`, evidence);
+        changed.set(toFactorKey(evidence.factor), evidence);
     }
     this._options.counters.add('monsoonreach_crashes_total');
     for (const loss of losses) this._logCrash(loss);
@@ -194,10 +196,6 @@
   }
 }
 
-function isPartKind(kind: CrashFactor['kind']): boolean {
-  return kind === 'part' || kind === 'pending-part';
-}
-
 function toEvidence(
   [kind, id, survivedAgeMs, crashes]: EvidenceRow,
   nowMs: number,
--- a/packages/node/src/crashWitness.ts
+++ b/packages/node/src/crashWitness.ts
@@ -35,6 +35,7 @@
 export class CrashWitness {
   private _cachedFactors: readonly CrashFactor[] | undefined;
   private _cachedPendingFactors: readonly CrashFactor[] | undefined;
+  private _cachedAllFactors: readonly CrashFactor[] | undefined;
   private readonly _survivors = new WeakSet<AttemptProgress>();
 
   constructor(
@@ -112,7 +113,7 @@
   }
 
   private get _allFactors(): readonly CrashFactor[] {
-    return [...this._factors, ...this._pendingFactors];
+    return (this._cachedAllFactors ??= [...this._factors, ...this._pendingFactors]);
   }
 
   /** Whether the target may have begun the answer and has not survived its beginning yet. */
