Node, core: one memory of recent targets, one place for where a target runs

Misdirections repeated SilentTargets with ages; both are RecentTargets now, with the times that they had. Evacuations and homes each described where a target runs, and the node listed its failure domains a third time. RequestRun looked its candidates up in three places and withdrew a stale attempt in two, and had its own type of the reason for no target. With prompt-harm, each choice searched all routes twice for the objectives; they are found once for each configuration.

--- a/packages/core/src/serving/coldRates.ts
+++ b/packages/core/src/serving/coldRates.ts
@@ -47,7 +47,7 @@
   readonly nodes: number;
 }
 
-const NO_REQUESTS: BurstRate = { requestsPerS: 0, burst: 0 };
+export const NO_REQUESTS: BurstRate = { requestsPerS: 0, burst: 0 };
 
 /** Returns the most requests that arrive in any second at this rate. */
 export function countMostArrivals({ requestsPerS, burst }: BurstRate): number {
--- a/packages/core/src/serving/evacuations.ts
+++ b/packages/core/src/serving/evacuations.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../clock.js';
+import { listFailureDomains, type TargetLocation } from './targetInstance.js';
 
 /**
  * Part of the bound that is left once targets are excluded, in milliseconds: the long poll in which the order is read, and
@@ -33,13 +34,6 @@
     | { readonly kind: 'revoked' }
   );
 
-/** What is needed of a target to tell whether it is in an evacuated failure domain. */
-export interface EvacuationSubject {
-  readonly instance: { readonly failureDomain: string };
-  /** Failure domains of the head and the known members; only of groups. */
-  readonly failureDomains?: readonly string[] | undefined;
-}
-
 interface KnownOrder {
   readonly offset: number | undefined;
   readonly sinceMs: number;
@@ -129,9 +123,9 @@
   }
 
   /** The stricter phase of the failure domains of a target; undefined if all are in service. */
-  findPhaseOf({ instance, failureDomains }: EvacuationSubject): EvacuationPhase | undefined {
+  findPhaseOf(target: TargetLocation): EvacuationPhase | undefined {
     if (this.isEmpty) return undefined;
-    const phases = (failureDomains ?? [instance.failureDomain]).map((domain) => this.findPhase(domain));
+    const phases = listFailureDomains(target).map((domain) => this.findPhase(domain));
     return phases.find((phase) => phase === 'excluded') ?? phases.find((phase) => phase !== undefined);
   }
 
--- a/packages/core/src/serving/homes.ts
+++ b/packages/core/src/serving/homes.ts
@@ -1,4 +1,4 @@
-import type { TargetInstance } from './targetInstance.js';
+import type { TargetLocation } from './targetInstance.js';
 
 /** Region of each failure domain; one that is not listed is a region of its own name. */
 export type Regions = ReadonlyMap<string, string>;
@@ -6,13 +6,6 @@
 /** Names of the home regions of a route or a workspace; undefined where there are none. */
 export type Homes = readonly string[] | undefined;
 
-/** Where a target runs: its head, and what is known of the other members of its group. */
-export interface TargetLocation {
-  readonly instance: Pick<TargetInstance, 'failureDomain'>;
-  /** Failure domains of the known members; undefined for targets without members. */
-  readonly failureDomains?: readonly string[] | undefined;
-}
-
 /**
  * Returns the failure domains in which a request may be run: those in a home region of its route and of its workspace,
  * where they have any. Undefined if neither has homes; empty if both have, without a common region.
--- a/packages/core/src/serving/index.ts
+++ b/packages/core/src/serving/index.ts
@@ -18,7 +18,7 @@
 export * from './keyTrust.js';
 export * from './loadTracker.js';
 export * from './memberProbes.js';
-export * from './misdirections.js';
+export * from './recentTargets.js';
 export * from './modelAllocation.js';
 export * from './modelAssignment.js';
 export * from './observedGroups.js';
--- a/packages/core/src/serving/recentTargets.ts
+++ b/packages/core/src/serving/recentTargets.ts
@@ -1,49 +1,45 @@
 import type { Clock } from '../clock.js';
 
-/** Time for which a target is left alone, in milliseconds: an entry that shows its new state is written and read within it. */
-const MISDIRECTION_TTL_MS = 2_000;
+/** Targets of which something was found lately, with the time since it was last found. */
+export class RecentTargets {
+  /** Monotonic times in milliseconds, by target. */
+  private readonly _foundAtMs = new Map<string, number>();
 
-/**
- * Targets that answered that they are not the one that was meant, or that they do not serve what was sent to them.
- *
- * After a start or the end of a group, the instance list names a head for a second that answers so. As the target says
- * it itself, what one node was told holds for the requests of all; otherwise each node uses up retries to learn it.
- */
-export class Misdirections {
-  /** Monotonic times of the latest answers, in milliseconds, by target. */
-  private readonly _answeredAtMs = new Map<string, number>();
-
-  constructor(private readonly _clock: Clock) {}
+  /** @param _ttlMs time for which a target is remembered, in milliseconds. */
+  constructor(
+    private readonly _clock: Clock,
+    private readonly _ttlMs: number,
+  ) {}
 
   /**
-   * Records such an answer.
-   * @returns whether it was not known of the target.
+   * Records that it was found of the target `ageMs` ago.
+   * @returns whether the target was not remembered.
    */
   record(target: string, ageMs = 0): boolean {
     this._removeExpired();
     const atMs = this._clock.monotonic() - ageMs;
-    const knownAtMs = this._answeredAtMs.get(target);
-    if (ageMs < MISDIRECTION_TTL_MS) this._answeredAtMs.set(target, Math.max(atMs, knownAtMs ?? -Infinity));
+    const knownAtMs = this._foundAtMs.get(target);
+    if (ageMs < this._ttlMs) this._foundAtMs.set(target, Math.max(atMs, knownAtMs ?? -Infinity));
     return knownAtMs === undefined;
   }
 
-  /** The targets that get no request now. */
+  /** The targets that are remembered. */
   list(): ReadonlySet<string> {
     return new Set(this.describe().keys());
   }
 
-  /** Time since the latest answer, in milliseconds, by target. */
+  /** Time since it was last found, in milliseconds, by target. */
   describe(): ReadonlyMap<string, number> {
-    if (this._answeredAtMs.size === 0) return NONE;
+    if (this._foundAtMs.size === 0) return NONE;
     this._removeExpired();
     const nowMs = this._clock.monotonic();
-    return new Map([...this._answeredAtMs].map(([target, atMs]) => [target, Math.round(nowMs - atMs)]));
+    return new Map([...this._foundAtMs].map(([target, atMs]) => [target, Math.round(nowMs - atMs)]));
   }
 
   private _removeExpired(): void {
     const nowMs = this._clock.monotonic();
-    for (const [target, atMs] of this._answeredAtMs)
-      if (nowMs - atMs >= MISDIRECTION_TTL_MS) this._answeredAtMs.delete(target);
+    for (const [target, atMs] of this._foundAtMs)
+      if (nowMs - atMs >= this._ttlMs) this._foundAtMs.delete(target);
   }
 }
 
--- a/packages/core/src/serving/targetInstance.ts
+++ b/packages/core/src/serving/targetInstance.ts
@@ -40,3 +40,15 @@
 export function getIncarnationKey({ id, startedAtMs }: Pick<TargetInstance, 'id' | 'startedAtMs'>): string {
   return `${id}#${startedAtMs}`;
 }
+
+/** Where a target runs: an instance, or the head of a group and what is known of its members. */
+export interface TargetLocation {
+  readonly instance: Pick<TargetInstance, 'failureDomain'>;
+  /** Failure domains of the head and the known members; undefined for ungrouped instances. */
+  readonly failureDomains?: readonly string[] | undefined;
+}
+
+/** Failure domains in which a target works on its requests. */
+export function listFailureDomains({ instance, failureDomains }: TargetLocation): readonly string[] {
+  return failureDomains ?? [instance.failureDomain];
+}
--- a/packages/core/src/serving/targetLimits.ts
+++ b/packages/core/src/serving/targetLimits.ts
@@ -1,5 +1,11 @@
 import type { Clock } from '../clock.js';
-import { type BurstRate, type ColdBound, type ColdRates, computeColdRates } from './coldRates.js';
+import {
+  type BurstRate,
+  type ColdBound,
+  type ColdRates,
+  computeColdRates,
+  NO_REQUESTS,
+} from './coldRates.js';
 
 /** Requests that may follow each other at once after a pause, as the time in which the limit allows so many. */
 const BURST_S = 0.5;
@@ -213,7 +219,7 @@
       state.nodeCount = nodeCount;
     }
     const { rates, untilMs } = state;
-    if (scope === 'node') return this._rankNode(incarnation) < rates.nodes ? rates.node : NO_SHARE;
+    if (scope === 'node') return this._rankNode(incarnation) < rates.nodes ? rates.node : NO_REQUESTS;
     const share = (this._clock.monotonic() - untilMs) / RAMP_MS;
     if (share <= 0) return rates.owner;
     if (share >= 1) return rates.warmOwner;
@@ -236,8 +242,6 @@
   }
 }
 
-const NO_SHARE: BurstRate = { requestsPerS: 0, burst: 0 };
-
 function getTtlMs({ requestsPerS }: InstanceLimit): number {
   if (requestsPerS === undefined) return LIFTED_TTL_MS;
   return LIMIT_TTL_MS + 1_000 / Math.max(requestsPerS, MIN_REQUESTS_PER_S);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -24,13 +24,14 @@
   insertByPreference,
   isAllowedTarget,
   KeyTrust,
+  listFailureDomains,
   LoadTracker,
   MAX_SOUND_SILENCE_MS,
   type Member,
-  Misdirections,
   pause,
   type PromptObjectives,
   type Random,
+  RecentTargets,
   RetryWindowBudget,
   RouteTable,
   type ServingConfiguration,
@@ -74,7 +75,6 @@
 import type { ServingContext } from './servingContext.js';
 import type { NodeSettings } from './settings.js';
 import { ShardOwnership } from './shardOwnership.js';
-import { SilentTargets } from './silentTargets.js';
 import { StartGate } from './startGate.js';
 import { StopAdmission } from './stopAdmission.js';
 import { StoreHistory } from './storeHistory.js';
@@ -108,6 +108,14 @@
 const MAX_OPERATOR_HEADER_BYTES = 8_192;
 /** Interval at which connection pools unused for that long, and the health of removed targets, are dropped, in milliseconds. */
 const UNUSED_POOL_TIMEOUT_MS = 10_000;
+/** Time for which reports name a silent target, in milliseconds; a few reports, as one may be lost. */
+const SILENCE_REPORT_MS = 600;
+/**
+ * Time for which a target that answered that it does not serve what was sent to it gets no request, in milliseconds. After
+ * a start or the end of a group, the list names a head for a second that answers so; an entry that shows its new state is
+ * written and read within this time.
+ */
+const MISDIRECTION_TTL_MS = 2_000;
 /** Time after SIGTERM in which the balancer still connects, in milliseconds: two failed readiness checks, a second apart. */
 const BALANCER_DRAIN_MS = 2_600;
 /** Time before the kill at which the remaining requests are abandoned, in milliseconds. */
@@ -134,7 +142,7 @@
     this._placement.scheduleReport(target);
   });
   private readonly _limits: TargetLimits;
-  private readonly _misdirections: Misdirections;
+  private readonly _misdirections: RecentTargets;
   private readonly _cold: ColdTargets;
   private readonly _availability: TargetAvailability;
   private readonly _demand = new DemandMeter();
@@ -142,7 +150,7 @@
   private readonly _health = new TargetHealth();
   private readonly _pace = new StreamPace();
   private readonly _reports: FleetReports;
-  private readonly _silentTargets: SilentTargets;
+  private readonly _silentTargets: RecentTargets;
   private readonly _connections: TargetConnections;
   private readonly _exchange: PeerExchange;
   private readonly _ownership: ShardOwnership;
@@ -165,6 +173,8 @@
   private readonly _configurationFollower: KeyedFollower;
   private readonly _listFollower: KeyedFollower;
   private _table: RouteTable | undefined;
+  /** Objectives by service, as the configuration in force states them; only those that were asked for. */
+  private readonly _promptObjectives = new Map<string, PromptObjectives | undefined>();
   private _hasList = false;
   /** Monotonic time at which the list was first read, in milliseconds. */
   private _listReadAtMs = Infinity;
@@ -208,14 +218,14 @@
     this._evacuations = new Evacuations(_clock, _settings.bounds.evacuation);
     this._connections = new TargetConnections(_clock);
     this._reports = new FleetReports(_clock);
-    this._misdirections = new Misdirections(_clock);
+    this._misdirections = new RecentTargets(_clock, MISDIRECTION_TTL_MS);
     this._limits = new TargetLimits(
       _clock,
       () => this._exchange.size + 1,
       (incarnation) => this._rankFor(incarnation),
     );
     this._availability = new TargetAvailability(_clock);
-    this._silentTargets = new SilentTargets(_clock);
+    this._silentTargets = new RecentTargets(_clock, SILENCE_REPORT_MS);
     this._list = this._createList();
     this._cold = new ColdTargets({
       bounds: _settings.bounds,
@@ -661,7 +671,9 @@
   private _findPromptObjectives(service: string): PromptObjectives | undefined {
     const configuration = this._table?.configuration;
     if (!this._settings.routing['prompt-harm'] || !configuration) return undefined;
-    return findPromptObjectives(configuration, service);
+    if (!this._promptObjectives.has(service))
+      this._promptObjectives.set(service, findPromptObjectives(configuration, service));
+    return this._promptObjectives.get(service);
   }
 
   /** Records how many prompt tokens a chosen group had not read yet, and whether that is more than callers bear. */
@@ -835,6 +847,7 @@
     const current = this._table?.configuration.version ?? -Infinity;
     if (version <= current) return;
     this._table = new RouteTable(configuration);
+    this._promptObjectives.clear();
     this._front.configure(configuration.limits);
     this._cold.update();
     this._openGateIfReady();
@@ -876,9 +889,7 @@
     this._recordEvacuations(this._evacuations.advance());
     const targets = [...this._runs].flatMap((run) => run.listTargets());
     for (const { failureDomain } of this._evacuations.list()) {
-      const running = targets.filter(({ instance, failureDomains }) =>
-        (failureDomains ?? [instance.failureDomain]).includes(failureDomain),
-      );
+      const running = targets.filter((target) => listFailureDomains(target).includes(failureDomain));
       this._counters.set('monsoonreach_evacuated_requests', running.length, { failureDomain });
     }
   }
@@ -953,7 +964,7 @@
 
   private _reportSilentTarget({ key }: TargetCandidate): void {
     this._counters.add('monsoonreach_silent_targets_total');
-    this._silentTargets.add(key);
+    this._silentTargets.record(key);
     this._planning.suspectGroup(key, this._self.id);
     const owner = this._directory.findOwner(key);
     if (owner) this._placement.reportNow(owner.address);
--- a/packages/node/src/placement.ts
+++ b/packages/node/src/placement.ts
@@ -2,8 +2,8 @@
   Clock,
   Counters,
   LoadTracker,
-  Misdirections,
   Random,
+  RecentTargets,
   RequestSize,
   ShardOwner,
   TargetCandidate,
@@ -79,7 +79,8 @@
   readonly log: DecisionLog;
   readonly loads: LoadTracker;
   readonly limits: TargetLimits;
-  readonly misdirections: Misdirections;
+  /** Targets that answered that they do not serve what was sent to them; no request is placed there. */
+  readonly misdirections: RecentTargets;
   /** Whether the node at the address assigns the requests for this incarnation of an instance. */
   readonly isOwnedBy: (incarnation: string, address: string) => boolean;
   /** Time to wait for an owner's answer before this node chooses locally, in milliseconds; 40 by default. */
--- a/packages/node/src/requestRun.ts
+++ b/packages/node/src/requestRun.ts
@@ -11,6 +11,7 @@
   isAllowedTarget,
   classifySilence,
   isNextEvent,
+  type NoTargetReason,
   predictBusyPauseMs,
   type RequestSize,
   type ServingRoute,
@@ -45,9 +46,6 @@
 
 type ChosenTarget = Extract<TargetChoice, { readonly kind: 'chosen' }>;
 
-/** Reason for which no target was chosen. */
-type NoTargetReason = Extract<TargetChoice, { readonly kind: 'none' }>['reason'];
-
 /** Reason for refusing a request that was not run. */
 export type RefusalReason = NoTargetReason | 'not-run-by-target' | 'quarantined';
 
@@ -365,12 +363,9 @@
 
   /** Counts a choice among the targets of a plain service for which cold ones were left out. */
   private _countColdSkip(choice: TargetChoice): void {
-    const { context } = this._options;
-    const configuration = context.configuration();
-    const exhausted = context.limits.listColdExhausted('node');
-    if (exhausted.size === 0 || !configuration || this._service === undefined) return;
-    const candidates = context.directory.findCandidates(configuration, this._service, undefined);
-    countColdSkip(context.counters, choice, candidates, exhausted);
+    const { counters, limits } = this._options.context;
+    const exhausted = limits.listColdExhausted('node');
+    if (exhausted.size > 0) countColdSkip(counters, choice, this._findCandidates() ?? [], exhausted);
   }
 
   private _handleChoice(choice: TargetChoice): void {
@@ -417,15 +412,8 @@
   }
 
   private _recordExcluded(candidate: TargetCandidate): void {
-    const { context, caller } = this._options;
-    context.counters.add('monsoonreach_evacuation_moves_total');
-    const configuration = context.configuration();
-    const model = this._isStream ? caller.model : undefined;
-    const targets =
-      configuration && this._service !== undefined
-        ? context.directory.findCandidates(configuration, this._service, model)
-        : [];
-    const excluded = targets.filter((target) => this._isExcluded(target));
+    this._options.context.counters.add('monsoonreach_evacuation_moves_total');
+    const excluded = (this._findCandidates() ?? []).filter((target) => this._isExcluded(target));
     this._excluded = new Set([candidate, ...excluded].map(({ key }) => key));
   }
 
@@ -482,12 +470,23 @@
       : choice;
   }
 
+  /** Model whose groups may take the request; undefined for a request to a plain service. */
+  private get _model(): string | undefined {
+    return this._isStream ? this._options.caller.model : undefined;
+  }
+
+  /** Targets of the request's service, also those that may not take it; undefined if there is no such service. */
+  private _findCandidates(): readonly TargetCandidate[] | undefined {
+    const { directory, configuration } = this._options.context;
+    const current = configuration();
+    if (!current || this._service === undefined) return undefined;
+    return directory.findCandidates(current, this._service, this._model);
+  }
+
   private _chooseUntried(tried: ReadonlySet<string>): TargetChoice {
     const { context, caller } = this._options;
-    const configuration = context.configuration();
-    if (!configuration || this._service === undefined) return { kind: 'none', reason: 'no-target' };
-    const model = this._isStream ? caller.model : undefined;
-    const candidates = context.directory.findCandidates(configuration, this._service, model);
+    const candidates = this._findCandidates();
+    if (!candidates) return { kind: 'none', reason: 'no-target' };
     return chooseTarget(candidates, {
       nowMs: context.clock.monotonic(),
       random: context.random,
@@ -496,7 +495,8 @@
       size: caller.size,
       tried,
       // The owners of groups know how many requests these still take.
-      unavailable: model === undefined ? listUnavailable(context) : context.availability.listUnavailable(),
+      unavailable:
+        this._model === undefined ? listUnavailable(context) : context.availability.listUnavailable(),
       isContinuing: this._forwardedEvents > 0,
       cold: context.limits.listCold(),
       evacuations: context.evacuations,
@@ -793,22 +793,15 @@
   /** Sends the request to the same target on a new connection; the attempt on the closed one does not count. */
   private _sendAgain(attempt: Attempt): void {
     const { candidate, predictedMs } = attempt;
-    this._mayHaveRun = true;
-    this._trail.push(`${candidate.key} stale ${this._elapsedMs(attempt.startedAtMs)}ms`);
-    this._releaseAttempt(attempt);
-    this._attempts--;
+    this._withdrawStale(attempt);
     const role = attempt === this._successor ? 'successor' : 'current';
     this._send(candidate, predictedMs, { role });
   }
 
   /** Places the request again, at the same target only if there is no other; the attempt on the closed connection does not count. */
   private _placeAgain(attempt: Attempt): void {
-    const { key } = attempt.candidate;
-    this._mayHaveRun = true;
-    this._trail.push(`${key} stale ${this._elapsedMs(attempt.startedAtMs)}ms`);
-    this._releaseAttempt(attempt);
-    this._attempts--;
-    this._targets.recordBrokenOff(key);
+    this._withdrawStale(attempt);
+    this._targets.recordBrokenOff(attempt.candidate.key);
     this._isConnectionDoubted = true;
     const successor = attempt === this._successor ? undefined : this._successor;
     if (attempt === this._attempt) this._attempt = successor;
@@ -816,6 +809,14 @@
     if (!this._attempt) this._dispatch();
   }
 
+  /** Ends an attempt on a closed connection, which does not count against the route's limit. */
+  private _withdrawStale(attempt: Attempt): void {
+    this._mayHaveRun = true;
+    this._trail.push(`${attempt.candidate.key} stale ${this._elapsedMs(attempt.startedAtMs)}ms`);
+    this._releaseAttempt(attempt);
+    this._attempts--;
+  }
+
   /** Handles an attempt without an answer that can be forwarded: retries, or ends the request. */
   private _handleFailure(attempt: Attempt, reason: CallOutcomeReason, mayHaveRun: boolean): void {
     if (mayHaveRun) this._mayHaveRun = true;
--- a/tests/node/placement.test.ts
+++ b/tests/node/placement.test.ts
@@ -6,7 +6,7 @@
   getIncarnationKey,
   LoadTracker,
   ManualClock,
-  Misdirections,
+  RecentTargets,
   type ShardOwner,
   systemClock,
   type TargetCandidate,
@@ -117,7 +117,7 @@
       log: new DecisionLog(name, 'hidden', this._clock, counters),
       loads,
       limits,
-      misdirections: new Misdirections(this._clock),
+      misdirections: new RecentTargets(this._clock, 2_000),
       isOwnedBy: (incarnation, address) =>
         this._findOwner(incarnation.split('#')[0] ?? '')?.address === address,
       ...(this._answerTimeoutMs === undefined ? {} : { answerTimeoutMs: this._answerTimeoutMs }),
@@ -362,7 +362,7 @@
 
 void t.test('a target that was left alone after a wrong answer is used again', (t) => {
   const clock = new ManualClock();
-  const misdirections = new Misdirections(clock);
+  const misdirections = new RecentTargets(clock, 2_000);
   t.equal(misdirections.record('group-1'), true);
   t.equal(misdirections.record('group-1'), false);
   clock.advance(1_999);
