--- a/review/standins-2/programs.mjs
+++ b/review/standins-2/programs.mjs
@@ -1,5 +1,6 @@
 // Starts the program of the deploy file as the platform does: its command, with its settings template filled in.
 import { spawn } from 'node:child_process';
+import { createSocket } from 'node:dgram';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -20,16 +21,34 @@
   retrySlack: 130,
 };
 
-export async function findFreePorts(count) {
-  const servers = [];
-  for (let index = 0; index < count; index++) {
+/** Ports below those that the system gives to outgoing connections, which could take them at any moment. */
+const FIRST_PORT = 12_000;
+const PORT_COUNT = 18_000;
+
+function canListen(port) {
+  return new Promise((done) => {
     const server = createServer();
-    await new Promise((done) => server.listen(0, '127.0.0.1', done));
-    servers.push(server);
+    server.once('error', () => done(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => done(true)));
+  });
+}
+
+function canReceive(port) {
+  return new Promise((done) => {
+    const socket = createSocket('udp4');
+    socket.once('error', () => done(false));
+    socket.bind(port, '127.0.0.1', () => socket.close(() => done(true)));
+  });
+}
+
+/** Returns ports that are free for TCP and UDP now. */
+export async function findFreePorts(count) {
+  const ports = new Set();
+  while (ports.size < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (!ports.has(port) && (await canListen(port)) && (await canReceive(port))) ports.add(port);
   }
-  const ports = servers.map((server) => server.address().port);
-  for (const server of servers) server.close();
-  return ports;
+  return [...ports];
 }
 
 /** Settings of one machine, as the platform hands them to a template; `machine` overrides any of them. */
